--- /dev/null
+++ b/src/ferryledge/cli/__init__.py
@@ -0,0 +1,7 @@
+"""The command line of operators and clients."""
+
+from ferryledge.cli import _command
+
+main = _command.main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/ferryledge/cli/_command.py
@@ -0,0 +1,30 @@
+"""The command ``ferryledge``: its groups and common options."""
+
+import click
+
+import ferryledge
+from ferryledge.cli import _config
+from ferryledge.cli import _jobs
+from ferryledge.cli import _status
+
+
+@click.group()
+@click.version_option(ferryledge.__version__)
+def main() -> None:
+    """Submit jobs to ferryledge, configure it and look into it.
+
+    Addresses come from --entry and --platform, or from the variables
+    FERRYLEDGE_ENTRIES and FERRYLEDGE_PLATFORM_URL.
+
+    \b
+    First steps:
+      ferryledge config check config.toml
+      ferryledge config publish config.toml --author you --reason start
+      ferryledge submit --team shop --service stock-check '{"sku": 7}'
+    """
+
+
+main.add_command(_jobs.submit)
+main.add_command(_jobs.cancel)
+main.add_command(_config.config)
+main.add_command(_status.status)
--- /dev/null
+++ b/src/ferryledge/client/_client.py
@@ -0,0 +1,146 @@
+"""Submits jobs, and retries only what the outcome allows.
+
+- ``complete``, and failures that may have run: returned.
+- refused or failed, not run: retried after the told delay.
+- no whole answer: a repeatable job is sent again, perhaps elsewhere; an
+  unrepeatable one is sent again with its ticket, under which it runs once.
+
+All retries come out of one budget.
+"""
+
+import dataclasses
+import itertools
+import random
+import secrets
+
+import anyio
+import httpcore
+
+from ferryledge.client import _model
+from ferryledge import limits
+
+_RETRY_OUTCOMES = frozenset({"refused", "failed_not_run", "in_progress"})
+_LOST_DELAY_S = 0.05
+
+
+class UnreachableError(Exception):
+    """No address to send to."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientOptions:
+    """How a client retries."""
+
+    #: Most attempts for one job.
+    max_attempts: int = 4
+    #: Retries earned by each first attempt.
+    retry_ratio: float = 0.1
+    #: Most retries saved up.
+    retry_burst: float = 10.0
+    #: Seconds after which an attempt without an answer is given up.
+    timeout_s: float = 60.0
+    #: Most connections.
+    connections: int = 64
+
+
+class Client:
+    """Talks to the entries at some addresses.
+
+    :param urls: base addresses of entries, or of the balancer
+    :param options: how to retry
+    """
+
+    def __init__(
+        self,
+        urls: tuple[str, ...],
+        options: ClientOptions | None = None,
+    ) -> None:
+        if not urls:
+            raise UnreachableError("give at least one entry's address")
+        self._options = options or ClientOptions()
+        self._urls = itertools.cycle([url.rstrip("/") for url in urls])
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=self._options.connections,
+            max_keepalive_connections=self._options.connections,
+        )
+        self._budget = limits.RetryBudget(
+            self._options.retry_ratio, self._options.retry_burst
+        )
+
+    async def __aenter__(self) -> "Client":
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def submit(self, job: _model.Job) -> _model.Reply:
+        """Run a job and return what became of it.
+
+        :param job: the job
+        :return: the last reply; ``lost`` means that no whole answer came,
+            so the job may have run
+        """
+        request_id = job.request_id or secrets.token_hex(8)
+        ticket = ""
+        self._budget.attempt()
+        attempt = 0
+        while True:
+            attempt += 1
+            reply = await self._attempt(job, request_id, ticket)
+            reply = dataclasses.replace(reply, attempts=attempt)
+            if reply.outcome == "ticket_required":
+                ticket = reply.ticket
+                attempt -= 1
+                continue
+            if not self._may_retry(job, reply, ticket):
+                return reply
+            if attempt >= self._options.max_attempts:
+                return reply
+            if not self._budget.take():
+                return reply
+            await anyio.sleep(self._delay(reply))
+
+    async def cancel(self, team: str, request_id: str) -> None:
+        """Cancel a job; its submission gets the outcome."""
+        url = f"{next(self._urls)}/v1/jobs/{team}/{request_id}"
+        await self._pool.request("DELETE", url)
+
+    def _may_retry(
+        self, job: _model.Job, reply: _model.Reply, ticket: str
+    ) -> bool:
+        if reply.outcome == "lost":
+            return job.repeatable or bool(ticket)
+        if reply.outcome not in _RETRY_OUTCOMES:
+            return False
+        return reply.retry_after_s > 0
+
+    def _delay(self, reply: _model.Reply) -> float:
+        if reply.retry_after_s:
+            return reply.retry_after_s
+        return _LOST_DELAY_S * (1.0 + random.random())
+
+    async def _attempt(
+        self, job: _model.Job, request_id: str, ticket: str
+    ) -> _model.Reply:
+        url = next(self._urls) + "/v1/jobs"
+        body = job.to_json(request_id, ticket)
+        headers = [("content-type", "application/json")]
+        try:
+            with anyio.fail_after(self._options.timeout_s):
+                response = await self._pool.request(
+                    "POST", url, headers=headers, content=body
+                )
+            return _model.Reply.parse(response.status, response.content)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout):
+            return _model.Reply(0, "lost", "no", reason="unreachable")
+        except (
+            TimeoutError,
+            ValueError,
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+        ) as exc:
+            return _model.Reply(0, "lost", "maybe", reason=str(exc))
--- /dev/null
+++ b/src/ferryledge/core/__init__.py
@@ -0,0 +1,65 @@
+"""The decisions of entries and agents, free of sockets and clocks.
+
+A core is driven by three calls: ``receive(now, event)`` for each event,
+``tick(now)`` once the ready events are in, which returns the actions to
+carry out, and ``wake_at()`` for when to tick at the latest. See docs/core.
+"""
+
+from ferryledge.core import _actions
+from ferryledge.core import _agent
+from ferryledge.core import _entry
+from ferryledge.core import _events
+from ferryledge.core import _options
+from ferryledge.core import _requests
+
+Action = _actions.Action
+AdoptConfig = _actions.AdoptConfig
+AgentCore = _agent.AgentCore
+AgentOptions = _options.AgentOptions
+AnswerClient = _actions.AnswerClient
+ClientCancelled = _events.ClientCancelled
+ClientSubmitted = _events.ClientSubmitted
+ConfigChanged = _events.ConfigChanged
+DrainRequested = _events.DrainRequested
+EntryCore = _entry.EntryCore
+EntryOptions = _options.EntryOptions
+Event = _events.Event
+Identity = _options.Identity
+JobAnswer = _requests.JobAnswer
+JobRequest = _requests.JobRequest
+PeerDown = _events.PeerDown
+PeerUp = _events.PeerUp
+Received = _events.Received
+RunTask = _actions.RunTask
+Send = _actions.Send
+StopTask = _actions.StopTask
+TaskEnded = _events.TaskEnded
+TaskRequest = _requests.TaskRequest
+VmsListed = _events.VmsListed
+
+__all__ = [
+    "Action",
+    "AdoptConfig",
+    "AgentCore",
+    "AgentOptions",
+    "AnswerClient",
+    "ClientCancelled",
+    "ClientSubmitted",
+    "ConfigChanged",
+    "DrainRequested",
+    "EntryCore",
+    "EntryOptions",
+    "Event",
+    "Identity",
+    "JobAnswer",
+    "JobRequest",
+    "PeerDown",
+    "PeerUp",
+    "Received",
+    "RunTask",
+    "Send",
+    "StopTask",
+    "TaskEnded",
+    "TaskRequest",
+    "VmsListed",
+]
--- /dev/null
+++ b/src/ferryledge/core/_entry.py
@@ -0,0 +1,426 @@
+"""An entry's decisions: its front, its scheduler and its peers."""
+
+import random
+
+from ferryledge import configlog
+from ferryledge.core import _actions
+from ferryledge.core import _convert
+from ferryledge.core import _events
+from ferryledge.core import _front
+from ferryledge.core import _options
+from ferryledge.core import _peers
+from ferryledge.core import _reach
+from ferryledge.core import _requests
+from ferryledge.core import _rulebook
+from ferryledge.core import _scheduler
+from ferryledge import ledger
+from ferryledge import placement
+from ferryledge import wire
+
+_SWEEP_S = 0.1
+
+
+class EntryCore:
+    """Takes clients' jobs and schedules the pools that fall to it.
+
+    :param identity: this process
+    :param options: how to decide
+    :param rng: source of all randomness
+    """
+
+    def __init__(
+        self,
+        identity: _options.Identity,
+        options: _options.EntryOptions,
+        rng: random.Random,
+    ) -> None:
+        self._identity = identity
+        self._options = options
+        self._rng = rng
+        self._peers = _peers.Peers(
+            options.keepalive_s, options.busy_keepalive_s
+        )
+        self._front = _front.Front(identity, options, self._peers, rng)
+        self._scheduler = _scheduler.Scheduler(
+            identity, options, self._peers, rng
+        )
+        self._rulebook = _rulebook.Rulebook(configlog.EMPTY)
+        self._reaches: dict[str, _reach.Reach] = {}
+        self._own_group = _reach.Group(set())
+        self._reachable_cache: frozenset[str] | None = None
+        self._leaving_vms: frozenset[str] = frozenset()
+        self._draining = False
+        self._next_sweep = 0.0
+        self._asked_tickets_at = float("-inf")
+
+    @property
+    def idle(self) -> bool:
+        """Whether no job is held, for clients or for other entries."""
+        return not self._front.jobs and not self._scheduler.jobs
+
+    @property
+    def draining(self) -> bool:
+        """Whether new jobs are refused."""
+        return self._draining
+
+    @property
+    def ready(self) -> bool:
+        """Whether jobs can be served: configuration and endpoints."""
+        usable = any(row.usable for row in self._scheduler.table)
+        return bool(self._rulebook.version) and usable and not self._draining
+
+    @property
+    def rulebook(self) -> _rulebook.Rulebook:
+        """The configuration in force."""
+        return self._rulebook
+
+    @property
+    def front(self) -> _front.Front:
+        """The jobs of this entry's clients."""
+        return self._front
+
+    @property
+    def scheduler(self) -> _scheduler.Scheduler:
+        """The jobs that this entry places."""
+        return self._scheduler
+
+    @property
+    def peers(self) -> _peers.Peers:
+        """The connected peers."""
+        return self._peers
+
+    def hello(self) -> wire.Hello:
+        """Return the greeting for a new stream."""
+        return wire.Hello(
+            wire.Role.ENTRY,
+            self._identity.name,
+            self._identity.incarnation,
+            self._identity.hall,
+            leaving=self._draining,
+            config_version=self._rulebook.version,
+        )
+
+    def receive(self, now: float, event: _events.Event) -> None:
+        """Take in one event.
+
+        :param now: monotonic seconds
+        :param event: what happened
+        """
+        match event:
+            case _events.Received(peer, message):
+                self._on_message(now, peer, message)
+            case _events.ClientSubmitted(token, request):
+                self._on_submit(now, token, request)
+            case _events.ClientCancelled():
+                self._on_cancel(now, event)
+            case _events.PeerUp(hello):
+                self._on_up(now, hello)
+            case _events.PeerDown(name, incarnation):
+                self._on_down(now, name, incarnation)
+            case _events.ConfigChanged(snapshot):
+                self._on_config(now, snapshot)
+            case _events.VmsListed():
+                self._on_vms(event)
+            case _events.DrainRequested():
+                self._on_drain(now)
+            case _:
+                raise TypeError(f"not an event for an entry: {event!r}")
+
+    def tick(self, now: float) -> list[_actions.Action]:
+        """Return the actions that the events so far call for."""
+        if now >= self._next_sweep:
+            self._sweep(now)
+        self._scheduler.run_systems(now)
+        for local in self._scheduler.take_answers():
+            self._front.on_answer(local.submission, "", local.answer)
+        self._peers.send_keepalives(
+            now, self._rulebook.version, self._scheduler.waiting
+        )
+        return self._peers.take_actions()
+
+    def wake_at(self) -> float:
+        """Return when to tick at the latest, in monotonic seconds."""
+        due = min(self._peers.wake_at(), self._scheduler.wake_at())
+        if self._front.jobs:
+            due = min(due, self._next_sweep)
+        return due
+
+    # Clients.
+
+    def _on_submit(
+        self, now: float, token: int, request: _requests.JobRequest
+    ) -> None:
+        job = self._front.submit(now, token, request)
+        if job is not None:
+            indices = tuple(range(len(request.tasks)))
+            self._hand_over(now, job, indices)
+        self._stock_tickets(now)
+
+    def _hand_over(
+        self, now: float, job: _front.FrontJob, indices: tuple[int, ...]
+    ) -> None:
+        peer = self._choose_scheduler(job.request)
+        group = self._own_group
+        if peer is not None:
+            group = self._tell_agents(now, peer)
+        message = self._front.make_part(now, job, peer, indices, group)
+        if peer is None:
+            self._scheduler.place(now, "", message)
+            return
+        peer.busy = True
+        self._peers.send(now, peer.name, message)
+
+    def _choose_scheduler(
+        self, request: _requests.JobRequest
+    ) -> _peers.Peer | None:
+        """Return the entry that schedules a job; none is this one."""
+        agents = self._peers.of_role(wire.Role.AGENT)
+        pools = placement.pool_count(len(agents), self._options.pool_size)
+        if request.ticket:
+            minter = ledger.minter_of(request.ticket)
+            pool = placement.pool_of(minter, pools)
+        else:
+            pool = self._choose_pool(pools)
+        return self._scheduler_of(pool)
+
+    def _choose_pool(self, pools: int) -> int:
+        if pools == 1:
+            return 0
+        first, second = self._rng.sample(range(pools), 2)
+        return min(first, second, key=self._pool_waiting)
+
+    def _pool_waiting(self, pool: int) -> int:
+        peer = self._scheduler_of(pool)
+        return self._scheduler.waiting if peer is None else peer.waiting
+
+    def _scheduler_of(self, pool: int) -> _peers.Peer | None:
+        entries = {
+            peer.name: peer
+            for peer in self._peers.of_role(wire.Role.ENTRY)
+            if not (peer.leaving or peer.doubted)
+        }
+        names = list(entries)
+        if not self._draining:
+            names.append(self._identity.name)
+        if not names:
+            return None
+        best = placement.rank(f"pool-{pool}", names)[0]
+        return entries.get(best)
+
+    def _on_cancel(self, now: float, event: _events.ClientCancelled) -> None:
+        local = self._front.local_parts(event.team, event.request_id)
+        if self._front.cancel(now, event.team, event.request_id):
+            for submission in local:
+                self._scheduler.cancel(now, "", submission)
+            return
+        if not event.forward:
+            return
+        message = wire.CancelRequest(event.team, event.request_id)
+        for peer in self._peers.of_role(wire.Role.ENTRY):
+            self._peers.send(now, peer.name, message)
+
+    def _stock_tickets(self, now: float) -> None:
+        """Keep tickets of several agents ready."""
+        if self._front.tickets >= self._options.ticket_stock:
+            return
+        if now - self._asked_tickets_at < 1.0:
+            return
+        agents = [row.name for row in self._scheduler.table if row.usable]
+        if not agents:
+            return
+        self._asked_tickets_at = now
+        chosen = self._rng.sample(agents, min(4, len(agents)))
+        count = max(1, self._options.ticket_stock // len(chosen))
+        for name in chosen:
+            self._peers.send(now, name, wire.AskTickets(count))
+
+    # Peers.
+
+    def _on_up(self, now: float, hello: wire.Hello) -> None:
+        old = self._peers.find(hello.name)
+        if old is not None:
+            self._on_down(now, hello.name, old.incarnation)
+        self._reachable_cache = None
+        peer = self._peers.up(hello, now)
+        if hello.name in self._leaving_vms:
+            peer.leaving = True
+        if hello.role is wire.Role.AGENT:
+            self._scheduler.agent_up(now, hello)
+            if peer.leaving:
+                self._scheduler.agent_leaving(hello.name)
+            self._stock_tickets(now)
+        elif not self._rulebook.version:
+            self._peers.send(now, hello.name, wire.ConfigRequest())
+
+    def _on_down(self, now: float, name: str, incarnation: str) -> None:
+        peer = self._peers.down(name, incarnation)
+        if peer is None:
+            return
+        self._reachable_cache = None
+        if peer.hello.role is wire.Role.AGENT:
+            self._scheduler.agent_down(now, name)
+            self._front.agent_lost(wire.process_key(name, incarnation))
+            self._front.drop_tickets(name)
+            return
+        self._scheduler.front_lost(now, name)
+        self._scheduler_lost(now, peer)
+
+    def _scheduler_lost(self, now: float, peer: _peers.Peer) -> None:
+        self._front.scheduler_lost(now, peer.name, peer.incarnation)
+        self._reaches.pop(peer.name, None)
+
+    def _tell_agents(self, now: float, peer: _peers.Peer) -> _reach.Group:
+        """Tell a scheduler which agents this front can reach.
+
+        :return: the group of agents for a part that it gets now
+        """
+        reach = self._reaches.setdefault(peer.name, _reach.Reach())
+        agents = self._reachable()
+        if reach.tell(agents):
+            reach.keep_only(self._front.groups_at(peer.name))
+            message = wire.AgentSet(tuple(sorted(agents)))
+            self._peers.send(now, peer.name, message)
+        return reach.group
+
+    def _reachable(self) -> frozenset[str]:
+        """Return the process keys of the agents with open streams."""
+        if self._reachable_cache is None:
+            self._reachable_cache = frozenset(
+                wire.process_key(one.name, one.incarnation)
+                for one in self._peers.of_role(wire.Role.AGENT)
+            )
+        return self._reachable_cache
+
+    # Messages.
+
+    def _on_message(
+        self, now: float, name: str, message: wire.Message
+    ) -> None:
+        peer = self._peers.find(name)
+        if peer is None:
+            return
+        peer.last_heard = now
+        peer.doubted = False
+        if peer.hello.role is wire.Role.AGENT:
+            self._on_agent_message(now, peer, message)
+        else:
+            self._on_entry_message(now, peer, message)
+
+    def _on_agent_message(
+        self, now: float, peer: _peers.Peer, message: wire.Message
+    ) -> None:
+        name = peer.name
+        match message:
+            case wire.TasksFinished():
+                self._scheduler.on_finished(now, name, message)
+            case wire.TasksReleased():
+                self._scheduler.on_released(now, name, message)
+            case wire.KeepAlive(version):
+                peer.config_version = version
+            case wire.Leaving():
+                peer.leaving = True
+                self._scheduler.agent_leaving(name)
+            case wire.Tickets(tickets):
+                self._front.add_tickets(tickets)
+            case wire.Verdict():
+                self._scheduler.on_verdict(now, message)
+            case wire.FenceReport():
+                process = wire.process_key(name, peer.incarnation)
+                for job, left in self._front.on_report(process, message):
+                    self._hand_over(now, job, left)
+            case _:
+                return
+
+    def _on_entry_message(
+        self, now: float, peer: _peers.Peer, message: wire.Message
+    ) -> None:
+        name = peer.name
+        match message:
+            case wire.PlaceJob():
+                peer.busy = True
+                self._scheduler.place(now, name, message)
+            case wire.JobAnswered(submission, record, waiting):
+                peer.waiting = waiting
+                answer = _convert.answer_of(record)
+                self._front.on_answer(submission, name, answer)
+            case wire.CancelJob(submission):
+                self._scheduler.cancel(now, name, submission)
+            case wire.CancelRequest(team, request_id):
+                event = _events.ClientCancelled(
+                    team, request_id, forward=False
+                )
+                self._on_cancel(now, event)
+            case wire.AgentSet(agents):
+                self._scheduler.allow_agents(name, frozenset(agents))
+            case wire.KeepAlive(version, waiting):
+                peer.config_version = version
+                peer.waiting = waiting
+            case wire.Leaving():
+                peer.leaving = True
+            case _:
+                self._on_config_message(now, name, message)
+
+    def _on_config_message(
+        self, now: float, name: str, message: wire.Message
+    ) -> None:
+        match message:
+            case wire.ConfigRequest() if self._rulebook.version:
+                snapshot = configlog.encode_snapshot(self._rulebook.snapshot)
+                reply = wire.ConfigReply(self._rulebook.version, snapshot)
+                self._peers.send(now, name, reply)
+            case wire.ConfigReply(version, data):
+                if version > self._rulebook.version:
+                    self._peers.do(_actions.AdoptConfig(name, data))
+            case _:
+                return
+
+    # Configuration, membership, leaving.
+
+    def _on_config(self, now: float, snapshot: configlog.Snapshot) -> None:
+        if snapshot.version <= self._rulebook.version:
+            return
+        self._rulebook = _rulebook.Rulebook(snapshot)
+        self._front.configure(self._rulebook)
+        self._scheduler.configure(self._rulebook)
+        alive = wire.KeepAlive(snapshot.version, self._scheduler.waiting)
+        for peer in list(self._peers):
+            self._peers.send(now, peer.name, alive)
+
+    def _on_vms(self, event: _events.VmsListed) -> None:
+        if not event.agents and not event.leaving:
+            return
+        self._leaving_vms = event.leaving
+        for name in event.leaving:
+            peer = self._peers.find(name)
+            if peer is None:
+                continue
+            peer.leaving = True
+            if peer.hello.role is wire.Role.AGENT:
+                self._scheduler.agent_leaving(name)
+
+    def _on_drain(self, now: float) -> None:
+        if self._draining:
+            return
+        self._draining = True
+        self._front.drain()
+        for peer in list(self._peers):
+            self._peers.send(now, peer.name, wire.Leaving())
+
+    def _sweep(self, now: float) -> None:
+        late = now - self._next_sweep
+        self._next_sweep = now + _SWEEP_S
+        if self._front.jobs and late > _peers.PAUSE_S:
+            # This process was paused; the peers were not silent.
+            self._peers.forgive_silence(now)
+        self._front.sweep(now)
+        for peer in self._peers.of_role(wire.Role.ENTRY):
+            self._check_silence(now, peer)
+
+    def _check_silence(self, now: float, peer: _peers.Peer) -> None:
+        """Give up a scheduler that is silent with our jobs in hand."""
+        if not peer.busy or not self._front.outstanding(peer.name):
+            return
+        if now - peer.last_heard <= self._options.silence_s:
+            return
+        peer.doubted = True
+        self._scheduler_lost(now, peer)
--- /dev/null
+++ b/src/ferryledge/core/_front.py
@@ -0,0 +1,612 @@
+"""The front of an entry: holds clients' jobs until their whole answer.
+
+A job is handed to its scheduler as one part. If that scheduler is lost,
+the front fences it at every agent that it may have used and learns what
+started there; only tasks that provably never started are handed on, as a
+new part.
+"""
+
+import collections
+import dataclasses
+import hashlib
+import random
+
+from ferryledge.core import _actions
+from ferryledge.core import _options
+from ferryledge.core import _peers
+from ferryledge.core import _reach
+from ferryledge.core import _requests
+from ferryledge.core import _rulebook
+from ferryledge import ledger
+from ferryledge import limits
+from ferryledge import outcomes
+from ferryledge import wire
+
+#: Answers kept for look-ups.
+_ANSWERS_KEPT = 2000
+#: Seconds that agents have to report on a fence.
+_FENCE_S = 2.0
+#: Seconds after a job's deadline by which it must be answered.
+_DEADLINE_MARGIN_S = 0.25
+
+
+@dataclasses.dataclass(slots=True)
+class Part:
+    """Tasks of a job that one scheduler holds."""
+
+    submission: str
+    #: Name and incarnation of the scheduler; empty for this entry.
+    scheduler: str
+    incarnation: str
+    #: Places in the job of the part's tasks.
+    indices: tuple[int, ...]
+    #: The agents that the scheduler may use.
+    group: _reach.Group
+
+
+@dataclasses.dataclass(slots=True)
+class FrontJob:
+    """A client's job."""
+
+    request: _requests.JobRequest
+    digest: str
+    tokens: list[int]
+    arrived_at: float
+    parts: dict[str, Part] = dataclasses.field(default_factory=dict)
+    results: dict[int, bytes] = dataclasses.field(default_factory=dict)
+
+    @property
+    def deadline_at(self) -> float:
+        """When it must be answered at the latest."""
+        if not self.request.deadline_s:
+            return float("inf")
+        wait = self.request.deadline_s + _DEADLINE_MARGIN_S
+        return self.arrived_at + wait
+
+
+@dataclasses.dataclass(slots=True)
+class Fence:
+    """A lost scheduler whose tasks are being accounted for."""
+
+    owner: str
+    name: str
+    #: Agents that have not reported yet.
+    missing: set[str]
+    started_at: float
+    #: The parts that it held, with what is known of their tasks.
+    parts: dict[str, Part]
+    finished: dict[str, dict[int, wire.FinishedTask]]
+    running: dict[str, dict[int, str]]
+
+
+def digest_of(request: _requests.JobRequest) -> str:
+    """Return a short digest of what a request asks for."""
+    hasher = hashlib.blake2b(digest_size=12)
+    hasher.update(f"{request.team}|{request.service}".encode())
+    for task in request.tasks:
+        hasher.update(len(task.payload).to_bytes(8, "big"))
+        hasher.update(task.payload)
+    return hasher.hexdigest()
+
+
+class Front:
+    """Takes clients' jobs and answers each one once.
+
+    :param identity: this process
+    :param options: how to decide
+    :param peers: where messages go out
+    :param rng: source of all randomness
+    """
+
+    def __init__(
+        self,
+        identity: _options.Identity,
+        options: _options.EntryOptions,
+        peers: _peers.Peers,
+        rng: random.Random,
+    ) -> None:
+        self._identity = identity
+        self._options = options
+        self._peers = peers
+        self._rng = rng
+        self._rulebook: _rulebook.Rulebook | None = None
+        self._jobs: dict[tuple[str, str], FrontJob] = {}
+        self._by_part: dict[str, FrontJob] = {}
+        self._fences: list[Fence] = []
+        self._answered: collections.OrderedDict[
+            tuple[str, str], _requests.JobAnswer
+        ] = collections.OrderedDict()
+        self._tickets: collections.deque[str] = collections.deque()
+        self._counter = 0
+        self._draining = False
+
+    @property
+    def jobs(self) -> int:
+        """Jobs whose clients wait."""
+        return len(self._jobs)
+
+    @property
+    def tickets(self) -> int:
+        """Tickets in stock."""
+        return len(self._tickets)
+
+    def outstanding(self, scheduler: str) -> int:
+        """Return how many parts a scheduler holds for this front."""
+        return sum(
+            part.scheduler == scheduler
+            for job in self._jobs.values()
+            for part in job.parts.values()
+        )
+
+    def configure(self, rulebook: _rulebook.Rulebook) -> None:
+        """Put a newer configuration in force."""
+        self._rulebook = rulebook
+
+    def drain(self) -> None:
+        """Refuse new jobs from now on."""
+        self._draining = True
+
+    def add_tickets(self, tickets: tuple[str, ...]) -> None:
+        """Add tickets to the stock, up to its bound."""
+        room = 4 * self._options.ticket_stock - len(self._tickets)
+        self._tickets.extend(tickets[: max(0, room)])
+
+    def drop_tickets(self, minter: str) -> None:
+        """Forget the tickets of an agent that is gone."""
+        kept = [t for t in self._tickets if ledger.minter_of(t) != minter]
+        self._tickets = collections.deque(kept)
+
+    def find(
+        self, team: str, request_id: str
+    ) -> FrontJob | _requests.JobAnswer | None:
+        """Return a job that runs, or an answer that is kept, or none."""
+        key = (team, request_id)
+        return self._jobs.get(key) or self._answered.get(key)
+
+    # Jobs.
+
+    def submit(
+        self, now: float, token: int, request: _requests.JobRequest
+    ) -> FrontJob | None:
+        """Check a job and keep it.
+
+        :return: the job if it is to be handed to a scheduler; none if it
+            was answered at once or joined one that runs
+        """
+        refusal = self._check(request)
+        if refusal is not None:
+            self._reply(token, _requests.JobAnswer(refusal))
+            return None
+        key = (request.team, request.request_id)
+        digest = digest_of(request)
+        known = self._jobs.get(key)
+        if known is not None:
+            self._join(token, known, digest)
+            return None
+        job = FrontJob(request, digest, [token], now)
+        self._jobs[key] = job
+        return job
+
+    def _check(
+        self, request: _requests.JobRequest
+    ) -> outcomes.Refused | outcomes.TicketRequired | None:
+        if self._draining:
+            return self._refuse(outcomes.Reason.DRAINING, 0.1)
+        rulebook = self._rulebook
+        if rulebook is None or not rulebook.version:
+            return self._refuse(
+                outcomes.Reason.NO_CONFIGURATION,
+                1.0,
+                "no configuration is known yet",
+            )
+        service = rulebook.service(request.service)
+        if service is None:
+            return self._refuse(
+                outcomes.Reason.UNKNOWN_SERVICE, 0.0, request.service
+            )
+        if rulebook.team(request.team) is None:
+            return self._refuse(
+                outcomes.Reason.UNKNOWN_TEAM, 0.0, request.team
+            )
+        for place in request.places:
+            if rulebook.place(place) is None:
+                return self._refuse(
+                    outcomes.Reason.IMPOSSIBLE, 0.0, f"no place {place!r}"
+                )
+        repeatable = request.repeatable and service.repeatable
+        if repeatable or request.ticket:
+            return None
+        if self._tickets:
+            return outcomes.TicketRequired(self._tickets.popleft())
+        return self._refuse(
+            outcomes.Reason.CAPACITY, 0.2, "no ticket is in stock"
+        )
+
+    def _join(self, token: int, job: FrontJob, digest: str) -> None:
+        if job.digest == digest:
+            job.tokens.append(token)
+            return
+        refusal = self._refuse(
+            outcomes.Reason.TICKET_USED,
+            0.0,
+            "another request with this request_id is running",
+        )
+        self._reply(token, _requests.JobAnswer(refusal))
+
+    def _refuse(
+        self,
+        reason: outcomes.Reason,
+        base_s: float,
+        detail: str = "",
+    ) -> outcomes.Refused:
+        delay = limits.spread_delay(
+            base_s, self._options.max_retry_after_s, self._rng
+        )
+        origin = outcomes.Origin(outcomes.Step.SUBMIT, self._identity.name)
+        return outcomes.Refused(reason, origin, delay, detail)
+
+    def make_part(
+        self,
+        now: float,
+        job: FrontJob,
+        scheduler: _peers.Peer | None,
+        indices: tuple[int, ...],
+        group: _reach.Group,
+    ) -> wire.PlaceJob:
+        """Name a part of a job and return the message for its scheduler.
+
+        :param scheduler: who gets it; none is this entry itself
+        :param indices: the tasks that belong to it
+        :param group: the agents that the scheduler may use
+        """
+        self._counter += 1
+        incarnation = self._identity.incarnation
+        submission = (
+            f"{incarnation}{ledger.SUBMISSION_SEPARATOR}{self._counter}"
+        )
+        part = Part(
+            submission,
+            scheduler.name if scheduler else "",
+            scheduler.incarnation if scheduler else "",
+            indices,
+            group,
+        )
+        job.parts[submission] = part
+        self._by_part[submission] = job
+        request = job.request
+        left = request.deadline_s
+        if left:
+            left = max(0.001, job.arrived_at + left - now)
+        return wire.PlaceJob(
+            submission,
+            request.team,
+            request.service,
+            tuple(
+                wire.FrontTask(
+                    request.tasks[i].payload, request.tasks[i].declared_s
+                )
+                for i in indices
+            ),
+            left,
+            request.urgency,
+            request.places,
+            request.ticket,
+            request.request_id if not request.ticket else job.digest,
+            request.repeatable,
+        )
+
+    def fail(
+        self,
+        job: FrontJob,
+        reason: outcomes.Reason,
+        step: outcomes.Step,
+        peer: str,
+        may_have_run: bool,
+    ) -> None:
+        """Answer a job as failed."""
+        origin = outcomes.Origin(step, peer)
+        outcome: outcomes.JobOutcome
+        if may_have_run:
+            outcome = outcomes.FailedMayHaveRun(reason, origin)
+        else:
+            outcome = outcomes.FailedNotRun(reason, origin, 0.1)
+        tag = outcomes.tag_of(outcome)
+        tags = tuple(
+            "complete" if index in job.results else tag
+            for index in range(len(job.request.tasks))
+        )
+        self._answer(job, _requests.JobAnswer(outcome, tags))
+
+    def cancel(self, now: float, team: str, request_id: str) -> bool:
+        """Cancel a client's job.
+
+        :return: whether it is here
+        """
+        job = self._jobs.get((team, request_id))
+        if job is None:
+            return False
+        for part in job.parts.values():
+            if part.scheduler:
+                message = wire.CancelJob(part.submission)
+                self._peers.send(now, part.scheduler, message)
+        return True
+
+    def local_parts(self, team: str, request_id: str) -> list[str]:
+        """Return a job's submissions that this entry schedules itself."""
+        job = self._jobs.get((team, request_id))
+        if job is None:
+            return []
+        return [
+            part.submission
+            for part in job.parts.values()
+            if not part.scheduler
+        ]
+
+    # Answers.
+
+    def on_answer(
+        self, submission: str, scheduler: str, answer: _requests.JobAnswer
+    ) -> None:
+        """Take in a scheduler's answer to one part.
+
+        An answer to a part that is unknown, or that another scheduler
+        holds, is dropped: it is late or crossed.
+        """
+        job = self._by_part.get(submission)
+        if job is None:
+            return
+        part = job.parts[submission]
+        if part.scheduler != scheduler:
+            return
+        match answer.outcome:
+            case outcomes.Complete(results):
+                self._merge(job, part, results)
+            case _ if len(part.indices) == len(job.request.tasks):
+                self._answer(job, answer)
+            case _:
+                self._fail_rest(job, part, answer)
+
+    def _merge(
+        self, job: FrontJob, part: Part, results: tuple[bytes, ...]
+    ) -> None:
+        del job.parts[part.submission]
+        del self._by_part[part.submission]
+        job.results.update(zip(part.indices, results, strict=True))
+        self.complete_if_whole(job)
+
+    def complete_if_whole(self, job: FrontJob) -> None:
+        """Answer a job once all its results are here."""
+        size = len(job.request.tasks)
+        if len(job.results) != size:
+            return
+        ordered = tuple(job.results[index] for index in range(size))
+        self._answer(
+            job,
+            _requests.JobAnswer(
+                outcomes.Complete(ordered), ("complete",) * size
+            ),
+        )
+
+    def _fail_rest(
+        self, job: FrontJob, part: Part, answer: _requests.JobAnswer
+    ) -> None:
+        """Fail a job of which other tasks have already run."""
+        match answer.outcome:
+            case outcomes.Refused(reason, origin) | outcomes.FailedNotRun(
+                reason, origin
+            ):
+                self.fail(job, reason, origin.step, origin.peer, True)
+            case outcomes.FailedMayHaveRun(reason, origin):
+                self.fail(job, reason, origin.step, origin.peer, True)
+            case _:
+                self.fail(
+                    job,
+                    outcomes.Reason.ENTRY_LOST,
+                    outcomes.Step.ANSWER,
+                    part.scheduler,
+                    True,
+                )
+
+    def _answer(self, job: FrontJob, answer: _requests.JobAnswer) -> None:
+        key = (job.request.team, job.request.request_id)
+        del self._jobs[key]
+        for submission in job.parts:
+            self._by_part.pop(submission, None)
+        self._answered[key] = answer
+        while len(self._answered) > _ANSWERS_KEPT:
+            self._answered.popitem(last=False)
+        for token in job.tokens:
+            self._reply(token, answer)
+
+    def _reply(self, token: int, answer: _requests.JobAnswer) -> None:
+        self._peers.do(_actions.AnswerClient(token, answer))
+
+    # A lost scheduler.
+
+    def groups_at(self, scheduler: str) -> list[_reach.Group]:
+        """Return the agent groups that a scheduler's parts refer to."""
+        return [
+            part.group
+            for job in self._jobs.values()
+            for part in job.parts.values()
+            if part.scheduler == scheduler
+        ]
+
+    def scheduler_lost(self, now: float, name: str, incarnation: str) -> None:
+        """Take back the parts that a scheduler holds.
+
+        :param now: monotonic seconds
+        :param name: the scheduler's name
+        :param incarnation: its incarnation
+        """
+        parts = {
+            part.submission: part
+            for job in self._jobs.values()
+            for part in job.parts.values()
+            if part.scheduler == name and part.incarnation == incarnation
+        }
+        if not parts:
+            return
+        agents: set[str] = set()
+        for part in parts.values():
+            agents |= part.group.agents
+            # Late answers of the lost scheduler no longer count.
+            part.scheduler = f"{name} (lost)"
+        fence = Fence(incarnation, name, agents, now, parts, {}, {})
+        self._fences.append(fence)
+        self._send_fence(now, fence)
+
+    def _send_fence(self, now: float, fence: Fence) -> None:
+        message = wire.FenceOwner(
+            fence.owner, self._counter, tuple(fence.parts)
+        )
+        processes = {
+            wire.process_key(peer.name, peer.incarnation): peer.name
+            for peer in self._peers.of_role(wire.Role.AGENT)
+        }
+        for process in fence.missing:
+            name = processes.get(process)
+            if name is None:
+                self._give_up(fence, process)
+                return
+            self._peers.send(now, name, message)
+
+    def agent_lost(self, process: str) -> None:
+        """Give up the words of an agent whose stream broke."""
+        for fence in list(self._fences):
+            held = any(
+                holder == process
+                for tasks in fence.running.values()
+                for holder in tasks.values()
+            )
+            if process in fence.missing or held:
+                self._give_up(fence, process)
+
+    def on_report(
+        self, process: str, report: wire.FenceReport
+    ) -> list[tuple[FrontJob, tuple[int, ...]]]:
+        """Take in an agent's word on a lost scheduler's tasks.
+
+        :param process: the process key of the agent
+        :param report: its word
+        :return: jobs with the tasks that never started, to hand on
+        """
+        for fence in self._fences:
+            if fence.owner == report.owner:
+                if report.first:
+                    fence.missing.discard(process)
+                self._note(fence, process, report)
+                return self._settle_fence(fence)
+        return []
+
+    def _note(
+        self, fence: Fence, process: str, report: wire.FenceReport
+    ) -> None:
+        for told in report.jobs:
+            part = fence.parts.get(told.submission)
+            if part is None:
+                continue
+            finished = fence.finished.setdefault(told.submission, {})
+            running = fence.running.setdefault(told.submission, {})
+            for task in told.finished:
+                finished[task.index] = task
+                running.pop(task.index, None)
+            for index in told.running:
+                if index not in finished:
+                    running[index] = process
+            for index in told.unstarted:
+                running.pop(index, None)
+
+    def _settle_fence(
+        self, fence: Fence
+    ) -> list[tuple[FrontJob, tuple[int, ...]]]:
+        if fence.missing:
+            return []
+        again = []
+        for submission, part in list(fence.parts.items()):
+            job = self._by_part.get(submission)
+            if job is None:
+                del fence.parts[submission]
+                continue
+            left = self._settle_part(fence, job, part)
+            if left is None:
+                continue
+            del fence.parts[submission]
+            if left:
+                again.append((job, left))
+        if not fence.parts:
+            self._fences.remove(fence)
+        return again
+
+    def _settle_part(
+        self, fence: Fence, job: FrontJob, part: Part
+    ) -> tuple[int, ...] | None:
+        """Account for one part once every agent has reported.
+
+        :return: the job's tasks that never started; none if some still
+            run
+        """
+        finished = fence.finished.get(part.submission, {})
+        running = fence.running.get(part.submission, {})
+        if any(not task.ok for task in finished.values()):
+            self.fail(
+                job,
+                outcomes.Reason.TASK_FAILED,
+                outcomes.Step.RUN,
+                fence.name,
+                True,
+            )
+            return ()
+        for place, index in enumerate(part.indices):
+            if place in finished:
+                job.results[index] = finished[place].body
+        if running:
+            return None
+        del job.parts[part.submission]
+        del self._by_part[part.submission]
+        unstarted = tuple(
+            index
+            for place, index in enumerate(part.indices)
+            if place not in finished
+        )
+        if unstarted and job.request.ticket:
+            self.fail(
+                job,
+                outcomes.Reason.ENTRY_LOST,
+                outcomes.Step.PLACE,
+                fence.name,
+                True,
+            )
+            return ()
+        if not unstarted:
+            self.complete_if_whole(job)
+        return unstarted
+
+    def _give_up(self, fence: Fence, peer: str) -> None:
+        """Fail what can't be accounted for: silence is no proof."""
+        for submission in fence.parts:
+            job = self._by_part.get(submission)
+            if job is not None:
+                self.fail(
+                    job,
+                    outcomes.Reason.ENTRY_LOST,
+                    outcomes.Step.PLACE,
+                    peer,
+                    True,
+                )
+        self._fences.remove(fence)
+
+    def sweep(self, now: float) -> None:
+        """Give up fences and jobs that took too long."""
+        for fence in list(self._fences):
+            if fence.missing and now - fence.started_at > _FENCE_S:
+                self._give_up(fence, next(iter(sorted(fence.missing))))
+        for job in list(self._jobs.values()):
+            if now >= job.deadline_at:
+                self.fail(
+                    job,
+                    outcomes.Reason.DEADLINE,
+                    outcomes.Step.ANSWER,
+                    self._identity.name,
+                    True,
+                )
--- /dev/null
+++ b/src/ferryledge/core/_rulebook.py
@@ -0,0 +1,125 @@
+"""The configuration in force, prepared for quick decisions."""
+
+import dataclasses
+
+from ferryledge import configlog
+from ferryledge import policy
+
+
+class Rulebook:
+    """One version of the configuration.
+
+    A policy that does not compile counts as absent; :attr:`failures`
+    names it.
+
+    :param snapshot: the configuration
+    """
+
+    def __init__(self, snapshot: configlog.Snapshot) -> None:
+        self._snapshot = snapshot
+        self._services: dict[str, configlog.Service] = {}
+        self._places: dict[str, configlog.Place] = {}
+        self._teams: dict[str, configlog.Team] = {}
+        self._rules: dict[str, policy.Rules] = {}
+        self._failures: dict[str, int] = {}
+        for entity in snapshot.entities:
+            match entity:
+                case configlog.Service():
+                    self._services[entity.name] = entity
+                case configlog.Place():
+                    self._places[entity.name] = entity
+                case configlog.Team():
+                    self._teams[entity.name] = entity
+                case configlog.Policy():
+                    self._compile(entity)
+
+    @property
+    def version(self) -> int:
+        """The configuration's version; 0 if none is known."""
+        return self._snapshot.version
+
+    @property
+    def snapshot(self) -> configlog.Snapshot:
+        """The configuration itself."""
+        return self._snapshot
+
+    @property
+    def failures(self) -> dict[str, int]:
+        """How often each policy's programs failed."""
+        return dict(self._failures)
+
+    def service(self, name: str) -> configlog.Service | None:
+        """Return a service, or none."""
+        return self._services.get(name)
+
+    def team(self, name: str) -> configlog.Team | None:
+        """Return a team, or none."""
+        return self._teams.get(name)
+
+    def place(self, name: str) -> configlog.Place | None:
+        """Return a place, or none."""
+        return self._places.get(name)
+
+    def quotas(self) -> dict[str, int]:
+        """Return the quota of each team in slots; 0 is no limit."""
+        return {t.name: t.quota_slots for t in self._teams.values()}
+
+    def judge(
+        self, service: configlog.Service, facts: policy.Facts
+    ) -> policy.Ruling:
+        """Let the service's policy weigh a job."""
+        rules = self._rules.get(service.policy)
+        if rules is None:
+            return policy.Ruling(facts.urgency)
+        ruling = rules.judge(facts)
+        if ruling.failures:
+            self._note_failure(service.policy)
+        return ruling
+
+    def halls(
+        self,
+        service: configlog.Service,
+        facts: policy.Facts,
+        places: tuple[str, ...],
+        known: set[str],
+    ) -> frozenset[str] | None:
+        """Return the halls in which a job may run; none is anywhere.
+
+        :param service: the job's service
+        :param facts: what its policy sees
+        :param places: the places that the client asked for
+        :param known: the halls that have endpoints
+        """
+        wished = self._wished(places)
+        rules = self._rules.get(service.policy)
+        if rules is None or not rules.limits_halls:
+            return wished
+        halls = known if wished is None else known & wished
+        try:
+            return frozenset(
+                hall
+                for hall in halls
+                if rules.allows(dataclasses.replace(facts, hall=hall))
+            )
+        except policy.PolicyError:
+            self._note_failure(service.policy)
+            return wished
+
+    def _wished(self, places: tuple[str, ...]) -> frozenset[str] | None:
+        if not places:
+            return None
+        halls: set[str] = set()
+        for name in places:
+            place = self._places.get(name)
+            if place is not None:
+                halls.update(place.halls)
+        return frozenset(halls)
+
+    def _compile(self, entity: configlog.Policy) -> None:
+        try:
+            self._rules[entity.name] = policy.Rules(entity)
+        except policy.PolicyError:
+            self._note_failure(entity.name)
+
+    def _note_failure(self, name: str) -> None:
+        self._failures[name] = self._failures.get(name, 0) + 1
--- /dev/null
+++ b/src/ferryledge/demo/__init__.py
@@ -0,0 +1,11 @@
+"""Everything in one process over loopback sockets, as a demonstration."""
+
+from ferryledge.demo import _cluster
+from ferryledge.demo import _report
+
+ClusterOptions = _cluster.ClusterOptions
+LocalCluster = _cluster.LocalCluster
+Summary = _report.Summary
+summarise = _report.summarise
+
+__all__ = ["ClusterOptions", "LocalCluster", "Summary", "summarise"]
--- /dev/null
+++ b/src/ferryledge/demo/__main__.py
@@ -0,0 +1,142 @@
+"""``python -m ferryledge.demo``: a guided run that ends by itself."""
+
+import dataclasses
+import json
+import random
+import sys
+
+import anyio
+
+from ferryledge import client
+from ferryledge import configlog
+from ferryledge import demo
+from ferryledge.demo import _report
+from ferryledge import runtime
+
+_JOBS = 400
+_ARRIVALS_PER_S = 25.0
+_SEED = 7
+#: Network time of a request on loopback, in seconds.
+_NETWORK_S = 0.002
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """A kind of job that the users submit."""
+
+    team: str
+    service: str
+    tasks: tuple[int, int]
+    sleep_ms: tuple[float, float]
+    repeatable: bool = True
+
+
+_KINDS = (
+    Kind("spokewell", "stock-check", (1, 4), (50, 120)),
+    Kind("spokewell", "quote", (3, 10), (80, 300)),
+    Kind("spokewell", "hold", (1, 1), (60, 150), repeatable=False),
+    Kind("gletscherpass", "seat-map", (1, 6), (50, 150)),
+    Kind("gletscherpass", "bag-tag", (1, 3), (60, 200), repeatable=False),
+)
+_ENTITIES: tuple[configlog.Entity, ...] = (
+    *(
+        configlog.Service(kind.service, 10.0, kind.repeatable)
+        for kind in _KINDS
+    ),
+    configlog.Team("spokewell"),
+    configlog.Team("gletscherpass"),
+)
+_POLICY: tuple[configlog.Entity, ...] = (
+    configlog.Policy("counter", urgency="3 if tasks <= 4 else 1"),
+    configlog.Service("stock-check", 10.0, policy="counter"),
+)
+
+
+def _say(text: str) -> None:
+    print(text, flush=True)
+
+
+def _make_job(rng: random.Random, number: int) -> client.Job:
+    kind = rng.choice(_KINDS)
+    tasks = tuple(
+        client.Task(
+            {
+                "sleep_ms": round(rng.uniform(*kind.sleep_ms), 1),
+                "echo": f"{number}-{index}",
+            }
+        )
+        for index in range(rng.randint(*kind.tasks))
+    )
+    return client.Job(
+        kind.team,
+        kind.service,
+        tasks,
+        request_id=f"job-{number}",
+        repeatable=kind.repeatable,
+    )
+
+
+async def _submit(
+    caller: client.Client, job: client.Job, samples: list[_report.Sample]
+) -> None:
+    started = anyio.current_time()
+    reply = await caller.submit(job)
+    response = anyio.current_time() - started
+    longest = max(task.payload["sleep_ms"] for task in job.tasks) / 1000.0
+    samples.append(_report.Sample(job, reply, response, longest + _NETWORK_S))
+
+
+async def _drive(cluster: demo.LocalCluster) -> demo.Summary:
+    rng = random.Random(_SEED)
+    samples: list[_report.Sample] = []
+    before = cluster.messages
+    async with (
+        client.Client(cluster.urls) as caller,
+        anyio.create_task_group() as group,
+    ):
+        for number in range(_JOBS):
+            await anyio.sleep(rng.expovariate(_ARRIVALS_PER_S))
+            job = _make_job(rng, number)
+            group.start_soon(_submit, caller, job, samples)
+            await _happen(cluster, number, len(samples))
+    messages = cluster.messages - before
+    return demo.summarise(samples, cluster.journal, messages)
+
+
+async def _happen(
+    cluster: demo.LocalCluster, number: int, answered: int
+) -> None:
+    """Change something at fixed points of the run."""
+    if number % 50 == 49:
+        _say(f"  {number + 1} jobs submitted, {answered} answered")
+    if number == _JOBS // 3:
+        _say("draining agent-1: it finishes what runs and takes no more")
+        cluster.drain("agent-1")
+    if number == _JOBS // 2:
+        _say("publishing a policy: small stock checks go first")
+        await cluster.publish(_POLICY, "stock checks can't wait")
+
+
+async def _main() -> demo.Summary:
+    _say("starting the stand-ins, 2 entries and 3 agents")
+    cluster = demo.LocalCluster(demo.ClusterOptions(), _ENTITIES)
+    async with anyio.create_task_group() as group:
+        await cluster.start(group)
+        _say(f"serving at {', '.join(cluster.urls)}")
+        summary = await _drive(cluster)
+        versions = {one.decisions.rulebook.version for one in cluster.entries}
+        _say(f"configuration versions in force at the end: {versions}")
+        group.cancel_scope.cancel()
+    return summary
+
+
+def main() -> int:
+    """Run the demonstration; 0 if every promise held."""
+    runtime.configure_logging("error", "demo")
+    summary = anyio.run(_main)
+    print(json.dumps(dataclasses.asdict(summary)), flush=True)
+    return 1 if summary.double_starts or summary.partial_answers else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/ferryledge/demo/_cluster.py
@@ -0,0 +1,181 @@
+"""Stand-ins, entries and agents embedded in one process."""
+
+import dataclasses
+
+import anyio
+from anyio import abc as anyio_abc
+
+from ferryledge import agent
+from ferryledge import configlog
+from ferryledge import entry
+from ferryledge import runtime
+from ferryledge import standin
+
+KEY = "demo-key-demo-key-demo"
+_HOST = "127.0.0.1"
+_POLL_S = 0.02
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClusterOptions:
+    """How large the cluster is."""
+
+    entries: int = 2
+    agents: int = 3
+    slots: int = 8
+    halls: tuple[str, ...] = ("north", "south", "west")
+
+
+class LocalCluster:
+    """Runs the parts as tasks of a task group.
+
+    :param options: how large it is
+    :param configuration: the entities to publish at start
+    """
+
+    def __init__(
+        self,
+        options: ClusterOptions,
+        configuration: tuple[configlog.Entity, ...],
+    ) -> None:
+        self._options = options
+        self._configuration = configuration
+        self._drains: dict[str, anyio.Event] = {}
+        self._vms: list[runtime.VmRecord] = []
+        self.platform = standin.StandinPlatform()
+        self.platform_url = ""
+        self.journal = standin.StartJournal()
+        self.endpoints: list[standin.StandinEndpoint] = []
+        self.entries: list[entry.Entry] = []
+        self.agents: list[agent.Agent] = []
+
+    @property
+    def urls(self) -> tuple[str, ...]:
+        """The entries' addresses for clients."""
+        return tuple(f"http://{_HOST}:{one.http_port}" for one in self.entries)
+
+    @property
+    def messages(self) -> int:
+        """Messages sent between the processes so far."""
+        meshes = [one.mesh for one in self.entries]
+        meshes += [one.mesh for one in self.agents]
+        return sum(mesh.messages_sent for mesh in meshes)
+
+    async def start(self, group: anyio_abc.TaskGroup) -> None:
+        """Start all parts and wait until jobs can be served."""
+        self.platform_url = await self._serve(group, self.platform.handle)
+        await self.publish(self._configuration, "start")
+        for number in range(self._options.agents):
+            await self._start_agent(group, number)
+        for number in range(self._options.entries):
+            await self._start_entry(group, number)
+        self.platform.list_vms(self._vms)
+        await self._until_ready()
+
+    async def publish(
+        self, entities: tuple[configlog.Entity, ...], reason: str
+    ) -> configlog.Change:
+        """Publish entities as a change on top of the newest version."""
+        client = runtime.PlatformClient(self.platform_url)
+        follower = configlog.Follower()
+        follower.accept(await client.read(0, 0.0), anyio.current_time())
+        change = configlog.change_between(
+            follower.snapshot,
+            entities,
+            f"demo-{follower.snapshot.version + 1}",
+            "demo",
+            reason,
+            0.0,
+            delete_missing=False,
+        )
+        await client.append(configlog.encode_record(change))
+        await client.close()
+        return change
+
+    def drain(self, name: str) -> None:
+        """Ask a process to stop as planned."""
+        self._drains[name].set()
+
+    async def _serve(
+        self, group: anyio_abc.TaskGroup, handler: runtime.Handler
+    ) -> str:
+        port = await group.start(
+            runtime.serve_http,
+            runtime.asgi_app(handler),
+            _HOST,
+            0,
+            anyio.Event(),
+        )
+        return f"http://{_HOST}:{port}"
+
+    async def _start_agent(
+        self, group: anyio_abc.TaskGroup, number: int
+    ) -> None:
+        name = f"agent-{number + 1}"
+        endpoint = standin.StandinEndpoint(name, self.journal)
+        url = await self._serve(group, endpoint.handle)
+        hall = self._hall(number)
+        process = agent.Agent(
+            agent.AgentSettings(
+                name=name,
+                hall=hall,
+                peer_keys=KEY,
+                endpoint_url=url,
+                slots=self._options.slots,
+            )
+        )
+        await self._start(group, name, process)
+        self.endpoints.append(endpoint)
+        self.agents.append(process)
+        self._list(name, runtime.VmRole.AGENT, process.peer_port, hall)
+
+    async def _start_entry(
+        self, group: anyio_abc.TaskGroup, number: int
+    ) -> None:
+        name = f"entry-{number + 1}"
+        hall = self._hall(number)
+        process = entry.Entry(
+            entry.EntrySettings(
+                name=name,
+                hall=hall,
+                peer_keys=KEY,
+                platform_url=self.platform_url,
+                vms_poll_s=0.1,
+            )
+        )
+        await self._start(group, name, process)
+        self.entries.append(process)
+        self._list(name, runtime.VmRole.ENTRY, process.peer_port, hall)
+
+    async def _start(
+        self,
+        group: anyio_abc.TaskGroup,
+        name: str,
+        process: agent.Agent | entry.Entry,
+    ) -> None:
+        drain = self._drains[name] = anyio.Event()
+
+        async def run(*, task_status: anyio_abc.TaskStatus[None]) -> None:
+            await process.run(drain, task_status=task_status)
+
+        await group.start(run)
+
+    def _list(
+        self, name: str, role: runtime.VmRole, port: int, hall: str
+    ) -> None:
+        self._vms.append(
+            runtime.VmRecord(
+                name=name, role=role, host=_HOST, port=port, hall=hall
+            )
+        )
+
+    def _hall(self, number: int) -> str:
+        return self._options.halls[number % len(self._options.halls)]
+
+    async def _until_ready(self) -> None:
+        peers = self._options.entries - 1 + self._options.agents
+        for one in self.entries:
+            while not one.decisions.ready:
+                await anyio.sleep(_POLL_S)
+            while len(list(one.decisions.peers)) < peers:
+                await anyio.sleep(_POLL_S)
--- /dev/null
+++ b/src/ferryledge/entry/__init__.py
@@ -0,0 +1,11 @@
+"""The entry: takes clients' jobs over HTTP and schedules them."""
+
+from ferryledge.entry import _command
+from ferryledge.entry import _daemon
+from ferryledge.entry import _settings
+
+Entry = _daemon.Entry
+EntrySettings = _settings.EntrySettings
+main = _command.main
+
+__all__ = ["Entry", "EntrySettings", "main"]
--- /dev/null
+++ b/src/ferryledge/entry/_status.py
@@ -0,0 +1,132 @@
+"""What an entry tells operators of itself and its peers."""
+
+import typing
+
+import anyio
+
+from ferryledge import core
+from ferryledge import outcomes
+from ferryledge import runtime
+
+
+class Counters:
+    """Counts answers by their outcome.
+
+    :param metrics: where to count; none is nowhere
+    """
+
+    def __init__(self, metrics: runtime.Metrics | None) -> None:
+        self._answers = None
+        if metrics is not None:
+            self._answers = metrics.counter(
+                "answers", "Answers to clients, by outcome."
+            )
+
+    def answered(self, outcome: outcomes.JobOutcome) -> None:
+        """Count one answer."""
+        if self._answers is not None:
+            tag = outcomes.tag_of(outcome)
+            self._answers.add(1, {"outcome": tag})
+
+
+def add_gauges(
+    metrics: runtime.Metrics, entry: core.EntryCore, mesh: runtime.Mesh
+) -> None:
+    """Add an entry's gauges."""
+    metrics.gauge(
+        "jobs_open",
+        "Jobs whose clients wait.",
+        lambda: float(entry.front.jobs),
+    )
+    metrics.gauge(
+        "jobs_placed",
+        "Jobs that this entry schedules.",
+        lambda: float(entry.scheduler.jobs),
+    )
+    metrics.gauge(
+        "tasks_waiting",
+        "Tasks that wait for a slot.",
+        lambda: float(entry.scheduler.waiting),
+    )
+    metrics.gauge(
+        "slots_bound",
+        "Slots in use.",
+        lambda: float(entry.scheduler.table.bound),
+    )
+    metrics.gauge(
+        "endpoints_usable",
+        "Endpoints that take work.",
+        lambda: float(sum(row.usable for row in entry.scheduler.table)),
+    )
+    metrics.gauge(
+        "config_version",
+        "Version of the configuration in force.",
+        lambda: float(entry.rulebook.version),
+    )
+    metrics.gauge(
+        "policy_failures",
+        "Failures of policies' programs.",
+        lambda: float(sum(entry.rulebook.failures.values())),
+    )
+    metrics.gauge(
+        "streams_refused",
+        "Streams refused for lack of a key.",
+        lambda: float(mesh.refused),
+    )
+    metrics.gauge(
+        "messages_sent",
+        "Messages sent to other processes.",
+        lambda: float(mesh.messages_sent),
+    )
+
+
+def describe(
+    entry: core.EntryCore, mesh: runtime.Mesh
+) -> dict[str, typing.Any]:
+    """Return an entry's status for its operators."""
+    hello = entry.hello()
+    now = anyio.current_time()
+    return {
+        "name": hello.name,
+        "incarnation": hello.incarnation,
+        "role": hello.role,
+        "hall": hello.hall,
+        "ready": entry.ready,
+        "leaving": entry.draining,
+        "config_version": entry.rulebook.version,
+        "policy_failures": entry.rulebook.failures,
+        "jobs_open": entry.front.jobs,
+        "jobs_placed": entry.scheduler.jobs,
+        "tasks_waiting": entry.scheduler.waiting,
+        "messages_sent": mesh.messages_sent,
+        "bytes_sent": mesh.bytes_sent,
+        "streams_refused": mesh.refused,
+        "endpoints": [
+            {
+                "name": row.name,
+                "hall": row.hall,
+                "slots": row.slots,
+                "bound": len(row.bound),
+                "usable": row.usable,
+                "leaving": row.leaving,
+                "doubted": row.doubted,
+                "ejected": row.ejected,
+                "slowness": round(
+                    entry.scheduler.run_times.slowness(row.name), 2
+                ),
+            }
+            for row in entry.scheduler.table
+        ],
+        "peers": [
+            {
+                "name": peer.name,
+                "incarnation": peer.incarnation,
+                "role": peer.hello.role,
+                "hall": peer.hello.hall,
+                "leaving": peer.leaving,
+                "config_version": peer.config_version,
+                "silent_s": round(now - peer.last_heard, 1),
+            }
+            for peer in entry.peers
+        ],
+    }
--- /dev/null
+++ b/src/ferryledge/ledger/__init__.py
@@ -0,0 +1,30 @@
+"""What an agent remembers: which tasks started, which tickets were used."""
+
+from ferryledge.ledger import _starts
+from ferryledge.ledger import _tickets
+
+Admission = _starts.Admission
+Finish = _starts.Finish
+SUBMISSION_SEPARATOR = _starts.SUBMISSION_SEPARATOR
+StartLedger = _starts.StartLedger
+TaskKey = _starts.TaskKey
+TaskRecord = _starts.TaskRecord
+TicketLedger = _tickets.TicketLedger
+TicketVerdict = _tickets.TicketVerdict
+TicketWord = _tickets.TicketWord
+front_of = _starts.front_of
+minter_of = _tickets.minter_of
+
+__all__ = [
+    "SUBMISSION_SEPARATOR",
+    "Admission",
+    "Finish",
+    "StartLedger",
+    "TaskKey",
+    "TaskRecord",
+    "TicketLedger",
+    "TicketVerdict",
+    "TicketWord",
+    "front_of",
+    "minter_of",
+]
--- /dev/null
+++ b/src/ferryledge/placement/__init__.py
@@ -0,0 +1,33 @@
+"""Tables of endpoints and waiting jobs, and the choice between them."""
+
+from ferryledge.placement import _choice
+from ferryledge.placement import _pools
+from ferryledge.placement import _runtimes
+from ferryledge.placement import _tables
+from ferryledge.placement import _waiting
+
+Binding = _tables.Binding
+EndpointRow = _tables.EndpointRow
+EndpointTable = _tables.EndpointTable
+RunTimes = _runtimes.RunTimes
+WaitingJob = _waiting.WaitingJob
+WaitingQueue = _waiting.WaitingQueue
+Wish = _choice.Wish
+choose_endpoint = _choice.choose_endpoint
+pool_count = _pools.pool_count
+pool_of = _pools.pool_of
+rank = _pools.rank
+
+__all__ = [
+    "Binding",
+    "EndpointRow",
+    "EndpointTable",
+    "RunTimes",
+    "WaitingJob",
+    "WaitingQueue",
+    "Wish",
+    "choose_endpoint",
+    "pool_count",
+    "pool_of",
+    "rank",
+]
--- /dev/null
+++ b/src/ferryledge/placement/_choice.py
@@ -0,0 +1,64 @@
+"""Which endpoint a job's waiting tasks go to."""
+
+from collections import abc
+import dataclasses
+
+from ferryledge.placement import _runtimes
+from ferryledge.placement import _tables
+
+#: Slowness below which an endpoint counts as normal.
+NORMAL_SLOWNESS = 1.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wish:
+    """What a job asks of an endpoint."""
+
+    #: Expected run time of one task at normal speed, in seconds.
+    expected_s: float
+    #: Seconds that a task would wait for a normal endpoint instead.
+    wait_s: float = 0.0
+    #: Halls in which it may run; none is anywhere.
+    halls: frozenset[str] | None = None
+    memory_mb: int = 0
+    #: The hall of the scheduler, preferred among equals.
+    home: str = ""
+    #: Processes that may be used; none is all.
+    processes: frozenset[str] | None = None
+
+
+def _worth_it(wish: Wish, slowness: float) -> bool:
+    """Return whether a slow slot now beats a normal slot later."""
+    if slowness <= NORMAL_SLOWNESS:
+        return True
+    return wish.expected_s * slowness <= wish.wait_s + wish.expected_s
+
+
+def choose_endpoint(
+    rows: abc.Iterable[_tables.EndpointRow],
+    run_times: _runtimes.RunTimes,
+    wish: Wish,
+) -> _tables.EndpointRow | None:
+    """Return the best endpoint with a free slot for a job, or none.
+
+    Normal endpoints go before slow ones, then the one with the most free
+    slots, so that a job's tasks share messages.
+    """
+    best = None
+    best_score = (False, 0, False)
+    for row in rows:
+        if wish.halls is not None and row.hall not in wish.halls:
+            continue
+        if wish.processes is not None and row.process not in wish.processes:
+            continue
+        room = row.fits(wish.memory_mb)
+        if not room:
+            continue
+        slowness = run_times.slowness(row.name)
+        if not _worth_it(wish, slowness):
+            continue
+        normal = slowness <= NORMAL_SLOWNESS
+        score = (normal, room, row.hall == wish.home)
+        if best is None or score > best_score:
+            best, best_score = row, score
+    return best
--- /dev/null
+++ b/src/ferryledge/placement/_tables.py
@@ -0,0 +1,155 @@
+"""The scheduler's table of endpoints and of the tasks bound to them."""
+
+from collections import abc
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Binding:
+    """One task bound to one endpoint, until its end is known."""
+
+    seq: int
+    submission: str
+    index: int
+    endpoint: str
+    #: When it was sent, in monotonic seconds.
+    sent_at: float
+    #: Expected run time in seconds at normal speed.
+    expected_s: float
+    declared_s: float = 0.0
+    memory_mb: int = 0
+    #: Whether its end is reported at once.
+    report_each: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class EndpointRow:
+    """What the scheduler knows of one endpoint."""
+
+    name: str
+    incarnation: str
+    hall: str
+    slots: int
+    connections: int
+    memory_mb: int
+    #: Names this incarnation of the process; see the wire's process key.
+    process: str = ""
+    connected: bool = True
+    leaving: bool = False
+    #: Whether it has gone silent or overdue with work outstanding.
+    doubted: bool = False
+    #: Whether the health judge holds it back.
+    ejected: bool = False
+    #: Not to be used before then: it said that it is full.
+    blocked_until: float = 0.0
+    #: When the stream broke.
+    lost_at: float = 0.0
+    #: When it last reported a task's end, or was last idle.
+    progress_at: float = 0.0
+    memory_used: int = 0
+    bound: dict[int, Binding] = dataclasses.field(default_factory=dict)
+
+    @property
+    def free(self) -> int:
+        """Tasks that can be bound to it now."""
+        if not self.usable:
+            return 0
+        limit = min(self.slots, self.connections)
+        return max(0, limit - len(self.bound))
+
+    @property
+    def usable(self) -> bool:
+        """Whether new work may go there at all."""
+        return self.connected and not (
+            self.leaving or self.doubted or self.ejected
+        )
+
+    def fits(self, memory_mb: int) -> int:
+        """Return how many tasks of that memory can be bound now."""
+        if not memory_mb or not self.memory_mb:
+            return self.free
+        room = (self.memory_mb - self.memory_used) // memory_mb
+        return max(0, min(self.free, room))
+
+
+class EndpointTable:
+    """All endpoints of a pool; keeps those with free slots at hand."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, EndpointRow] = {}
+        self._open: dict[str, EndpointRow] = {}
+        self._bound = 0
+
+    @property
+    def bound(self) -> int:
+        """Tasks that are bound to some endpoint."""
+        return self._bound
+
+    @property
+    def slots(self) -> int:
+        """Slots of all usable endpoints."""
+        return sum(
+            min(row.slots, row.connections)
+            for row in self._rows.values()
+            if row.usable
+        )
+
+    def __iter__(self) -> abc.Iterator[EndpointRow]:
+        return iter(self._rows.values())
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def find(self, name: str) -> EndpointRow | None:
+        """Return the row of an endpoint, or none."""
+        return self._rows.get(name)
+
+    def put(self, row: EndpointRow) -> None:
+        """Add or replace an endpoint."""
+        old = self._rows.get(row.name)
+        if old is not None:
+            self._bound -= len(old.bound)
+        self._rows[row.name] = row
+        self._bound += len(row.bound)
+        self.refresh(row)
+
+    def drop(self, name: str) -> None:
+        """Remove an endpoint."""
+        row = self._rows.pop(name, None)
+        self._open.pop(name, None)
+        if row is not None:
+            self._bound -= len(row.bound)
+
+    def refresh(self, row: EndpointRow) -> None:
+        """Note that a row's fields changed."""
+        if row.free:
+            self._open[row.name] = row
+        else:
+            self._open.pop(row.name, None)
+
+    def open_rows(self, now: float) -> list[EndpointRow]:
+        """Return the endpoints with free slots that may be used now."""
+        return [row for row in self._open.values() if row.blocked_until <= now]
+
+    def bind(self, binding: Binding) -> None:
+        """Record a task that goes to an endpoint."""
+        row = self._rows[binding.endpoint]
+        row.bound[binding.seq] = binding
+        row.memory_used += binding.memory_mb
+        self._bound += 1
+        if not row.free:
+            self._open.pop(row.name, None)
+
+    def unbind(self, name: str, seq: int) -> Binding | None:
+        """Remove a task whose end, or release, is known."""
+        row = self._rows.get(name)
+        if row is None:
+            return None
+        binding = row.bound.pop(seq, None)
+        if binding is None:
+            return None
+        row.memory_used -= binding.memory_mb
+        self._bound -= 1
+        if row.free:
+            self._open[name] = row
+        return binding
--- /dev/null
+++ b/src/ferryledge/runtime/_driver.py
@@ -0,0 +1,63 @@
+"""Runs a core: feeds it events, ticks it and carries out its actions."""
+
+from collections import abc
+import typing
+
+import anyio
+
+from ferryledge import core
+
+#: Ticks at least this often, in seconds.
+_LONGEST_SLEEP_S = 60.0
+
+
+class Core(typing.Protocol):
+    """What the driver needs of a core."""
+
+    def receive(self, now: float, event: core.Event) -> None:
+        """Take in one event."""
+
+    def tick(self, now: float) -> list[core.Action]:
+        """Return the actions that the events so far call for."""
+
+    def wake_at(self) -> float:
+        """Return when to tick at the latest."""
+
+
+class Driver:
+    """Ticks a core once for all events that are ready.
+
+    :param driven: the core
+    :param perform: carries out one action; must not block
+    """
+
+    def __init__(
+        self,
+        driven: Core,
+        perform: abc.Callable[[core.Action], None],
+    ) -> None:
+        self._core = driven
+        self._perform = perform
+        self._wake = anyio.Event()
+
+    def post(self, event: core.Event) -> None:
+        """Hand an event to the core; it ticks soon."""
+        self._core.receive(anyio.current_time(), event)
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Tick for ever."""
+        while True:
+            await self._sleep()
+            self._wake = anyio.Event()
+            for action in self._core.tick(anyio.current_time()):
+                self._perform(action)
+
+    async def _sleep(self) -> None:
+        if self._wake.is_set():
+            await anyio.lowlevel.checkpoint()
+            return
+        now = anyio.current_time()
+        delay = min(self._core.wake_at() - now, _LONGEST_SLEEP_S)
+        with anyio.move_on_after(max(0.0, delay)):
+            await self._wake.wait()
--- /dev/null
+++ b/src/ferryledge/runtime/_logging.py
@@ -0,0 +1,45 @@
+"""Logs as JSON lines on standard error."""
+
+import json
+import logging
+import sys
+import typing
+
+import loguru
+
+_MESSAGE_KEYS = ("step", "peer", "job", "task")
+
+
+def _line(record: typing.Any) -> str:
+    extra = record["extra"]
+    line: dict[str, object] = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name.lower(),
+        "message": record["message"],
+    }
+    line.update({key: extra[key] for key in _MESSAGE_KEYS if key in extra})
+    line.update({key: val for key, val in extra.items() if key not in line})
+    if record["exception"] is not None:
+        line["error"] = repr(record["exception"].value)
+    return json.dumps(line, default=str)
+
+
+def _format(record: typing.Any) -> str:
+    record["extra"]["_line"] = ""
+    del record["extra"]["_line"]
+    text = _line(record)
+    escaped = text.replace("{", "{{").replace("}", "}}")
+    return escaped.replace("<", r"\<") + "\n"
+
+
+def configure_logging(level: str, process: str) -> None:
+    """Log from that level on, with the process's name in each line.
+
+    :param level: ``debug``, ``info``, ``warning`` or ``error``
+    :param process: the process's name
+    """
+    # The HTTP server's own log repeats what the daemon logs.
+    logging.getLogger("uvicorn.error").disabled = True
+    loguru.logger.remove()
+    loguru.logger.configure(extra={"process": process})
+    loguru.logger.add(sys.stderr, level=level.upper(), format=_format)
--- /dev/null
+++ b/src/ferryledge/runtime/_mesh.py
@@ -0,0 +1,295 @@
+"""Streams between the system's processes.
+
+A stream opens with a mutual proof of the shared key, then a greeting from
+each side. Each peer has at most one stream; a newer one replaces it.
+"""
+
+from collections import abc
+import dataclasses
+import random
+
+import anyio
+from anyio import abc as anyio_abc
+from anyio.streams import buffered
+import loguru
+
+from ferryledge import core
+from ferryledge import wire
+
+_READ_BYTES = 256 * 1024
+#: Most messages that wait for a slow peer before its stream is broken.
+_QUEUE_MESSAGES = 20_000
+_BATCH_BYTES = 256 * 1024
+_HANDSHAKE_S = 3.0
+_FIRST_REDIAL_S = 0.05
+_LONGEST_REDIAL_S = 2.0
+#: Strangers that may be in the handshake at once.
+_MAX_HANDSHAKES = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """Where a peer listens."""
+
+    name: str
+    host: str
+    port: int
+
+
+class _Connection:
+    """One open stream."""
+
+    def __init__(
+        self, stream: anyio_abc.ByteStream, hello: wire.Hello
+    ) -> None:
+        self._stream = stream
+        self._queue: list[bytes] = []
+        self._ready = anyio.Event()
+        self._scope = anyio.CancelScope()
+        self.hello = hello
+
+    def send(self, data: bytes) -> None:
+        """Queue bytes; breaks the stream if the peer is too slow."""
+        self._queue.append(data)
+        self._ready.set()
+        if len(self._queue) > _QUEUE_MESSAGES:
+            self.close()
+
+    def close(self) -> None:
+        """Break the stream."""
+        self._scope.cancel()
+
+    async def run(
+        self,
+        decoder: wire.Decoder,
+        receive: abc.Callable[[wire.Message], None],
+    ) -> None:
+        """Read and write until the stream breaks."""
+        with self._scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._write)
+                try:
+                    await self._read(decoder, receive)
+                finally:
+                    self._scope.cancel()
+
+    async def _read(
+        self,
+        decoder: wire.Decoder,
+        receive: abc.Callable[[wire.Message], None],
+    ) -> None:
+        while True:
+            data = await self._stream.receive(_READ_BYTES)
+            for message in decoder.feed(data):
+                receive(message)
+
+    async def _write(self) -> None:
+        while True:
+            await self._ready.wait()
+            self._ready = anyio.Event()
+            batch, self._queue = self._queue, []
+            try:
+                await self._stream.send(b"".join(batch))
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                self._scope.cancel()
+                return
+
+
+class Mesh:
+    """All streams of one process.
+
+    :param keys: the accepted shared keys
+    :param hello: returns this process's greeting
+    :param post: takes the events of all streams
+    """
+
+    def __init__(
+        self,
+        keys: tuple[str, ...],
+        hello: abc.Callable[[], wire.Hello],
+        post: abc.Callable[[core.Event], None],
+    ) -> None:
+        self._keys = keys
+        self._hello = hello
+        self._post = post
+        self._connections: dict[str, _Connection] = {}
+        self._dialled: dict[str, anyio.CancelScope] = {}
+        self._handshakes = anyio.CapacityLimiter(_MAX_HANDSHAKES)
+        self._messages_sent = 0
+        self._bytes_sent = 0
+        self._refused = 0
+
+    @property
+    def messages_sent(self) -> int:
+        """Messages sent to peers so far."""
+        return self._messages_sent
+
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes sent to peers so far."""
+        return self._bytes_sent
+
+    @property
+    def refused(self) -> int:
+        """Streams refused because the other side proved no key."""
+        return self._refused
+
+    def send(self, name: str, message: wire.Message) -> None:
+        """Send a message, or drop it if there is no stream."""
+        connection = self._connections.get(name)
+        if connection is None:
+            return
+        data = wire.encode(message)
+        self._messages_sent += 1
+        self._bytes_sent += len(data)
+        connection.send(data)
+
+    def is_dialled(self, name: str) -> bool:
+        """Return whether this process keeps dialling a peer."""
+        return name in self._dialled
+
+    async def listen(
+        self,
+        host: str,
+        port: int,
+        *,
+        task_status: anyio_abc.TaskStatus[int],
+    ) -> None:
+        """Accept streams for ever; reports the port that was bound."""
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=port
+        )
+        async with listener:
+            bound = listener.extra(anyio_abc.SocketAttribute.local_port)
+            task_status.started(bound)
+            await listener.serve(self._accept)
+
+    async def _accept(self, stream: anyio_abc.SocketStream) -> None:
+        async with stream:
+            try:
+                async with self._handshakes:
+                    with anyio.fail_after(_HANDSHAKE_S):
+                        reader = buffered.BufferedByteStream(stream)
+                        await wire.accept(reader, self._keys)
+                        hello = await self._greet(reader)
+            except (wire.AuthenticationError, wire.WireError) as exc:
+                self._refuse(stream, exc)
+                return
+            except (TimeoutError, OSError, anyio.IncompleteRead):
+                return
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return
+            await self._serve(reader, hello)
+
+    def _refuse(self, stream: anyio_abc.SocketStream, exc: Exception) -> None:
+        self._refused += 1
+        peer = stream.extra(anyio_abc.SocketAttribute.remote_address, "")
+        loguru.logger.warning(
+            "stream refused: {}", exc, step="handshake", peer=str(peer)
+        )
+
+    async def keep_dialling(self, address: PeerAddress) -> None:
+        """Keep a stream to a peer open until :meth:`forget`."""
+        if address.name in self._dialled:
+            return
+        delay = _FIRST_REDIAL_S
+        with anyio.CancelScope() as scope:
+            self._dialled[address.name] = scope
+            while True:
+                if await self._dial(address):
+                    delay = _FIRST_REDIAL_S
+                await anyio.sleep(delay * (1.0 + random.random()))
+                delay = min(_LONGEST_REDIAL_S, 2 * delay)
+
+    def forget(self, name: str) -> None:
+        """Stop dialling a peer; an open stream stays."""
+        scope = self._dialled.pop(name, None)
+        if scope is not None and name not in self._connections:
+            scope.cancel()
+
+    async def _dial(self, address: PeerAddress) -> bool:
+        try:
+            with anyio.fail_after(_HANDSHAKE_S):
+                stream = await anyio.connect_tcp(address.host, address.port)
+        except (OSError, TimeoutError):
+            return False
+        async with stream:
+            try:
+                with anyio.fail_after(_HANDSHAKE_S):
+                    reader = buffered.BufferedByteStream(stream)
+                    await wire.connect(reader, self._keys)
+                    hello = await self._greet(reader)
+            except (wire.AuthenticationError, wire.WireError) as exc:
+                self._refuse(stream, exc)
+                return False
+            except (TimeoutError, OSError, anyio.IncompleteRead):
+                return False
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return False
+            await self._serve(reader, hello)
+        return True
+
+    async def _greet(
+        self, reader: buffered.BufferedByteStream
+    ) -> tuple[wire.Hello, wire.Decoder, list[wire.Message]]:
+        await reader.send(wire.encode(self._hello()))
+        decoder = wire.Decoder()
+        while True:
+            data = await reader.receive(_READ_BYTES)
+            messages = list(decoder.feed(data))
+            if not messages:
+                continue
+            first = messages[0]
+            if not isinstance(first, wire.Hello):
+                raise wire.WireError("the first message is no greeting")
+            return first, decoder, messages[1:]
+
+    async def _serve(
+        self,
+        reader: buffered.BufferedByteStream,
+        greeting: tuple[wire.Hello, wire.Decoder, list[wire.Message]],
+    ) -> None:
+        hello, decoder, early = greeting
+        connection = _Connection(reader, hello)
+        self._register(connection)
+        name = hello.name
+
+        def receive(message: wire.Message) -> None:
+            if self._connections.get(name) is connection:
+                self._post(core.Received(name, message))
+
+        for message in early:
+            receive(message)
+        try:
+            await connection.run(decoder, receive)
+        except* (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
+            pass
+        except* anyio.ClosedResourceError:
+            pass
+        except* wire.WireError as group:
+            loguru.logger.warning(
+                "stream broken: {}",
+                group.exceptions[0],
+                step="receive",
+                peer=name,
+            )
+        finally:
+            self._unregister(connection)
+
+    def _register(self, connection: _Connection) -> None:
+        name = connection.hello.name
+        old = self._connections.get(name)
+        if old is not None:
+            old.close()
+            self._unregister(old)
+        self._connections[name] = connection
+        loguru.logger.debug("stream open", step="join", peer=name)
+        self._post(core.PeerUp(connection.hello))
+
+    def _unregister(self, connection: _Connection) -> None:
+        hello = connection.hello
+        if self._connections.get(hello.name) is not connection:
+            return
+        del self._connections[hello.name]
+        loguru.logger.debug("stream closed", step="join", peer=hello.name)
+        self._post(core.PeerDown(hello.name, hello.incarnation))
--- /dev/null
+++ b/src/ferryledge/runtime/_platform.py
@@ -0,0 +1,169 @@
+"""A client of the platform's log service and list of VMs."""
+
+import enum
+import json
+import typing
+
+import anyio
+import httpcore
+import pydantic
+
+from ferryledge import configlog
+
+_STREAM = "ferryledge"
+_READ_S = 5.0
+_MAX_RECORDS = 500
+
+
+class PlatformError(Exception):
+    """The platform's service did not answer, or refused.
+
+    :param step: the call that failed
+    :param peer: the service's address
+    :param detail: what went wrong
+    """
+
+    def __init__(self, step: str, peer: str, detail: str) -> None:
+        super().__init__(f"{step} at {peer}: {detail}")
+        #: The call that failed.
+        self.step = step
+        #: The service's address.
+        self.peer = peer
+
+
+class AppendLostError(PlatformError):
+    """The append's answer was lost: it may have taken effect."""
+
+
+class VmRole(enum.StrEnum):
+    """What runs on a VM."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+
+
+class VmState(enum.StrEnum):
+    """How the platform sees a VM."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class VmRecord(pydantic.BaseModel):
+    """One VM in the platform's list."""
+
+    name: str
+    role: VmRole
+    host: str
+    port: int
+    hall: str
+    region: str = "main"
+    state: VmState = VmState.LIVE
+
+
+class _RecordModel(pydantic.BaseModel):
+    offset: int
+    data: str
+
+
+class _PageModel(pydantic.BaseModel):
+    log_id: str
+    first: int
+    end: int
+    records: list[_RecordModel]
+
+
+class _AppendModel(pydantic.BaseModel):
+    offset: int
+
+
+_VM_LIST = pydantic.TypeAdapter(list[VmRecord])
+
+
+class PlatformClient:
+    """Talks HTTP to the platform.
+
+    :param url: base address, such as ``http://127.0.0.1:7000``
+    """
+
+    def __init__(self, url: str) -> None:
+        self._url = url.rstrip("/")
+        self._pool = httpcore.AsyncConnectionPool(max_connections=4)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def read(self, position: int, wait_s: float) -> configlog.LogPage:
+        """Return the records from a position on.
+
+        :param position: offset of the first record wanted
+        :param wait_s: seconds to wait for a record if there is none
+        :raises PlatformError: if the log does not answer
+        """
+        path = (
+            f"/v1/log/{_STREAM}?from={position}&limit={_MAX_RECORDS}"
+            f"&wait_ms={int(wait_s * 1000)}"
+        )
+        data = await self._call("read", "GET", path, b"", wait_s + _READ_S)
+        try:
+            page = _PageModel.model_validate_json(data)
+        except pydantic.ValidationError as exc:
+            raise PlatformError("read", self._url, str(exc)) from exc
+        records = tuple(
+            configlog.LogRecord(one.offset, one.data.encode())
+            for one in page.records
+        )
+        return configlog.LogPage(page.log_id, page.first, page.end, records)
+
+    async def append(self, record: bytes) -> int:
+        """Append a record and return its offset.
+
+        :raises AppendLostError: if it may or may not be in the log
+        """
+        path = f"/v1/log/{_STREAM}"
+        try:
+            data = await self._call("append", "POST", path, record, _READ_S)
+            return _AppendModel.model_validate_json(data).offset
+        except (PlatformError, pydantic.ValidationError) as exc:
+            raise AppendLostError("append", self._url, str(exc)) from exc
+
+    async def vms(self) -> list[VmRecord]:
+        """Return the platform's list of VMs; it lags.
+
+        :raises PlatformError: if the list can't be had
+        """
+        data = await self._call("vms", "GET", "/v1/vms", b"", _READ_S)
+        try:
+            return _VM_LIST.validate_json(data)
+        except pydantic.ValidationError as exc:
+            raise PlatformError("vms", self._url, str(exc)) from exc
+
+    async def _call(
+        self, step: str, method: str, path: str, body: bytes, wait_s: float
+    ) -> bytes:
+        headers = [("content-type", "application/json")]
+        try:
+            with anyio.fail_after(wait_s):
+                response = await self._pool.request(
+                    method, self._url + path, headers=headers, content=body
+                )
+        except TimeoutError as exc:
+            raise PlatformError(step, self._url, "no answer") from exc
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            httpcore.UnsupportedProtocol,
+        ) as exc:
+            detail = f"{type(exc).__name__}: {exc}"
+            raise PlatformError(step, self._url, detail) from exc
+        if response.status != 200:
+            detail = f"status {response.status}: {response.content[:200]!r}"
+            raise PlatformError(step, self._url, detail)
+        return typing.cast(bytes, response.content)
+
+
+def dump_vms(vms: list[VmRecord]) -> bytes:
+    """Return a list of VMs as JSON text."""
+    return json.dumps([one.model_dump() for one in vms]).encode()
--- /dev/null
+++ b/src/ferryledge/runtime/_server.py
@@ -0,0 +1,78 @@
+"""Serves HTTP by uvicorn inside the process's own event loop."""
+
+from collections import abc
+import contextlib
+import typing
+
+import anyio
+from anyio import abc as anyio_abc
+import uvicorn
+
+_BACKLOG = 2048
+_KEEP_ALIVE_S = 75
+_POLL_S = 0.005
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves the signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> abc.Iterator[None]:
+        yield
+
+
+class _Started(typing.Protocol):
+    started: bool
+
+
+async def serve_http(
+    app: typing.Any,
+    host: str,
+    port: int,
+    stop: anyio.Event,
+    *,
+    task_status: anyio_abc.TaskStatus[int],
+) -> None:
+    """Serve until the event is set, then let open requests finish.
+
+    Reports the port that was bound.
+
+    :param app: the ASGI application
+    :param host: IP number to listen on
+    :param port: TCP port; 0 picks one
+    :param stop: ends the server
+    """
+    config = uvicorn.Config(
+        app,
+        host=host,
+        port=port,
+        log_config=None,
+        access_log=False,
+        lifespan="off",
+        http="httptools",
+        ws="none",
+        loop="asyncio",
+        backlog=_BACKLOG,
+        timeout_keep_alive=_KEEP_ALIVE_S,
+        server_header=False,
+    )
+    server = _Server(config)
+    async with anyio.create_task_group() as group:
+        group.start_soon(_report_start, server, task_status)
+        group.start_soon(_stop_server, server, stop)
+        await server.serve()
+        group.cancel_scope.cancel()
+
+
+async def _report_start(
+    server: uvicorn.Server, task_status: anyio_abc.TaskStatus[int]
+) -> None:
+    while not server.started:
+        await anyio.sleep(_POLL_S)
+    socket = server.servers[0].sockets[0]
+    task_status.started(socket.getsockname()[1])
+
+
+async def _stop_server(server: uvicorn.Server, stop: anyio.Event) -> None:
+    await stop.wait()
+    server.should_exit = True
--- /dev/null
+++ b/src/ferryledge/runtime/_stop.py
@@ -0,0 +1,58 @@
+"""Starts a daemon and stops it as its operator asks."""
+
+from collections import abc
+import signal
+import sys
+
+import anyio
+import loguru
+
+#: Exit code after a second signal cut work off.
+EXIT_CUT_OFF = 1
+
+Main = abc.Callable[[anyio.Event], abc.Awaitable[None]]
+Unfinished = abc.Callable[[], str]
+
+
+async def _watch_signals(
+    drain: anyio.Event, scope: anyio.CancelScope, unfinished: Unfinished
+) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            if not drain.is_set():
+                loguru.logger.info(
+                    "stopping: {} to finish; a second signal cuts it off",
+                    unfinished(),
+                    step="drain",
+                )
+                drain.set()
+                continue
+            loguru.logger.warning(
+                "stopped at once; cut off: {}", unfinished(), step="drain"
+            )
+            sys.stderr.flush()
+            scope.cancel()
+            return
+
+
+async def _run(main: Main, unfinished: Unfinished) -> int:
+    drain = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(_watch_signals, drain, group.cancel_scope, unfinished)
+        await main(drain)
+        group.cancel_scope.cancel()
+        return 0
+    return EXIT_CUT_OFF
+
+
+def run_daemon(main: Main, unfinished: Unfinished) -> int:
+    """Run a daemon until it has drained.
+
+    The first SIGTERM or SIGINT asks it to finish; a second one ends it at
+    once and logs what was cut off.
+
+    :param main: runs until the event is set and all work is done
+    :param unfinished: says what is in flight
+    :return: the exit code
+    """
+    return anyio.run(_run, main, unfinished)
--- /dev/null
+++ b/src/ferryledge/wire/tests/test_codec.py
@@ -0,0 +1,80 @@
+"""Messages survive the wire; anything else is refused."""
+
+import hypothesis
+from hypothesis import strategies as st
+import msgpack
+import pytest
+
+from ferryledge import wire
+
+MESSAGES = [
+    wire.Hello(wire.Role.AGENT, "a", "i", "north", 8, 64, 0, True, 3),
+    wire.KeepAlive(),
+    wire.StartTasks("i", "f.1", "s", 1.0, 7, (0, 2), (b"1", b"2")),
+    wire.TasksFinished("f.1", (wire.FinishedTask(7, 0, True, b"{}", 0.5),)),
+    wire.TasksReleased("f.1", (7,), wire.ReleaseReason.BUSY, 8),
+    wire.PlaceJob("f.1", "t", "s", (wire.FrontTask(b"1", 0.1),)),
+    wire.JobAnswered("f.1", wire.OutcomeRecord("complete", (b"1",))),
+    wire.Verdict("t", "f.1", wire.VerdictTag.SETTLED, None),
+    wire.FenceReport("o", (wire.FencedJob("f.1", (), (1,)),)),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda m: type(m).__name__)
+def test_round_trip(message):
+    assert list(wire.Decoder().feed(wire.encode(message))) == [message]
+
+
+def test_messages_may_arrive_in_pieces():
+    data = b"".join(wire.encode(message) for message in MESSAGES)
+    decoder = wire.Decoder()
+    got = []
+    for start in range(0, len(data), 5):
+        got += decoder.feed(data[start : start + 5])
+    assert got == MESSAGES
+
+
+def test_new_fields_at_the_end_are_ignored_and_missing_ones_default():
+    newer = msgpack.packb(["alive", 7, 2, "from a newer version"])
+    older = msgpack.packb(["alive", 7])
+    assert list(wire.Decoder().feed(newer)) == [wire.KeepAlive(7, 2)]
+    assert list(wire.Decoder().feed(older)) == [wire.KeepAlive(7, 0)]
+
+
+@pytest.mark.parametrize(
+    "plain",
+    [
+        7,
+        "alive",
+        [],
+        ["no such message"],
+        ["alive", "seven"],
+        ["start", "i", "f.1"],
+        {"alive": 1},
+        [["alive"]],
+        ["alive", None],
+    ],
+)
+def test_what_is_no_message_is_refused(plain):
+    with pytest.raises(wire.WireError):
+        list(wire.Decoder().feed(msgpack.packb(plain)))
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(st.binary(max_size=200))
+def test_any_bytes_are_refused_cleanly(data):
+    decoder = wire.Decoder()
+    try:
+        for message in decoder.feed(data):
+            assert isinstance(message, wire.Message)
+    except wire.WireError:
+        pass
+
+
+def test_memory_is_bounded():
+    decoder = wire.Decoder()
+    header = b"\xc6\x7f\xff\xff\xff"
+    with pytest.raises(wire.WireError):
+        list(decoder.feed(header))
+        for _ in range(20):
+            list(decoder.feed(b"x" * (1024 * 1024)))
