--- a/src/ferryledge/agent/_daemon.py
+++ b/src/ferryledge/agent/_daemon.py
@@ -108,11 +108,17 @@
         """Take no new work; let what runs end and be reported."""
         self._driver.post(core.DrainRequested())
         with anyio.move_on_after(self._settings.drain_s):
-            while not self._core.idle or self._calls:
+            # Tickets that clients hold are still good for a while.
+            await anyio.sleep(self._settings.ticket_linger_s)
+            while self._busy():
                 await anyio.sleep(_DRAIN_POLL_S)
         await anyio.sleep(_LINGER_S)
         loguru.logger.info("agent stopped", step="drain")
 
+    def _busy(self) -> bool:
+        arbitrating = bool(self._core.arbitrating)
+        return arbitrating or not self._core.idle or bool(self._calls)
+
     def _perform(self, action: core.Action) -> None:
         match action:
             case core.Send(peer, message):
--- a/src/ferryledge/agent/_settings.py
+++ b/src/ferryledge/agent/_settings.py
@@ -36,6 +36,11 @@
         gt=0,
         description="Seconds for which finished results are kept.",
     )
+    ticket_linger_s: float = pydantic.Field(
+        default=2.0,
+        ge=0,
+        description="Seconds of a planned stop for tickets that are out.",
+    )
     drain_s: float = pydantic.Field(
         default=60.0,
         gt=0,
--- a/src/ferryledge/client/_client.py
+++ b/src/ferryledge/client/_client.py
@@ -96,7 +96,7 @@
                 ticket = reply.ticket
                 attempt -= 1
                 continue
-            if not self._may_retry(job, reply, ticket):
+            if not _may_retry(reply):
                 return reply
             if attempt >= self._options.max_attempts:
                 return reply
@@ -109,15 +109,6 @@
         url = f"{next(self._urls)}/v1/jobs/{team}/{request_id}"
         await self._pool.request("DELETE", url)
 
-    def _may_retry(
-        self, job: _model.Job, reply: _model.Reply, ticket: str
-    ) -> bool:
-        if reply.outcome == "lost":
-            return job.repeatable or bool(ticket)
-        if reply.outcome not in _RETRY_OUTCOMES:
-            return False
-        return reply.retry_after_s > 0
-
     def _delay(self, reply: _model.Reply) -> float:
         if reply.retry_after_s:
             return reply.retry_after_s
@@ -144,3 +135,12 @@
             httpcore.ProtocolError,
         ) as exc:
             return _model.Reply(0, "lost", "maybe", reason=str(exc))
+
+
+def _may_retry(reply: _model.Reply) -> bool:
+    """Return whether sending the job again can do no harm."""
+    if reply.outcome == "lost":
+        # An unrepeatable job runs under its ticket alone, so once at most;
+        # without a ticket it was never run.
+        return True
+    return reply.outcome in _RETRY_OUTCOMES and reply.retry_after_s > 0
--- a/src/ferryledge/core/_agent.py
+++ b/src/ferryledge/core/_agent.py
@@ -90,6 +90,11 @@
         """Whether nothing runs and nothing waits to be reported."""
         return not self._starts.running and not self._batches
 
+    @property
+    def arbitrating(self) -> int:
+        """Submissions that run under this agent's tickets."""
+        return self._tickets.in_progress
+
     @property
     def config_version(self) -> int:
         """The newest version of the configuration heard of."""
--- a/src/ferryledge/core/_entry.py
+++ b/src/ferryledge/core/_entry.py
@@ -320,6 +320,7 @@
             case wire.Leaving():
                 peer.leaving = True
                 self._scheduler.agent_leaving(name)
+                self._front.drop_tickets(name)
             case wire.Tickets(tickets):
                 self._front.add_tickets(tickets)
             case wire.Verdict():
@@ -350,6 +351,8 @@
                     team, request_id, forward=False
                 )
                 self._on_cancel(now, event)
+            case wire.AbandonJobs(through):
+                self._scheduler.abandon(now, name, through)
             case wire.AgentSet(agents):
                 self._scheduler.allow_agents(name, frozenset(agents))
             case wire.KeepAlive(version, waiting):
@@ -423,4 +426,6 @@
         if now - peer.last_heard <= self._options.silence_s:
             return
         peer.doubted = True
+        abandon = wire.AbandonJobs(self._front.last_number)
+        self._peers.send(now, peer.name, abandon)
         self._scheduler_lost(now, peer)
--- a/src/ferryledge/core/_front.py
+++ b/src/ferryledge/core/_front.py
@@ -130,6 +130,11 @@
         """Tickets in stock."""
         return len(self._tickets)
 
+    @property
+    def last_number(self) -> int:
+        """Number of the last submission so far."""
+        return self._counter
+
     def outstanding(self, scheduler: str) -> int:
         """Return how many parts a scheduler holds for this front."""
         return sum(
--- a/src/ferryledge/core/_scheduler.py
+++ b/src/ferryledge/core/_scheduler.py
@@ -132,6 +132,7 @@
         self._jobs: dict[str, Job] = {}
         self._agent_sets: dict[str, frozenset[str]] = {}
         self._answers: list[LocalAnswer] = []
+        self._seen: dict[str, ledger.SeenNumbers] = {}
         self._next_seq = 0
         self._next_sweep = 0.0
 
@@ -145,6 +146,11 @@
         """Jobs that are not answered yet."""
         return len(self._jobs)
 
+    @property
+    def placed(self) -> int:
+        """Tasks bound so far, over all jobs."""
+        return self._next_seq
+
     @property
     def table(self) -> placement.EndpointTable:
         """The endpoints."""
@@ -180,7 +186,7 @@
         :param front: the peer that sent it; empty is this entry
         :param message: the job
         """
-        if message.submission in self._jobs:
+        if not self._is_new(message.submission):
             return
         refusal = self._admit(now, front, message)
         if refusal is not None:
@@ -188,6 +194,17 @@
                 now, front, message.submission, _requests.JobAnswer(refusal)
             )
 
+    def _is_new(self, submission: str) -> bool:
+        """Return whether a submission was never seen, and note it.
+
+        A repeat must not run again, not even after its job has ended.
+        """
+        front = ledger.front_of(submission)
+        seen = self._seen.get(front)
+        if seen is None:
+            seen = self._seen[front] = ledger.SeenNumbers()
+        return seen.add(ledger.number_of(submission))
+
     def _admit(
         self, now: float, front: str, message: wire.PlaceJob
     ) -> outcomes.Refused | None:
@@ -325,6 +342,19 @@
                 self._stop_tasks(now, job)
                 self._forget(job)
 
+    def abandon(self, now: float, front: str, through: int) -> None:
+        """Drop the jobs that a front has taken back.
+
+        :param now: monotonic seconds
+        :param front: the front's name
+        :param through: number of its last submission that is given up
+        """
+        for job in list(self._jobs.values()):
+            number = ledger.number_of(job.submission)
+            if job.front == front and number <= through:
+                self._stop_tasks(now, job)
+                self._forget(job)
+
     def allow_agents(self, front: str, processes: frozenset[str]) -> None:
         """Restrict a front's jobs to agents that it can reach."""
         self._agent_sets[front] = processes
--- a/src/ferryledge/ledger/__init__.py
+++ b/src/ferryledge/ledger/__init__.py
@@ -1,11 +1,13 @@
 """What an agent remembers: which tasks started, which tickets were used."""
 
+from ferryledge.ledger import _seen
 from ferryledge.ledger import _starts
 from ferryledge.ledger import _tickets
 
 Admission = _starts.Admission
 Finish = _starts.Finish
 SUBMISSION_SEPARATOR = _starts.SUBMISSION_SEPARATOR
+SeenNumbers = _seen.SeenNumbers
 StartLedger = _starts.StartLedger
 TaskKey = _starts.TaskKey
 TaskRecord = _starts.TaskRecord
@@ -13,12 +15,14 @@
 TicketVerdict = _tickets.TicketVerdict
 TicketWord = _tickets.TicketWord
 front_of = _starts.front_of
+number_of = _starts.number_of
 minter_of = _tickets.minter_of
 
 __all__ = [
     "SUBMISSION_SEPARATOR",
     "Admission",
     "Finish",
+    "SeenNumbers",
     "StartLedger",
     "TaskKey",
     "TaskRecord",
@@ -27,4 +31,5 @@
     "TicketWord",
     "front_of",
     "minter_of",
+    "number_of",
 ]
--- a/src/ferryledge/ledger/_tickets.py
+++ b/src/ferryledge/ledger/_tickets.py
@@ -80,6 +80,11 @@
         self._blocks: collections.deque[_Block] = collections.deque()
         self._uses: dict[int, _Use[OutcomeT]] = {}
 
+    @property
+    def in_progress(self) -> int:
+        """Tickets whose submissions have not ended."""
+        return sum(use.outcome is None for use in self._uses.values())
+
     def mint(self, count: int, now: float) -> tuple[str, ...]:
         """Return that many fresh tickets.
 
--- a/src/ferryledge/wire/__init__.py
+++ b/src/ferryledge/wire/__init__.py
@@ -10,6 +10,7 @@
 WireError = _codec.WireError
 encode = _codec.encode
 
+AbandonJobs = _messages.AbandonJobs
 AgentSet = _messages.AgentSet
 AskTickets = _messages.AskTickets
 Authorise = _messages.Authorise
@@ -46,6 +47,7 @@
 process_key = _messages.process_key
 
 __all__ = [
+    "AbandonJobs",
     "AgentSet",
     "AskTickets",
     "AuthenticationError",
--- a/src/ferryledge/wire/_messages.py
+++ b/src/ferryledge/wire/_messages.py
@@ -201,6 +201,17 @@
     submission: str
 
 
+class AbandonJobs(Model, frozen=True, tag="abandon"):
+    """The sender has given up its jobs here; their answers are unwanted.
+
+    It comes before any later :class:`AgentSet`, which must not apply to
+    jobs that the sender has taken back.
+    """
+
+    #: Number of the last submission that is given up.
+    through: int
+
+
 class CancelRequest(Model, frozen=True, tag="cancel-request"):
     """A client's cancellation that reached another entry."""
 
@@ -324,6 +335,7 @@
     | CancelTasks
     | PlaceJob
     | JobAnswered
+    | AbandonJobs
     | AgentSet
     | CancelJob
     | CancelRequest
