Place jobs without the scheduler while the pool has much room

Change: below a load that the scheduler tells with its answers, an entry uses the endpoints that fall to it by rendezvous hashing; agents start as many tasks as fit and release the rest; released tasks go on to the scheduler as a part of their own. direct_load is the knob.

--- a/src/ferryledge/bench/_results.py
+++ b/src/ferryledge/bench/_results.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import math
 import statistics
 
 #: Share of the jobs at the start that is not counted.
@@ -56,7 +57,7 @@
     points = [percentile(run.slowdowns, 0.99) for run in runs]
     if len(points) < 2:
         return 0.0
-    return 1.96 * statistics.stdev(points) / len(points) ** 0.5
+    return 1.96 * statistics.stdev(points) / math.sqrt(len(points))
 
 
 def summarise(
--- a/src/ferryledge/core/_agent.py
+++ b/src/ferryledge/core/_agent.py
@@ -269,7 +269,7 @@
                 self._tickets.revoke(message.ticket, message.submission)
             self._release_all(now, owner, message, refusal)
             return
-        self._start(now, owner, message)
+        self._start(now, owner, message, self._room(message))
 
     def _refusal(self, message: wire.StartTasks) -> wire.ReleaseReason | None:
         count = len(message.indices)
@@ -279,21 +279,35 @@
             return wire.ReleaseReason.LEAVING
         if len(message.payloads) != count:
             return wire.ReleaseReason.MALFORMED
-        limit = min(self._options.slots, self._options.connections)
-        if self._starts.running + count > limit:
+        room = self._room(message)
+        if not room or (message.ticket and room < count):
             return wire.ReleaseReason.BUSY
-        memory = self._memory_used + message.memory_mb * count
-        if self._options.memory_mb and memory > self._options.memory_mb:
-            return wire.ReleaseReason.MEMORY
         return None
 
-    def _start(self, now: float, owner: str, message: wire.StartTasks) -> None:
+    def _room(self, message: wire.StartTasks) -> int:
+        """Return how many of the message's tasks can start now."""
+        limit = min(self._options.slots, self._options.connections)
+        room = limit - self._starts.running
+        if self._options.memory_mb and message.memory_mb:
+            memory = self._options.memory_mb - self._memory_used
+            room = min(room, memory // message.memory_mb)
+        return max(0, room)
+
+    def _start(
+        self, now: float, owner: str, message: wire.StartTasks, room: int
+    ) -> None:
+        """Start the tasks that there is room for, release the others."""
         batch = _Batch(
             owner, message.submission, message.report_each, 0, message.ticket
         )
         refused = []
+        excess = []
         for offset, index in enumerate(message.indices):
             key = ledger.TaskKey(owner, message.first_seq + offset)
+            if batch.left >= room:
+                if self._starts.find(key) is None:
+                    excess.append(key)
+                continue
             admission = self._starts.admit(key, message.submission, index)
             if admission is ledger.Admission.FRESH:
                 self._run(key, index, offset, message, batch)
@@ -307,6 +321,10 @@
                 else wire.ReleaseReason.STALE
             )
             self._released(now, owner, message.submission, refused, reason)
+        freed = [key.seq for key in excess if self._starts.release(key)]
+        if freed:
+            busy = wire.ReleaseReason.BUSY
+            self._released(now, owner, message.submission, freed, busy)
 
     def _run(
         self,
@@ -447,7 +465,9 @@
     def _flush(self, now: float, batch: _Batch) -> None:
         if not batch.held:
             return
-        done = wire.TasksFinished(batch.submission, tuple(batch.held))
+        done = wire.TasksFinished(
+            batch.submission, tuple(batch.held), self._starts.running
+        )
         batch.held = []
         self._send(now, batch.owner, done)
 
--- a/src/ferryledge/core/_entry.py
+++ b/src/ferryledge/core/_entry.py
@@ -18,6 +18,8 @@
 from ferryledge import wire
 
 _SWEEP_S = 0.1
+#: Added to the load up to which a job of one task is placed directly.
+_SMALL_JOB_BONUS = 0.4
 
 
 class EntryCore:
@@ -131,10 +133,17 @@
         if now >= self._next_sweep:
             self._sweep(now)
         self._scheduler.run_systems(now)
+        for moved in self._scheduler.take_handed_back():
+            taken = self._front.take_back(moved.submission, moved.indices)
+            if taken is not None:
+                self._hand_over(now, *taken, direct=False)
         for local in self._scheduler.take_answers():
             self._front.on_answer(local.submission, "", local.answer)
         self._peers.send_keepalives(
-            now, self._rulebook.version, self._scheduler.waiting
+            now,
+            self._rulebook.version,
+            self._scheduler.waiting,
+            round(self._scheduler.table.load, 3),
         )
         return self._peers.take_actions()
 
@@ -157,9 +166,15 @@
         self._stock_tickets(now)
 
     def _hand_over(
-        self, now: float, job: _front.FrontJob, indices: tuple[int, ...]
+        self,
+        now: float,
+        job: _front.FrontJob,
+        indices: tuple[int, ...],
+        direct: bool = True,
     ) -> None:
         peer = self._choose_scheduler(job.request)
+        if direct and peer and self._places_itself(peer, len(indices)):
+            peer = None
         group = self._own_group
         if peer is not None:
             group = self._tell_agents(now, peer)
@@ -170,6 +185,42 @@
         peer.busy = True
         self._peers.send(now, peer.name, message)
 
+    def _places_itself(self, scheduler: _peers.Peer, tasks: int) -> bool:
+        """Return whether to place a job here, as the pool has much room.
+
+        That saves the way to the scheduler. Each entry then uses the
+        endpoints that fall to it, so that entries rarely meet.
+        """
+        limit = self._options.direct_load
+        if limit:
+            # The way to the scheduler weighs most on the smallest jobs.
+            limit += _SMALL_JOB_BONUS / tasks
+        if scheduler.load >= limit:
+            return False
+        if self._draining:
+            return False
+        return self._scheduler.can_place(tasks, self._options.direct_margin)
+
+    def _share_endpoints(self) -> None:
+        """Work out which endpoints fall to this entry."""
+        names = [
+            peer.name
+            for peer in self._peers.of_role(wire.Role.ENTRY)
+            if not peer.leaving
+        ]
+        names.append(self._identity.name)
+        own = frozenset(
+            row.name
+            for row in self._scheduler.table
+            if placement.rank(row.name, names)[0] == self._identity.name
+        )
+        agents = self._peers.of_role(wire.Role.AGENT)
+        pools = placement.pool_count(len(agents), self._options.pool_size)
+        owns_pool = any(
+            self._scheduler_of(pool) is None for pool in range(pools)
+        )
+        self._scheduler.prefer(own, owns_pool)
+
     def _choose_scheduler(
         self, request: _requests.JobRequest
     ) -> _peers.Peer | None:
@@ -251,6 +302,7 @@
             self._stock_tickets(now)
         elif not self._rulebook.version:
             self._peers.send(now, hello.name, wire.ConfigRequest())
+        self._share_endpoints()
 
     def _on_down(self, now: float, name: str, incarnation: str) -> None:
         peer = self._peers.down(name, incarnation)
@@ -264,6 +316,7 @@
             return
         self._scheduler.front_lost(now, name)
         self._scheduler_lost(now, peer)
+        self._share_endpoints()
 
     def _scheduler_lost(self, now: float, peer: _peers.Peer) -> None:
         self._front.scheduler_lost(now, peer.name, peer.incarnation)
@@ -340,8 +393,9 @@
             case wire.PlaceJob():
                 peer.busy = True
                 self._scheduler.place(now, name, message)
-            case wire.JobAnswered(submission, record, waiting):
+            case wire.JobAnswered(submission, record, waiting, load):
                 peer.waiting = waiting
+                peer.load = load
                 answer = _convert.answer_of(record)
                 self._front.on_answer(submission, name, answer)
             case wire.CancelJob(submission):
@@ -355,9 +409,10 @@
                 self._scheduler.abandon(now, name, through)
             case wire.AgentSet(agents):
                 self._scheduler.allow_agents(name, frozenset(agents))
-            case wire.KeepAlive(version, waiting):
+            case wire.KeepAlive(version, waiting, load):
                 peer.config_version = version
                 peer.waiting = waiting
+                peer.load = load
             case wire.Leaving():
                 peer.leaving = True
             case _:
--- a/src/ferryledge/core/_front.py
+++ b/src/ferryledge/core/_front.py
@@ -42,6 +42,16 @@
     indices: tuple[int, ...]
     #: The agents that the scheduler may use.
     group: _reach.Group
+    #: Positions in ``indices`` of tasks that were taken back.
+    moved: set[int] = dataclasses.field(default_factory=set)
+
+    def remaining(self) -> tuple[int, ...]:
+        """Return the places in the job of the tasks still in the part."""
+        return tuple(
+            index
+            for position, index in enumerate(self.indices)
+            if position not in self.moved
+        )
 
 
 @dataclasses.dataclass(slots=True)
@@ -300,6 +310,25 @@
             request.repeatable,
         )
 
+    def take_back(
+        self, submission: str, positions: tuple[int, ...]
+    ) -> tuple[FrontJob, tuple[int, ...]] | None:
+        """Take tasks out of a part; they have not started in it.
+
+        :param submission: the part's submission
+        :param positions: the tasks' positions in the part
+        :return: the job and the tasks' places in it; none if it is gone
+        """
+        job = self._by_part.get(submission)
+        if job is None:
+            return None
+        part = job.parts[submission]
+        part.moved.update(positions)
+        if len(part.moved) == len(part.indices):
+            del job.parts[submission]
+            del self._by_part[submission]
+        return job, tuple(part.indices[place] for place in positions)
+
     def fail(
         self,
         job: FrontJob,
@@ -366,7 +395,7 @@
         match answer.outcome:
             case outcomes.Complete(results):
                 self._merge(job, part, results)
-            case _ if len(part.indices) == len(job.request.tasks):
+            case _ if len(part.remaining()) == len(job.request.tasks):
                 self._answer(job, answer)
             case _:
                 self._fail_rest(job, part, answer)
@@ -376,7 +405,7 @@
     ) -> None:
         del job.parts[part.submission]
         del self._by_part[part.submission]
-        job.results.update(zip(part.indices, results, strict=True))
+        job.results.update(zip(part.remaining(), results, strict=True))
         self.complete_if_whole(job)
 
     def complete_if_whole(self, job: FrontJob) -> None:
--- a/src/ferryledge/core/_options.py
+++ b/src/ferryledge/core/_options.py
@@ -55,6 +55,14 @@
     age_bound_s: float = 10.0
     #: Share of a pool's slots that must be free to batch reports.
     report_together_free: float = 0.25
+    #: Load of the pool up to which an entry places jobs itself instead of
+    #: handing them to the scheduler; 0 always hands them over.
+    direct_load: float = 0.4
+    #: Share of an entry's own endpoints' slots kept free when it does so.
+    direct_margin: float = 0.2
+    #: Seconds for which another scheduler's use of an endpoint is assumed
+    #: to last after it was last heard of.
+    foreign_s: float = 0.3
     #: Seconds for which a broken stream may come back.
     reconnect_grace_s: float = 2.0
     #: Seconds of silence with work outstanding before a peer is doubted.
--- a/src/ferryledge/core/_peers.py
+++ b/src/ferryledge/core/_peers.py
@@ -23,6 +23,8 @@
     config_version: int = 0
     #: Tasks that wait in its queue, as last told.
     waiting: int = 0
+    #: Share of its slots in use, as last told.
+    load: float = 0.0
     #: Something is outstanding on the stream, in either direction.
     busy: bool = False
 
@@ -102,11 +104,13 @@
         self._actions = []
         return actions
 
-    def send_keepalives(self, now: float, version: int, waiting: int) -> None:
+    def send_keepalives(
+        self, now: float, version: int, waiting: int, load: float
+    ) -> None:
         """Queue keep-alives on streams that were silent for long."""
         for peer in list(self._rows.values()):
             if now >= peer.last_sent + self._interval(peer):
-                alive = wire.KeepAlive(version, waiting)
+                alive = wire.KeepAlive(version, waiting, load)
                 self.send(now, peer.name, alive)
 
     def wake_at(self) -> float:
--- a/src/ferryledge/core/_scheduler.py
+++ b/src/ferryledge/core/_scheduler.py
@@ -34,7 +34,7 @@
 #: Seconds beyond a task's timeout after which its agent is given up.
 _TIMEOUT_MARGIN_S = 1.0
 #: Most releases of one task before its job is given up.
-_MAX_RELEASES = 20
+_MAX_RELEASES = 400
 
 
 class TicketUse(enum.Enum):
@@ -67,12 +67,14 @@
     #: Sequence numbers of bound tasks, with their endpoints.
     bound: dict[int, str] = dataclasses.field(default_factory=dict)
     releases: int = 0
+    #: Indices of tasks that were handed back to this entry's front.
+    moved: set[int] = dataclasses.field(default_factory=set)
     ticket_use: TicketUse = TicketUse.NONE
 
     @property
     def size(self) -> int:
-        """The number of tasks."""
-        return len(self.message.tasks)
+        """The number of tasks that are to run from here."""
+        return len(self.message.tasks) - len(self.moved)
 
     @property
     def deadline_at(self) -> float:
@@ -85,10 +87,10 @@
         """Return what may be said of each task when the job fails."""
         unstarted = set(self.waiting.tasks)
         tags = []
-        for index in range(self.size):
+        for index in range(len(self.message.tasks)):
             if index in self.results:
                 tags.append("complete")
-            elif index in unstarted:
+            elif index in unstarted or index in self.moved:
                 tags.append("failed_not_run")
             else:
                 tags.append("failed_may_have_run")
@@ -103,6 +105,15 @@
     answer: _requests.JobAnswer
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandedBack:
+    """Tasks that never started here, for another scheduler."""
+
+    submission: str
+    #: Their indices in the submission.
+    indices: tuple[int, ...]
+
+
 class Scheduler:
     """Places jobs on the endpoints of a pool.
 
@@ -132,6 +143,9 @@
         self._jobs: dict[str, Job] = {}
         self._agent_sets: dict[str, frozenset[str]] = {}
         self._answers: list[LocalAnswer] = []
+        self._favourites: frozenset[str] = frozenset()
+        self._owns_pool = True
+        self._handed_back: list[HandedBack] = []
         self._seen: dict[str, ledger.SeenNumbers] = {}
         self._next_seq = 0
         self._next_sweep = 0.0
@@ -355,6 +369,31 @@
                 self._stop_tasks(now, job)
                 self._forget(job)
 
+    def prefer(self, endpoints: frozenset[str], owns_pool: bool) -> None:
+        """Say which endpoints fall to this entry.
+
+        :param endpoints: to be used before others, so as to meet nobody
+        :param owns_pool: whether others hand their jobs to this entry
+        """
+        self._favourites = endpoints
+        self._owns_pool = owns_pool
+
+    def can_place(self, tasks: int, margin: float) -> bool:
+        """Return whether the preferred endpoints have room for a job.
+
+        :param tasks: its number of tasks
+        :param margin: share of their slots that must stay free
+        """
+        if self._queue.tasks:
+            return False
+        free = slots = 0
+        for name in self._favourites:
+            row = self._table.find(name)
+            if row is not None and row.usable:
+                slots += min(row.slots, row.connections)
+                free += row.free
+        return free - tasks >= margin * slots
+
     def allow_agents(self, front: str, processes: frozenset[str]) -> None:
         """Restrict a front's jobs to agents that it can reach."""
         self._agent_sets[front] = processes
@@ -362,7 +401,6 @@
     def _facts(
         self, message: wire.PlaceJob, expected: float, declared: float
     ) -> policy.Facts:
-        slots = self._table.slots
         return policy.Facts(
             team=message.team,
             service=message.service,
@@ -373,7 +411,7 @@
             urgency=message.urgency,
             repeatable=message.repeatable,
             waiting=self._queue.tasks,
-            load=min(1.0, self._table.bound / slots) if slots else 1.0,
+            load=self._table.load,
             home=self._identity.hall,
         )
 
@@ -440,6 +478,12 @@
         slots = max(1, self._table.slots)
         return self._spread(max(0.2, self._queue.work_s / slots))
 
+    def take_handed_back(self) -> list[HandedBack]:
+        """Return the tasks that other schedulers shall place."""
+        handed_back = self._handed_back
+        self._handed_back = []
+        return handed_back
+
     # Placement.
 
     def run_systems(self, now: float) -> None:
@@ -493,6 +537,7 @@
             job.halls,
             job.service.memory_mb,
             self._identity.hall,
+            self._favourites if not job.front else frozenset(),
             self._agent_sets.get(job.front),
         )
         rows = self._table.open_rows(now)
@@ -610,6 +655,7 @@
                 job.results[binding.index] = task.body
             else:
                 failed = task
+        self._note_busy(now, agent, message.busy)
         if job is None:
             return
         if failed is not None:
@@ -626,6 +672,12 @@
         else:
             self._check_arbiter(now, job)
 
+    def _note_busy(self, now: float, agent: str, busy: int) -> None:
+        row = self._table.find(agent)
+        if row is not None:
+            until = now + self._options.foreign_s
+            self._table.note_busy(row, busy, until)
+
     def _unbind(
         self, now: float, agent: str, seq: int
     ) -> placement.Binding | None:
@@ -681,6 +733,7 @@
         """Let released tasks wait again, or end their job."""
         job = self._jobs.get(message.submission)
         row = self._table.find(agent)
+        moved: list[int] = []
         for seq in message.seqs:
             binding = self._unbind(now, agent, seq)
             if binding is None or job is None or seq not in job.bound:
@@ -689,13 +742,36 @@
             job.releases += 1
             if job.ticket_use is TicketUse.AT_ARBITER:
                 job.waiting.tasks.append(binding.index)
+            elif self._hands_back(job, message.reason):
+                job.moved.add(binding.index)
+                moved.append(binding.index)
             else:
                 self._queue.give_back(job.waiting, binding.index)
+        if job is not None and moved:
+            self._move(now, job, tuple(moved))
         if row is not None:
+            self._note_busy(now, agent, message.busy)
             self._after_release(now, row, message)
-        if job is not None:
+        if job is not None and job.submission in self._jobs:
             self._after_job_release(now, job, message.reason)
 
+    def _hands_back(self, job: Job, reason: wire.ReleaseReason) -> bool:
+        """Return whether a released task goes to the pool's scheduler.
+
+        Another scheduler fills the endpoints, so the task had better wait
+        where it can see the whole pool.
+        """
+        busy = reason is wire.ReleaseReason.BUSY
+        plain = not job.front and job.ticket_use is TicketUse.NONE
+        return busy and plain and not self._owns_pool
+
+    def _move(self, now: float, job: Job, indices: tuple[int, ...]) -> None:
+        self._handed_back.append(HandedBack(job.submission, indices))
+        if not job.size:
+            self._forget(job)
+        elif len(job.results) == job.size:
+            self._complete(now, job)
+
     def _after_release(
         self,
         now: float,
@@ -706,7 +782,7 @@
         match message.reason:
             case wire.ReleaseReason.LEAVING:
                 row.leaving = True
-            case wire.ReleaseReason.BUSY | wire.ReleaseReason.MEMORY:
+            case wire.ReleaseReason.BUSY:
                 row.blocked_until = now + _BLOCK_S
             case wire.ReleaseReason.UNREACHABLE:
                 row.blocked_until = now + _BLOCK_S
@@ -820,6 +896,7 @@
                 )
 
     def _sweep(self, now: float) -> None:
+        self._table.forget_foreign(now)
         for row in list(self._table):
             if not row.connected:
                 grace = self._options.reconnect_grace_s
@@ -882,7 +959,7 @@
     # Answers.
 
     def _complete(self, now: float, job: Job) -> None:
-        ordered = tuple(job.results[index] for index in range(job.size))
+        ordered = tuple(job.results[index] for index in sorted(job.results))
         answer = _requests.JobAnswer(
             outcomes.Complete(ordered), ("complete",) * job.size
         )
@@ -957,7 +1034,10 @@
             self._answers.append(LocalAnswer(submission, answer))
             return
         message = wire.JobAnswered(
-            submission, _convert.record_of(answer), self._queue.tasks
+            submission,
+            _convert.record_of(answer),
+            self._queue.tasks,
+            round(self._table.load, 3),
         )
         self._peers.send(now, front, message)
 
--- a/src/ferryledge/placement/_choice.py
+++ b/src/ferryledge/placement/_choice.py
@@ -23,6 +23,8 @@
     memory_mb: int = 0
     #: The hall of the scheduler, preferred among equals.
     home: str = ""
+    #: Endpoints to use first.
+    favourites: frozenset[str] = frozenset()
     #: Processes that may be used; none is all.
     processes: frozenset[str] | None = None
 
@@ -41,11 +43,11 @@
 ) -> _tables.EndpointRow | None:
     """Return the best endpoint with a free slot for a job, or none.
 
-    Normal endpoints go before slow ones, then the one with the most free
-    slots, so that a job's tasks share messages.
+    Normal endpoints go before slow ones, favourites before others, then
+    the one with the most free slots, so that a job's tasks share messages.
     """
     best = None
-    best_score = (False, 0, False)
+    best_score = (False, False, 0, False)
     for row in rows:
         if wish.halls is not None and row.hall not in wish.halls:
             continue
@@ -58,7 +60,8 @@
         if not _worth_it(wish, slowness):
             continue
         normal = slowness <= NORMAL_SLOWNESS
-        score = (normal, room, row.hall == wish.home)
+        favourite = row.name in wish.favourites
+        score = (normal, favourite, room, row.hall == wish.home)
         if best is None or score > best_score:
             best, best_score = row, score
     return best
--- a/src/ferryledge/placement/_tables.py
+++ b/src/ferryledge/placement/_tables.py
@@ -42,6 +42,10 @@
     ejected: bool = False
     #: Not to be used before then: it said that it is full.
     blocked_until: float = 0.0
+    #: Slots that other schedulers use, as last told, and until when that
+    #: is assumed.
+    foreign: int = 0
+    foreign_until: float = 0.0
     #: When the stream broke.
     lost_at: float = 0.0
     #: When it last reported a task's end, or was last idle.
@@ -55,7 +59,7 @@
         if not self.usable:
             return 0
         limit = min(self.slots, self.connections)
-        return max(0, limit - len(self.bound))
+        return max(0, limit - len(self.bound) - self.foreign)
 
     @property
     def usable(self) -> bool:
@@ -85,6 +89,19 @@
         """Tasks that are bound to some endpoint."""
         return self._bound
 
+    @property
+    def load(self) -> float:
+        """Share of the usable slots in use, from 0 to 1."""
+        slots = self.slots
+        if not slots:
+            return 1.0
+        used = sum(
+            len(row.bound) + row.foreign
+            for row in self._rows.values()
+            if row.usable
+        )
+        return min(1.0, used / slots)
+
     @property
     def slots(self) -> int:
         """Slots of all usable endpoints."""
@@ -120,6 +137,24 @@
         if row is not None:
             self._bound -= len(row.bound)
 
+    def note_busy(self, row: EndpointRow, busy: int, until: float) -> None:
+        """Take in how many slots an endpoint says are in use.
+
+        :param row: the endpoint
+        :param busy: slots in use, for whichever scheduler
+        :param until: how long to assume others' use
+        """
+        row.foreign = max(0, busy - len(row.bound))
+        row.foreign_until = until
+        self.refresh(row)
+
+    def forget_foreign(self, now: float) -> None:
+        """Drop assumptions on others' use that are too old."""
+        for row in self._rows.values():
+            if row.foreign and row.foreign_until <= now:
+                row.foreign = 0
+                self.refresh(row)
+
     def refresh(self, row: EndpointRow) -> None:
         """Note that a row's fields changed."""
         if row.free:
--- a/src/ferryledge/wire/_messages.py
+++ b/src/ferryledge/wire/_messages.py
@@ -51,6 +51,8 @@
     config_version: int = 0
     #: Tasks that wait in the sender's queue.
     waiting: int = 0
+    #: Share of the sender's slots in use, from 0 to 1.
+    load: float = 0.0
 
 
 class Leaving(Model, frozen=True, tag="leaving"):
@@ -97,6 +99,8 @@
 
     submission: str
     tasks: tuple[FinishedTask, ...]
+    #: Slots in use at the sender.
+    busy: int = 0
 
 
 class ReleaseReason(enum.StrEnum):
@@ -108,7 +112,6 @@
     INCARNATION = "incarnation"
     LEAVING = "leaving"
     MALFORMED = "malformed"
-    MEMORY = "memory"
     STALE = "stale"
     TICKET = "ticket"
     UNREACHABLE = "unreachable"
@@ -182,6 +185,8 @@
     outcome: OutcomeRecord
     #: Tasks that wait in the scheduler's queue.
     waiting: int = 0
+    #: Share of the scheduler's slots in use, from 0 to 1.
+    load: float = 0.0
 
 
 class AgentSet(Model, frozen=True, tag="agents"):
