Measure capacity slopes, divide pools, mend a job that waited for ever

Writing the page showed that schedulers of several pools used each other's endpoints.

Ruled out: dropping endpoints from the table by hall; the queue's order (the job was at its head, three endpoints were free).

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,8 @@
 
 bench: $(STAMP)
 	$(BIN)/python -m ferryledge.bench
+
+capacity: $(STAMP)
+	$(BIN)/python -m ferryledge.capacity measure > docs/capacity.jsonl
+	$(BIN)/python -m ferryledge.capacity page docs/capacity.jsonl
+	cat docs/capacity.jsonl
--- /dev/null
+++ b/src/ferryledge/capacity/__init__.py
@@ -0,0 +1,30 @@
+"""Measures what each role costs and works out the cost at other sizes.
+
+``python -m ferryledge.capacity measure`` prints the slopes as JSON lines;
+``python -m ferryledge.capacity page FILE`` makes docs/CAPACITY.md of them.
+"""
+
+from ferryledge.capacity import _fit
+from ferryledge.capacity import _measure
+from ferryledge.capacity import _model
+from ferryledge.capacity import _page
+
+Deployment = _model.Deployment
+LETTER = _model.LETTER
+Slope = _fit.Slope
+TODAY = _model.TODAY
+fit = _fit.fit
+measure_all = _measure.measure_all
+render_page = _page.render_page
+work_out = _model.work_out
+
+__all__ = [
+    "LETTER",
+    "TODAY",
+    "Deployment",
+    "Slope",
+    "fit",
+    "measure_all",
+    "render_page",
+    "work_out",
+]
--- /dev/null
+++ b/src/ferryledge/capacity/_page.py
@@ -0,0 +1,232 @@
+"""Makes docs/CAPACITY.md of measured slopes, so that they can't part."""
+
+from collections import abc
+
+from ferryledge.capacity import _fit
+from ferryledge.capacity import _model
+
+_CONTROL_CPU = 0.028
+_CONTROL_MB = 64.0
+_CONTROL_BYTES = 3000.0
+_APPENDS = 300.0
+
+
+def _row(*cells: object) -> str:
+    return "| " + " | ".join(str(cell) for cell in cells) + " |\n"
+
+
+def _number(value: float) -> str:
+    if value and abs(value) < 0.01:
+        return f"{value:.2e}"
+    return f"{value:,.2f}" if abs(value) < 100 else f"{value:,.0f}"
+
+
+def _slope_table(slopes: abc.Sequence[_fit.Slope]) -> str:
+    text = _row("slope", "base", "per unit", "unit", "points", "error")
+    text += _row(*["---"] * 6)
+    for one in slopes:
+        sizes = ", ".join(f"{size:g}" for size, _ in one.points)
+        text += _row(
+            one.name,
+            _number(one.base),
+            _number(one.per_unit),
+            f"{one.unit} / {one.per}",
+            sizes,
+            f"{100 * one.error:.0f}%",
+        )
+    return text
+
+
+def _budget_rows(costs: _model.Costs) -> list[tuple[str, float, float, str]]:
+    entry_mb = costs.entry_floor_mb + costs.entry_state_mb
+    agent_mb = costs.agent_floor_mb + costs.agent_state_mb
+    both_ways = 2
+    return [
+        ("entry memory, MB", entry_mb, _CONTROL_MB, "floor and state"),
+        ("agent memory, MB", agent_mb, _CONTROL_MB, "floor and state"),
+        (
+            "entry idle control, share of a core",
+            costs.entry_control_cpu,
+            _CONTROL_CPU,
+            "keep-alives and sweeps",
+        ),
+        (
+            "entry idle control, bytes a second",
+            both_ways * costs.entry_control_bytes,
+            _CONTROL_BYTES,
+            "keep-alives sent and received",
+        ),
+        (
+            "agent idle control, bytes a second",
+            both_ways * costs.agent_control_bytes,
+            _CONTROL_BYTES,
+            "keep-alives sent and received",
+        ),
+        (
+            "log appends a second",
+            costs.appends_per_s,
+            _APPENDS,
+            "changes and checkpoints; bursts are bounded by operators",
+        ),
+    ]
+
+
+def _budget_table(costs: _model.Costs) -> str:
+    rows = _budget_rows(costs)
+    rows.sort(key=lambda row: row[1] <= row[2])
+    text = _row("line", "worked out", "budget", "met", "parts")
+    text += _row(*["---"] * 5)
+    for name, value, budget, parts in rows:
+        met = "yes" if value <= budget else "**no**"
+        text += _row(name, _number(value), _number(budget), met, parts)
+    return text
+
+
+def _role_table(costs: _model.Costs) -> str:
+    text = _row("role", "state", "messages", "processor", "memory", "by")
+    text += _row(*["---"] * 6)
+    text += _row(
+        "entry, as front",
+        "its clients' open jobs, kept answers, tickets in stock",
+        "2 a job to and from the scheduler, none when it places itself",
+        "HTTP, not in these slopes; see docs/decisions.md",
+        f"{costs.entry_floor_mb:.0f} MB floor",
+        "`core` front, parts and fences",
+    )
+    text += _row(
+        "entry, as scheduler of a pool",
+        f"{costs.endpoints_per_region / costs.pools:.0f} endpoints, their "
+        "bound tasks, waiting jobs",
+        f"{costs.entry_data_mb:.1f} MB of data a second at the peak",
+        f"{costs.scheduler_cpu:.2f} of a core at the peak",
+        f"{costs.entry_state_mb:.1f} MB of state",
+        "late binding, least work first, pools by rendezvous hashing",
+    )
+    text += _row(
+        "agent",
+        "running tasks, finished results for 30 s, tickets for 15 min",
+        f"{costs.streams_per_agent} streams",
+        f"{costs.agent_cpu:.3f} of a core at the peak, without HTTP",
+        f"{costs.agent_floor_mb:.0f} MB floor, {costs.agent_state_mb:.1f} "
+        "MB of state",
+        "start ledger, ticket ledger",
+    )
+    text += _row(
+        "operator's command",
+        "none",
+        "one append a change, reads of the log",
+        f"{1000 * costs.fold_cpu:.2f} ms a folded change",
+        "no budget; it ends",
+        "fold of the log",
+    )
+    text += _row(
+        "platform's log and list, loaded by us",
+        f"checkpoints of {costs.checkpoint_kb:.0f} kB and their audit tail",
+        f"{costs.appends_per_s:.3f} appends a second; each entry holds one "
+        "long poll and reads the list once a second",
+        "-",
+        "-",
+        "checkpoints with jitter, one by whoever comes first",
+    )
+    return text
+
+
+def _size_section(costs: _model.Costs) -> str:
+    deployment = costs.deployment
+    return (
+        f"\n## At {deployment.name}\n\n"
+        f"{deployment.workers:,} workers in {deployment.regions} region(s), "
+        f"{deployment.starts_per_s:,.0f} task starts a second at the peak, "
+        f"{deployment.teams} teams, {deployment.changes_per_day:,} changes "
+        "a day. That is, a region: "
+        f"{costs.endpoints_per_region:.0f} endpoints, {costs.pools} "
+        f"pool(s), {costs.starts_per_region:,.0f} starts a second, "
+        f"{costs.entries} entries, {costs.streams_per_entry} streams an "
+        f"entry.\n\n" + _budget_table(costs) + "\n" + _role_table(costs)
+    )
+
+
+def _answers(costs: _model.Costs) -> str:
+    one, ten, hundred = costs.entry_starts
+    entries = costs.entries * costs.deployment.regions
+    return f"""
+## Answers
+
+**How many entries carry the peak.** A whole processor schedules {one:,.0f}
+starts a second in jobs of one, {ten:,.0f} in jobs of ten and {hundred:,.0f}
+in jobs of a hundred, without HTTP. In jobs of ten, at 60% of a processor
+and with one entry to spare, a region needs {costs.entries}, all regions
+{entries}. HTTP for clients comes on top and is spread over all entries.
+
+**What an entry knows.** Its own region: {costs.endpoints_per_region:.0f}
+endpoints, not 1,800. Its queue and bindings are those of its pools alone.
+
+**When nothing happens.** One keep-alive of 20 bytes every 15 s on each
+stream and way, and a long poll of the log. While something is outstanding
+a silent stream carries one every 0.5 s: an entry whose {POOL} endpoints all
+run only tasks longer than that sends and receives up to
+{POOL * 2 * 86 / 1000:.0f} kB a second, which is over the 3 kB. Tasks that
+end sooner need none, as results count as signs of life.
+
+**How a change reaches all zones.** Each entry long-polls the log, and tells
+agents the version on streams that are open. A log that answers within 2 s
+leaves 8 s. The fault matrix runs the log with 2 s an answer. A log that is
+down holds back new changes only; an entry that starts then asks a peer.
+
+**Failures.** 12 VMs that fail and 190 that are replaced a day are one
+event every 7 minutes over all regions. A lost agent's jobs are answered
+2 s after its stream broke (`reconnect_grace_s`); a lost scheduler's jobs
+are taken back at once when its stream breaks, after 2 s of silence
+otherwise. A lost rack or zone is the same, many times at once: its jobs
+are answered within those 2 s and the rest of the pool carries the load; the
+queue is bounded by `max_waiting_tasks`. Regions share nothing but the log,
+so regions that lose each other go on serving.
+
+**The herd afterwards.** Redials wait 0.05 s to 2 s with jitter, refusals
+ask for delays spread by a factor of two, clients retry from a budget.
+
+**Quotas meanwhile.** Each pool enforces its part. While two entries believe
+to hold a pool, a team may use its part twice, for as long as they differ.
+Quotas over several pools and regions are not divided yet: each pool applies
+the whole quota. That is the largest gap against the letter.
+
+**Where it breaks first.** One scheduler a pool: beyond {ten:,.0f} starts a
+second in jobs of ten, a pool must be smaller (`pool_size`). The memory
+floor: the libraries alone take {costs.entry_floor_mb:.0f} of the 64 MB. The
+streams: keep-alives reach 3 kB a second at about
+{int(3000 / (2 * 86 / 15))} streams, that is regions of so many endpoints;
+beyond, an entry would keep streams only to the pools that it serves.
+
+## Not measured
+
+Processor time of HTTP, of the kernel and of the network; the effect of
+garbage collection on the longest response; a real log under load; more than
+one region; a whole zone lost under load as separate processes.
+"""
+
+
+POOL = _model.POOL_SIZE
+
+
+def render_page(slopes: abc.Sequence[_fit.Slope]) -> str:
+    """Return the page that follows from the slopes."""
+    letter = _model.work_out(_model.LETTER, slopes)
+    today = _model.work_out(_model.TODAY, slopes)
+    return (
+        "# Capacity\n\n"
+        "Generated: `make capacity` measures the slopes into "
+        "docs/capacity.jsonl and makes this page of them. Absolute times "
+        "are those of one run on one noisy machine; the sizes and slopes "
+        "are what to look at.\n\n"
+        "Assumptions beside the letter: tasks of "
+        f"{_model.MEAN_RUN_S} s, jobs of {_model.MEAN_TASKS} tasks, "
+        f"{100 * _model.UNREPEATABLE:.0f}% of jobs unrepeatable, endpoints "
+        "spread evenly, a processor used to "
+        f"{100 * _model.TARGET_UTILISATION:.0f}%. Budget lines that are "
+        "not met stand first.\n"
+        + _size_section(letter)
+        + _size_section(today)
+        + _answers(letter)
+        + "\n## Slopes\n\n"
+        + _slope_table(slopes)
+    )
--- /dev/null
+++ b/src/ferryledge/capacity/tests/test_page.py
@@ -0,0 +1,37 @@
+"""The page follows from the slopes."""
+
+import json
+import pathlib
+
+import ferryledge
+from ferryledge import capacity
+
+DOCS = pathlib.Path(ferryledge.__file__).parents[2] / "docs"
+
+
+def slopes():
+    lines = (DOCS / "capacity.jsonl").read_text().splitlines()
+    return [capacity.Slope(**json.loads(line)) for line in lines]
+
+
+def test_the_page_is_that_of_the_committed_slopes():
+    page = (DOCS / "CAPACITY.md").read_text()
+    assert page == capacity.render_page(slopes())
+
+
+def test_a_fit():
+    line = capacity.fit("x", "s", "task", [(1, 3.0), (2, 5.0), (3, 7.0)])
+    assert (line.base, line.per_unit, line.error) == (1.0, 2.0, 0.0)
+
+
+def test_each_slope_has_enough_points():
+    for one in slopes():
+        if one.name != "library_floor_mb":
+            assert len(one.points) >= 4, one.name
+
+
+def test_more_work_costs_more():
+    small = capacity.work_out(capacity.TODAY, slopes())
+    large = capacity.work_out(capacity.LETTER, slopes())
+    assert large.scheduler_cpu > small.scheduler_cpu
+    assert large.entries > small.entries
--- a/src/ferryledge/core/_entry.py
+++ b/src/ferryledge/core/_entry.py
@@ -179,6 +179,8 @@
         direct: bool = True,
     ) -> None:
         peer = self._choose_scheduler(job.request)
+        limited = self._rulebook.has_quota(job.request.team)
+        direct = direct and not limited
         if direct and peer and self._places_itself(peer, len(indices)):
             peer = None
         group = self._own_group
@@ -220,12 +222,19 @@
             for row in self._scheduler.table
             if placement.rank(row.name, names)[0] == self._identity.name
         )
-        agents = self._peers.of_role(wire.Role.AGENT)
+        agents = [row.name for row in self._scheduler.table]
         pools = placement.pool_count(len(agents), self._options.pool_size)
-        owns_pool = any(
-            self._scheduler_of(pool) is None for pool in range(pools)
-        )
-        self._scheduler.prefer(own, owns_pool)
+        mine = {
+            pool for pool in range(pools) if self._scheduler_of(pool) is None
+        }
+        endpoints = None
+        if 0 < len(mine) < pools:
+            endpoints = frozenset(
+                name
+                for name in agents
+                if placement.pool_of(name, pools) in mine
+            )
+        self._scheduler.share(own, bool(mine), endpoints)
 
     def _choose_scheduler(
         self, request: _requests.JobRequest
@@ -365,7 +374,9 @@
         if peer is None:
             return
         peer.last_heard = now
-        peer.doubted = False
+        if peer.doubted:
+            peer.doubted = False
+            self._share_endpoints()
         if peer.hello.role is wire.Role.AGENT:
             self._on_agent_message(now, peer, message)
         else:
@@ -428,6 +439,7 @@
                 peer.load = load
             case wire.Leaving():
                 peer.leaving = True
+                self._share_endpoints()
             case _:
                 self._on_config_message(now, name, message)
 
@@ -497,3 +509,4 @@
         abandon = wire.AbandonJobs(self._front.last_number)
         self._peers.send(now, peer.name, abandon)
         self._scheduler_lost(now, peer)
+        self._share_endpoints()
--- a/src/ferryledge/core/_options.py
+++ b/src/ferryledge/core/_options.py
@@ -34,7 +34,7 @@
     #: Seconds after which a lost scheduler's tickets are settled.
     owner_grace_s: float = 5.0
     #: Seconds of silence before a keep-alive on a stream.
-    keepalive_s: float = 5.0
+    keepalive_s: float = 15.0
     #: The same while the peer waits for something.
     busy_keepalive_s: float = 0.5
 
@@ -68,7 +68,7 @@
     #: Seconds of silence with work outstanding before a peer is doubted.
     silence_s: float = 2.0
     #: Seconds of silence before a keep-alive on a stream.
-    keepalive_s: float = 5.0
+    keepalive_s: float = 15.0
     #: The same while something is outstanding on the stream.
     busy_keepalive_s: float = 0.5
     #: Longest delay in seconds that a refusal asks for.
--- a/src/ferryledge/core/_rulebook.py
+++ b/src/ferryledge/core/_rulebook.py
@@ -56,6 +56,11 @@
         """Return a team, or none."""
         return self._teams.get(name)
 
+    def has_quota(self, name: str) -> bool:
+        """Return whether a team's slots are limited."""
+        team = self._teams.get(name)
+        return team is not None and team.quota_slots > 0
+
     def place(self, name: str) -> configlog.Place | None:
         """Return a place, or none."""
         return self._places.get(name)
@@ -81,7 +86,7 @@
         service: configlog.Service,
         facts: policy.Facts,
         places: tuple[str, ...],
-        known: set[str],
+        known: frozenset[str],
     ) -> frozenset[str] | None:
         """Return the halls in which a job may run; none is anywhere.
 
--- a/src/ferryledge/core/_scheduler.py
+++ b/src/ferryledge/core/_scheduler.py
@@ -8,6 +8,7 @@
 import dataclasses
 import enum
 import random
+import statistics
 
 from ferryledge import configlog
 from ferryledge.core import _convert
@@ -145,10 +146,14 @@
         self._answers: list[LocalAnswer] = []
         self._favourites: frozenset[str] = frozenset()
         self._owns_pool = True
+        #: Whether some results may be reported only with others.
+        self._held_back = False
         self._handed_back: list[HandedBack] = []
         self._seen: dict[str, ledger.SeenNumbers] = {}
         self._next_seq = 0
         self._next_sweep = 0.0
+        #: Slowness of the usable endpoint in the middle.
+        self._normal_slowness = 1.0
 
     @property
     def waiting(self) -> int:
@@ -236,7 +241,7 @@
                 outcomes.Reason.POLICY, self._drain_s(), ruling.detail
             )
         halls = self._rulebook.halls(
-            service, facts, message.places, {row.hall for row in self._table}
+            service, facts, message.places, self._table.halls
         )
         refusal = self._impossible(service, halls)
         if refusal is not None:
@@ -369,14 +374,29 @@
                 self._stop_tasks(now, job)
                 self._forget(job)
 
-    def prefer(self, endpoints: frozenset[str], owns_pool: bool) -> None:
+    def share(
+        self,
+        favourites: frozenset[str],
+        owns_pool: bool,
+        pool: frozenset[str] | None,
+    ) -> None:
         """Say which endpoints fall to this entry.
 
-        :param endpoints: to be used before others, so as to meet nobody
+        :param favourites: used for jobs that it does not hand over
         :param owns_pool: whether others hand their jobs to this entry
+        :param pool: those of its pools; none is all
         """
-        self._favourites = endpoints
+        self._favourites = favourites
         self._owns_pool = owns_pool
+        for row in self._table:
+            row.mine = (
+                pool is None or row.name in pool or row.name in favourites
+            )
+            self._table.refresh(row)
+        share = 1.0
+        if pool is not None and len(self._table):
+            share = len(pool) / len(self._table)
+        self._quotas.set_share(share)
 
     def can_place(self, tasks: int, margin: float) -> bool:
         """Return whether the preferred endpoints have room for a job.
@@ -533,6 +553,7 @@
         slots = max(1, self._table.slots)
         wish = placement.Wish(
             job.waiting.expected_s,
+            self._normal_slowness,
             self._queue.work_s / slots,
             job.halls,
             job.service.memory_mb,
@@ -559,6 +580,7 @@
         self._next_seq += count
         tasks = job.message.tasks
         each = self._report_each(count)
+        self._held_back = self._held_back or not each
         for offset, index in enumerate(indices):
             binding = placement.Binding(
                 first_seq + offset,
@@ -603,6 +625,9 @@
 
     def _call_reports(self, now: float) -> None:
         """Ask for results that are held back, now that tasks wait."""
+        if not self._held_back:
+            return
+        self._held_back = False
         for row in self._table:
             held = [one for one in row.bound.values() if not one.report_each]
             if not held:
@@ -612,6 +637,8 @@
             self._peers.send(now, row.name, wire.ReportNow())
 
     def _send_probes(self, now: float) -> None:
+        if not self._judge.held:
+            return
         self._judge.probes_due(now)
         for row in self._table:
             if not row.ejected or not row.connected or row.leaving:
@@ -897,6 +924,14 @@
 
     def _sweep(self, now: float) -> None:
         self._table.forget_foreign(now)
+        self._normal_slowness = statistics.median_low(
+            [
+                self._run_times.slowness(row.name)
+                for row in self._table
+                if row.usable
+            ]
+            or [1.0]
+        )
         for row in list(self._table):
             if not row.connected:
                 grace = self._options.reconnect_grace_s
--- a/src/ferryledge/health/_judge.py
+++ b/src/ferryledge/health/_judge.py
@@ -65,19 +65,27 @@
         self._options = options or HealthOptions()
         self._rows: dict[str, _Row] = {}
         self._services: dict[str, float] = {}
+        self._held: set[str] = set()
 
     def state(self, endpoint: str) -> Health:
         """Return an endpoint's state."""
         row = self._rows.get(endpoint)
         return row.state if row else Healthy()
 
+    @property
+    def held(self) -> bool:
+        """Whether some endpoint is ejected or on trial."""
+        return bool(self._held)
+
     def join(self, endpoint: str) -> None:
         """Start anew with an endpoint that was started or replaced."""
         self._rows[endpoint] = _Row()
+        self._held.discard(endpoint)
 
     def leave(self, endpoint: str) -> None:
         """Forget an endpoint."""
         self._rows.pop(endpoint, None)
+        self._held.discard(endpoint)
 
     def ended(
         self, endpoint: str, service: str, job: str, ok: bool, now: float
@@ -94,7 +102,7 @@
         blame = self._blame(service, ok)
         self._note_service(service, ok)
         if isinstance(row.state, Probing):
-            self._end_probe(row, ok, now)
+            self._end_probe(endpoint, row, ok, now)
             return
         if not ok and row.last_job == job:
             return
@@ -103,7 +111,7 @@
         row.failure_rate += self._options.decay * (blame - row.failure_rate)
         over = row.failure_rate >= self._options.eject_at
         if over and isinstance(row.state, Healthy) and self._may_eject():
-            self._eject(row, now)
+            self._eject(endpoint, row, now)
 
     def probes_due(self, now: float) -> list[str]:
         """Let ejections that are over turn into probes.
@@ -150,21 +158,23 @@
         self._services[service] = rate + 0.02 * (sample - rate)
 
     def _may_eject(self) -> bool:
-        held = sum(
-            not isinstance(row.state, Healthy) for row in self._rows.values()
-        )
-        return held + 1 <= self._options.max_ejected * len(self._rows)
+        most = self._options.max_ejected * len(self._rows)
+        return len(self._held) + 1 <= most
 
-    def _eject(self, row: _Row, now: float) -> None:
+    def _eject(self, endpoint: str, row: _Row, now: float) -> None:
         options = self._options
+        self._held.add(endpoint)
         row.ejections += 1
         length = options.first_ejection_s * 2.0 ** (row.ejections - 1)
         row.state = Ejected(now + min(length, options.longest_ejection_s))
 
-    def _end_probe(self, row: _Row, ok: bool, now: float) -> None:
+    def _end_probe(
+        self, endpoint: str, row: _Row, ok: bool, now: float
+    ) -> None:
         if not ok:
-            self._eject(row, now)
+            self._eject(endpoint, row, now)
             return
+        self._held.discard(endpoint)
         row.state = Healthy()
         row.failure_rate = 0.0
         row.last_job = ""
--- a/src/ferryledge/placement/_choice.py
+++ b/src/ferryledge/placement/_choice.py
@@ -16,6 +16,8 @@
 
     #: Expected run time of one task at normal speed, in seconds.
     expected_s: float
+    #: Slowness of the usable endpoint in the middle: what counts as normal.
+    normal_slowness: float = 1.0
     #: Seconds that a task would wait for a normal endpoint instead.
     wait_s: float = 0.0
     #: Halls in which it may run; none is anywhere.
@@ -56,7 +58,7 @@
         room = row.fits(wish.memory_mb)
         if not room:
             continue
-        slowness = run_times.slowness(row.name)
+        slowness = run_times.slowness(row.name) / wish.normal_slowness
         if not _worth_it(wish, slowness):
             continue
         normal = slowness <= NORMAL_SLOWNESS
--- a/src/ferryledge/placement/_tables.py
+++ b/src/ferryledge/placement/_tables.py
@@ -36,6 +36,8 @@
     process: str = ""
     connected: bool = True
     leaving: bool = False
+    #: Whether this scheduler may use it: it is of its pools, or its own.
+    mine: bool = True
     #: Whether it has gone silent or overdue with work outstanding.
     doubted: bool = False
     #: Whether the health judge holds it back.
@@ -52,6 +54,8 @@
     progress_at: float = 0.0
     memory_used: int = 0
     bound: dict[int, Binding] = dataclasses.field(default_factory=dict)
+    #: Slots that the table counts as usable.
+    counted: int = 0
 
     @property
     def free(self) -> int:
@@ -64,7 +68,7 @@
     @property
     def usable(self) -> bool:
         """Whether new work may go there at all."""
-        return self.connected and not (
+        return (self.connected and self.mine) and not (
             self.leaving or self.doubted or self.ejected
         )
 
@@ -83,6 +87,16 @@
         self._rows: dict[str, EndpointRow] = {}
         self._open: dict[str, EndpointRow] = {}
         self._bound = 0
+        self._slots = 0
+        self._foreign = 0
+        self._halls: frozenset[str] | None = None
+
+    @property
+    def halls(self) -> frozenset[str]:
+        """The halls that have endpoints."""
+        if self._halls is None:
+            self._halls = frozenset(row.hall for row in self)
+        return self._halls
 
     @property
     def bound(self) -> int:
@@ -92,24 +106,14 @@
     @property
     def load(self) -> float:
         """Share of the usable slots in use, from 0 to 1."""
-        slots = self.slots
-        if not slots:
+        if not self._slots:
             return 1.0
-        used = sum(
-            len(row.bound) + row.foreign
-            for row in self._rows.values()
-            if row.usable
-        )
-        return min(1.0, used / slots)
+        return min(1.0, (self._bound + self._foreign) / self._slots)
 
     @property
     def slots(self) -> int:
         """Slots of all usable endpoints."""
-        return sum(
-            min(row.slots, row.connections)
-            for row in self._rows.values()
-            if row.usable
-        )
+        return self._slots
 
     def __iter__(self) -> abc.Iterator[EndpointRow]:
         return iter(self._rows.values())
@@ -123,9 +127,7 @@
 
     def put(self, row: EndpointRow) -> None:
         """Add or replace an endpoint."""
-        old = self._rows.get(row.name)
-        if old is not None:
-            self._bound -= len(old.bound)
+        self.drop(row.name)
         self._rows[row.name] = row
         self._bound += len(row.bound)
         self.refresh(row)
@@ -134,8 +136,11 @@
         """Remove an endpoint."""
         row = self._rows.pop(name, None)
         self._open.pop(name, None)
+        self._halls = None
         if row is not None:
             self._bound -= len(row.bound)
+            self._slots -= row.counted
+            self._foreign -= row.foreign
 
     def note_busy(self, row: EndpointRow, busy: int, until: float) -> None:
         """Take in how many slots an endpoint says are in use.
@@ -144,7 +149,9 @@
         :param busy: slots in use, for whichever scheduler
         :param until: how long to assume others' use
         """
-        row.foreign = max(0, busy - len(row.bound))
+        foreign = max(0, busy - len(row.bound))
+        self._foreign += foreign - row.foreign
+        row.foreign = foreign
         row.foreign_until = until
         self.refresh(row)
 
@@ -152,11 +159,15 @@
         """Drop assumptions on others' use that are too old."""
         for row in self._rows.values():
             if row.foreign and row.foreign_until <= now:
+                self._foreign -= row.foreign
                 row.foreign = 0
                 self.refresh(row)
 
     def refresh(self, row: EndpointRow) -> None:
         """Note that a row's fields changed."""
+        usable = min(row.slots, row.connections) if row.usable else 0
+        self._slots += usable - row.counted
+        row.counted = usable
         if row.free:
             self._open[row.name] = row
         else:
--- a/src/ferryledge/proofs/tests/test_matrix.py
+++ b/src/ferryledge/proofs/tests/test_matrix.py
@@ -39,6 +39,11 @@
         proofs.Blow(S.AUTHORISE, F.KILL_PEER, 1),
         proofs.Blow(S.SEND, F.FREEZE, 1),
     ),
+    "a job waited for a normal endpoint when all left seemed slow": (
+        2953,
+        proofs.Blow(S.CANCEL, F.ENDPOINT_FAILS, 1),
+        proofs.Blow(S.FOLD, F.LIST_EMPTY, 7),
+    ),
     "a repeated job ran again after it had failed": (
         9583,
         proofs.Blow(S.SEND, F.ENDPOINT_FAILS, 1),
