Split the scheduler into systems over one pool state; guard probes

Reading it for the split showed that a probe ignored which agents a front can reach, so that a lost scheduler's probe could not be taken back: a second start was possible.

Ruled out: the same gap on the other ways to an endpoint; the choice and the arbiter check it.

Change: tables in PoolState; admission, placing and monitoring are systems over it; one rule says whether a job may use an endpoint, and probes ask it. Tests drive an entry directly.

The new test fails with the rule taken out of probing, and passes with it.

Conclusion: behaviour is unchanged but for probes.

--- a/src/ferryledge/bench/__init__.py
+++ b/src/ferryledge/bench/__init__.py
@@ -21,7 +21,9 @@
 make_arrivals = _arrivals.make_arrivals
 run_baseline = _baselines.run_baseline
 run_case = _runner.run_case
+run_ablations = _runner.run_ablations
 run_ideal = _ideal.run_ideal
+run_knob = _runner.run_knob
 run_product = _product.run_product
 
 __all__ = [
@@ -32,8 +34,10 @@
     "RunOutput",
     "Strategy",
     "make_arrivals",
+    "run_ablations",
     "run_baseline",
     "run_case",
     "run_ideal",
+    "run_knob",
     "run_product",
 ]
--- a/src/ferryledge/bench/__main__.py
+++ b/src/ferryledge/bench/__main__.py
@@ -9,6 +9,7 @@
 from ferryledge import bench
 from ferryledge.bench import _plots
 
+_KNOB = (0.0, 0.2, 0.3, 0.4, 0.5, 0.7)
 _DEFAULT_PLOTS = pathlib.Path("docs/plots")
 
 
@@ -22,19 +23,50 @@
     show_default=True,
     help="Folder for the plots.",
 )
+@click.option(
+    "--what",
+    type=click.Choice(["cases", "ablations", "knob"]),
+    default="cases",
+    show_default=True,
+    help="What to run.",
+)
 @click.option("--no-plots", is_flag=True, help="Write no plots.")
 def main(
-    seeds: int, only: tuple[str, ...], plots: pathlib.Path, no_plots: bool
+    seeds: int,
+    only: tuple[str, ...],
+    plots: pathlib.Path,
+    what: str,
+    no_plots: bool,
 ) -> None:
     """Measure the decisions in virtual time, beside baselines."""
+    match what:
+        case "ablations":
+            _print(bench.run_ablations(seeds))
+        case "knob":
+            results = bench.run_knob(_KNOB, seeds)
+            _print(results)
+            if not no_plots:
+                _plots.plot_knob(results, plots)
+        case _:
+            _run_cases(seeds, only, None if no_plots else plots)
+
+
+def _print(results: list[bench.Result]) -> None:
+    for result in results:
+        print(json.dumps(dataclasses.asdict(result)), flush=True)
+
+
+def _run_cases(
+    seeds: int, only: tuple[str, ...], plots: pathlib.Path | None
+) -> None:
     results = []
     for case in bench.CASES:
         if only and case.name not in only:
             continue
-        for result in bench.run_case(case, seeds=seeds):
-            print(json.dumps(dataclasses.asdict(result)), flush=True)
-            results.append(result)
-    if not no_plots:
+        found = bench.run_case(case, seeds=seeds)
+        _print(found)
+        results += found
+    if plots is not None:
         _plots.plot_loads(results, plots)
 
 
--- a/src/ferryledge/bench/_plots.py
+++ b/src/ferryledge/bench/_plots.py
@@ -54,3 +54,27 @@
     figure.tight_layout()
     folder.mkdir(parents=True, exist_ok=True)
     figure.savefig(folder / "load.png", dpi=110)
+
+
+def plot_knob(
+    results: abc.Sequence[_results.Result], folder: pathlib.Path
+) -> None:
+    """Write the curve of slowdown against messages along the knob."""
+    figure, (left, right) = _axes()
+    values = [float(one.strategy.split()[1]) for one in results]
+    points = [one.slowdown_p99 for one in results]
+    messages = [one.messages_per_task for one in results]
+    wasted = [one.wasted_per_task for one in results]
+    left.plot(messages, points, marker="o")
+    for value, x, y in zip(values, messages, points, strict=True):
+        left.annotate(f"{value:g}", (x, y))
+    left.set_xlabel("messages a task")
+    left.set_ylabel("slowdown, 99th percentile")
+    right.plot(values, wasted, marker="o")
+    right.set_xlabel("direct_load")
+    right.set_ylabel("wasted messages a task")
+    for axes in (left, right):
+        axes.grid(alpha=0.3)
+    figure.tight_layout()
+    folder.mkdir(parents=True, exist_ok=True)
+    figure.savefig(folder / "knob.png", dpi=110)
--- a/src/ferryledge/bench/_runner.py
+++ b/src/ferryledge/bench/_runner.py
@@ -6,6 +6,7 @@
 import enum
 import os
 
+from ferryledge.bench import _ablations
 from ferryledge.bench import _arrivals
 from ferryledge.bench import _baselines
 from ferryledge.bench import _cases
@@ -33,6 +34,7 @@
     strategy: Strategy
     seed: int
     options: core.EntryOptions | None = None
+    ablation: _ablations.Ablation = _ablations.Ablation.NONE
 
 
 def run_once(run: Run) -> _results.RunOutput:
@@ -42,9 +44,10 @@
         case Strategy.IDEAL:
             return _ideal.run_ideal(run.case, arrivals)
         case Strategy.FERRYLEDGE:
-            return _product.run_product(
-                run.case, arrivals, run.seed, run.options
-            )
+            with _ablations.taken_out(run.ablation):
+                return _product.run_product(
+                    run.case, arrivals, run.seed, run.options
+                )
         case _:
             placement = _baselines.Placement(run.strategy)
             return _baselines.run_baseline(
@@ -81,3 +84,43 @@
             _results.summarise(case.name, strategy, case.load, chunk)
         )
     return results
+
+
+def run_ablations(seeds: int = 5) -> list[_results.Result]:
+    """Return a row with and one without each mechanism, case by case."""
+    cases = {case.name: case for case in _cases.CASES}
+    results = []
+    for ablation, names in _ablations.CASES.items():
+        for name in names:
+            for taken in (_ablations.Ablation.NONE, ablation):
+                runs = [
+                    Run(
+                        cases[name],
+                        Strategy.FERRYLEDGE,
+                        seed,
+                        _ablations.options_for(taken),
+                        taken,
+                    )
+                    for seed in range(1, seeds + 1)
+                ]
+                label = f"without {taken}" if taken is ablation else "whole"
+                results.append(
+                    _results.summarise(
+                        name, label, cases[name].load, run_all(runs)
+                    )
+                )
+    return results
+
+
+def run_knob(
+    values: abc.Sequence[float], seeds: int = 5
+) -> list[_results.Result]:
+    """Return a row for each value of ``direct_load`` at load 0.6."""
+    case = next(one for one in _cases.CASES if one.name == "load_0.6")
+    results = []
+    for value in values:
+        options = core.EntryOptions(direct_load=value)
+        (result,) = run_case(case, (Strategy.FERRYLEDGE,), seeds, options)
+        label = f"direct_load {value:g}"
+        results.append(dataclasses.replace(result, strategy=label))
+    return results
--- /dev/null
+++ b/src/ferryledge/core/_admission.py
@@ -0,0 +1,174 @@
+"""Admits jobs, or refuses them at once with a reason."""
+
+import collections
+
+from ferryledge import configlog
+from ferryledge.core import _jobs
+from ferryledge.core import _pool_state
+from ferryledge.core import _trace
+from ferryledge import limits
+from ferryledge import outcomes
+from ferryledge import placement
+from ferryledge import policy
+from ferryledge import wire
+
+
+class Admission:
+    """Decides whether a pool takes a job.
+
+    :param state: the pool
+    """
+
+    def __init__(self, state: _pool_state.PoolState) -> None:
+        self._state = state
+
+    def admit(
+        self, now: float, front: str, message: wire.PlaceJob
+    ) -> _jobs.Job | outcomes.Refused:
+        """Return the job, or why it is refused.
+
+        :param now: monotonic seconds
+        :param front: the peer that sent it; empty is this entry
+        :param message: the job
+        """
+        service = self._state.rulebook.service(message.service)
+        if service is None:
+            return self.refuse(
+                outcomes.Reason.UNKNOWN_SERVICE, 0.0, message.service
+            )
+        declared = max((t.declared_s for t in message.tasks), default=0.0)
+        expected = self._state.run_times.expect(message.service, declared)
+        facts = self._facts(message, expected, declared)
+        ruling = self._state.rulebook.judge(service, facts)
+        if ruling.refused:
+            return self.refuse(
+                outcomes.Reason.POLICY, self._state.drain_s(), ruling.detail
+            )
+        halls = self._state.rulebook.halls(
+            service, facts, message.places, self._state.table.halls
+        )
+        refusal = self._impossible(service, halls)
+        if refusal is not None:
+            return refusal
+        ideal = expected * _longest_factor(len(message.tasks))
+        waiting = placement.WaitingJob(
+            message.submission,
+            message.team,
+            expected,
+            ideal,
+            ruling.urgency,
+            now,
+            collections.deque(range(len(message.tasks))),
+        )
+        refusal = self._limit(message, waiting)
+        if refusal is not None:
+            return refusal
+        job = _jobs.Job(
+            message.submission,
+            front,
+            message,
+            service,
+            now,
+            waiting,
+            halls,
+            self._state.rulebook.version,
+        )
+        self._state.trace.note(
+            now,
+            job.submission,
+            _trace.Mechanism.ADMISSION,
+            f"admitted: {expected:.3f} s a task expected, urgency "
+            f"{ruling.urgency:g}, {self._state.queue.tasks} tasks waiting, "
+            f"load {self._state.table.load:.2f}",
+        )
+        for failure in ruling.failures:
+            self._state.trace.note(
+                now, job.submission, _trace.Mechanism.POLICY, failure
+            )
+        return job
+
+    def _facts(
+        self, message: wire.PlaceJob, expected: float, declared: float
+    ) -> policy.Facts:
+        return policy.Facts(
+            team=message.team,
+            service=message.service,
+            tasks=len(message.tasks),
+            expected_s=expected,
+            declared_s=declared,
+            deadline_s=message.deadline_s,
+            urgency=message.urgency,
+            repeatable=message.repeatable,
+            waiting=self._state.queue.tasks,
+            load=self._state.table.load,
+            home=self._state.identity.hall,
+        )
+
+    def _impossible(
+        self, service: configlog.Service, halls: frozenset[str] | None
+    ) -> outcomes.Refused | None:
+        if not any(row.usable for row in self._state.table):
+            return self.refuse(
+                outcomes.Reason.NO_ENDPOINT,
+                self._state.spread(0.5),
+                "no endpoint is connected",
+            )
+        for row in self._state.table:
+            if halls is not None and row.hall not in halls:
+                continue
+            if not row.memory_mb or service.memory_mb <= row.memory_mb:
+                return None
+        return self.refuse(
+            outcomes.Reason.IMPOSSIBLE,
+            0.0,
+            "no endpoint in the allowed halls is large enough",
+        )
+
+    def _limit(
+        self, message: wire.PlaceJob, waiting: placement.WaitingJob
+    ) -> outcomes.Refused | None:
+        guarded = self._state.options.guards and message.deadline_s > 0
+        before = (
+            self._state.queue.work_before(waiting.key)
+            if guarded
+            else self._state.queue.work_s
+        )
+        load = limits.Load(
+            self._state.table.slots,
+            self._state.queue.tasks,
+            before,
+            waiting.ideal_s,
+        )
+        verdict = limits.admit(
+            load,
+            len(message.tasks),
+            message.deadline_s,
+            self._state.options.max_waiting_tasks,
+            self._state.options.guards,
+        )
+        match verdict:
+            case limits.Refuse(reason, retry_after_s):
+                return self.refuse(reason, self._state.spread(retry_after_s))
+            case limits.Admit():
+                return None
+
+    def refuse(
+        self,
+        reason: outcomes.Reason,
+        retry_after_s: float,
+        detail: str = "",
+    ) -> outcomes.Refused:
+        """Return a refusal by this entry."""
+        origin = outcomes.Origin(
+            outcomes.Step.ADMIT, self._state.identity.name
+        )
+        return outcomes.Refused(reason, origin, retry_after_s, detail)
+
+
+def _longest_factor(tasks: int) -> float:
+    """Return how much longer than one task a job's longest one takes.
+
+    For run times that vary about twofold the longest of n is near one
+    plus a quarter of n's binary logarithm.
+    """
+    return 1.0 + 0.25 * (tasks.bit_length() - 1)
--- /dev/null
+++ b/src/ferryledge/core/tests/test_entry.py
@@ -0,0 +1,216 @@
+"""An entry's decisions, driven directly."""
+
+import random
+
+import pytest
+
+from ferryledge import configlog
+from ferryledge import core
+from ferryledge import outcomes
+from ferryledge import wire
+
+ENTITIES = (
+    configlog.Service("s"),
+    configlog.Service("big", memory_mb=900),
+    configlog.Service("once", repeatable=False),
+    configlog.Policy("north-only", where="hall == 'north'"),
+    configlog.Service("northern", policy="north-only"),
+    configlog.Place("southern", ("south",)),
+    configlog.Team("t"),
+    configlog.Team("small", quota_slots=2),
+)
+
+
+class Driver:
+    """Drives one entry and collects its actions."""
+
+    def __init__(self, **options):
+        self.now = 0.0
+        self.token = 0
+        self.entry = core.EntryCore(
+            core.Identity("entry-1", "e1", "north"),
+            core.EntryOptions(**options),
+            random.Random(1),
+        )
+
+    def do(self, *events):
+        for event in events:
+            self.entry.receive(self.now, event)
+        return self.entry.tick(self.now)
+
+    def configure(self):
+        return self.do(core.ConfigChanged(configlog.Snapshot(1, 1, ENTITIES)))
+
+    def agent_up(self, name, hall="north", slots=2, memory_mb=1000):
+        return self.do(
+            core.PeerUp(
+                wire.Hello(
+                    wire.Role.AGENT, name, "a", hall, slots, 64, memory_mb
+                )
+            )
+        )
+
+    def submit(self, tasks=1, service="s", team="t", **fields):
+        self.token += 1
+        made = (core.TaskRequest(b"1"),) * tasks
+        request = core.JobRequest(
+            f"r{self.token}", team, service, made, **fields
+        )
+        return self.do(core.ClientSubmitted(self.token, request))
+
+    def say(self, peer, message):
+        return self.do(core.Received(peer, message))
+
+    def end(self, agent, start, ok=True):
+        ends = tuple(
+            wire.FinishedTask(start.first_seq + n, index, ok, b"1", 0.1)
+            for n, index in enumerate(start.indices)
+        )
+        return self.say(agent, wire.TasksFinished(start.submission, ends))
+
+
+def starts(actions):
+    return [
+        (one.peer, one.message)
+        for one in actions
+        if isinstance(one, core.Send)
+        and isinstance(one.message, wire.StartTasks)
+    ]
+
+
+def answers(actions):
+    return [
+        one.answer.outcome
+        for one in actions
+        if isinstance(one, core.AnswerClient)
+    ]
+
+
+@pytest.fixture
+def driver():
+    made = Driver()
+    made.configure()
+    return made
+
+
+def test_without_configuration_nothing_runs():
+    (outcome,) = answers(Driver().submit())
+    assert outcome.reason is outcomes.Reason.NO_CONFIGURATION
+    assert outcome.retry_after_s > 0
+
+
+@pytest.mark.parametrize(
+    ("job", "reason"),
+    [
+        ({"service": "none"}, outcomes.Reason.UNKNOWN_SERVICE),
+        ({"team": "none"}, outcomes.Reason.UNKNOWN_TEAM),
+        ({"service": "big"}, outcomes.Reason.IMPOSSIBLE),
+        ({"places": ("none",)}, outcomes.Reason.IMPOSSIBLE),
+        ({"places": ("southern",)}, outcomes.Reason.IMPOSSIBLE),
+    ],
+)
+def test_what_can_never_run_is_refused_at_once(driver, job, reason):
+    driver.agent_up("agent-1", memory_mb=500)
+    (outcome,) = answers(driver.submit(**job))
+    assert (outcome.reason, outcome.retry_after_s) == (reason, 0.0)
+
+
+def test_a_job_is_answered_once_and_whole(driver):
+    driver.agent_up("agent-1")
+    driver.agent_up("agent-2")
+    placed = starts(driver.submit(tasks=4))
+    assert sorted(len(start.indices) for _, start in placed) == [2, 2]
+    first, second = placed
+    assert answers(driver.end(*first)) == []
+    assert answers(driver.end(*second)) == [outcomes.Complete((b"1",) * 4)]
+    assert answers(driver.end(*second)) == []
+
+
+def test_policies_and_places_say_where(driver):
+    driver.agent_up("agent-1", hall="south", slots=8)
+    driver.agent_up("agent-2", hall="north")
+    assert starts(driver.submit(service="northern"))[0][0] == "agent-2"
+    placed = starts(driver.submit(places=("southern",)))
+    assert placed[0][0] == "agent-1"
+
+
+def test_a_quota_holds_back_a_teams_tasks(driver):
+    driver.agent_up("agent-1", slots=8)
+    ((peer, start),) = starts(driver.submit(tasks=5, team="small"))
+    assert len(start.indices) == 2
+    ((_, more),) = starts(driver.end(peer, start))
+    assert len(more.indices) == 2
+
+
+def test_a_full_queue_refuses_with_a_time_to_come_back():
+    driver = Driver(max_waiting_tasks=3)
+    driver.configure()
+    driver.agent_up("agent-1")
+    driver.submit(tasks=3)
+    (outcome,) = answers(driver.submit(tasks=3))
+    assert outcome.reason is outcomes.Reason.QUEUE_FULL
+    assert outcome.retry_after_s > 0
+
+
+def test_guards_refuse_what_would_be_late():
+    driver = Driver(guards=True)
+    driver.configure()
+    driver.agent_up("agent-1")
+    driver.submit(tasks=40)
+    (outcome,) = answers(driver.submit(tasks=30, deadline_s=0.5))
+    assert outcome.reason is outcomes.Reason.DEADLINE
+
+
+def test_the_refused_do_not_return_together():
+    driver = Driver(max_waiting_tasks=1)
+    driver.configure()
+    driver.agent_up("agent-1")
+    delays = {
+        answers(driver.submit(tasks=50))[0].retry_after_s for _ in range(20)
+    }
+    assert len(delays) == 20
+
+
+def test_a_probe_keeps_to_the_agents_that_the_front_can_reach(driver):
+    """Else a lost scheduler's probe could not be taken back."""
+    front = wire.Hello(wire.Role.ENTRY, "entry-2", "f", "north")
+    driver.do(core.PeerUp(front))
+    driver.agent_up("agent-1", slots=1)
+    driver.agent_up("agent-2", slots=1)
+    driver.agent_up("agent-3", slots=1)
+    number = 0
+
+    def place():
+        nonlocal number
+        number += 1
+        job = wire.PlaceJob(f"f.{number}", "t", "s", (wire.FrontTask(b"1"),))
+        return starts(driver.say("entry-2", job))
+
+    driver.say("entry-2", wire.AgentSet(("agent-2/a",)))
+    while placed := place():
+        driver.end("agent-2", placed[0][1], ok=False)
+    row = driver.entry.scheduler.table.find("agent-2")
+    assert row.ejected
+    moved = driver.say("entry-2", wire.AgentSet(("agent-1/a",)))
+    assert [peer for peer, _ in starts(moved)] == ["agent-1"]
+    assert place() == []
+    driver.now += 2.0
+    assert starts(driver.do()) == []
+
+
+def test_an_unrepeatable_job_runs_at_its_tickets_arbiter(driver):
+    driver.agent_up("agent-1")
+    driver.say("agent-1", wire.Tickets(("agent-1~a~0",)))
+    (outcome,) = answers(driver.submit(service="once"))
+    assert outcome == outcomes.TicketRequired("agent-1~a~0")
+    ((peer, start),) = starts(
+        driver.submit(service="once", ticket=outcome.ticket)
+    )
+    assert (peer, start.ticket) == ("agent-1", outcome.ticket)
+
+
+def test_a_ticket_of_an_unknown_agent_is_never_run(driver):
+    driver.agent_up("agent-1")
+    actions = driver.submit(service="once", ticket="gone~x~1")
+    assert starts(actions) == []
+    assert isinstance(answers(actions)[0], outcomes.FailedMayHaveRun)
--- a/src/ferryledge/placement/__init__.py
+++ b/src/ferryledge/placement/__init__.py
@@ -7,6 +7,7 @@
 from ferryledge.placement import _waiting
 
 Binding = _tables.Binding
+NORMAL_SLOWNESS = _choice.NORMAL_SLOWNESS
 EndpointRow = _tables.EndpointRow
 EndpointTable = _tables.EndpointTable
 RunTimes = _runtimes.RunTimes
@@ -19,6 +20,7 @@
 rank = _pools.rank
 
 __all__ = [
+    "NORMAL_SLOWNESS",
     "Binding",
     "EndpointRow",
     "EndpointTable",
--- a/src/ferryledge/proofs/_mutations.py
+++ b/src/ferryledge/proofs/_mutations.py
@@ -13,6 +13,7 @@
 from ferryledge.configlog import _fold
 from ferryledge import core
 from ferryledge.core import _front
+from ferryledge.core import _jobs
 from ferryledge.core import _scheduler
 from ferryledge import ledger
 from ferryledge.proofs import _cells
@@ -70,11 +71,11 @@
 
 def _rebind_lost(self: _Any, now: float, row: _Any) -> None:
     for binding in list(row.bound.values()):
-        job = self._jobs.get(binding.submission)
-        self._table.unbind(row.name, binding.seq)
+        job = self._state.jobs.get(binding.submission)
+        self._state.table.unbind(row.name, binding.seq)
         if job is not None and job.bound.pop(binding.seq, None):
-            self._queue.give_back(job.waiting, binding.index)
-    self._table.drop(row.name)
+            self._state.queue.give_back(job.waiting, binding.index)
+    self._state.table.drop(row.name)
 
 
 def _settle_without_waiting(self: _Any, fence: _Any) -> _Any:
@@ -85,12 +86,12 @@
 _SETTLE_FENCE = _front.Front._settle_fence
 
 
-def _not_run_tags(self: _scheduler.Job) -> tuple[str, ...]:
+def _not_run_tags(self: _jobs.Job) -> tuple[str, ...]:
     return ("failed_not_run",) * self.size
 
 
 def _answer_early(self: _Any, now: float, job: _Any) -> None:
-    if not job.results or job.ticket_use is _scheduler.TicketUse.AT_ARBITER:
+    if not job.results or job.ticket_use is _jobs.TicketUse.AT_ARBITER:
         return
     for index in range(job.size):
         job.results.setdefault(index, b"null")
@@ -174,7 +175,7 @@
     ),
     Mutation(
         "'not run' is told without proof",
-        (Patch(_scheduler.Job, "task_tags", _not_run_tags),),
+        (Patch(_jobs.Job, "task_tags", _not_run_tags),),
         _P.NOT_RUN,
         (_F.KILL_AFTER, _F.KILL_BEFORE, _F.ENDPOINT_FAILS),
     ),
