Use a slow slot only when it beats the head of the queue

Cause: with one endpoint four times slow, p99 slowdown was 3.87, 2.3 times that without the fault. A slot there was taken if it beat the wait of the whole queue, but a job at the head gets the next normal slot at once.

Ruled out: learning the speed too late (it is known after 20 tasks; the rest of the run is long), and leaving slow slots out altogether (they help when the queue stays long).

Change: a slow slot must beat a tenth of the queue's wait.

--- a/src/ferryledge/core/_placing.py
+++ b/src/ferryledge/core/_placing.py
@@ -7,6 +7,10 @@
 from ferryledge import placement
 from ferryledge import wire
 
+#: Share of the queue's wait that a slow slot must beat: a job at the head of
+#: the queue gets the next normal slot, long before the whole queue is done.
+_SLOW_SLOT_WAIT = 0.1
+
 
 class Placing:
     """Takes tasks from the queue to free slots.
@@ -54,7 +58,7 @@
         wish = placement.Wish(
             job.waiting.expected_s,
             self._state.normal_slowness,
-            self._state.queue.work_s / slots,
+            _SLOW_SLOT_WAIT * self._state.queue.work_s / slots,
             job.halls,
             job.service.memory_mb,
             self._state.identity.hall,
