Weigh teams by their use of slots; split the front

Cause: teams' weights were stored and not used, so a team that floods the pool with small jobs stood ahead of all others.

Change: the queue keeps a heap a team and compares their heads, each put back by the team's use against its weighted share. Recovery from lost schedulers and the table of clients' jobs have modules of their own.

--- a/src/ferryledge/core/_entry.py
+++ b/src/ferryledge/core/_entry.py
@@ -7,6 +7,7 @@
 from ferryledge.core import _convert
 from ferryledge.core import _events
 from ferryledge.core import _front
+from ferryledge.core import _front_jobs
 from ferryledge.core import _options
 from ferryledge.core import _peers
 from ferryledge.core import _reach
@@ -183,7 +184,7 @@
     def _hand_over(
         self,
         now: float,
-        job: _front.FrontJob,
+        job: _front_jobs.FrontJob,
         indices: tuple[int, ...],
         direct: bool = True,
     ) -> None:
@@ -339,7 +340,7 @@
         if hello.role is wire.Role.AGENT:
             self._scheduler.agent_up(now, hello)
             process = wire.process_key(hello.name, hello.incarnation)
-            self._front.agent_up(now, hello.name, process)
+            self._front.recovery.agent_up(now, hello.name, process)
             if peer.leaving:
                 self._scheduler.agent_leaving(hello.name)
             self._stock_tickets(now)
@@ -355,7 +356,7 @@
         if peer.hello.role is wire.Role.AGENT:
             self._scheduler.agent_down(now, name)
             process = wire.process_key(name, incarnation)
-            self._front.agent_lost(now, process)
+            self._front.recovery.agent_lost(now, process)
             self._front.drop_tickets(name)
             return
         self._scheduler.front_lost(now, name)
@@ -363,7 +364,7 @@
         self._share_endpoints()
 
     def _scheduler_lost(self, now: float, peer: _peers.Peer) -> None:
-        self._front.scheduler_lost(now, peer.name, peer.incarnation)
+        self._front.recovery.scheduler_lost(now, peer.name, peer.incarnation)
         self._reaches.pop(peer.name, None)
 
     def _tell_agents(self, now: float, peer: _peers.Peer) -> _reach.Group:
@@ -427,7 +428,9 @@
                 self._scheduler.on_verdict(now, message)
             case wire.FenceReport():
                 process = wire.process_key(name, peer.incarnation)
-                for job, left in self._front.on_report(process, message):
+                for job, left in self._front.recovery.on_report(
+                    process, message
+                ):
                     self._hand_over(now, job, left)
             case _:
                 return
--- a/src/ferryledge/core/_front.py
+++ b/src/ferryledge/core/_front.py
@@ -8,13 +8,14 @@
 
 import collections
 import dataclasses
-import hashlib
 import random
 
 from ferryledge.core import _actions
+from ferryledge.core import _front_jobs
 from ferryledge.core import _options
 from ferryledge.core import _peers
 from ferryledge.core import _reach
+from ferryledge.core import _recovery
 from ferryledge.core import _requests
 from ferryledge.core import _rulebook
 from ferryledge.core import _trace
@@ -27,86 +28,6 @@
 _ANSWERS_KEPT = 2000
 #: Most tickets in stock.
 _MAX_TICKETS = 2048
-#: Seconds that agents have to report on a fence.
-_FENCE_S = 2.0
-#: Seconds after a job's deadline by which it must be answered.
-_DEADLINE_MARGIN_S = 0.25
-
-
-@dataclasses.dataclass(slots=True)
-class Part:
-    """Tasks of a job that one scheduler holds."""
-
-    submission: str
-    #: Name and incarnation of the scheduler; empty for this entry.
-    scheduler: str
-    incarnation: str
-    #: Places in the job of the part's tasks.
-    indices: tuple[int, ...]
-    #: The agents that the scheduler may use.
-    group: _reach.Group
-    #: Positions in ``indices`` of tasks that were taken back.
-    moved: set[int] = dataclasses.field(default_factory=set)
-
-    def remaining(self) -> tuple[int, ...]:
-        """Return the places in the job of the tasks still in the part."""
-        return tuple(
-            index
-            for position, index in enumerate(self.indices)
-            if position not in self.moved
-        )
-
-
-@dataclasses.dataclass(slots=True)
-class FrontJob:
-    """A client's job."""
-
-    request: _requests.JobRequest
-    digest: str
-    tokens: list[int]
-    arrived_at: float
-    parts: dict[str, Part] = dataclasses.field(default_factory=dict)
-    results: dict[int, bytes] = dataclasses.field(default_factory=dict)
-
-    @property
-    def name(self) -> str:
-        """The job's name in traces."""
-        return f"{self.request.team}/{self.request.request_id}"
-
-    @property
-    def deadline_at(self) -> float:
-        """When it must be answered at the latest."""
-        if not self.request.deadline_s:
-            return float("inf")
-        wait = self.request.deadline_s + _DEADLINE_MARGIN_S
-        return self.arrived_at + wait
-
-
-@dataclasses.dataclass(slots=True)
-class Fence:
-    """A lost scheduler whose tasks are being accounted for."""
-
-    owner: str
-    name: str
-    #: Number of this front's last submission when it was lost.
-    through: int
-    #: Agents that have not reported yet.
-    missing: set[str]
-    started_at: float
-    #: The parts that it held, with what is known of their tasks.
-    parts: dict[str, Part]
-    finished: dict[str, dict[int, wire.FinishedTask]]
-    running: dict[str, dict[int, str]]
-
-
-def digest_of(request: _requests.JobRequest) -> str:
-    """Return a short digest of what a request asks for."""
-    hasher = hashlib.blake2b(digest_size=12)
-    hasher.update(f"{request.team}|{request.service}".encode())
-    for task in request.tasks:
-        hasher.update(len(task.payload).to_bytes(8, "big"))
-        hasher.update(task.payload)
-    return hasher.hexdigest()
 
 
 class Front:
@@ -133,20 +54,20 @@
         self._rng = rng
         self._trace = trace
         self._rulebook: _rulebook.Rulebook | None = None
-        self._jobs: dict[tuple[str, str], FrontJob] = {}
-        self._by_part: dict[str, FrontJob] = {}
-        self._fences: list[Fence] = []
+        self._table = _front_jobs.JobTable()
+        self._recovery = _recovery.Recovery(
+            self._table, peers, trace, self.fail, self.complete_if_whole
+        )
         self._answered: collections.OrderedDict[
             tuple[str, str], _requests.JobAnswer
         ] = collections.OrderedDict()
         self._tickets: collections.deque[str] = collections.deque()
-        self._counter = 0
         self._draining = False
 
     @property
     def jobs(self) -> int:
         """Jobs whose clients wait."""
-        return len(self._jobs)
+        return len(self._table.jobs)
 
     @property
     def tickets(self) -> int:
@@ -156,15 +77,11 @@
     @property
     def last_number(self) -> int:
         """Number of the last submission so far."""
-        return self._counter
+        return self._table.counter
 
     def outstanding(self, scheduler: str) -> int:
         """Return how many parts a scheduler holds for this front."""
-        return sum(
-            part.scheduler == scheduler
-            for job in self._jobs.values()
-            for part in job.parts.values()
-        )
+        return len(self._table.parts_at(scheduler))
 
     def configure(self, rulebook: _rulebook.Rulebook) -> None:
         """Put a newer configuration in force."""
@@ -186,16 +103,16 @@
 
     def find(
         self, team: str, request_id: str
-    ) -> FrontJob | _requests.JobAnswer | None:
+    ) -> _front_jobs.FrontJob | _requests.JobAnswer | None:
         """Return a job that runs, or an answer that is kept, or none."""
         key = (team, request_id)
-        return self._jobs.get(key) or self._answered.get(key)
+        return self._table.jobs.get(key) or self._answered.get(key)
 
     # Jobs.
 
     def submit(
         self, now: float, token: int, request: _requests.JobRequest
-    ) -> FrontJob | None:
+    ) -> _front_jobs.FrontJob | None:
         """Check a job and keep it.
 
         :return: the job if it is to be handed to a scheduler; none if it
@@ -212,13 +129,13 @@
             self._reply(token, _requests.JobAnswer(refusal))
             return None
         key = (request.team, request.request_id)
-        digest = digest_of(request)
-        known = self._jobs.get(key)
+        digest = _front_jobs.digest_of(request)
+        known = self._table.jobs.get(key)
         if known is not None:
             self._join(token, known, digest)
             return None
-        job = FrontJob(request, digest, [token], now)
-        self._jobs[key] = job
+        job = _front_jobs.FrontJob(request, digest, [token], now)
+        self._table.jobs[key] = job
         return job
 
     def _check(
@@ -256,7 +173,9 @@
             outcomes.Reason.CAPACITY, 0.2, "no ticket is in stock"
         )
 
-    def _join(self, token: int, job: FrontJob, digest: str) -> None:
+    def _join(
+        self, token: int, job: _front_jobs.FrontJob, digest: str
+    ) -> None:
         if job.digest == digest:
             job.tokens.append(token)
             return
@@ -282,7 +201,7 @@
     def make_part(
         self,
         now: float,
-        job: FrontJob,
+        job: _front_jobs.FrontJob,
         scheduler: _peers.Peer | None,
         indices: tuple[int, ...],
         group: _reach.Group,
@@ -293,12 +212,12 @@
         :param indices: the tasks that belong to it
         :param group: the agents that the scheduler may use
         """
-        self._counter += 1
+        self._table.counter += 1
         incarnation = self._identity.incarnation
         submission = (
-            f"{incarnation}{ledger.SUBMISSION_SEPARATOR}{self._counter}"
+            f"{incarnation}{ledger.SUBMISSION_SEPARATOR}{self._table.counter}"
         )
-        part = Part(
+        part = _front_jobs.Part(
             submission,
             scheduler.name if scheduler else "",
             scheduler.incarnation if scheduler else "",
@@ -306,7 +225,7 @@
             group,
         )
         job.parts[submission] = part
-        self._by_part[submission] = job
+        self._table.by_part[submission] = job
         request = job.request
         left = request.deadline_s
         if left:
@@ -331,26 +250,26 @@
 
     def take_back(
         self, submission: str, positions: tuple[int, ...]
-    ) -> tuple[FrontJob, tuple[int, ...]] | None:
+    ) -> tuple[_front_jobs.FrontJob, tuple[int, ...]] | None:
         """Take tasks out of a part; they have not started in it.
 
         :param submission: the part's submission
         :param positions: the tasks' positions in the part
         :return: the job and the tasks' places in it; none if it is gone
         """
-        job = self._by_part.get(submission)
+        job = self._table.by_part.get(submission)
         if job is None:
             return None
         part = job.parts[submission]
         part.moved.update(positions)
         if len(part.moved) == len(part.indices):
             del job.parts[submission]
-            del self._by_part[submission]
+            del self._table.by_part[submission]
         return job, tuple(part.indices[place] for place in positions)
 
     def fail(
         self,
-        job: FrontJob,
+        job: _front_jobs.FrontJob,
         reason: outcomes.Reason,
         step: outcomes.Step,
         peer: str,
@@ -375,7 +294,7 @@
 
         :return: whether it is here
         """
-        job = self._jobs.get((team, request_id))
+        job = self._table.jobs.get((team, request_id))
         if job is None:
             return False
         for part in job.parts.values():
@@ -386,7 +305,7 @@
 
     def local_parts(self, team: str, request_id: str) -> list[str]:
         """Return a job's submissions that this entry schedules itself."""
-        job = self._jobs.get((team, request_id))
+        job = self._table.jobs.get((team, request_id))
         if job is None:
             return []
         return [
@@ -405,7 +324,7 @@
         An answer to a part that is unknown, or that another scheduler
         holds, is dropped: it is late or crossed.
         """
-        job = self._by_part.get(submission)
+        job = self._table.by_part.get(submission)
         if job is None:
             return
         part = job.parts[submission]
@@ -420,14 +339,17 @@
                 self._fail_rest(job, part, answer)
 
     def _merge(
-        self, job: FrontJob, part: Part, results: tuple[bytes, ...]
+        self,
+        job: _front_jobs.FrontJob,
+        part: _front_jobs.Part,
+        results: tuple[bytes, ...],
     ) -> None:
         del job.parts[part.submission]
-        del self._by_part[part.submission]
+        del self._table.by_part[part.submission]
         job.results.update(zip(part.remaining(), results, strict=True))
         self.complete_if_whole(job)
 
-    def complete_if_whole(self, job: FrontJob) -> None:
+    def complete_if_whole(self, job: _front_jobs.FrontJob) -> None:
         """Answer a job once all its results are here."""
         size = len(job.request.tasks)
         if len(job.results) != size:
@@ -441,7 +363,10 @@
         )
 
     def _fail_rest(
-        self, job: FrontJob, part: Part, answer: _requests.JobAnswer
+        self,
+        job: _front_jobs.FrontJob,
+        part: _front_jobs.Part,
+        answer: _requests.JobAnswer,
     ) -> None:
         """Fail a job of which other tasks have already run."""
         match answer.outcome:
@@ -460,11 +385,13 @@
                     True,
                 )
 
-    def _answer(self, job: FrontJob, answer: _requests.JobAnswer) -> None:
+    def _answer(
+        self, job: _front_jobs.FrontJob, answer: _requests.JobAnswer
+    ) -> None:
         key = (job.request.team, job.request.request_id)
-        del self._jobs[key]
+        del self._table.jobs[key]
         for submission in job.parts:
-            self._by_part.pop(submission, None)
+            self._table.by_part.pop(submission, None)
         self._answered[key] = answer
         while len(self._answered) > _ANSWERS_KEPT:
             self._answered.popitem(last=False)
@@ -472,7 +399,7 @@
             self._reply(token, self._with_spare(job, answer))
 
     def _with_spare(
-        self, job: FrontJob, answer: _requests.JobAnswer
+        self, job: _front_jobs.FrontJob, answer: _requests.JobAnswer
     ) -> _requests.JobAnswer:
         """Add a ticket for the client's next unrepeatable job."""
         if not job.request.ticket or not self._tickets:
@@ -484,201 +411,21 @@
     def _reply(self, token: int, answer: _requests.JobAnswer) -> None:
         self._peers.do(_actions.AnswerClient(token, answer))
 
-    # A lost scheduler.
+    # Lost schedulers and deadlines.
+
+    @property
+    def recovery(self) -> _recovery.Recovery:
+        """Takes jobs back from lost schedulers."""
+        return self._recovery
 
     def groups_at(self, scheduler: str) -> list[_reach.Group]:
         """Return the agent groups that a scheduler's parts refer to."""
-        return [
-            part.group
-            for job in self._jobs.values()
-            for part in job.parts.values()
-            if part.scheduler == scheduler
-        ]
-
-    def scheduler_lost(self, now: float, name: str, incarnation: str) -> None:
-        """Take back the parts that a scheduler holds.
-
-        :param now: monotonic seconds
-        :param name: the scheduler's name
-        :param incarnation: its incarnation
-        """
-        parts = {
-            part.submission: part
-            for job in self._jobs.values()
-            for part in job.parts.values()
-            if part.scheduler == name and part.incarnation == incarnation
-        }
-        if not parts:
-            return
-        agents: set[str] = set()
-        for part in parts.values():
-            agents |= part.group.agents
-            # Late answers of the lost scheduler no longer count.
-            part.scheduler = f"{name} (lost)"
-        fence = Fence(
-            incarnation, name, self._counter, agents, now, parts, {}, {}
-        )
-        self._fences.append(fence)
-        for submission in parts:
-            self._trace.note(
-                now,
-                self._by_part[submission].name,
-                _trace.Mechanism.RECOVERY,
-                f"scheduler {name} lost; asking {len(agents)} agents",
-            )
-        self._send_fence(now, fence)
-
-    def _send_fence(self, now: float, fence: Fence) -> None:
-        processes = {
-            wire.process_key(peer.name, peer.incarnation): peer.name
-            for peer in self._peers.of_role(wire.Role.AGENT)
-        }
-        for process in fence.missing:
-            name = processes.get(process)
-            if name is not None:
-                self._peers.send(now, name, self._fence_message(fence))
-
-    def _fence_message(self, fence: Fence) -> wire.FenceOwner:
-        return wire.FenceOwner(fence.owner, fence.through, tuple(fence.parts))
-
-    def agent_lost(self, now: float, process: str) -> None:
-        """Note that an agent's word must be asked for again."""
-        for fence in self._fences:
-            held = any(
-                holder == process
-                for tasks in fence.running.values()
-                for holder in tasks.values()
-            )
-            if held:
-                fence.missing.add(process)
-                fence.started_at = now
-
-    def agent_up(self, now: float, name: str, process: str) -> None:
-        """Ask an agent whose stream is back."""
-        for fence in self._fences:
-            if process in fence.missing:
-                self._peers.send(now, name, self._fence_message(fence))
-
-    def on_report(
-        self, process: str, report: wire.FenceReport
-    ) -> list[tuple[FrontJob, tuple[int, ...]]]:
-        """Take in an agent's word on a lost scheduler's tasks.
-
-        :param process: the process key of the agent
-        :param report: its word
-        :return: jobs with the tasks that never started, to hand on
-        """
-        for fence in self._fences:
-            if fence.owner == report.owner:
-                if report.first:
-                    fence.missing.discard(process)
-                self._note(fence, process, report)
-                return self._settle_fence(fence)
-        return []
-
-    def _note(
-        self, fence: Fence, process: str, report: wire.FenceReport
-    ) -> None:
-        for told in report.jobs:
-            part = fence.parts.get(told.submission)
-            if part is None:
-                continue
-            finished = fence.finished.setdefault(told.submission, {})
-            running = fence.running.setdefault(told.submission, {})
-            for task in told.finished:
-                finished[task.index] = task
-                running.pop(task.index, None)
-            for index in told.running:
-                if index not in finished:
-                    running[index] = process
-            for index in told.unstarted:
-                running.pop(index, None)
-
-    def _settle_fence(
-        self, fence: Fence
-    ) -> list[tuple[FrontJob, tuple[int, ...]]]:
-        if fence.missing:
-            return []
-        again = []
-        for submission, part in list(fence.parts.items()):
-            job = self._by_part.get(submission)
-            if job is None:
-                del fence.parts[submission]
-                continue
-            left = self._settle_part(fence, job, part)
-            if left is None:
-                continue
-            del fence.parts[submission]
-            if left:
-                again.append((job, left))
-        if not fence.parts:
-            self._fences.remove(fence)
-        return again
-
-    def _settle_part(
-        self, fence: Fence, job: FrontJob, part: Part
-    ) -> tuple[int, ...] | None:
-        """Account for one part once every agent has reported.
-
-        :return: the job's tasks that never started; none if some still
-            run
-        """
-        finished = fence.finished.get(part.submission, {})
-        running = fence.running.get(part.submission, {})
-        if any(not task.ok for task in finished.values()):
-            self.fail(
-                job,
-                outcomes.Reason.TASK_FAILED,
-                outcomes.Step.RUN,
-                fence.name,
-                True,
-            )
-            return ()
-        for place, index in enumerate(part.indices):
-            if place in finished:
-                job.results[index] = finished[place].body
-        if running:
-            return None
-        del job.parts[part.submission]
-        del self._by_part[part.submission]
-        unstarted = tuple(
-            index
-            for place, index in enumerate(part.indices)
-            if place not in finished
-        )
-        if unstarted and job.request.ticket:
-            self.fail(
-                job,
-                outcomes.Reason.ENTRY_LOST,
-                outcomes.Step.PLACE,
-                fence.name,
-                True,
-            )
-            return ()
-        if not unstarted:
-            self.complete_if_whole(job)
-        return unstarted
-
-    def _give_up(self, fence: Fence, peer: str) -> None:
-        """Fail what can't be accounted for: silence is no proof."""
-        for submission in fence.parts:
-            job = self._by_part.get(submission)
-            if job is not None:
-                self.fail(
-                    job,
-                    outcomes.Reason.ENTRY_LOST,
-                    outcomes.Step.PLACE,
-                    peer,
-                    True,
-                )
-        self._fences.remove(fence)
+        return [part.group for part in self._table.parts_at(scheduler)]
 
     def sweep(self, now: float) -> None:
         """Give up fences and jobs that took too long."""
-        for fence in list(self._fences):
-            if fence.missing and now - fence.started_at > _FENCE_S:
-                self._give_up(fence, next(iter(sorted(fence.missing))))
-        for job in list(self._jobs.values()):
+        self._recovery.sweep(now)
+        for job in list(self._table.jobs.values()):
             if now >= job.deadline_at:
                 self.fail(
                     job,
--- a/src/ferryledge/core/_rulebook.py
+++ b/src/ferryledge/core/_rulebook.py
@@ -61,6 +61,11 @@
         team = self._teams.get(name)
         return team is not None and team.quota_slots > 0
 
+    def weight(self, name: str) -> float:
+        """Return a team's weight under contention."""
+        team = self._teams.get(name)
+        return 1.0 if team is None else team.weight
+
     def place(self, name: str) -> configlog.Place | None:
         """Return a place, or none."""
         return self._places.get(name)
--- a/src/ferryledge/core/_scheduler.py
+++ b/src/ferryledge/core/_scheduler.py
@@ -20,6 +20,7 @@
 from ferryledge.core import _trace
 from ferryledge import health
 from ferryledge import ledger
+from ferryledge import limits
 from ferryledge import outcomes
 from ferryledge import placement
 from ferryledge import wire
@@ -50,7 +51,7 @@
         rng: random.Random,
         trace: _trace.Trace,
     ) -> None:
-        queue = placement.WaitingQueue(options.age_bound_s)
+        queue = placement.WaitingQueue(options.age_bound_s, self._handicap)
         self._state = _pool_state.PoolState(
             identity, options, peers, rng, trace, queue
         )
@@ -62,6 +63,17 @@
         self._seen: dict[str, ledger.SeenNumbers] = {}
         self._next_sweep = 0.0
 
+    def _handicap(self, team: str) -> float:
+        """Return how far a team's jobs are put back by its use of slots."""
+        rulebook = self._state.rulebook
+        active = self._state.quotas.active() | {team}
+        return limits.handicap(
+            self._state.quotas.used(team),
+            rulebook.weight(team),
+            sum(rulebook.weight(name) for name in active),
+            self._state.table.slots,
+        )
+
     @property
     def waiting(self) -> int:
         """Tasks that wait for a slot."""
--- a/src/ferryledge/core/tests/test_entry.py
+++ b/src/ferryledge/core/tests/test_entry.py
@@ -18,6 +18,7 @@
     configlog.Place("southern", ("south",)),
     configlog.Team("t"),
     configlog.Team("small", quota_slots=2),
+    configlog.Team("other"),
 )
 
 
@@ -142,6 +143,21 @@
     assert len(more.indices) == 2
 
 
+def test_a_team_over_its_share_waits_behind_the_others(driver):
+    driver.agent_up("agent-1", slots=8)
+    driver.submit(tasks=1, team="other")
+    driver.submit(tasks=7, team="t")
+    driver.submit(tasks=2, team="t")
+    driver.submit(tasks=2, team="other")
+    row = driver.entry.scheduler.table.find("agent-1")
+    ends = [one for one in row.bound.values() if one.index == 0][1]
+    ended = wire.FinishedTask(ends.seq, 0, True, b"1", 0.1)
+    freed = driver.say(
+        "agent-1", wire.TasksFinished(ends.submission, (ended,))
+    )
+    assert [start.label for _, start in starts(freed)] == ["r4"]
+
+
 def test_a_full_queue_refuses_with_a_time_to_come_back():
     driver = Driver(max_waiting_tasks=3)
     driver.configure()
--- a/src/ferryledge/limits/__init__.py
+++ b/src/ferryledge/limits/__init__.py
@@ -1,6 +1,7 @@
 """Limits: quota shares, admission by expected wait, retry budgets."""
 
 from ferryledge.limits import _admission
+from ferryledge.limits import _fairness
 from ferryledge.limits import _quota
 from ferryledge.limits import _retry
 
@@ -8,6 +9,7 @@
 Refuse = _admission.Refuse
 RetryBudget = _retry.RetryBudget
 admit = _admission.admit
+handicap = _fairness.handicap
 QuotaShares = _quota.QuotaShares
 Load = _admission.Load
 spread_delay = _retry.spread_delay
@@ -19,5 +21,6 @@
     "Refuse",
     "RetryBudget",
     "admit",
+    "handicap",
     "spread_delay",
 ]
--- a/src/ferryledge/limits/_quota.py
+++ b/src/ferryledge/limits/_quota.py
@@ -36,6 +36,10 @@
         """Return the slots that a team uses in this pool."""
         return self._used.get(team, 0)
 
+    def active(self) -> frozenset[str]:
+        """Return the teams that use slots."""
+        return frozenset(self._used)
+
     def room(self, team: str) -> float:
         """Return the slots that a team may still take."""
         return max(0.0, self.limit(team) - self.used(team))
--- a/src/ferryledge/placement/_waiting.py
+++ b/src/ferryledge/placement/_waiting.py
@@ -42,16 +42,27 @@
         return work * self.ideal_s / self.urgency
 
 
+#: A team's jobs as key, number of the entry, and submission.
+_Heap = list[tuple[float, int, str]]
+
+
 class WaitingQueue:
     """Waiting jobs of one pool.
 
     :param age_bound_s: seconds after which a job counts as aged
+    :param handicap: by how much a team's jobs are put back now; 1 is not
+        at all
     """
 
-    def __init__(self, age_bound_s: float) -> None:
+    def __init__(
+        self,
+        age_bound_s: float,
+        handicap: abc.Callable[[str], float] = lambda _: 1.0,
+    ) -> None:
         self._age_bound_s = age_bound_s
+        self._handicap = handicap
         self._jobs: dict[str, WaitingJob] = {}
-        self._heap: list[tuple[float, int, str]] = []
+        self._heaps: dict[str, _Heap] = {}
         self._entries: dict[str, int] = {}
         self._counter = itertools.count()
         self._tasks = 0
@@ -162,14 +173,34 @@
     def _push(self, job: WaitingJob) -> None:
         number = next(self._counter)
         self._entries[job.submission] = number
-        heapq.heappush(self._heap, (job.key, number, job.submission))
+        heap = self._heaps.setdefault(job.team, [])
+        heapq.heappush(heap, (job.key, number, job.submission))
 
     def _pop(self) -> WaitingJob | None:
-        while self._heap:
-            _, number, submission = heapq.heappop(self._heap)
-            if self._entries.get(submission) == number:
-                return self._jobs[submission]
-        return None
+        team = self._next_team()
+        if team is None:
+            return None
+        _, _, submission = heapq.heappop(self._heaps[team])
+        return self._jobs[submission]
+
+    def _next_team(self) -> str | None:
+        """Return the team whose first job is ahead of the others'."""
+        for team in list(self._heaps):
+            self._drop_stale(team)
+        if len(self._heaps) <= 1:
+            return next(iter(self._heaps), None)
+        return min(
+            self._heaps,
+            key=lambda team: self._heaps[team][0][0] * self._handicap(team),
+        )
+
+    def _drop_stale(self, team: str) -> None:
+        """Remove entries of jobs that are gone or stand elsewhere."""
+        heap = self._heaps[team]
+        while heap and self._entries.get(heap[0][2]) != heap[0][1]:
+            heapq.heappop(heap)
+        if not heap:
+            del self._heaps[team]
 
     def _forget(self, submission: str) -> None:
         del self._jobs[submission]
--- a/src/ferryledge/proofs/_mutations.py
+++ b/src/ferryledge/proofs/_mutations.py
@@ -14,6 +14,7 @@
 from ferryledge import core
 from ferryledge.core import _front
 from ferryledge.core import _jobs
+from ferryledge.core import _recovery
 from ferryledge.core import _scheduler
 from ferryledge import ledger
 from ferryledge.proofs import _cells
@@ -83,7 +84,7 @@
     return _SETTLE_FENCE(self, fence)
 
 
-_SETTLE_FENCE = _front.Front._settle_fence
+_SETTLE_FENCE = _recovery.Recovery._settle_fence
 
 
 def _not_run_tags(self: _jobs.Job) -> tuple[str, ...]:
@@ -157,7 +158,7 @@
     ),
     Mutation(
         "a front does not wait for every agent's word",
-        (Patch(_front.Front, "_settle_fence", _settle_without_waiting),),
+        (Patch(_recovery.Recovery, "_settle_fence", _settle_without_waiting),),
         _P.ONE_START,
         (_F.KILL_AFTER, _F.KILL_BEFORE, _F.KILL_PEER, _F.PAUSE),
     ),
@@ -215,7 +216,7 @@
     Mutation(
         "a lost scheduler is not noticed",
         (
-            Patch(_front.Front, "scheduler_lost", _ignore),
+            Patch(_recovery.Recovery, "scheduler_lost", _ignore),
             Patch(_front.Front, "sweep", _ignore),
         ),
         _P.ANSWERED,
