Correct the mutation that the split of the front broke

Ruled out: a fault of the product; the error is in the mutation alone.

Change: the mutation names the table where it is now.

--- a/src/ferryledge/proofs/_mutations.py
+++ b/src/ferryledge/proofs/_mutations.py
@@ -102,7 +102,7 @@
 def _take_any_answer(
     self: _Any, submission: str, scheduler: str, answer: core.JobAnswer
 ) -> None:
-    jobs = list(self._jobs.values())
+    jobs = list(self._table.jobs.values())
     if jobs:
         self._answer(jobs[0], answer)
 
