--- a/src/ferryledge/capacity/__init__.py
+++ b/src/ferryledge/capacity/__init__.py
@@ -10,8 +10,8 @@
 from ferryledge.capacity import _page
 
 Deployment = _model.Deployment
-LETTER = _model.LETTER
 Slope = _fit.Slope
+TARGET = _model.TARGET
 TODAY = _model.TODAY
 fit = _fit.fit
 measure_all = _measure.measure_all
@@ -19,7 +19,7 @@
 work_out = _model.work_out
 
 __all__ = [
-    "LETTER",
+    "TARGET",
     "TODAY",
     "Deployment",
     "Slope",
--- a/src/ferryledge/capacity/_model.py
+++ b/src/ferryledge/capacity/_model.py
@@ -37,7 +37,7 @@
     entries: int = 0
 
 
-LETTER = Deployment("the letter's target", 1800, 8, 130_000.0, 140, 2200)
+TARGET = Deployment("the target size", 1800, 8, 130_000.0, 140, 2200)
 TODAY = Deployment("each user today", 11, 1, 200.0, 4, 20, entries=3)
 
 
--- a/src/ferryledge/capacity/_page.py
+++ b/src/ferryledge/capacity/_page.py
@@ -185,10 +185,11 @@
 **The herd afterwards.** Redials wait 0.05 s to 2 s with jitter, refusals
 ask for delays spread by a factor of two, clients retry from a budget.
 
-**Quotas meanwhile.** Each pool enforces its part. While two entries believe
-to hold a pool, a team may use its part twice, for as long as they differ.
-Quotas over several pools and regions are not divided yet: each pool applies
-the whole quota. That is the largest gap against the letter.
+**Quotas meanwhile.** A quota holds for a region. Each pool enforces the part
+that its share of the region's endpoints gives it, rounded up, so the sum is
+over by one slot a pool at most. While two entries believe to hold a pool, a
+team may use that part twice, for as long as they differ. Regions do not
+share quotas: regions that lose each other change nothing.
 
 **Where it breaks first.** One scheduler a pool: beyond {ten:,.0f} starts a
 second in jobs of ten, a pool must be smaller (`pool_size`). The memory
@@ -210,7 +211,7 @@
 
 def render_page(slopes: abc.Sequence[_fit.Slope]) -> str:
     """Return the page that follows from the slopes."""
-    letter = _model.work_out(_model.LETTER, slopes)
+    target = _model.work_out(_model.TARGET, slopes)
     today = _model.work_out(_model.TODAY, slopes)
     return (
         "# Capacity\n\n"
@@ -218,15 +219,15 @@
         "docs/capacity.jsonl and makes this page of them. Absolute times "
         "are those of one run on one noisy machine; the sizes and slopes "
         "are what to look at.\n\n"
-        "Assumptions beside the letter: tasks of "
+        "Assumptions beside the sizes that the users gave: tasks of "
         f"{_model.MEAN_RUN_S} s, jobs of {_model.MEAN_TASKS} tasks, "
         f"{100 * _model.UNREPEATABLE:.0f}% of jobs unrepeatable, endpoints "
         "spread evenly, a processor used to "
         f"{100 * _model.TARGET_UTILISATION:.0f}%. Budget lines that are "
         "not met stand first.\n"
-        + _size_section(letter)
+        + _size_section(target)
         + _size_section(today)
-        + _answers(letter)
+        + _answers(target)
         + "\n## Slopes\n\n"
         + _slope_table(slopes)
     )
--- a/src/ferryledge/capacity/tests/test_page.py
+++ b/src/ferryledge/capacity/tests/test_page.py
@@ -32,6 +32,6 @@
 
 def test_more_work_costs_more():
     small = capacity.work_out(capacity.TODAY, slopes())
-    large = capacity.work_out(capacity.LETTER, slopes())
+    large = capacity.work_out(capacity.TARGET, slopes())
     assert large.scheduler_cpu > small.scheduler_cpu
     assert large.entries > small.entries
