Name the field in refusals that never pass; test lost publications

Cause: a refusal for an unknown service, team or place told a reason but not the field, as bad bodies do. Publications whose answers are lost were tested by the fold alone, not by the operator's command.

Ruled out: 400 for them, since the body's form is right and the configuration may change.

Change: such refusals carry the field; two tests on separate processes.

--- a/src/ferryledge/entry/_models.py
+++ b/src/ferryledge/entry/_models.py
@@ -132,6 +132,15 @@
     return _NEVER_STATUS
 
 
+#: The field of the body that a refusal is about.
+_FIELDS = {
+    outcomes.Reason.UNKNOWN_SERVICE: "service",
+    outcomes.Reason.UNKNOWN_TEAM: "team",
+    outcomes.Reason.IMPOSSIBLE: "places",
+    outcomes.Reason.TICKET_USED: "request_id",
+}
+
+
 def _status(outcome: outcomes.JobOutcome) -> int:
     match outcome:
         case outcomes.Complete():
@@ -162,7 +171,9 @@
             ran = "no"
         case outcomes.Refused(reason, origin, _, detail):
             ran = "no"
+    field = _FIELDS.get(reason)
     return {
+        **({"field": field} if field else {}),
         "ran": ran,
         "reason": reason,
         "step": origin.step,
--- a/src/ferryledge/tests/test_operators.py
+++ b/src/ferryledge/tests/test_operators.py
@@ -143,9 +143,9 @@
 @pytest.mark.parametrize(
     ("change", "status", "told"),
     [
-        ({"service": "none"}, 422, "unknown_service"),
-        ({"team": "none"}, 422, "unknown_team"),
-        ({"places": ["none"]}, 422, "impossible"),
+        ({"service": "none"}, 422, '"field": "service"'),
+        ({"team": "none"}, 422, '"field": "team"'),
+        ({"places": ["none"]}, 422, '"field": "places"'),
         ({"tasks": [{}] * 811}, 400, "tasks"),
         ({"tasks": [{}] * 60}, 429, "too many tasks"),
         ({"request_id": 7}, 400, "request_id"),
@@ -213,3 +213,29 @@
     assert done.returncode == 2
     assert len(done.stderr.splitlines()) == 1
     assert told in done.stderr
+
+
+def test_a_lost_answer_to_a_publication_is_found_by_its_id(processes):
+    text = CONFIG + "[[team]]\nname = 'lost-and-found'\n"
+    (processes.folder / "config.toml").write_text(text)
+    processes.control(log_lose_answers=True)
+    code, out, err = publish(processes)
+    processes.control(log_lose_answers=False)
+    assert code == 0, err
+    assert "looking for it" in err
+    _, out, _ = ferryledge(
+        "config", "show", "--platform", processes.platform.url
+    )
+    shown = json.loads(out)
+    names = [one["name"] for one in shown["entities"]]
+    assert names.count("lost-and-found") == 1
+    ids = [one["id"] for one in shown["history"]]
+    assert len(set(ids)) == len(ids) == shown["version"]
+
+
+def test_publishing_while_the_log_is_down_says_so(processes):
+    processes.control(log_down=True)
+    code, _, err = publish(processes)
+    processes.control(log_down=False)
+    assert code == 1
+    assert "error" in err.lower()
