--- a/src/ferryledge/core/_agent.py
+++ b/src/ferryledge/core/_agent.py
@@ -26,6 +26,8 @@
     lost_at: float = 0.0
     last_sent: float = 0.0
     running: int = 0
+    #: Version of the configuration that it was told last.
+    told_version: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -216,6 +218,14 @@
         self._actions.append(_actions.Send(owner.hello.name, message))
         return True
 
+    def _tell_version(self, now: float, incarnation: str) -> None:
+        """Let an entry know at once which version has arrived here."""
+        owner = self._owners.get(incarnation)
+        if owner is None or owner.told_version >= self._config_version:
+            return
+        owner.told_version = self._config_version
+        self._send(now, incarnation, wire.KeepAlive(self._config_version))
+
     def _see_version(self, version: int) -> None:
         self._config_version = max(self._config_version, version)
 
@@ -232,6 +242,7 @@
                 self._on_start(now, owner, message)
             case wire.KeepAlive(version):
                 self._see_version(version)
+                self._tell_version(now, owner)
             case wire.CancelTasks():
                 self._on_cancel(now, owner, message)
             case wire.ReportNow():
