Remove code that nothing calls; drop parts by one way

Cause: reading the whole change again found four functions and classes that nothing calls, and the front's two copies of what JobTable.drop_part does.

Ruled out: the remaining pairs of similar places. The commands' tables and settings are alike in shape alone, and the log reader in virtual time stands in for the one over HTTP on purpose.

Change: the dead code is gone; the front calls drop_part.

--- a/src/ferryledge/core/_front.py
+++ b/src/ferryledge/core/_front.py
@@ -263,8 +263,7 @@
         part = job.parts[submission]
         part.moved.update(positions)
         if len(part.moved) == len(part.indices):
-            del job.parts[submission]
-            del self._table.by_part[submission]
+            self._table.drop_part(submission)
         return job, tuple(part.indices[place] for place in positions)
 
     def fail(
@@ -344,8 +343,7 @@
         part: _front_jobs.Part,
         results: tuple[bytes, ...],
     ) -> None:
-        del job.parts[part.submission]
-        del self._table.by_part[part.submission]
+        self._table.drop_part(part.submission)
         job.results.update(zip(part.remaining(), results, strict=True))
         self.complete_if_whole(job)
 
--- a/src/ferryledge/runtime/_platform.py
+++ b/src/ferryledge/runtime/_platform.py
@@ -1,7 +1,6 @@
 """A client of the platform's log service and list of VMs."""
 
 import enum
-import json
 import typing
 
 import anyio
@@ -161,8 +160,3 @@
             detail = f"status {response.status}: {response.content[:200]!r}"
             raise PlatformError(step, self._url, detail)
         return typing.cast(bytes, response.content)
-
-
-def dump_vms(vms: list[VmRecord]) -> bytes:
-    """Return a list of VMs as JSON text."""
-    return json.dumps([one.model_dump() for one in vms]).encode()
--- a/src/ferryledge/runtime/_server.py
+++ b/src/ferryledge/runtime/_server.py
@@ -21,10 +21,6 @@
         yield
 
 
-class _Started(typing.Protocol):
-    started: bool
-
-
 async def serve_http(
     app: typing.Any,
     host: str,
--- a/src/ferryledge/standin/_journal.py
+++ b/src/ferryledge/standin/_journal.py
@@ -44,9 +44,3 @@
         """Close the file."""
         if self._file is not None:
             self._file.close()
-
-
-def read_journal(path: pathlib.Path) -> list[StartEntry]:
-    """Return the starts that a journal file holds."""
-    lines = path.read_text().splitlines()
-    return [StartEntry(**json.loads(line)) for line in lines]
--- a/src/ferryledge/standin/_platform.py
+++ b/src/ferryledge/standin/_platform.py
@@ -4,7 +4,6 @@
 import json
 import typing
 
-import anyio
 import pydantic
 
 from ferryledge import runtime
@@ -100,21 +99,3 @@
             log.replace()
         self._vms_down = told.get("vms_down", self._vms_down)
         self._vms_empty = told.get("vms_empty", self._vms_empty)
-
-
-async def serve_platform(
-    platform: StandinPlatform,
-    host: str,
-    port: int,
-    stop: anyio.Event,
-    *,
-    task_status: typing.Any,
-) -> None:
-    """Serve the platform until the event is set; reports the port."""
-    await runtime.serve_http(
-        runtime.asgi_app(platform.handle),
-        host,
-        port,
-        stop,
-        task_status=task_status,
-    )
