--- a/src/ferryledge/core/_events.py
+++ b/src/ferryledge/core/_events.py
@@ -7,27 +7,9 @@
 from ferryledge import wire
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerUp:
-    """A stream to a peer is open and its greeting has come."""
-
-    hello: wire.Hello
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerDown:
-    """The stream to a peer broke."""
-
-    name: str
-    incarnation: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Received:
-    """A message came from a connected peer."""
-
-    peer: str
-    message: wire.Message
+PeerDown = wire.PeerDown
+PeerUp = wire.PeerUp
+Received = wire.Received
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/ferryledge/hosted/_agent.py
@@ -0,0 +1,151 @@
+"""The agent's shell on the platform: heartbeats, orders, renewals."""
+
+import anyio
+from anyio import abc as anyio_abc
+import loguru
+
+from ferryledge.hosted import _members
+from ferryledge import leases
+from ferryledge import net
+from ferryledge import platform
+
+_DRAIN_POLL_S = 0.02
+#: Seconds before the platform's kill at which this process ends.
+_KILL_MARGIN_S = 0.5
+#: Seconds between renewals at the least: ends within it share an answer.
+_RENEW_PAUSE_S = 0.002
+#: Seconds after a renewal that failed.
+_RENEW_RETRY_S = 0.03
+#: Seconds between looks at the store while no entry is connected.
+_LOOK_AGAIN_S = 3.0
+
+
+class HostedAgent:
+    """One agent process.
+
+    :param settings: checked settings
+    :param keys: the accepted shared keys for streams
+    """
+
+    def __init__(
+        self, settings: platform.Settings, keys: tuple[str, ...]
+    ) -> None:
+        self._settings = settings
+        self._keys = keys
+        self._group: anyio_abc.TaskGroup | None = None
+
+    def unfinished(self) -> str:
+        """Return what is in flight, for the log."""
+        return "running tasks"
+
+    async def run(self, drain: anyio.Event) -> None:
+        """Serve until the event is set and the runs have ended."""
+        settings = self._settings
+        self._core = leases.LeaseAgent(
+            settings.node,
+            net.new_incarnation(),
+            settings.zone,
+            anyio.current_time(),
+        )
+        self._driver = net.Driver(self._core, self._perform)
+        self._mesh = net.Mesh(self._keys, self._core.hello, self._driver.post)
+        self._dialler = _members.Dialler(self._mesh)
+        timing = leases.LeaseTiming()
+        self._calls = platform.EndpointCalls(settings.endpoint, timing.order_s)
+        stop = anyio.Event()
+        async with anyio.create_task_group() as group:
+            self._group = group
+            host, port = platform.split_address(
+                settings.listen_addrs.control_plane
+            )
+            await group.start(
+                net.serve_http,
+                net.asgi_app(self._handle),
+                host,
+                port,
+                stop,
+            )
+            group.start_soon(self._driver.run)
+            group.start_soon(self._renew)
+            group.start_soon(self._find_entries)
+            loguru.logger.info("agent ready", step="join")
+            await drain.wait()
+            await self._finish()
+            group.cancel_scope.cancel()
+
+    async def _finish(self) -> None:
+        self._driver.post(leases.AgentDrain())
+        grace_s = self._settings.bounds.grace_s - _KILL_MARGIN_S
+        with anyio.move_on_after(grace_s):
+            while not self._core.idle:
+                await anyio.sleep(_DRAIN_POLL_S)
+        loguru.logger.info("agent stopped", step="drain")
+
+    async def _find_entries(self) -> None:
+        settings = self._settings
+        assert self._group is not None
+        hosts = [platform.split_address(one)[0] for one in settings.seeds]
+        self._dialler.dial_seeds(self._group, hosts, settings.stream_port)
+        store = platform.StoreClient(settings.store.address)
+        while True:
+            await _members.read_once(store, self._on_entries)
+            await anyio.sleep(_LOOK_AGAIN_S)
+            while self._mesh.names():
+                await anyio.sleep(_LOOK_AGAIN_S)
+
+    def _on_entries(self, entries: tuple[leases.EntryAddress, ...]) -> None:
+        assert self._group is not None
+        if entries:
+            self._dialler.forget_seeds()
+        self._dialler.dial(self._group, entries)
+
+    # The endpoint.
+
+    async def _renew(self) -> None:
+        """Renew the endpoint's lease for ever."""
+        while True:
+            renewal = self._core.renewal(anyio.current_time())
+            answer = await self._calls.renew(renewal)
+            self._driver.post(answer)
+            if isinstance(answer, leases.LeaseNotRenewed):
+                await anyio.sleep(_RENEW_RETRY_S)
+            else:
+                await anyio.sleep(_RENEW_PAUSE_S)
+
+    def _perform(self, action: leases.AgentAction) -> None:
+        assert self._group is not None
+        match action:
+            case leases.SendMessage(peer, message):
+                self._mesh.send(peer, message)
+            case leases.CloseStream(peer):
+                self._mesh.close(peer)
+            case leases.DialEntries(entries):
+                self._on_entries(entries)
+            case leases.StartRun():
+                self._group.start_soon(self._start, action)
+            case leases.StopRun():
+                self._group.start_soon(self._stop, action)
+
+    async def _start(self, order: leases.StartRun) -> None:
+        self._driver.post(await self._calls.start(order))
+
+    async def _stop(self, order: leases.StopRun) -> None:
+        self._driver.post(await self._calls.stop(order))
+
+    async def _handle(self, request: net.Request) -> net.HttpResponse:
+        match request.method, request.parts:
+            case "POST", ("instances", incarnation, "heartbeat"):
+                return self._heartbeat(incarnation, await request.body())
+            case "POST", ("instances", incarnation, "deregister"):
+                self._driver.post(leases.EndpointLeft(incarnation))
+                return net.HttpResponse.json(200, {})
+        return net.HttpResponse.json(404, {"error": "no such page"})
+
+    def _heartbeat(self, incarnation: str, body: bytes) -> net.HttpResponse:
+        try:
+            seen = platform.parse_heartbeat(incarnation, body)
+        except platform.HeartbeatError as exc:
+            loguru.logger.warning("{}", exc, step="heartbeat")
+            return net.HttpResponse.json(400, {"error": str(exc)})
+        self._driver.post(seen)
+        return net.HttpResponse.json(200, {})
--- /dev/null
+++ b/src/ferryledge/hosted/_entry.py
@@ -0,0 +1,251 @@
+"""The entry's shell on the platform: clients, streams, the store."""
+
+import itertools
+import random
+
+import anyio
+from anyio import abc as anyio_abc
+import loguru
+
+from ferryledge.hosted import _config
+from ferryledge.hosted import _members
+from ferryledge import leases
+from ferryledge import net
+from ferryledge import outcomes
+from ferryledge import platform
+
+_DRAIN_POLL_S = 0.02
+#: Seconds after SIGTERM in which new connections may still come: the
+#: platform's balancer looks once a second and needs two looks.
+_LINGER_S = 2.5
+#: Seconds before the platform's kill at which this process ends.
+_KILL_MARGIN_S = 0.6
+#: Seconds that answers get to leave.
+_FLUSH_S = 0.1
+#: What a refused client is told to wait, in seconds.
+_RETRY_S = 1.0
+
+
+class _Pending:
+    """A client's request that waits for its answer."""
+
+    def __init__(self) -> None:
+        self.ready = anyio.Event()
+        self.outcome: outcomes.JobOutcome | None = None
+
+
+class HostedEntry:
+    """One entry process.
+
+    :param settings: checked settings
+    :param keys: the accepted shared keys for streams
+    """
+
+    def __init__(
+        self, settings: platform.Settings, keys: tuple[str, ...]
+    ) -> None:
+        self._settings = settings
+        self._core = leases.LeaseEntry(
+            settings.node,
+            net.new_incarnation(),
+            settings.zone,
+            random.Random(settings.node),
+        )
+        self._driver = net.Driver(self._core, self._perform)
+        self._mesh = net.Mesh(keys, self._core.hello, self._driver.post)
+        self._dialler = _members.Dialler(self._mesh, settings.node)
+        self._store = platform.StoreClient(settings.store.address)
+        self._config: platform.Configuration | None = None
+        self._group: anyio_abc.TaskGroup | None = None
+        self._tokens = itertools.count(1)
+        self._pending: dict[int, _Pending] = {}
+        self._draining = False
+        self._refusing = False
+
+    def unfinished(self) -> str:
+        """Return what is in flight, for the log."""
+        return f"{self._core.open_jobs} jobs of clients"
+
+    async def run(self, drain: anyio.Event) -> None:
+        """Serve until the event is set and the jobs are answered."""
+        settings = self._settings
+        stop = anyio.Event()
+        own = leases.EntryAddress(
+            settings.node, settings.ip, settings.stream_port
+        )
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await group.start(
+                self._mesh.listen, settings.ip, settings.stream_port
+            )
+            group.start_soon(self._driver.run)
+            self._driver.post(leases.EntriesFound((own,)))
+            await self._serve(group, settings.listen_addrs.readiness, stop)
+            await self._serve(group, settings.listen_addrs.frontend, stop)
+            hosts = [platform.split_address(one)[0] for one in settings.seeds]
+            hosts = [host for host in hosts if host != settings.ip]
+            self._dialler.dial_seeds(group, hosts, settings.stream_port)
+            group.start_soon(_members.register, self._store, own)
+            group.start_soon(_members.follow, self._store, self._on_entries)
+            follower = _config.ConfigFollower(self._store, self._on_config)
+            group.start_soon(follower.run)
+            loguru.logger.info("entry ready", step="join")
+            await drain.wait()
+            await self._finish()
+            group.cancel_scope.cancel()
+
+    async def _serve(
+        self, group: anyio_abc.TaskGroup, address: str, stop: anyio.Event
+    ) -> None:
+        host, port = platform.split_address(address)
+        app = net.asgi_app(self._handle)
+        await group.start(net.serve_http, app, host, port, stop)
+
+    async def _finish(self) -> None:
+        """Answer what is in flight; then refuse, then end."""
+        self._draining = True
+        self._driver.post(leases.EntryDrain())
+        grace_s = self._settings.bounds.grace_s - _KILL_MARGIN_S
+        with anyio.move_on_after(grace_s):
+            await anyio.sleep(_LINGER_S)
+            self._refusing = True
+            while self._pending:
+                await anyio.sleep(_DRAIN_POLL_S)
+        self._core.abandon_all()
+        self._driver.post(leases.EntryDrain())
+        await anyio.sleep(_FLUSH_S)
+        loguru.logger.info("entry stopped", step="drain")
+
+    def _perform(self, action: leases.EntryAction) -> None:
+        assert self._group is not None
+        match action:
+            case leases.SendMessage(peer, message):
+                self._mesh.send(peer, message)
+            case leases.CloseStream(peer):
+                self._mesh.close(peer)
+            case leases.DialEntries(entries):
+                self._dial(entries)
+            case leases.ApplyConfig(version, data):
+                self._config = platform.parse_config(data)
+                loguru.logger.info(
+                    "configuration {} in force", version, step="config"
+                )
+            case leases.AnswerJob(token, outcome):
+                pending = self._pending.get(token)
+                if pending is not None:
+                    pending.outcome = outcome
+                    pending.ready.set()
+
+    def _dial(self, entries: tuple[leases.EntryAddress, ...]) -> None:
+        assert self._group is not None
+        if any(one.name != self._settings.node for one in entries):
+            self._dialler.forget_seeds()
+        self._dialler.dial(self._group, entries)
+
+    def _on_entries(self, entries: tuple[leases.EntryAddress, ...]) -> None:
+        self._driver.post(leases.EntriesFound(entries))
+
+    def _on_config(self, data: bytes) -> None:
+        try:
+            version = platform.parse_config(data).version
+        except platform.ConfigError as exc:
+            loguru.logger.error("{}", exc, step="config")
+            return
+        self._driver.post(leases.ConfigRead(version, data))
+
+    # HTTP.
+
+    async def _handle(self, request: net.Request) -> net.HttpResponse:
+        if request.path == "/ready" and request.method == "GET":
+            return self._readiness()
+        config = self._config
+        if config is None:
+            reason = outcomes.Reason.NO_CONFIGURATION
+            return platform.refusal(reason, _RETRY_S)
+        hostname = request.header("host").partition(":")[0].lower()
+        route = config.find(hostname, request.path)
+        if route is None:
+            return net.HttpResponse.json(404, {"error": "no such queue"})
+        job = request.path[len(route.path_prefix) :]
+        match request.method:
+            case "POST" if job:
+                return await self._submit(request, route, job)
+            case "GET" if job:
+                return self._look_up(job)
+            case "GET":
+                return platform.render_pending(
+                    self._core.pending(route.job_class.name)
+                )
+            case "DELETE" if job:
+                return self._cancel(job)
+        return net.HttpResponse.json(405, {"error": "no such call"})
+
+    def _readiness(self) -> net.HttpResponse:
+        usable = self._core.is_usable(anyio.current_time())
+        ready = self._config is not None and usable and not self._draining
+        return net.HttpResponse.json(200 if ready else 503, {"ready": ready})
+
+    def _look_up(self, job: str) -> net.HttpResponse:
+        if self._core.holds(job):
+            return platform.render_running()
+        return net.HttpResponse.json(410, {"error": "no such job"})
+
+    def _cancel(self, job: str) -> net.HttpResponse:
+        if not self._core.holds(job):
+            return net.HttpResponse.json(410, {"error": "no such job"})
+        self._driver.post(leases.JobCancelled(job))
+        return net.HttpResponse.json(200, {})
+
+    async def _submit(
+        self, request: net.Request, route: platform.Route, name: str
+    ) -> net.HttpResponse:
+        body = await request.body()
+        if self._refusing:
+            return platform.refusal(outcomes.Reason.DRAINING, _RETRY_S)
+        deadline_ms = request.header("deadline-ms")
+        deadline_s = float(deadline_ms) / 1000.0 if deadline_ms else 0.0
+        try:
+            job = platform.parse_job(name, body, route.job_class, deadline_s)
+        except platform.MalformedJobError as exc:
+            return net.HttpResponse.json(
+                400, {"error": str(exc), "field": exc.field}
+            )
+        except platform.UnsupportedJobError as exc:
+            loguru.logger.warning("{}", exc, step="submit", job=name)
+            return platform.refusal(outcomes.Reason.IMPOSSIBLE, 0.0, str(exc))
+        outcome = await self._answer(request, job)
+        loguru.logger.info(
+            "job {}", outcomes.tag_of(outcome), step="answer", job=name
+        )
+        return platform.render_outcome(outcome)
+
+    async def _answer(
+        self, request: net.Request, job: leases.LeasedJob
+    ) -> outcomes.JobOutcome:
+        token = next(self._tokens)
+        pending = self._pending[token] = _Pending()
+        try:
+            self._driver.post(leases.JobSubmitted(token, job))
+            await self._wait(request, job.job, token, pending)
+        finally:
+            del self._pending[token]
+        assert pending.outcome is not None
+        return pending.outcome
+
+    async def _wait(
+        self, request: net.Request, name: str, token: int, pending: _Pending
+    ) -> None:
+        """Wait for the answer; a client that hangs up leaves its job."""
+
+        async def watch() -> None:
+            await request.disconnected()
+            self._driver.post(leases.ClientLeft(token, name))
+            origin = outcomes.Origin(outcomes.Step.CANCEL)
+            reason = outcomes.Reason.CANCELLED
+            pending.outcome = outcomes.FailedMayHaveRun(reason, origin)
+            pending.ready.set()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(watch)
+            await pending.ready.wait()
+            group.cancel_scope.cancel()
--- /dev/null
+++ b/src/ferryledge/hosted/_members.py
@@ -0,0 +1,132 @@
+"""How processes find the entries: the store, seeds and each other."""
+
+from collections import abc
+import contextlib
+
+import anyio
+from anyio import abc as anyio_abc
+import loguru
+import msgspec
+
+from ferryledge import net
+from ferryledge import platform
+from ferryledge import wire
+
+#: The system's own topic: one record an entry, under the entry's name.
+MEMBERS_TOPIC = "keyed.ferryledge-entries"
+#: Between tries while the store does not answer, in seconds.
+_RETRY_S = 0.5
+#: How long one call waits for news, in seconds.
+_WAIT_S = 10.0
+
+Found = abc.Callable[[tuple[wire.EntryAddress, ...]], None]
+
+
+async def register(
+    store: platform.StoreClient, address: wire.EntryAddress
+) -> None:
+    """Write an entry's address into the store, however long it takes."""
+    record = platform.KeyedRecord(address.name, msgspec.json.encode(address))
+    while True:
+        try:
+            await store.put(MEMBERS_TOPIC, record)
+        except platform.StoreError as exc:
+            loguru.logger.debug("not registered: {}", exc, step="join")
+            await anyio.sleep(_RETRY_S)
+            continue
+        loguru.logger.info("registered in the store", step="join")
+        return
+
+
+def _decode(
+    records: abc.Iterable[platform.KeyedRecord],
+) -> tuple[wire.EntryAddress, ...]:
+    found = []
+    for record in records:
+        if not record.value:
+            continue
+        try:
+            address = msgspec.json.decode(record.value, type=wire.EntryAddress)
+        except msgspec.DecodeError as exc:
+            loguru.logger.warning("bad record: {}", exc, peer=record.key)
+            continue
+        found.append(address)
+    return tuple(found)
+
+
+async def read_once(store: platform.StoreClient, found: Found) -> None:
+    """Read all entries' addresses, however long it takes."""
+    while True:
+        try:
+            page = await store.newest(MEMBERS_TOPIC)
+        except platform.StoreError as exc:
+            loguru.logger.debug("entries not read: {}", exc, step="join")
+            await anyio.sleep(_RETRY_S)
+            continue
+        found(_decode(page.records))
+        return
+
+
+async def follow(store: platform.StoreClient, found: Found) -> None:
+    """Report entries' addresses for ever, as they come."""
+    while True:
+        with contextlib.suppress(platform.StoreError):
+            page = await store.newest(MEMBERS_TOPIC)
+            while True:
+                found(_decode(page.records))
+                page = await store.read(
+                    MEMBERS_TOPIC, page.next_offset, _WAIT_S
+                )
+        await anyio.sleep(_RETRY_S)
+
+
+class Dialler:
+    """Keeps streams open to the entries that are known.
+
+    :param name: this process; entries dial only names after their own, so
+        that two of them don't replace each other's streams
+    :param mesh: the streams
+    """
+
+    def __init__(self, mesh: net.Mesh, name: str = "") -> None:
+        self._mesh = mesh
+        self._name = name
+        self._hosts: dict[str, wire.EntryAddress] = {}
+        self._seeds: set[str] = set()
+
+    def dial(
+        self,
+        group: anyio_abc.TaskGroup,
+        entries: abc.Iterable[wire.EntryAddress],
+    ) -> None:
+        """Dial new entries, and changed addresses anew."""
+        for entry in entries:
+            if (
+                entry.name <= self._name
+                or self._hosts.get(entry.name) == entry
+            ):
+                continue
+            if entry.name in self._hosts:
+                self._mesh.forget(entry.name)
+            self._hosts[entry.name] = entry
+            address = net.PeerAddress(entry.name, entry.host, entry.port)
+            group.start_soon(self._mesh.keep_dialling, address)
+
+    def dial_seeds(
+        self,
+        group: anyio_abc.TaskGroup,
+        hosts: abc.Iterable[str],
+        port: int,
+    ) -> None:
+        """Dial hosts whose names are not known until entries are found."""
+        for host in hosts:
+            seed = f"seed {host}"
+            self._seeds.add(seed)
+            address = net.PeerAddress(seed, host, port)
+            group.start_soon(self._mesh.keep_dialling, address)
+
+    def forget_seeds(self) -> None:
+        """Stop dialling seeds; the entries are known by name now."""
+        for seed in self._seeds:
+            self._mesh.forget(seed)
+        self._seeds.clear()
--- /dev/null
+++ b/src/ferryledge/leases/__init__.py
@@ -0,0 +1,92 @@
+"""The decisions of entries and agents on tasks that run under leases.
+
+Both cores are driven as those of :mod:`ferryledge.core`: ``receive`` for
+each event, ``tick`` for the actions, ``wake_at`` for the next tick.
+"""
+
+from ferryledge.leases import _agent
+from ferryledge.leases import _agent_events
+from ferryledge.leases import _entry
+from ferryledge.leases import _entry_events
+from ferryledge.leases import _jobs
+from ferryledge.leases import _runs
+from ferryledge.leases import _timing
+from ferryledge import wire
+
+AgentAction = _agent_events.AgentAction
+AgentDrain = _agent_events.AgentDrain
+AgentEvent = _agent_events.AgentEvent
+AnswerJob = _entry_events.AnswerJob
+ApplyConfig = _entry_events.ApplyConfig
+CallFault = _agent_events.CallFault
+ClientLeft = _entry_events.ClientLeft
+CloseStream = _agent_events.CloseStream
+ConfigRead = _entry_events.ConfigRead
+DialEntries = _agent_events.DialEntries
+EndpointLeft = _agent_events.EndpointLeft
+EndpointSeen = _agent_events.EndpointSeen
+EntryAddress = wire.EntryAddress
+EntriesFound = _entry_events.EntriesFound
+EntryAction = _entry_events.EntryAction
+EntryDrain = _entry_events.EntryDrain
+EntryEvent = _entry_events.EntryEvent
+JobCancelled = _entry_events.JobCancelled
+JobClass = _jobs.JobClass
+JobStep = _jobs.JobStep
+JobSubmitted = _entry_events.JobSubmitted
+LeaseAgent = _agent.LeaseAgent
+LeaseEntry = _entry.LeaseEntry
+LeaseNotRenewed = _agent_events.LeaseNotRenewed
+LeaseRenewed = _agent_events.LeaseRenewed
+LeaseTiming = _timing.LeaseTiming
+LeasedJob = _jobs.LeasedJob
+ListedEnd = _agent_events.ListedEnd
+ListedRun = _agent_events.ListedRun
+Renewal = _agent_events.Renewal
+RunKey = _runs.RunKey
+SendMessage = _agent_events.SendMessage
+StartAnswered = _agent_events.StartAnswered
+StartResult = _agent_events.StartResult
+StartRun = _agent_events.StartRun
+StopAnswered = _agent_events.StopAnswered
+StopRun = _agent_events.StopRun
+
+__all__ = [
+    "AgentAction",
+    "AgentDrain",
+    "AgentEvent",
+    "AnswerJob",
+    "ApplyConfig",
+    "CallFault",
+    "ClientLeft",
+    "CloseStream",
+    "ConfigRead",
+    "DialEntries",
+    "EndpointLeft",
+    "EndpointSeen",
+    "EntriesFound",
+    "EntryAction",
+    "EntryAddress",
+    "EntryDrain",
+    "EntryEvent",
+    "JobCancelled",
+    "JobClass",
+    "JobStep",
+    "JobSubmitted",
+    "LeaseAgent",
+    "LeaseEntry",
+    "LeaseNotRenewed",
+    "LeaseRenewed",
+    "LeaseTiming",
+    "LeasedJob",
+    "ListedEnd",
+    "ListedRun",
+    "Renewal",
+    "RunKey",
+    "SendMessage",
+    "StartAnswered",
+    "StartResult",
+    "StartRun",
+    "StopAnswered",
+    "StopRun",
+]
--- /dev/null
+++ b/src/ferryledge/leases/_admission.py
@@ -0,0 +1,100 @@
+"""Refuses jobs that would only wait, while the refusal is still cheap."""
+
+from collections import abc
+import random
+
+from ferryledge.leases import _jobs
+from ferryledge.leases import _placing
+from ferryledge.leases import _pool
+from ferryledge import limits
+from ferryledge import outcomes
+
+#: Share of the objective within which a refusal counts as prompt.
+_PROMPT_SHARE = 0.25
+#: Share of the client's time after which an untried job is given up.
+_UNTRIED_SHARE = 0.4
+#: Base and longest delay in seconds that a refused client is told.
+_RETRY_S = 0.5
+_LONGEST_RETRY_S = 5.0
+
+
+class Admission:
+    """Decides which jobs an entry keeps.
+
+    :param name: this entry
+    :param pool: the agents
+    :param rng: spreads the delays that clients are told
+    """
+
+    def __init__(
+        self, name: str, pool: _pool.Pool, rng: random.Random
+    ) -> None:
+        self._name = name
+        self._pool = pool
+        self._rng = rng
+
+    def admit(
+        self, now: float, job: _jobs.Job, jobs: abc.Iterable[_jobs.Job]
+    ) -> outcomes.Refused | None:
+        """Return a refusal for a new job, or none."""
+        service = job.request.job_class.service
+        if not self._pool.capacity_cores(now, service):
+            return None
+        for step in job.request.steps:
+            if not _placing.fits_somewhere(self._pool, step, service):
+                return self._refuse(
+                    outcomes.Reason.IMPOSSIBLE,
+                    "no endpoint is large enough or has the label",
+                )
+        return None
+
+    def review(
+        self, now: float, job: _jobs.Job, jobs: abc.Iterable[_jobs.Job]
+    ) -> outcomes.Refused | None:
+        """Return a refusal for a job that nothing was ordered for yet."""
+        if job.offered_at is not None:
+            return None
+        waited = now - job.arrived_at
+        deadline_s = job.request.deadline_s or job.objective_s * 4.0
+        if waited > _UNTRIED_SHARE * deadline_s:
+            return self._refuse(outcomes.Reason.CAPACITY, "waited too long")
+        if waited < _PROMPT_SHARE * job.objective_s:
+            return None
+        wait_s = self._wait_s(now, job, jobs)
+        if now + wait_s > job.start_by:
+            return self._refuse(
+                outcomes.Reason.CAPACITY,
+                f"{wait_s:.2f} s of work is ahead",
+            )
+        return None
+
+    def _wait_s(
+        self, now: float, job: _jobs.Job, jobs: abc.Iterable[_jobs.Job]
+    ) -> float:
+        """Return how long the work ahead of a job takes."""
+        service = job.request.job_class.service
+        cores = self._pool.capacity_cores(now, service)
+        if not cores:
+            return float("inf")
+        ahead = sum(
+            other.work
+            for other in jobs
+            if other.offered_at is None and other.start_by < job.start_by
+        )
+        return ahead / cores
+
+    def give_up(
+        self, job: _jobs.Job
+    ) -> outcomes.Refused | outcomes.FailedMayHaveRun:
+        """Return the answer to a job whose client's time is over."""
+        if job.offered_at is None:
+            return self._refuse(outcomes.Reason.DEADLINE, "")
+        origin = outcomes.Origin(outcomes.Step.ANSWER, self._name)
+        return outcomes.FailedMayHaveRun(outcomes.Reason.DEADLINE, origin)
+
+    def _refuse(
+        self, reason: outcomes.Reason, detail: str
+    ) -> outcomes.Refused:
+        delay = limits.spread_delay(_RETRY_S, _LONGEST_RETRY_S, self._rng)
+        origin = outcomes.Origin(outcomes.Step.ADMIT, self._name)
+        return outcomes.Refused(reason, origin, delay, detail)
--- /dev/null
+++ b/src/ferryledge/leases/_agent.py
@@ -0,0 +1,516 @@
+"""The agent's decisions on leased tasks.
+
+The agent is the only process that orders runs at its endpoint. It keeps the
+endpoint's room, renews the endpoint's lease, and stops the runs of an entry
+whose grant has run out.
+"""
+
+from ferryledge.leases import _agent_events
+from ferryledge.leases import _endpoint
+from ferryledge.leases import _owners
+from ferryledge.leases import _runs
+from ferryledge.leases import _timing
+from ferryledge import wire
+
+#: Seconds between reports of progress to one entry.
+_PROGRESS_S = 0.1
+#: Seconds after which a disconnected entry without runs is forgotten.
+_FORGET_S = 10.0
+
+_RELEASES = {
+    _agent_events.StartResult.FENCED: wire.NotStarted.REJECTED,
+    _agent_events.StartResult.RUN_NUMBER: wire.NotStarted.RUN_NUMBER,
+    _agent_events.StartResult.LATE: wire.NotStarted.NO_ANSWER,
+    _agent_events.StartResult.FULL: wire.NotStarted.FULL,
+    _agent_events.StartResult.REJECTED: wire.NotStarted.REJECTED,
+    _agent_events.StartResult.UNHEALTHY: wire.NotStarted.UNHEALTHY,
+    _agent_events.StartResult.REPLACED: wire.NotStarted.ENDPOINT,
+    _agent_events.StartResult.DOWN: wire.NotStarted.ENDPOINT,
+}
+
+
+class LeaseAgent:
+    """Owns one endpoint.
+
+    :param name: this process
+    :param incarnation: this start of the process
+    :param hall: its availability zone
+    :param now: monotonic seconds
+    :param timing: the lease rule
+    """
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        hall: str,
+        now: float,
+        timing: _timing.LeaseTiming | None = None,
+    ) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._hall = hall
+        self._timing = timing or _timing.LeaseTiming()
+        self._link = _endpoint.EndpointLink(self._timing, now)
+        self._runs = _runs.RunTable()
+        self._owners = _owners.OwnerTable(self._timing)
+        self._actions: list[_agent_events.AgentAction] = []
+        self._draining = False
+        self._progress_at = now
+        self._unclaimed_since = now
+        self._now = now
+
+    @property
+    def link(self) -> _endpoint.EndpointLink:
+        """The link to the endpoint."""
+        return self._link
+
+    @property
+    def runs(self) -> _runs.RunTable:
+        """The runs that the endpoint holds, or may hold."""
+        return self._runs
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing runs here."""
+        return not len(self._runs)
+
+    def hello(self) -> wire.Hello:
+        """Return the greeting for a new stream."""
+        return wire.Hello(
+            wire.Role.AGENT,
+            self._name,
+            self._incarnation,
+            self._hall,
+            leaving=self._draining,
+        )
+
+    # Driving.
+
+    def receive(self, now: float, event: _agent_events.AgentEvent) -> None:
+        """Take in one event."""
+        self._now = now
+        match event:
+            case wire.PeerUp(hello):
+                if hello.role is wire.Role.ENTRY:
+                    self._owners.join(now, hello.name, hello.incarnation)
+            case wire.PeerDown(name, incarnation):
+                self._owners.leave(name, incarnation)
+            case wire.Received(peer, message):
+                self._on_message(now, peer, message)
+            case _agent_events.AgentDrain():
+                self._draining = True
+            case _:
+                self._on_endpoint_event(now, event)
+
+    def _on_endpoint_event(
+        self, now: float, event: _agent_events.AgentEvent
+    ) -> None:
+        match event:
+            case _agent_events.EndpointSeen():
+                if self._link.see(event, now):
+                    self._lose_all()
+            case _agent_events.EndpointLeft(incarnation):
+                self._link.leave(incarnation)
+            case _agent_events.LeaseRenewed():
+                self._on_renewed(now, event)
+            case _agent_events.LeaseNotRenewed(fault, incarnation, clock_ms):
+                if fault is _agent_events.CallFault.FENCED:
+                    self._link.raise_token(clock_ms, now)
+            case _agent_events.StartAnswered():
+                self._on_start_answered(now, event)
+            case _agent_events.StopAnswered(key, confirmed):
+                row = self._runs.find(key)
+                if row is not None and confirmed:
+                    row.stop_confirmed_at = now
+
+    def tick(self, now: float) -> list[_agent_events.AgentAction]:
+        """Return the actions that are due."""
+        self._now = now
+        self._check_endpoint(now)
+        self._check_grants(now)
+        self._repeat_stops(now)
+        self._tell_held()
+        self._ask(now)
+        self._tell_progress(now)
+        self._tell_state(now)
+        actions = self._actions
+        self._actions = []
+        return actions
+
+    def wake_at(self) -> float:
+        """Return when to tick at the latest."""
+        asks = [one.next_ask_at for one in self._owners.connected()]
+        stops = [
+            row.stop_sent_at + self._timing.order_s
+            for row in self._runs
+            if row.stop_sent_at is not None and row.stop_confirmed_at is None
+        ]
+        grants = [
+            owner.granted_at + self._timing.grant_s
+            for owner in self._owners
+            if self._runs.of_owner(owner.incarnation)
+        ]
+        return min(asks + stops + grants, default=float("inf"))
+
+    def renewal(self, now: float) -> _agent_events.Renewal:
+        """Return what the next call for a renewal is to say."""
+        return self._link.renewal(now)
+
+    def _send(self, owner: _owners.Owner, message: wire.Message) -> None:
+        self._actions.append(_agent_events.SendMessage(owner.name, message))
+
+    # Messages.
+
+    def _on_message(
+        self, now: float, peer: str, message: wire.Message
+    ) -> None:
+        owner = self._owners.current(peer)
+        if owner is None:
+            return
+        owner.heard_at = now
+        match message:
+            case wire.OrderRuns():
+                self._on_order(now, owner, message)
+            case wire.StopRuns(job, runs):
+                for run in runs:
+                    self._stop(now, _runs.RunKey.of(job, run), owner)
+            case wire.ClaimRuns(runs):
+                self._on_claim(owner, runs)
+            case wire.GrantLease(number):
+                self._owners.granted(owner, number)
+            case wire.EntryList(entries):
+                self._actions.append(_agent_events.DialEntries(entries))
+            case _:
+                return
+
+    def _on_order(
+        self, now: float, owner: _owners.Owner, order: wire.OrderRuns
+    ) -> None:
+        owner.orders_seen = max(owner.orders_seen, order.number)
+        refusal = self._refusal(now, owner, order)
+        if refusal is not None:
+            self._release(owner, order.job, order.runs, refusal)
+            return
+        full = []
+        for run in order.runs:
+            key = _runs.RunKey.of(order.job, run)
+            if self._runs.find(key) is not None:
+                continue
+            room = order.need.fits_in(self._free())
+            if not room or self._runs.has_task(key):
+                full.append(run)
+                continue
+            self._start(now, owner, key, order)
+        if full:
+            self._release(owner, order.job, full, wire.NotStarted.FULL)
+
+    def _refusal(
+        self, now: float, owner: _owners.Owner, order: wire.OrderRuns
+    ) -> wire.NotStarted | None:
+        if self._draining:
+            return wire.NotStarted.LEAVING
+        if order.endpoint != self._link.incarnation:
+            return wire.NotStarted.ENDPOINT
+        if not self._accepts(now):
+            return wire.NotStarted.LEAVING
+        if not self._owners.has_grant(owner, now):
+            return wire.NotStarted.NO_ANSWER
+        return None
+
+    def _accepts(self, now: float) -> bool:
+        seen = self._link.seen
+        if seen is None or seen.draining or self._draining:
+            return False
+        if not self._link.synced or not self._link.is_fresh(now):
+            return False
+        return not self._runs.of_owner("")
+
+    def _free(self) -> wire.Resources:
+        seen = self._link.seen
+        if seen is None:
+            return wire.Resources()
+        return seen.capacity.minus(self._runs.held)
+
+    def _start(
+        self,
+        now: float,
+        owner: _owners.Owner,
+        key: _runs.RunKey,
+        order: wire.OrderRuns,
+    ) -> None:
+        lease_until_ms = self._link.lease_until_ms(now)
+        row = _runs.RunRow(
+            key,
+            owner.incarnation,
+            order.need,
+            _runs.RunState.ORDERED,
+            now,
+            lease_until_ms,
+        )
+        self._runs.add(row)
+        self._actions.append(
+            _agent_events.StartRun(
+                key,
+                order.spec,
+                self._link.incarnation,
+                lease_until_ms,
+                self._link.token,
+            )
+        )
+
+    def _on_claim(
+        self, owner: _owners.Owner, runs: tuple[wire.HeldRun, ...]
+    ) -> None:
+        for held in runs:
+            row = self._runs.find(_runs.RunKey.of(held.job, held.run))
+            if row is None or row.owner:
+                continue
+            self._runs.remove(row.key)
+            row.owner = owner.incarnation
+            row.need = held.need
+            self._runs.add(row)
+
+    # Stopping.
+
+    def _stop(
+        self,
+        now: float,
+        key: _runs.RunKey,
+        owner: _owners.Owner | None = None,
+        release: wire.NotStarted | None = None,
+    ) -> None:
+        row = self._runs.find(key)
+        if row is None or row.state is _runs.RunState.STOPPING:
+            return
+        if owner is not None and row.owner != owner.incarnation:
+            return
+        row.state = _runs.RunState.STOPPING
+        row.release = release
+        self._send_stop(now, row)
+
+    def _send_stop(self, now: float, row: _runs.RunRow) -> None:
+        row.stop_sent_at = now
+        self._actions.append(
+            _agent_events.StopRun(
+                row.key, self._link.incarnation, self._link.token
+            )
+        )
+
+    def _repeat_stops(self, now: float) -> None:
+        for row in self._runs:
+            if row.stop_sent_at is None or row.stop_confirmed_at is not None:
+                continue
+            if now - row.stop_sent_at >= self._timing.order_s:
+                self._send_stop(now, row)
+
+    def _check_grants(self, now: float) -> None:
+        """Stop what no entry answers for any more."""
+        for owner in self._owners:
+            if self._owners.has_grant(owner, now):
+                continue
+            for row in self._runs.of_owner(owner.incarnation):
+                self._stop(now, row.key)
+            if not owner.connected and now - owner.granted_at > _FORGET_S:
+                self._owners.forget(owner.incarnation)
+        if now - self._unclaimed_since > self._timing.grant_s:
+            for row in self._runs.of_owner(""):
+                self._stop(now, row.key)
+
+    def _check_endpoint(self, now: float) -> None:
+        if not self._link.is_over(now):
+            return
+        self._link.synced = self._link.synced or not len(self._runs)
+        self._lose_all()
+
+    def _lose_all(self) -> None:
+        for row in self._runs.clear():
+            self._report(row, wire.HowEnded.LOST)
+
+    # What the endpoint says.
+
+    def _on_start_answered(
+        self, now: float, event: _agent_events.StartAnswered
+    ) -> None:
+        self._link.note_clock(event.clock_ms, now)
+        row = self._runs.find(event.key)
+        if row is None or event.incarnation != self._link.incarnation:
+            return
+        match event.result:
+            case _agent_events.StartResult.STARTED:
+                row.confirmed_at = now
+                if row.state is _runs.RunState.ORDERED:
+                    row.state = _runs.RunState.RUNNING
+            case _agent_events.StartResult.SILENT:
+                self._stop(now, row.key, release=wire.NotStarted.NO_ANSWER)
+            case _:
+                if event.result is _agent_events.StartResult.FENCED:
+                    self._link.raise_token(event.clock_ms, now)
+                row.release = _RELEASES[event.result]
+                self._end(row, wire.HowEnded.STOPPED)
+
+    def _on_renewed(
+        self, now: float, event: _agent_events.LeaseRenewed
+    ) -> None:
+        if event.incarnation != self._link.incarnation:
+            return
+        had_token = bool(self._link.token)
+        self._link.note_clock(event.clock_ms, now)
+        if not had_token:
+            return
+        self._link.renewed(event.sent_at)
+        for end in event.ended:
+            self._on_listed_end(end)
+        listed = {run.key: run for run in event.running}
+        for row in self._runs:
+            run = listed.pop(row.key, None)
+            if run is None:
+                self._check_unlisted(event, row)
+                continue
+            row.done = run.done
+            row.confirmed_at = row.confirmed_at or event.sent_at
+        for key in listed:
+            self._adopt(now, key)
+        self._link.synced = True
+
+    def _on_listed_end(self, end: _agent_events.ListedEnd) -> None:
+        if end.number <= self._link.acknowledged:
+            return
+        self._link.acknowledged = end.number
+        row = self._runs.find(end.key)
+        if row is not None:
+            row.confirmed_at = row.confirmed_at or row.ordered_at
+            self._end(row, end.how)
+
+    def _check_unlisted(
+        self, event: _agent_events.LeaseRenewed, row: _runs.RunRow
+    ) -> None:
+        """End a run that the endpoint neither lists nor can start."""
+        if row.state is _runs.RunState.RUNNING:
+            if row.confirmed_at is None or row.confirmed_at < event.sent_at:
+                self._end(row, wire.HowEnded.LOST)
+            return
+        if row.state is not _runs.RunState.STOPPING:
+            return
+        stopped = row.stop_confirmed_at
+        refused = (
+            stopped is not None
+            and stopped + self._timing.stop_s <= event.sent_at
+        )
+        expired = 0 < row.expires_ms < event.clock_ms - 1
+        if refused or expired:
+            self._end(row, wire.HowEnded.STOPPED)
+
+    def _adopt(self, now: float, key: _runs.RunKey) -> None:
+        """Keep a run that this incarnation of the agent did not order."""
+        row = _runs.RunRow(
+            key, "", wire.Resources(), _runs.RunState.RUNNING, now
+        )
+        row.confirmed_at = now
+        if not self._runs.of_owner(""):
+            self._unclaimed_since = now
+        self._runs.add(row)
+        for owner in self._owners.connected():
+            owner.wants_held = True
+
+    # Telling entries.
+
+    def _end(self, row: _runs.RunRow, how: wire.HowEnded) -> None:
+        self._runs.remove(row.key)
+        self._report(row, how)
+
+    def _report(self, row: _runs.RunRow, how: wire.HowEnded) -> None:
+        owner = self._owners.find(row.owner)
+        if owner is None:
+            return
+        run = row.key.task_run
+        if not row.may_run and row.release is not None:
+            self._release(owner, row.key.job, (run,), row.release)
+            return
+        run_s = 0.0
+        if row.confirmed_at is not None:
+            run_s = max(0.0, self._now - row.confirmed_at)
+        end = wire.RunsEnded(row.key.job, (wire.RunEnd(run, how, run_s),))
+        if owner.connected and not owner.wants_held:
+            self._send(owner, end)
+            return
+        self._owners.keep(owner, end)
+
+    def _release(
+        self,
+        owner: _owners.Owner,
+        job: str,
+        runs: tuple[wire.TaskRun, ...] | list[wire.TaskRun],
+        reason: wire.NotStarted,
+    ) -> None:
+        if owner.connected:
+            self._send(owner, wire.RunsReleased(job, tuple(runs), reason))
+
+    def _tell_held(self) -> None:
+        """Tell entries with a new stream what is held for them."""
+        if not self._link.synced:
+            return
+        for owner in self._owners.connected():
+            if not owner.wants_held:
+                continue
+            owner.wants_held = False
+            for message in owner.pending:
+                self._send(owner, message)
+            owner.pending.clear()
+            rows = self._runs.of_owner(owner.incarnation)
+            rows += self._runs.of_owner("")
+            held = tuple(
+                wire.HeldRun(row.key.job, row.key.task_run, row.need)
+                for row in rows
+            )
+            self._send(owner, wire.RunsHeld(held))
+
+    def _ask(self, now: float) -> None:
+        for owner in self._owners.connected():
+            if self._owners.is_silent(owner, now):
+                self._owners.leave(owner.name, owner.incarnation)
+                self._actions.append(_agent_events.CloseStream(owner.name))
+                continue
+            if now < owner.next_ask_at:
+                continue
+            busy = bool(self._runs.of_owner(owner.incarnation))
+            self._send(owner, self._owners.ask(owner, now, busy))
+
+    def _tell_progress(self, now: float) -> None:
+        if now - self._progress_at < _PROGRESS_S:
+            return
+        self._progress_at = now
+        for owner in self._owners.connected():
+            runs = tuple(
+                wire.RunProgress(
+                    row.key.job,
+                    row.key.task_run,
+                    row.done,
+                    now - row.confirmed_at,
+                )
+                for row in self._runs.of_owner(owner.incarnation)
+                if row.confirmed_at is not None
+            )
+            if runs:
+                self._send(owner, wire.RunsProgress(runs))
+
+    def _tell_state(self, now: float) -> None:
+        accepting = self._accepts(now)
+        free = self._free()
+        seen = self._link.seen
+        for owner in self._owners.connected():
+            state = wire.EndpointState(orders_seen=owner.orders_seen)
+            if seen is not None:
+                state = wire.EndpointState(
+                    seen.incarnation,
+                    seen.service,
+                    seen.labels,
+                    seen.capacity,
+                    free,
+                    accepting,
+                    owner.orders_seen,
+                    seen.remaining_s,
+                )
+            if state != owner.told:
+                owner.told = state
+                self._send(owner, state)
--- /dev/null
+++ b/src/ferryledge/leases/_agent_events.py
@@ -0,0 +1,205 @@
+"""What happens to an agent of leased tasks, and what it does."""
+
+import dataclasses
+import enum
+
+from ferryledge.leases import _runs
+from ferryledge import wire
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointSeen:
+    """The endpoint's heartbeat came."""
+
+    incarnation: str
+    service: str
+    #: ``host:port`` of the endpoint.
+    address: str
+    capacity: wire.Resources
+    labels: tuple[str, ...]
+    draining: bool
+    #: Seconds until it may be gone; 0 is unlimited.
+    remaining_s: float
+    #: The endpoint's steady clock.
+    clock_ms: int
+    #: Rises with each heartbeat of an incarnation.
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointLeft:
+    """The endpoint said that it ends now."""
+
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedRun:
+    """A run that the endpoint lists as alive."""
+
+    key: _runs.RunKey
+    #: Share of the work that is done, from 0 to 1.
+    done: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedEnd:
+    """An end that the endpoint lists until it is acknowledged."""
+
+    #: Counts the endpoint's ends, from 1.
+    number: int
+    key: _runs.RunKey
+    how: wire.HowEnded
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseRenewed:
+    """The endpoint took a renewal and listed what it holds."""
+
+    #: When the renewal was sent, in monotonic seconds.
+    sent_at: float
+    #: The endpoint's incarnation that was asked; empty is any.
+    incarnation: str
+    clock_ms: int
+    running: tuple[ListedRun, ...]
+    ended: tuple[ListedEnd, ...]
+
+
+class CallFault(enum.Enum):
+    """Why a call to the endpoint brought no result."""
+
+    #: No answer: it may have been carried out, or may be later.
+    SILENT = "silent"
+    #: Nothing listens there: the endpoint is down.
+    DOWN = "down"
+    #: Another incarnation answered.
+    REPLACED = "replaced"
+    #: A higher fencing token has been used there.
+    FENCED = "fenced"
+    #: The endpoint said that it can't now; nothing was done.
+    UNHEALTHY = "unhealthy"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseNotRenewed:
+    """A renewal brought no list."""
+
+    fault: CallFault
+    incarnation: str
+    #: The endpoint's clock, if it answered; else 0.
+    clock_ms: int = 0
+
+
+class StartResult(enum.Enum):
+    """What the endpoint said to an order."""
+
+    STARTED = "started"
+    FENCED = "fenced"
+    #: The run's number is not above one that ended here.
+    RUN_NUMBER = "run_number"
+    LATE = "late"
+    FULL = "full"
+    #: Rejected for good: the endpoint does not understand the order.
+    REJECTED = "rejected"
+    UNHEALTHY = "unhealthy"
+    REPLACED = "replaced"
+    DOWN = "down"
+    #: No answer: it may have started, or may start later.
+    SILENT = "silent"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartAnswered:
+    """The call for a start came back."""
+
+    key: _runs.RunKey
+    result: StartResult
+    incarnation: str
+    clock_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopAnswered:
+    """The call for a stop came back."""
+
+    key: _runs.RunKey
+    #: Whether the endpoint confirmed it.
+    confirmed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AgentDrain:
+    """The agent is to stop: take no new runs, finish the rest."""
+
+
+AgentEvent = (
+    wire.StreamEvent
+    | EndpointSeen
+    | EndpointLeft
+    | LeaseRenewed
+    | LeaseNotRenewed
+    | StartAnswered
+    | StopAnswered
+    | AgentDrain
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendMessage:
+    """Send a message to a peer."""
+
+    peer: str
+    message: wire.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartRun:
+    """Order the endpoint to start a run."""
+
+    key: _runs.RunKey
+    spec: str
+    incarnation: str
+    #: End of the lease on the endpoint's clock.
+    lease_until_ms: int
+    token: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopRun:
+    """Order the endpoint to stop a run."""
+
+    key: _runs.RunKey
+    incarnation: str
+    token: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CloseStream:
+    """Break the stream to a peer that is silent."""
+
+    peer: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DialEntries:
+    """Keep streams to these entries open."""
+
+    entries: tuple[wire.EntryAddress, ...]
+
+
+AgentAction = SendMessage | CloseStream | DialEntries | StartRun | StopRun
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Renewal:
+    """What the next call for a renewal is to say."""
+
+    #: The endpoint's incarnation; empty is any.
+    incarnation: str
+    #: End of the lease on the endpoint's clock; 0 renews nothing.
+    lease_until_ms: int
+    token: int
+    #: Ends up to this number are known here.
+    acknowledged: int
+    #: How long the answer may wait for an end, in ms.
+    wait_ms: int
--- /dev/null
+++ b/src/ferryledge/leases/_jobs.py
@@ -0,0 +1,185 @@
+"""The jobs that an entry holds, with their tasks and runs."""
+
+import dataclasses
+import enum
+
+from ferryledge import wire
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobClass:
+    """How the operators want one kind of job to be treated."""
+
+    name: str
+    #: The service whose endpoints run its tasks.
+    service: str
+    #: 0 comes first.
+    priority: int = 0
+    #: Runs of one task that may end as failed before the job fails.
+    attempts: int = 1
+    #: The objective is this many times the job's longest task ...
+    stretch: float = 1.0
+    #: ... and this many seconds.
+    target_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobStep:
+    """Tasks of a job that are alike."""
+
+    count: int
+    need: wire.Resources
+    #: The client's rough guess of one task's run time; 0 is none.
+    estimate_s: float = 0.0
+    #: Earlier steps, all of whose tasks must be done first.
+    depends_on: tuple[int, ...] = ()
+    #: A label that the endpoint must have; empty is any endpoint.
+    label: str = ""
+    #: Most tasks of the step on one endpoint; 0 is no bound.
+    max_per_endpoint: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeasedJob:
+    """A job as a client hands it in."""
+
+    #: The client's name for it, unique among jobs.
+    job: str
+    job_class: JobClass
+    #: What the endpoints are to run.
+    spec: str
+    steps: tuple[JobStep, ...]
+    #: Seconds for which the client waits; 0 is for ever.
+    deadline_s: float = 0.0
+
+
+class TaskState(enum.Enum):
+    """How far a task is."""
+
+    WAITING = "waiting"
+    #: One run of it is ordered and not known to be over.
+    BOUND = "bound"
+    DONE = "done"
+
+
+@dataclasses.dataclass(slots=True)
+class Task:
+    """One task of a job."""
+
+    step: int
+    index: int
+    state: TaskState = TaskState.WAITING
+    #: Number of its last run.
+    run: int = 0
+    #: Runs that ended as failed.
+    failures: int = 0
+    #: The agent that holds its run; empty if none does.
+    agent: str = ""
+    ordered_at: float = 0.0
+    #: Agents that failed or were too slow for it.
+    avoid: set[str] = dataclasses.field(default_factory=set)
+    #: Share of its work that is done, from 0 to 1.
+    done: float = 0.0
+    #: Whether its run was told to stop.
+    stopping: bool = False
+    #: Times that it was moved for being too slow.
+    moves: int = 0
+
+    @property
+    def task_run(self) -> wire.TaskRun:
+        """Its last run."""
+        return wire.TaskRun(self.step, self.index, self.run)
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """A job that this entry holds."""
+
+    request: LeasedJob
+    tokens: list[int]
+    arrived_at: float
+    #: Expected run time of its longest task at normal speed, in seconds.
+    expected_s: float
+    tasks: list[list[Task]]
+    #: When its first run was ordered; none yet if nothing was.
+    offered_at: float | None = None
+    #: Whether it was answered, or nobody waits for it any more.
+    closed: bool = False
+
+    @property
+    def name(self) -> str:
+        """The client's name for it."""
+        return self.request.job
+
+    @property
+    def all_tasks(self) -> list[Task]:
+        """Its tasks over all steps."""
+        return [task for step in self.tasks for task in step]
+
+    @property
+    def objective_s(self) -> float:
+        """Seconds within which it should be answered."""
+        job_class = self.request.job_class
+        return job_class.stretch * self.expected_s + job_class.target_s
+
+    @property
+    def objective_at(self) -> float:
+        """When it should be answered, in monotonic seconds."""
+        return self.arrived_at + self.objective_s
+
+    @property
+    def start_by(self) -> float:
+        """The latest start that still meets the objective."""
+        return self.objective_at - self.expected_s
+
+    @property
+    def deadline_at(self) -> float:
+        """When the client stops waiting."""
+        if not self.request.deadline_s:
+            return float("inf")
+        return self.arrived_at + self.request.deadline_s
+
+    @property
+    def work(self) -> float:
+        """Core-seconds that its tasks are expected to take."""
+        return sum(
+            step.count * step.need.cpu_millis / 1000.0 * self.expected_s
+            for step in self.request.steps
+        )
+
+    def find(self, run: wire.TaskRun) -> Task | None:
+        """Return the task of its last run, or none."""
+        if run.step >= len(self.tasks):
+            return None
+        step = self.tasks[run.step]
+        if run.index >= len(step) or step[run.index].run != run.run:
+            return None
+        return step[run.index]
+
+    def bound(self) -> list[Task]:
+        """Return the tasks that may be running."""
+        return [t for t in self.all_tasks if t.state is TaskState.BOUND]
+
+    def is_done(self, step: int) -> bool:
+        """Return whether all tasks of a step are done."""
+        return all(t.state is TaskState.DONE for t in self.tasks[step])
+
+    def startable(self) -> list[Task]:
+        """Return the waiting tasks whose earlier steps are done."""
+        ready: list[Task] = []
+        for number, step in enumerate(self.request.steps):
+            if all(self.is_done(one) for one in step.depends_on):
+                ready += [
+                    task
+                    for task in self.tasks[number]
+                    if task.state is TaskState.WAITING
+                ]
+        return ready
+
+
+def make_tasks(request: LeasedJob) -> list[list[Task]]:
+    """Return a new job's tasks, by step."""
+    return [
+        [Task(number, index) for index in range(step.count)]
+        for number, step in enumerate(request.steps)
+    ]
--- /dev/null
+++ b/src/ferryledge/leases/_placing.py
@@ -0,0 +1,148 @@
+"""Which waiting task goes where, and when.
+
+Jobs that can still meet their objective go first, in the order of their
+latest start. The others take what room is left.
+"""
+
+from collections import abc
+import dataclasses
+import hashlib
+
+from ferryledge.leases import _jobs
+from ferryledge.leases import _pool
+from ferryledge import placement
+from ferryledge import wire
+
+#: Slowness differences below this share are taken as noise.
+_SLOWNESS_GRAIN = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """Tasks of one step of a job for one agent."""
+
+    job: _jobs.Job
+    step: int
+    row: _pool.AgentRow
+    tasks: tuple[_jobs.Task, ...]
+
+
+def _preference(name: str, row: _pool.AgentRow) -> int:
+    """Return a rank that differs between entries, to spread their orders."""
+    text = f"{name}|{row.name}".encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=2).digest())
+
+
+class Placing:
+    """Chooses endpoints for waiting tasks.
+
+    :param name: this entry
+    :param pool: the agents
+    :param run_times: what was learned of run times and speeds
+    """
+
+    def __init__(
+        self,
+        name: str,
+        pool: _pool.Pool,
+        run_times: placement.RunTimes,
+    ) -> None:
+        self._name = name
+        self._pool = pool
+        self._run_times = run_times
+        self._ranks: dict[str, int] = {}
+
+    def place(
+        self, now: float, jobs: abc.Iterable[_jobs.Job]
+    ) -> abc.Iterator[Placement]:
+        """Yield placements; each is to be ordered before the next is asked.
+
+        :param now: monotonic seconds
+        :param jobs: those with waiting tasks
+        """
+        rows = [row for row in self._pool if row.usable(now)]
+        rows.sort(key=self._order)
+        for job in sorted(jobs, key=lambda job: self._urgency(now, job)):
+            if not any(row.free.cpu_millis > 0 for row in rows):
+                return
+            yield from self._place_job(job, rows)
+
+    def _urgency(self, now: float, job: _jobs.Job) -> tuple[bool, int, float]:
+        late = job.offered_at is None and now > job.start_by
+        return (late, 0, job.start_by)
+
+    def _order(self, row: _pool.AgentRow) -> tuple[int, int]:
+        slowness = self._run_times.slowness(row.name)
+        rank = self._ranks.get(row.name)
+        if rank is None:
+            rank = self._ranks[row.name] = _preference(self._name, row)
+        return (int(slowness / _SLOWNESS_GRAIN), rank)
+
+    def _place_job(
+        self, job: _jobs.Job, rows: list[_pool.AgentRow]
+    ) -> abc.Iterator[Placement]:
+        by_step: dict[int, list[_jobs.Task]] = {}
+        for task in job.startable():
+            by_step.setdefault(task.step, []).append(task)
+        for number, tasks in by_step.items():
+            step = job.request.steps[number]
+            for row in rows:
+                if not tasks:
+                    break
+                chosen = self._choose(job, step, number, row, tasks)
+                if chosen:
+                    tasks = [one for one in tasks if one not in chosen]
+                    yield Placement(job, number, row, tuple(chosen))
+
+    def _choose(
+        self,
+        job: _jobs.Job,
+        step: _jobs.JobStep,
+        number: int,
+        row: _pool.AgentRow,
+        tasks: list[_jobs.Task],
+    ) -> list[_jobs.Task]:
+        """Return the tasks of a step that an endpoint takes now."""
+        if row.state.service != job.request.job_class.service:
+            return []
+        if step.label and step.label not in row.state.labels:
+            return []
+        free = row.free
+        most = step.max_per_endpoint or len(tasks)
+        if step.max_per_endpoint:
+            most -= sum(
+                task.agent == row.name and task.state is not WAITING
+                for task in job.tasks[number]
+            )
+        chosen: list[_jobs.Task] = []
+        for task in tasks:
+            if len(chosen) >= most or not step.need.fits_in(free):
+                break
+            if row.name in task.avoid:
+                continue
+            chosen.append(task)
+            free = free.minus(step.need)
+        return chosen
+
+
+WAITING = _jobs.TaskState.WAITING
+
+
+def fits_somewhere(
+    pool: _pool.Pool, step: _jobs.JobStep, service: str
+) -> bool:
+    """Return whether some endpoint that is known could run a task.
+
+    An endpoint whose capacity is unknown speaks neither way.
+    """
+    nothing = wire.Resources()
+    known = [
+        row.state
+        for row in pool
+        if row.state.service == service and row.state.capacity != nothing
+    ]
+    return any(
+        step.need.fits_in(state.capacity)
+        and (not step.label or step.label in state.labels)
+        for state in known
+    )
--- /dev/null
+++ b/src/ferryledge/leases/_pool.py
@@ -0,0 +1,143 @@
+"""The agents that an entry can use, and the room at their endpoints."""
+
+from collections import abc
+import dataclasses
+
+from ferryledge.leases import _timing
+from ferryledge import wire
+
+#: Seconds without a message after which an agent gets no new runs.
+_QUIET_S = 0.45
+_UNKNOWN = wire.EndpointState()
+
+
+@dataclasses.dataclass(slots=True)
+class AgentRow:
+    """One agent with its endpoint."""
+
+    name: str
+    incarnation: str
+    connected: bool = True
+    leaving: bool = False
+    #: Whether it told what it holds for this entry.
+    reconciled: bool = False
+    state: wire.EndpointState = _UNKNOWN
+    heard_at: float = 0.0
+    #: When this entry granted it the right to renew, last.
+    granted_at: float = float("-inf")
+    #: Number of the last order.
+    orders: int = 0
+    #: What orders took that its last state does not account for.
+    in_flight: dict[int, wire.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    #: Runs of this entry that it may hold, with their jobs' names.
+    runs: set[tuple[str, wire.TaskRun]] = dataclasses.field(
+        default_factory=set
+    )
+    #: Whether its endpoint takes work by the judge of health.
+    healthy: bool = True
+
+    @property
+    def free(self) -> wire.Resources:
+        """Room that neither its state nor an order in flight takes."""
+        free = self.state.free
+        for need in self.in_flight.values():
+            free = free.minus(need)
+        return free
+
+    def usable(self, now: float) -> bool:
+        """Return whether new runs may be ordered there."""
+        return (
+            self.connected
+            and self.reconciled
+            and not self.leaving
+            and self.healthy
+            and self.state.accepting
+            and now - self.heard_at < _QUIET_S
+        )
+
+
+class Pool:
+    """All agents that an entry knows.
+
+    :param timing: the lease rule
+    """
+
+    def __init__(self, timing: _timing.LeaseTiming) -> None:
+        self._timing = timing
+        self._rows: dict[str, AgentRow] = {}
+
+    def __iter__(self) -> abc.Iterator[AgentRow]:
+        return iter(list(self._rows.values()))
+
+    def find(self, name: str) -> AgentRow | None:
+        """Return an agent, or none."""
+        return self._rows.get(name)
+
+    def join(self, now: float, hello: wire.Hello) -> AgentRow:
+        """Note that an agent's stream is open."""
+        row = self._rows.get(hello.name)
+        if row is None:
+            row = AgentRow(hello.name, hello.incarnation)
+            self._rows[hello.name] = row
+        row.incarnation = hello.incarnation
+        row.connected = True
+        row.leaving = hello.leaving
+        row.reconciled = False
+        row.state = _UNKNOWN
+        row.heard_at = now
+        row.orders = 0
+        row.in_flight.clear()
+        return row
+
+    def leave(self, name: str, incarnation: str) -> None:
+        """Note that an agent's stream broke."""
+        row = self._rows.get(name)
+        if row is not None and row.incarnation == incarnation:
+            row.connected = False
+            row.reconciled = False
+
+    def set_state(self, row: AgentRow, state: wire.EndpointState) -> None:
+        """Take in what an agent says of its endpoint."""
+        row.state = state
+        seen = [n for n in row.in_flight if n <= state.orders_seen]
+        for number in seen:
+            del row.in_flight[number]
+
+    def order(self, row: AgentRow, need: wire.Resources, count: int) -> int:
+        """Take the room of an order and return the order's number."""
+        row.orders += 1
+        row.in_flight[row.orders] = wire.Resources().plus(need, count)
+        return row.orders
+
+    def silent(self, now: float) -> list[AgentRow]:
+        """Return the connected agents that are silent for too long."""
+        return [
+            row
+            for row in self._rows.values()
+            if row.connected and now - row.heard_at > self._timing.silence_s
+        ]
+
+    def over(self, now: float) -> list[AgentRow]:
+        """Return agents without a stream whose runs must all be over."""
+        return [
+            row
+            for row in self._rows.values()
+            if row.runs
+            and not row.connected
+            and now - row.granted_at > self._timing.over_after_s
+        ]
+
+    def forgive_silence(self, now: float) -> None:
+        """Start counting silence anew: this process was paused itself."""
+        for row in self._rows.values():
+            row.heard_at = now
+
+    def capacity_cores(self, now: float, service: str) -> float:
+        """Return the cores of the endpoints that can be used."""
+        return sum(
+            row.state.capacity.cpu_millis / 1000.0
+            for row in self._rows.values()
+            if row.state.service == service and row.usable(now)
+        )
--- /dev/null
+++ b/src/ferryledge/leases/_timing.py
@@ -0,0 +1,47 @@
+"""The bounds by which both sides know when a run is over.
+
+An agent renews what runs for an entry only while it holds that entry's
+grant, which counts from the sending of the ask: so an answer that is late
+grants less, never more. What the agent does not renew ends with the
+endpoint's lease.
+"""
+
+import dataclasses
+
+#: Share by which an endpoint's clock may run slow (the platform's figure).
+CLOCK_DRIFT = 0.02
+#: Seconds added to a bound for timers that fire late.
+_MARGIN_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseTiming:
+    """The lease rule's figures, all in seconds.
+
+    The defaults suit endpoints that cut a lease down to one second and
+    clients that repeat a job 1.3 s after its entry was lost: grant, stop
+    and lease together end before that.
+    """
+
+    #: How far ahead an agent renews its endpoint's lease.
+    lease_s: float = 0.65
+    #: How long a grant lets an agent renew.
+    grant_s: float = 0.6
+    #: Between an agent's asks for a grant while it has runs.
+    ask_every_s: float = 0.15
+    #: The same while it has none.
+    idle_ask_every_s: float = 0.3
+    #: Silence after which an agent opens a new stream to an entry.
+    redial_s: float = 1.5
+    #: Silence after which an entry gives up an agent's stream.
+    silence_s: float = 0.7
+    #: The longest that a stop takes at the endpoint.
+    stop_s: float = 0.05
+    #: How long an order to the endpoint may go without an answer.
+    order_s: float = 0.06
+
+    @property
+    def over_after_s(self) -> float:
+        """From an entry's last grant until the agent's runs are over."""
+        lease_s = self.lease_s * (1.0 + CLOCK_DRIFT)
+        return self.grant_s + self.stop_s + lease_s + _MARGIN_S
--- a/src/ferryledge/runtime/_logging.py
+++ b/src/ferryledge/logs/_setup.py
@@ -32,14 +32,17 @@
     return escaped.replace("<", r"\<") + "\n"
 
 
-def configure_logging(level: str, process: str) -> None:
+def configure_logging(
+    level: str, process: str, sink: typing.TextIO | None = None
+) -> None:
     """Log from that level on, with the process's name in each line.
 
     :param level: ``debug``, ``info``, ``warning`` or ``error``
     :param process: the process's name
+    :param sink: where lines go; none is standard error
     """
     # The HTTP server's own log repeats what the daemon logs.
     logging.getLogger("uvicorn.error").disabled = True
     loguru.logger.remove()
     loguru.logger.configure(extra={"process": process})
-    loguru.logger.add(sys.stderr, level=level.upper(), format=_format)
+    loguru.logger.add(sink or sys.stderr, level=level.upper(), format=_format)
--- /dev/null
+++ b/src/ferryledge/net/__init__.py
@@ -0,0 +1,37 @@
+"""Streams between processes, HTTP both ways, and what drives a core."""
+
+from ferryledge.net import _asgi
+from ferryledge.net import _driver
+from ferryledge.net import _http
+from ferryledge.net import _incarnation
+from ferryledge.net import _mesh
+from ferryledge.net import _server
+from ferryledge.net import _stop
+
+BodyError = _asgi.BodyError
+Driver = _driver.Driver
+Handler = _asgi.Handler
+HttpCaller = _http.HttpCaller
+HttpResponse = _asgi.HttpResponse
+Mesh = _mesh.Mesh
+PeerAddress = _mesh.PeerAddress
+Request = _asgi.Request
+asgi_app = _asgi.asgi_app
+new_incarnation = _incarnation.new_incarnation
+run_daemon = _stop.run_daemon
+serve_http = _server.serve_http
+
+__all__ = [
+    "BodyError",
+    "Driver",
+    "Handler",
+    "HttpCaller",
+    "HttpResponse",
+    "Mesh",
+    "PeerAddress",
+    "Request",
+    "asgi_app",
+    "new_incarnation",
+    "run_daemon",
+    "serve_http",
+]
--- a/src/ferryledge/runtime/_driver.py
+++ b/src/ferryledge/net/_driver.py
@@ -5,26 +5,28 @@
 
 import anyio
 
-from ferryledge import core
-
 #: Ticks at least this often, in seconds.
 _LONGEST_SLEEP_S = 60.0
 
 
-class Core(typing.Protocol):
+EventT = typing.TypeVar("EventT", contravariant=True)
+ActionT = typing.TypeVar("ActionT")
+
+
+class Core(typing.Protocol[EventT, ActionT]):
     """What the driver needs of a core."""
 
-    def receive(self, now: float, event: core.Event) -> None:
+    def receive(self, now: float, event: EventT, /) -> None:
         """Take in one event."""
 
-    def tick(self, now: float) -> list[core.Action]:
+    def tick(self, now: float) -> list[ActionT]:
         """Return the actions that the events so far call for."""
 
     def wake_at(self) -> float:
         """Return when to tick at the latest."""
 
 
-class Driver:
+class Driver(typing.Generic[EventT, ActionT]):
     """Ticks a core once for all events that are ready.
 
     :param driven: the core
@@ -33,14 +35,14 @@
 
     def __init__(
         self,
-        driven: Core,
-        perform: abc.Callable[[core.Action], None],
+        driven: Core[EventT, ActionT],
+        perform: abc.Callable[[ActionT], None],
     ) -> None:
         self._core = driven
         self._perform = perform
         self._wake = anyio.Event()
 
-    def post(self, event: core.Event) -> None:
+    def post(self, event: EventT) -> None:
         """Hand an event to the core; it ticks soon."""
         self._core.receive(anyio.current_time(), event)
         self._wake.set()
--- a/src/ferryledge/runtime/_http.py
+++ b/src/ferryledge/net/_http.py
@@ -39,6 +39,7 @@
         content: bytes = b"",
         headers: abc.Sequence[tuple[str, str]] = (),
         connect_s: float = 2.0,
+        answer_s: float | None = None,
     ) -> typing.Any:
         """Return the whole response.
 
@@ -47,7 +48,10 @@
         :param content: the body
         :param headers: further headers
         :param connect_s: seconds to open a connection
+        :param answer_s: seconds to wait for each part of the answer; none
+            is without bound
         :raises httpcore.ConnectError: if nothing was sent
+        :raises httpcore.ReadTimeout: if the answer did not come in time
         :raises httpcore.NetworkError: if the connection broke
         """
         async with self._limiter, self._connection() as connection:
@@ -60,7 +64,9 @@
                     *headers,
                 ],
                 content=content,
-                extensions={"timeout": {"connect": connect_s}},
+                extensions={
+                    "timeout": {"connect": connect_s, "read": answer_s}
+                },
             )
 
     @contextlib.asynccontextmanager
--- a/src/ferryledge/runtime/_mesh.py
+++ b/src/ferryledge/net/_mesh.py
@@ -13,7 +13,6 @@
 from anyio.streams import buffered
 import loguru
 
-from ferryledge import core
 from ferryledge import wire
 
 _READ_BYTES = 256 * 1024
@@ -21,6 +20,8 @@
 _QUEUE_MESSAGES = 20_000
 _BATCH_BYTES = 256 * 1024
 _HANDSHAKE_S = 3.0
+#: Shorter, since a peer that lost its power never answers.
+_CONNECT_S = 1.0
 _FIRST_REDIAL_S = 0.05
 _LONGEST_REDIAL_S = 2.0
 #: Strangers that may be in the handshake at once.
@@ -107,7 +108,7 @@
         self,
         keys: tuple[str, ...],
         hello: abc.Callable[[], wire.Hello],
-        post: abc.Callable[[core.Event], None],
+        post: abc.Callable[[wire.StreamEvent], None],
     ) -> None:
         self._keys = keys
         self._hello = hello
@@ -144,6 +145,17 @@
         self._bytes_sent += len(data)
         connection.send(data)
 
+    def names(self) -> frozenset[str]:
+        """Return the peers with an open stream."""
+        return frozenset(self._connections)
+
+    def close(self, name: str) -> None:
+        """Break the stream to a peer; a dialled one is dialled anew."""
+        connection = self._connections.get(name)
+        if connection is not None:
+            connection.close()
+            self._unregister(connection)
+
     def is_dialled(self, name: str) -> bool:
         """Return whether this process keeps dialling a peer."""
         return name in self._dialled
@@ -210,7 +222,7 @@
 
     async def _dial(self, address: PeerAddress) -> bool:
         try:
-            with anyio.fail_after(_HANDSHAKE_S):
+            with anyio.fail_after(_CONNECT_S):
                 stream = await anyio.connect_tcp(address.host, address.port)
         except (OSError, TimeoutError):
             return False
@@ -257,7 +269,7 @@
 
         def receive(message: wire.Message) -> None:
             if self._connections.get(name) is connection:
-                self._post(core.Received(name, message))
+                self._post(wire.Received(name, message))
 
         for message in early:
             receive(message)
@@ -285,7 +297,7 @@
             self._unregister(old)
         self._connections[name] = connection
         loguru.logger.debug("stream open", step="join", peer=name)
-        self._post(core.PeerUp(connection.hello))
+        self._post(wire.PeerUp(connection.hello))
 
     def _unregister(self, connection: _Connection) -> None:
         hello = connection.hello
@@ -293,4 +305,4 @@
             return
         del self._connections[hello.name]
         loguru.logger.debug("stream closed", step="join", peer=hello.name)
-        self._post(core.PeerDown(hello.name, hello.incarnation))
+        self._post(wire.PeerDown(hello.name, hello.incarnation))
--- /dev/null
+++ b/src/ferryledge/platform/_config.py
@@ -0,0 +1,96 @@
+"""The configuration that operators write into the store."""
+
+import dataclasses
+
+import msgspec
+
+from ferryledge import leases
+
+#: Topic and key of the newest configuration.
+CONFIG_TOPIC = "keyed.op"
+CONFIG_KEY = "config"
+
+
+class ConfigError(Exception):
+    """The configuration can't be read."""
+
+
+class _Part(msgspec.Struct, frozen=True, rename="pascal"):
+    """A table of the configuration; unknown fields are passed over."""
+
+
+class _Route(_Part, frozen=True):
+    name: str
+    hostname: str
+    path_prefix: str
+    #: Name of the service that runs its tasks.
+    backend: str
+    #: Added to the stretched work, in ms.
+    target_latency_ms: float = 0
+    #: 0 comes first.
+    priority: int = 0
+    attempts: int = 1
+    stretch: float = 1.0
+
+
+class _Config(_Part, frozen=True):
+    version: int
+    routes: tuple[_Route, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """A queue of jobs, as clients address it."""
+
+    hostname: str
+    path_prefix: str
+    job_class: leases.JobClass
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """The whole configuration at one version."""
+
+    version: int
+    routes: tuple[Route, ...]
+
+    def find(self, hostname: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path, or none."""
+        fits = [
+            route
+            for route in self.routes
+            if route.hostname == hostname
+            and path.startswith(route.path_prefix)
+        ]
+        return max(fits, key=_prefix_length, default=None)
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.path_prefix)
+
+
+def parse_config(data: bytes) -> Configuration:
+    """Return the configuration that a record's value holds.
+
+    :raises ConfigError: if it is not valid
+    """
+    try:
+        config = msgspec.json.decode(data, type=_Config)
+    except msgspec.DecodeError as exc:
+        raise ConfigError(f"unreadable configuration: {exc}") from exc
+    routes = tuple(
+        Route(
+            route.hostname.lower(),
+            route.path_prefix,
+            leases.JobClass(
+                route.name,
+                route.backend,
+                route.priority,
+                route.attempts,
+                route.stretch,
+                route.target_latency_ms / 1000.0,
+            ),
+        )
+        for route in config.routes
+    )
+    return Configuration(config.version, routes)
--- /dev/null
+++ b/src/ferryledge/platform/_endpoint.py
@@ -0,0 +1,224 @@
+"""Calls to the endpoint beside an agent."""
+
+import typing
+
+import anyio
+import httpcore
+import msgspec
+
+from ferryledge import leases
+from ferryledge import net
+from ferryledge import wire
+
+#: Connections for orders; each new one is priced, so few are kept.
+_ORDER_CONNECTIONS = 3
+#: Seconds beyond a renewal's own wait until it counts as unanswered.
+_RENEW_SLACK_S = 0.15
+_CONNECT_S = 0.2
+
+_HOW = {
+    "done": wire.HowEnded.DONE,
+    "failed": wire.HowEnded.FAILED,
+    "stopped": wire.HowEnded.STOPPED,
+    "lapsed": wire.HowEnded.LAPSED,
+    "broken": wire.HowEnded.STOPPED,
+    "alone": wire.HowEnded.STOPPED,
+}
+_REASONS = {
+    "fence": leases.StartResult.FENCED,
+    "old": leases.StartResult.RUN_NUMBER,
+    "late": leases.StartResult.LATE,
+    "room": leases.StartResult.FULL,
+}
+
+
+class _Answer(msgspec.Struct, frozen=True, rename="pascal"):
+    clock_ms: int = 0
+    reason: str = ""
+
+
+class _Lists(msgspec.Struct, frozen=True, rename="pascal"):
+    clock_ms: int = 0
+    #: Rows of task, run, saved text and percent.
+    running: tuple[tuple[typing.Any, ...], ...] = ()
+    #: Rows of number, task, run, how it ended and saved text.
+    ended: tuple[tuple[typing.Any, ...], ...] = ()
+
+
+def _task_name(key: leases.RunKey) -> str:
+    """Return a task's name; the 0 says that the job has no times."""
+    return f"{key.job}.0.{key.step}.{key.index}"
+
+
+def _key(task: str, run: int) -> leases.RunKey:
+    job, _, step, index = task.rsplit(".", 3)
+    return leases.RunKey(job, int(step), int(index), run)
+
+
+def _listed(row: tuple[typing.Any, ...]) -> leases.ListedRun:
+    task, run, _, percent = row[:4]
+    return leases.ListedRun(_key(task, run), percent / 100.0)
+
+
+def _ended(row: tuple[typing.Any, ...]) -> leases.ListedEnd:
+    number, task, run, how = row[:4]
+    return leases.ListedEnd(number, _key(task, run), _HOW[how])
+
+
+def _fault(status: int, answer: _Answer) -> leases.CallFault:
+    if status == 421:
+        return leases.CallFault.REPLACED
+    if status == 409 and answer.reason == "fence":
+        return leases.CallFault.FENCED
+    return leases.CallFault.UNHEALTHY
+
+
+def _decode(content: bytes) -> _Answer:
+    try:
+        return msgspec.json.decode(content, type=_Answer)
+    except msgspec.DecodeError:
+        return _Answer()  # Error answers may have no body.
+
+
+class EndpointCalls:
+    """Orders and renewals by the endpoint's protocol.
+
+    :param address: ``host:port`` of the endpoint
+    :param order_s: seconds until an order counts as unanswered
+    """
+
+    def __init__(self, address: str, order_s: float) -> None:
+        url = f"http://{address}"
+        self._orders = net.HttpCaller(url, _ORDER_CONNECTIONS)
+        self._renewals = net.HttpCaller(url, 1)
+        self._order_s = order_s
+
+    async def close(self) -> None:
+        """Close all connections that are not in use."""
+        await self._orders.close()
+        await self._renewals.close()
+
+    async def start(self, order: leases.StartRun) -> leases.StartAnswered:
+        """Order a run, and tell what became of the order."""
+        fields = {
+            "Task": _task_name(order.key),
+            "Run": order.key.run,
+            "Spec": order.spec,
+            "DeadlineMs": order.lease_until_ms,
+            "FencingToken": order.token,
+        }
+        try:
+            response = await self._call(
+                "/run-start", fields, order.incarnation, self._order_s
+            )
+        except httpcore.ConnectError:
+            return _started(order, leases.StartResult.DOWN, 0)
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return _started(order, leases.StartResult.SILENT, 0)
+        except (httpcore.TimeoutException, TimeoutError):
+            return _started(order, leases.StartResult.SILENT, 0)
+        answer = _decode(response.content)
+        result = _start_result(response.status, answer)
+        return _started(order, result, answer.clock_ms)
+
+    async def stop(self, order: leases.StopRun) -> leases.StopAnswered:
+        """Order a stop, and tell whether it was confirmed."""
+        fields = {
+            "Task": _task_name(order.key),
+            "Run": order.key.run,
+            "FencingToken": order.token,
+        }
+        try:
+            response = await self._call(
+                "/run-stop", fields, order.incarnation, self._order_s
+            )
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return leases.StopAnswered(order.key, False)
+        except (httpcore.TimeoutException, TimeoutError):
+            return leases.StopAnswered(order.key, False)
+        return leases.StopAnswered(order.key, response.status == 200)
+
+    async def renew(
+        self, renewal: leases.Renewal
+    ) -> leases.LeaseRenewed | leases.LeaseNotRenewed:
+        """Renew the lease; tells what runs and what has ended."""
+        fields: dict[str, object] = {
+            "FencingToken": renewal.token,
+            "AckedUpto": renewal.acknowledged,
+        }
+        if renewal.lease_until_ms:
+            fields["DeadlineMs"] = renewal.lease_until_ms
+        if renewal.wait_ms:
+            fields["WaitMs"] = renewal.wait_ms
+        sent_at = anyio.current_time()
+        wait_s = renewal.wait_ms / 1000.0 + _RENEW_SLACK_S
+        try:
+            response = await self._call(
+                "/hold", fields, renewal.incarnation, wait_s, renewing=True
+            )
+        except httpcore.ConnectError:
+            return _not_renewed(renewal, leases.CallFault.DOWN)
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return _not_renewed(renewal, leases.CallFault.SILENT)
+        except (httpcore.TimeoutException, TimeoutError):
+            return _not_renewed(renewal, leases.CallFault.SILENT)
+        if response.status != 200:
+            answer = _decode(response.content)
+            fault = _fault(response.status, answer)
+            return _not_renewed(renewal, fault, answer.clock_ms)
+        lists = msgspec.json.decode(response.content, type=_Lists)
+        return leases.LeaseRenewed(
+            sent_at,
+            renewal.incarnation,
+            lists.clock_ms,
+            tuple(_listed(row) for row in lists.running),
+            tuple(_ended(row) for row in lists.ended),
+        )
+
+    async def _call(
+        self,
+        path: str,
+        fields: dict[str, object],
+        incarnation: str,
+        answer_s: float,
+        renewing: bool = False,
+    ) -> typing.Any:
+        headers = []
+        if incarnation:
+            headers.append(("expect-instance", incarnation))
+        caller = self._renewals if renewing else self._orders
+        return await caller.call(
+            "POST",
+            path,
+            msgspec.json.encode(fields),
+            headers,
+            _CONNECT_S,
+            answer_s,
+        )
+
+
+def _started(
+    order: leases.StartRun, result: leases.StartResult, clock_ms: int
+) -> leases.StartAnswered:
+    return leases.StartAnswered(order.key, result, order.incarnation, clock_ms)
+
+
+def _not_renewed(
+    renewal: leases.Renewal, fault: leases.CallFault, clock_ms: int = 0
+) -> leases.LeaseNotRenewed:
+    return leases.LeaseNotRenewed(fault, renewal.incarnation, clock_ms)
+
+
+def _start_result(status: int, answer: _Answer) -> leases.StartResult:
+    match status:
+        case 200:
+            return leases.StartResult.STARTED
+        case 409:
+            return _REASONS.get(answer.reason, leases.StartResult.REJECTED)
+        case 421:
+            return leases.StartResult.REPLACED
+        case 429 | 503:
+            return leases.StartResult.UNHEALTHY
+        case 400:
+            return leases.StartResult.REJECTED
+    return leases.StartResult.SILENT
--- /dev/null
+++ b/src/ferryledge/platform/_settings.py
@@ -0,0 +1,123 @@
+"""The settings file that the platform gives each process."""
+
+import os
+import pathlib
+import tomllib
+import typing
+
+import msgspec
+
+#: Variable with the path of the settings file.
+SETTINGS_VARIABLE = "FERRYLEDGE_CONFIG"
+
+
+class SettingsError(Exception):
+    """The settings file is missing or wrong.
+
+    The message names the field and what to do.
+    """
+
+
+class _Part(msgspec.Struct, frozen=True, rename="pascal"):
+    """A table of the file; unknown fields are passed over."""
+
+
+class Listen(_Part, frozen=True):
+    """Where this process listens, as ``host:port``; empty is not at all."""
+
+    frontend: str = ""
+    readiness: str = ""
+    #: Where endpoints report, or other processes look for this one.
+    control_plane: str = ""
+
+
+class Limits(_Part, frozen=True):
+    """What the machine gives the process."""
+
+    memory_mb: float = 0
+    max_fds: int = 0
+
+
+class Bounds(_Part, frozen=True):
+    """Times that the platform promises or asks for."""
+
+    #: Longest lease that an endpoint accepts, in ms.
+    hold_max_ms: float = 1000
+    #: Longest time a stop takes at an endpoint, in ms.
+    stop_ms: float = 50
+    #: Seconds between SIGTERM and SIGKILL.
+    grace_s: float = 6
+
+
+class Store(_Part, frozen=True):
+    """The platform's log store."""
+
+    address: str = ""
+
+
+class Settings(_Part, frozen=True):
+    """All settings that this system uses."""
+
+    #: The machine's name, unique in the deployment.
+    node: str
+    #: IP number that peers reach this process at.
+    ip: str
+    #: The hall that the machine stands in.
+    zone: str
+    #: First and last port that is free for streams between processes.
+    port_range: tuple[int, int]
+    listen_addrs: Listen = Listen()
+    limits: Limits = Limits()
+    bounds: Bounds = Bounds()
+    #: Addresses of processes that may know others; may be stale.
+    seeds: tuple[str, ...] = ()
+    store: Store = msgspec.field(name="platform", default=Store())
+    #: ``host:port`` of the endpoint beside this process; empty at entries.
+    endpoint: str = msgspec.field(name="app", default="")
+    #: Whether this is the first start of the whole system.
+    bootstrap: bool = False
+
+    @property
+    def stream_port(self) -> int:
+        """The port for streams between processes, alike on all machines."""
+        return self.port_range[0]
+
+
+def parse_settings(text: str) -> Settings:
+    """Return the settings that a file's text holds.
+
+    :raises SettingsError: if the text is no TOML or a field is wrong
+    """
+    try:
+        plain: typing.Any = tomllib.loads(text)
+        return msgspec.convert(plain, Settings)
+    except tomllib.TOMLDecodeError as exc:
+        raise SettingsError(f"the settings file is no TOML: {exc}") from exc
+    except msgspec.ValidationError as exc:
+        raise SettingsError(f"wrong setting: {exc}") from exc
+
+
+def read_settings() -> Settings:
+    """Return the settings of this process.
+
+    :raises SettingsError: if the file can't be read or a field is wrong
+    """
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        raise SettingsError(f"set {SETTINGS_VARIABLE} to the settings file")
+    try:
+        text = pathlib.Path(path).read_text()
+    except OSError as exc:
+        raise SettingsError(f"can't read {path}: {exc.strerror}") from exc
+    return parse_settings(text)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and port of ``host:port``.
+
+    :raises SettingsError: if it is something else
+    """
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise SettingsError(f"{address!r} is no host:port")
+    return host, int(port)
--- /dev/null
+++ b/src/ferryledge/platform/_store.py
@@ -0,0 +1,167 @@
+"""A client of the platform's log store."""
+
+from collections import abc
+import base64
+import dataclasses
+import typing
+
+import httpcore
+import msgspec
+
+from ferryledge import net
+
+_LENGTH_BYTES = 4
+_OFFSET_BYTES = 8
+_CONNECT_S = 1.0
+#: Seconds for an answer that need not wait for records.
+_ANSWER_S = 2.0
+_CONNECTIONS = 2
+
+
+class StoreError(Exception):
+    """The store did not answer, or refused.
+
+    Nothing is known of a call without an answer: it may have been done.
+    """
+
+
+class RecordsGoneError(StoreError):
+    """The records asked for are no longer kept; read the newest ones."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyedRecord:
+    """A record of a topic that keeps the newest of each key."""
+
+    key: str
+    #: Empty drops the key.
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyedPage:
+    """Records in the order of the log."""
+
+    records: tuple[KeyedRecord, ...]
+    #: The offset after the last record.
+    next_offset: int
+
+
+class _Item(msgspec.Struct, frozen=True):
+    key: str = msgspec.field(name="TlsKey")
+    value: str = msgspec.field(name="Value")
+
+
+class _Newest(msgspec.Struct, frozen=True):
+    items: tuple[_Item, ...] = ()
+    more: bool = msgspec.field(name="MorePages", default=False)
+    end: int = msgspec.field(name="End", default=0)
+
+
+class StoreClient:
+    """Reads and writes topics by HTTP.
+
+    :param address: ``host:port`` of the store
+    """
+
+    def __init__(self, address: str) -> None:
+        self._caller = net.HttpCaller(f"http://{address}", _CONNECTIONS)
+
+    async def close(self) -> None:
+        """Close all connections that are not in use."""
+        await self._caller.close()
+
+    async def newest(self, topic: str) -> KeyedPage:
+        """Return the newest record of each key.
+
+        :param topic: a topic that keeps them
+        :raises StoreError: if the store did not answer with them
+        """
+        records: list[KeyedRecord] = []
+        after = ""
+        while True:
+            path = f"/log-newest?Topic={topic}&part=0"
+            if after:
+                path += f"&DependsOn={after}"
+            content = await self._call("GET", path)
+            page = _decode_newest(content)
+            records += [
+                KeyedRecord(item.key, base64.b64decode(item.value))
+                for item in page.items
+            ]
+            if not page.more or not page.items:
+                return KeyedPage(tuple(records), page.end)
+            after = page.items[-1].key
+
+    async def read(self, topic: str, offset: int, wait_s: float) -> KeyedPage:
+        """Return the records from an offset on, once there is one.
+
+        :param topic: a topic that keeps the newest record of each key
+        :param offset: of the first record
+        :param wait_s: seconds to wait for a record
+        :raises RecordsGoneError: if the offset is no longer kept
+        :raises StoreError: if the store did not answer with them
+        """
+        path = (
+            f"/log-read?Topic={topic}&part=0&From={offset}"
+            f"&WaitMs={int(wait_s * 1000.0)}"
+        )
+        content = await self._call("GET", path, answer_s=wait_s + _ANSWER_S)
+        records = tuple(_decode_records(content))
+        return KeyedPage(records, offset + len(records))
+
+    async def put(self, topic: str, record: KeyedRecord) -> None:
+        """Append one record.
+
+        :raises StoreError: if it is not known to be kept
+        """
+        key = record.key.encode()
+        raw = bytes([len(key)]) + key + record.value
+        body = len(raw).to_bytes(_LENGTH_BYTES, "big") + raw
+        path = f"/log-append?Topic={topic}&part=0"
+        await self._call("POST", path, body)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        content: bytes = b"",
+        answer_s: float = _ANSWER_S,
+    ) -> bytes:
+        try:
+            response = await self._caller.call(
+                method,
+                path,
+                content,
+                connect_s=_CONNECT_S,
+                answer_s=answer_s,
+            )
+        except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+            raise StoreError(f"{path}: {exc!r}") from exc
+        except httpcore.TimeoutException as exc:
+            raise StoreError(f"{path}: no answer in time") from exc
+        if response.status == 410:
+            raise RecordsGoneError(path)
+        if response.status != 200:
+            raise StoreError(f"{path}: status {response.status}")
+        return typing.cast(bytes, response.content)
+
+
+def _decode_newest(content: bytes) -> _Newest:
+    try:
+        return msgspec.json.decode(content, type=_Newest)
+    except msgspec.DecodeError as exc:
+        raise StoreError(f"unreadable list of records: {exc}") from exc
+
+
+def _decode_records(content: bytes) -> abc.Iterator[KeyedRecord]:
+    """Yield the records behind the two offsets that lead an answer."""
+    at = 2 * _OFFSET_BYTES
+    while at + _LENGTH_BYTES <= len(content):
+        start = at + _LENGTH_BYTES
+        length = int.from_bytes(content[at:start], "big")
+        raw = content[start : start + length]
+        at = start + length
+        if raw:
+            key_end = 1 + raw[0]
+            yield KeyedRecord(raw[1:key_end].decode(), raw[key_end:])
--- a/src/ferryledge/runtime/__init__.py
+++ b/src/ferryledge/runtime/__init__.py
@@ -1,38 +1,33 @@
 """What the daemons share: settings, logs, metrics, streams, HTTP."""
 
-from ferryledge.runtime import _asgi
-from ferryledge.runtime import _driver
-from ferryledge.runtime import _http
-from ferryledge.runtime import _logging
-from ferryledge.runtime import _mesh
+from ferryledge import logs
+from ferryledge import net
 from ferryledge.runtime import _metrics
 from ferryledge.runtime import _platform
-from ferryledge.runtime import _server
 from ferryledge.runtime import _settings
-from ferryledge.runtime import _stop
 
 AppendLostError = _platform.AppendLostError
-BodyError = _asgi.BodyError
-Driver = _driver.Driver
-Handler = _asgi.Handler
-HttpCaller = _http.HttpCaller
-HttpResponse = _asgi.HttpResponse
-Mesh = _mesh.Mesh
+BodyError = net.BodyError
+Driver = net.Driver
+Handler = net.Handler
+HttpCaller = net.HttpCaller
+HttpResponse = net.HttpResponse
+Mesh = net.Mesh
 Metrics = _metrics.Metrics
-PeerAddress = _mesh.PeerAddress
+PeerAddress = net.PeerAddress
 PlatformClient = _platform.PlatformClient
 PlatformError = _platform.PlatformError
 ProcessSettings = _settings.ProcessSettings
-Request = _asgi.Request
+Request = net.Request
 VmRecord = _platform.VmRecord
 VmRole = _platform.VmRole
 VmState = _platform.VmState
-asgi_app = _asgi.asgi_app
-configure_logging = _logging.configure_logging
+asgi_app = net.asgi_app
+configure_logging = logs.configure_logging
 load_settings = _settings.load_settings
-new_incarnation = _settings.new_incarnation
-run_daemon = _stop.run_daemon
-serve_http = _server.serve_http
+new_incarnation = net.new_incarnation
+run_daemon = net.run_daemon
+serve_http = net.serve_http
 settings_options = _settings.settings_options
 
 __all__ = [
--- a/src/ferryledge/runtime/_platform.py
+++ b/src/ferryledge/runtime/_platform.py
@@ -8,7 +8,7 @@
 import pydantic
 
 from ferryledge import configlog
-from ferryledge.runtime import _http
+from ferryledge import net
 
 _STREAM = "ferryledge"
 _READ_S = 5.0
@@ -89,7 +89,7 @@
 
     def __init__(self, url: str) -> None:
         self._url = url.rstrip("/")
-        self._caller = _http.HttpCaller(self._url, _CONNECTIONS)
+        self._caller = net.HttpCaller(self._url, _CONNECTIONS)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/src/ferryledge/runtime/_settings.py
+++ b/src/ferryledge/runtime/_settings.py
@@ -5,7 +5,6 @@
 """
 
 from collections import abc
-import secrets
 import sys
 import typing
 
@@ -138,8 +137,3 @@
         f"error: setting {flag} ({variable}) is {first['input']!r}: "
         f"{first['msg']}"
     )
-
-
-def new_incarnation() -> str:
-    """Return a name for this start of the process."""
-    return secrets.token_hex(5)
--- a/src/ferryledge/wire/__init__.py
+++ b/src/ferryledge/wire/__init__.py
@@ -2,11 +2,13 @@
 
 from ferryledge.wire import _codec
 from ferryledge.wire import _handshake
+from ferryledge.wire import _lease_messages
 from ferryledge.wire import _messages
+from ferryledge.wire import _stream_events
 
 AuthenticationError = _handshake.AuthenticationError
 Decoder = _codec.Decoder
-Message = _messages.Message
+Message = _codec.Message
 WireError = _codec.WireError
 encode = _codec.encode
 
@@ -29,19 +31,44 @@
 KeepAlive = _messages.KeepAlive
 Leaving = _messages.Leaving
 OutcomeRecord = _messages.OutcomeRecord
+PeerDown = _stream_events.PeerDown
+PeerUp = _stream_events.PeerUp
 PlaceJob = _messages.PlaceJob
+Received = _stream_events.Received
 Reconcile = _messages.Reconcile
 ReleaseReason = _messages.ReleaseReason
 ReportNow = _messages.ReportNow
 Role = _messages.Role
 Settle = _messages.Settle
 StartTasks = _messages.StartTasks
+StreamEvent = _stream_events.StreamEvent
 TasksFinished = _messages.TasksFinished
 TasksReleased = _messages.TasksReleased
 Tickets = _messages.Tickets
 Verdict = _messages.Verdict
 VerdictTag = _messages.VerdictTag
 
+AskLease = _lease_messages.AskLease
+ClaimRuns = _lease_messages.ClaimRuns
+EndpointState = _lease_messages.EndpointState
+EntryAddress = _lease_messages.EntryAddress
+EntryList = _lease_messages.EntryList
+GrantLease = _lease_messages.GrantLease
+HeldRun = _lease_messages.HeldRun
+HowEnded = _lease_messages.HowEnded
+LeaseMessage = _lease_messages.LeaseMessage
+NotStarted = _lease_messages.NotStarted
+OrderRuns = _lease_messages.OrderRuns
+Resources = _lease_messages.Resources
+RunEnd = _lease_messages.RunEnd
+RunProgress = _lease_messages.RunProgress
+RunsEnded = _lease_messages.RunsEnded
+RunsHeld = _lease_messages.RunsHeld
+RunsProgress = _lease_messages.RunsProgress
+RunsReleased = _lease_messages.RunsReleased
+StopRuns = _lease_messages.StopRuns
+TaskRun = _lease_messages.TaskRun
+
 accept = _handshake.accept
 connect = _handshake.connect
 process_key = _messages.process_key
@@ -49,33 +76,57 @@
 __all__ = [
     "AbandonJobs",
     "AgentSet",
+    "AskLease",
     "AskTickets",
     "AuthenticationError",
     "Authorise",
     "CancelJob",
     "CancelRequest",
     "CancelTasks",
+    "ClaimRuns",
     "ConfigReply",
     "ConfigRequest",
     "Decoder",
+    "EndpointState",
+    "EntryAddress",
+    "EntryList",
     "FenceOwner",
     "FenceReport",
     "FencedJob",
     "FinishedTask",
     "FrontTask",
+    "GrantLease",
+    "HeldRun",
     "Hello",
+    "HowEnded",
     "JobAnswered",
     "KeepAlive",
+    "LeaseMessage",
     "Leaving",
     "Message",
+    "NotStarted",
+    "OrderRuns",
     "OutcomeRecord",
+    "PeerDown",
+    "PeerUp",
     "PlaceJob",
+    "Received",
     "Reconcile",
     "ReleaseReason",
     "ReportNow",
+    "Resources",
     "Role",
+    "RunEnd",
+    "RunProgress",
+    "RunsEnded",
+    "RunsHeld",
+    "RunsProgress",
+    "RunsReleased",
     "Settle",
     "StartTasks",
+    "StopRuns",
+    "StreamEvent",
+    "TaskRun",
     "TasksFinished",
     "TasksReleased",
     "Tickets",
--- a/src/ferryledge/wire/_codec.py
+++ b/src/ferryledge/wire/_codec.py
@@ -6,6 +6,7 @@
 import msgpack
 import msgspec
 
+from ferryledge.wire import _lease_messages
 from ferryledge.wire import _messages
 
 #: Largest message in bytes; a job of 810 tasks fits well.
@@ -14,14 +15,15 @@
 MAX_ARRAY = 4096
 
 _BUILTIN_TYPES = (bytes,)
-_UNION: typing.Any = _messages.Message
+Message = _messages.Message | _lease_messages.LeaseMessage
+_UNION: typing.Any = Message
 
 
 class WireError(Exception):
     """The stream holds something that is not a message."""
 
 
-def encode(message: _messages.Message) -> bytes:
+def encode(message: Message) -> bytes:
     """Return the message's bytes."""
     plain = msgspec.to_builtins(message, builtin_types=_BUILTIN_TYPES)
     return typing.cast(bytes, msgpack.packb(plain))
@@ -46,7 +48,7 @@
     def __init__(self) -> None:
         self._unpacker = _unpacker()
 
-    def feed(self, data: bytes) -> abc.Iterator[_messages.Message]:
+    def feed(self, data: bytes) -> abc.Iterator[Message]:
         """Yield the messages that ``data`` completes.
 
         :param data: the next bytes of the stream
--- /dev/null
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -0,0 +1,222 @@
+"""Messages about tasks that run under leases.
+
+An entry orders runs at an agent, the agent reports how they end. The agent
+renews what runs only while the entry that ordered it grants it the right
+to, so both sides can tell when a run is over although the other is silent.
+"""
+
+import enum
+
+from ferryledge.wire import _messages
+
+
+class Resources(_messages.Model, frozen=True):
+    """What a task needs, or an endpoint has."""
+
+    #: Thousandths of a core.
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+
+    def fits_in(self, free: "Resources") -> bool:
+        """Return whether there is room for this in ``free``."""
+        return (
+            self.cpu_millis <= free.cpu_millis
+            and self.memory_mb <= free.memory_mb
+            and self.gpus <= free.gpus
+        )
+
+    def plus(self, other: "Resources", times: int = 1) -> "Resources":
+        """Return the sum with that many times the other."""
+        return Resources(
+            self.cpu_millis + times * other.cpu_millis,
+            self.memory_mb + times * other.memory_mb,
+            self.gpus + times * other.gpus,
+        )
+
+    def minus(self, other: "Resources", times: int = 1) -> "Resources":
+        """Return what is left after that many times the other."""
+        return self.plus(other, -times)
+
+
+class TaskRun(_messages.Model, frozen=True):
+    """One run of one task of a job."""
+
+    step: int
+    index: int
+    #: Counts the task's runs, from 1.
+    run: int
+
+
+class OrderRuns(_messages.Model, frozen=True, tag="order"):
+    """Start these runs at once, or release those without room."""
+
+    #: Counts the sender's orders to this agent, from 1.
+    number: int
+    job: str
+    #: What the endpoint is to run, as the client sent it.
+    spec: str
+    #: What one task needs.
+    need: Resources
+    runs: tuple[TaskRun, ...]
+    #: The endpoint's incarnation that is meant.
+    endpoint: str
+
+
+class NotStarted(enum.StrEnum):
+    """Why an agent did not start a run."""
+
+    ENDPOINT = "endpoint"
+    FULL = "full"
+    LEAVING = "leaving"
+    NO_ANSWER = "no_answer"
+    REJECTED = "rejected"
+    RUN_NUMBER = "run_number"
+    UNHEALTHY = "unhealthy"
+
+
+class RunsReleased(_messages.Model, frozen=True, tag="not-started"):
+    """These runs have not started at the sender and never will."""
+
+    job: str
+    runs: tuple[TaskRun, ...]
+    reason: NotStarted
+
+
+class HowEnded(enum.StrEnum):
+    """How a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    #: It was stopped on the entry's word, or for want of it.
+    STOPPED = "stopped"
+    #: Its lease was not renewed in time.
+    LAPSED = "lapsed"
+    #: The endpoint went away with it.
+    LOST = "lost"
+
+
+class RunEnd(_messages.Model, frozen=True):
+    """The end of one run."""
+
+    run: TaskRun
+    how: HowEnded
+    #: Seconds that it ran.
+    run_s: float
+
+
+class RunsEnded(_messages.Model, frozen=True, tag="ended"):
+    """Ends of runs of one job."""
+
+    job: str
+    ends: tuple[RunEnd, ...]
+
+
+class StopRuns(_messages.Model, frozen=True, tag="stop-runs"):
+    """Stop these runs; their ends are reported as usual."""
+
+    job: str
+    runs: tuple[TaskRun, ...]
+
+
+class HeldRun(_messages.Model, frozen=True):
+    """A run that is alive at an agent."""
+
+    job: str
+    run: TaskRun
+    #: What it takes; nothing if the sender does not know.
+    need: Resources = Resources()
+
+
+class RunsHeld(_messages.Model, frozen=True, tag="held"):
+    """All runs of the receiver that are alive, or may be, at the sender.
+
+    Comes first on a new stream, after the ends that were not told yet: a
+    run that is neither listed here nor told as ended is over. Runs that the
+    sender found at its endpoint without knowing whose they are go to every
+    entry.
+    """
+
+    runs: tuple[HeldRun, ...]
+
+
+class ClaimRuns(_messages.Model, frozen=True, tag="claim"):
+    """The sender goes on waiting for these runs."""
+
+    runs: tuple[HeldRun, ...]
+
+
+class RunProgress(_messages.Model, frozen=True):
+    """How far a run has come."""
+
+    job: str
+    run: TaskRun
+    #: Share of its work that is done, from 0 to 1.
+    done: float
+    #: Seconds that it has run.
+    run_s: float
+
+
+class RunsProgress(_messages.Model, frozen=True, tag="progress"):
+    """How far the receiver's runs have come."""
+
+    runs: tuple[RunProgress, ...]
+
+
+class EndpointState(_messages.Model, frozen=True, tag="endpoint"):
+    """The sender's endpoint; empty fields while none is known."""
+
+    #: Differs each time the endpoint starts.
+    incarnation: str = ""
+    service: str = ""
+    labels: tuple[str, ...] = ()
+    capacity: Resources = Resources()
+    #: Room that no run holds, whoever ordered it.
+    free: Resources = Resources()
+    #: Whether new runs are accepted.
+    accepting: bool = False
+    #: Number of the receiver's last order that ``free`` accounts for.
+    orders_seen: int = 0
+    #: Seconds until it may be gone; 0 is unlimited.
+    remaining_s: float = 0.0
+
+
+class AskLease(_messages.Model, frozen=True, tag="ask-lease"):
+    """Ask an entry for the right to go on renewing its runs."""
+
+    number: int
+
+
+class GrantLease(_messages.Model, frozen=True, tag="grant-lease"):
+    """The right, counted from the sending of the ask with this number."""
+
+    number: int
+
+
+class EntryAddress(_messages.Model, frozen=True):
+    """Where an entry listens for streams."""
+
+    name: str
+    host: str
+    port: int
+
+
+class EntryList(_messages.Model, frozen=True, tag="entries"):
+    """The entries that the sender knows."""
+
+    entries: tuple[EntryAddress, ...]
+
+
+LeaseMessage = (
+    OrderRuns
+    | RunsReleased
+    | RunsEnded
+    | StopRuns
+    | RunsHeld
+    | ClaimRuns
+    | RunsProgress
+    | EndpointState
+    | AskLease
+    | GrantLease
+    | EntryList
+)
