Reload the settings on SIGHUP instead of ending

Change: daemons receive SIGHUP, read the settings again and move to another store address if it changed; wrong settings change nothing.

--- a/src/ferryledge/hosted/__main__.py
+++ b/src/ferryledge/hosted/__main__.py
@@ -50,7 +50,7 @@
     from ferryledge.hosted import _entry
 
     daemon = _entry.HostedEntry(_settings(), _keys())
-    sys.exit(net.run_daemon(daemon.run, daemon.unfinished))
+    sys.exit(net.run_daemon(daemon.run, daemon.unfinished, daemon.reload))
 
 
 @main.command()
@@ -59,7 +59,7 @@
     from ferryledge.hosted import _agent
 
     daemon = _agent.HostedAgent(_settings(), _keys())
-    sys.exit(net.run_daemon(daemon.run, daemon.unfinished))
+    sys.exit(net.run_daemon(daemon.run, daemon.unfinished, daemon.reload))
 
 
 if __name__ == "__main__":
--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -32,12 +32,22 @@
     ) -> None:
         self._settings = settings
         self._keys = keys
+        self._store = platform.StoreClient(settings.store.address)
         self._group: anyio_abc.TaskGroup | None = None
 
     def unfinished(self) -> str:
         """Return what is in flight, for the log."""
         return "running tasks"
 
+    def reload(self) -> None:
+        """Take over changed settings; wrong ones change nothing."""
+        try:
+            self._settings = platform.read_settings()
+        except platform.SettingsError as exc:
+            loguru.logger.error("settings kept: {}", exc, step="reload")
+            return
+        self._store.move(self._settings.store.address)
+
     async def run(self, drain: anyio.Event) -> None:
         """Serve until the event is set and the runs have ended."""
         settings = self._settings
@@ -86,9 +96,8 @@
         assert self._group is not None
         hosts = [platform.split_address(one)[0] for one in settings.seeds]
         self._dialler.dial_seeds(self._group, hosts, settings.stream_port)
-        store = platform.StoreClient(settings.store.address)
         while True:
-            await _members.read_once(store, self._on_entries)
+            await _members.read_once(self._store, self._on_entries)
             await anyio.sleep(_LOOK_AGAIN_S)
             while self._mesh.names():
                 await anyio.sleep(_LOOK_AGAIN_S)
--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -66,6 +66,15 @@
         """Return what is in flight, for the log."""
         return f"{self._core.open_jobs} jobs of clients"
 
+    def reload(self) -> None:
+        """Take over changed settings; wrong ones change nothing."""
+        try:
+            self._settings = platform.read_settings()
+        except platform.SettingsError as exc:
+            loguru.logger.error("settings kept: {}", exc, step="reload")
+            return
+        self._store.move(self._settings.store.address)
+
     async def run(self, drain: anyio.Event) -> None:
         """Serve until the event is set and the jobs are answered."""
         settings = self._settings
--- a/src/ferryledge/net/_stop.py
+++ b/src/ferryledge/net/_stop.py
@@ -12,6 +12,7 @@
 
 Main = abc.Callable[[anyio.Event], abc.Awaitable[None]]
 Unfinished = abc.Callable[[], str]
+Reload = abc.Callable[[], None]
 
 
 async def _watch_signals(
@@ -35,9 +36,17 @@
             return
 
 
-async def _run(main: Main, unfinished: Unfinished) -> int:
+async def _watch_reloads(reload: Reload) -> None:
+    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            loguru.logger.info("reloading the settings", step="reload")
+            reload()
+
+
+async def _run(main: Main, unfinished: Unfinished, reload: Reload) -> int:
     drain = anyio.Event()
     async with anyio.create_task_group() as group:
+        group.start_soon(_watch_reloads, reload)
         group.start_soon(_watch_signals, drain, group.cancel_scope, unfinished)
         await main(drain)
         group.cancel_scope.cancel()
@@ -45,7 +54,13 @@
     return EXIT_CUT_OFF
 
 
-def run_daemon(main: Main, unfinished: Unfinished) -> int:
+def keep_settings() -> None:
+    """Reload nothing: the settings hold until the process ends."""
+
+
+def run_daemon(
+    main: Main, unfinished: Unfinished, reload: Reload = keep_settings
+) -> int:
     """Run a daemon until it has drained.
 
     The first SIGTERM or SIGINT asks it to finish; a second one ends it at
@@ -53,6 +68,7 @@
 
     :param main: runs until the event is set and all work is done
     :param unfinished: says what is in flight
+    :param reload: called when SIGHUP says that the settings have changed
     :return: the exit code
     """
-    return anyio.run(_run, main, unfinished)
+    return anyio.run(_run, main, unfinished, reload)
--- a/src/ferryledge/platform/_store.py
+++ b/src/ferryledge/platform/_store.py
@@ -65,8 +65,15 @@
     """
 
     def __init__(self, address: str) -> None:
+        self._address = address
         self._caller = net.HttpCaller(f"http://{address}", _CONNECTIONS)
 
+    def move(self, address: str) -> None:
+        """Call another address from now on; calls on their way go on."""
+        if address != self._address:
+            self._address = address
+            self._caller = net.HttpCaller(f"http://{address}", _CONNECTIONS)
+
     async def close(self) -> None:
         """Close all connections that are not in use."""
         await self._caller.close()
