--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -22,6 +22,9 @@
 _KILL_MARGIN_S = 0.6
 #: Seconds that answers get to leave.
 _FLUSH_S = 0.1
+#: How long a request waits for the first configuration, in seconds: most
+#: starts have it sooner, and a later refusal would be priced as late.
+_CONFIG_WAIT_S = 0.6
 #: What a refused client is told to wait, in seconds.
 _RETRY_S = 1.0
 
@@ -59,6 +62,7 @@
         self._group: anyio_abc.TaskGroup | None = None
         self._tokens = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
+        self._configured = anyio.Event()
         self._draining = False
         self._refusing = False
 
@@ -136,6 +140,7 @@
                 self._dial(entries)
             case leases.ApplyConfig(version, data):
                 self._config = platform.parse_config(data)
+                self._configured.set()
                 loguru.logger.info(
                     "configuration {} in force", version, step="config"
                 )
@@ -167,6 +172,8 @@
     async def _handle(self, request: net.Request) -> net.HttpResponse:
         if request.path == "/ready" and request.method == "GET":
             return self._readiness()
+        with anyio.move_on_after(_CONFIG_WAIT_S):
+            await self._configured.wait()
         config = self._config
         if config is None:
             reason = outcomes.Reason.NO_CONFIGURATION
--- a/src/ferryledge/leases/_admission.py
+++ b/src/ferryledge/leases/_admission.py
@@ -60,6 +60,8 @@
             return self._refuse(outcomes.Reason.CAPACITY, "waited too long")
         if waited < _PROMPT_SHARE * job.objective_s:
             return None
+        if self._pool.may_recover(now):
+            return None
         wait_s = self._wait_s(now, job, jobs)
         if now + wait_s > job.start_by:
             return self._refuse(
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -9,11 +9,12 @@
 from ferryledge.leases import _endpoint
 from ferryledge.leases import _owners
 from ferryledge.leases import _runs
+from ferryledge.leases import _speed
 from ferryledge.leases import _timing
 from ferryledge import wire
 
-#: Seconds between reports of progress to one entry.
-_PROGRESS_S = 0.1
+#: Seconds between reports of runs that a slow endpoint holds up.
+_LATE_S = 0.1
 #: Seconds after which a disconnected entry without runs is forgotten.
 _FORGET_S = 10.0
 
@@ -56,7 +57,8 @@
         self._owners = _owners.OwnerTable(self._timing)
         self._actions: list[_agent_events.AgentAction] = []
         self._draining = False
-        self._progress_at = now
+        self._speed = _speed.EndpointSpeed()
+        self._late_told_at = now
         self._unclaimed_since = now
         self._now = now
 
@@ -109,6 +111,7 @@
         match event:
             case _agent_events.EndpointSeen():
                 if self._link.see(event, now):
+                    self._speed = _speed.EndpointSpeed()
                     self._lose_all()
             case _agent_events.EndpointLeft(incarnation):
                 self._link.leave(incarnation)
@@ -132,7 +135,7 @@
         self._repeat_stops(now)
         self._tell_held()
         self._ask(now)
-        self._tell_progress(now)
+        self._tell_late(now)
         self._tell_state(now)
         actions = self._actions
         self._actions = []
@@ -248,6 +251,8 @@
             now,
             lease_until_ms,
         )
+        if order.expected_s > 0.0:
+            row.pace = _speed.RunPace(order.expected_s, now)
         self._runs.add(row)
         self._actions.append(
             _agent_events.StartRun(
@@ -339,6 +344,8 @@
         match event.result:
             case _agent_events.StartResult.STARTED:
                 row.confirmed_at = now
+                if row.pace is not None:
+                    row.pace.sampled_at = now
                 if row.state is _runs.RunState.ORDERED:
                     row.state = _runs.RunState.RUNNING
             case _agent_events.StartResult.SILENT:
@@ -367,12 +374,19 @@
             if run is None:
                 self._check_unlisted(event, row)
                 continue
-            row.done = run.done
             row.confirmed_at = row.confirmed_at or event.sent_at
+            self._sample(now, row, run.done)
         for key in listed:
             self._adopt(now, key)
         self._link.synced = True
 
+    def _sample(self, now: float, row: _runs.RunRow, done: float) -> None:
+        if row.pace is None or row.state is not _runs.RunState.RUNNING:
+            return
+        speed = row.pace.sample(now, done)
+        if speed is not None:
+            self._speed.sample(now, speed)
+
     def _on_listed_end(self, end: _agent_events.ListedEnd) -> None:
         if end.number <= self._link.acknowledged:
             return
@@ -476,23 +490,30 @@
             busy = bool(self._runs.of_owner(owner.incarnation))
             self._send(owner, self._owners.ask(owner, now, busy))
 
-    def _tell_progress(self, now: float) -> None:
-        if now - self._progress_at < _PROGRESS_S:
+    def _tell_late(self, now: float) -> None:
+        """Tell entries of their runs on an endpoint that became slow."""
+        if self._speed.reported < _speed.SLOW_FROM:
+            return
+        if now - self._late_told_at < _LATE_S:
             return
-        self._progress_at = now
+        self._late_told_at = now
         for owner in self._owners.connected():
             runs = tuple(
-                wire.RunProgress(
-                    row.key.job,
-                    row.key.task_run,
-                    row.done,
-                    now - row.confirmed_at,
-                )
+                self._late_run(now, row, row.pace)
                 for row in self._runs.of_owner(owner.incarnation)
-                if row.confirmed_at is not None
+                if row.pace is not None and row.state is _runs.RunState.RUNNING
             )
             if runs:
-                self._send(owner, wire.RunsProgress(runs))
+                self._send(owner, wire.LateRuns(runs))
+
+    def _late_run(
+        self, now: float, row: _runs.RunRow, pace: _speed.RunPace
+    ) -> wire.LateRun:
+        run = row.key.task_run
+        if pace.rate <= 0.0:
+            return wire.LateRun(row.key.job, run, None, None)
+        normal_s = 1.0 / (pace.rate * self._speed.slowness)
+        return wire.LateRun(row.key.job, run, pace.left_s(now), normal_s)
 
     def _tell_state(self, now: float) -> None:
         accepting = self._accepts(now)
@@ -510,6 +531,7 @@
                     accepting,
                     owner.orders_seen,
                     seen.remaining_s,
+                    self._speed.reported,
                 )
             if state != owner.told:
                 owner.told = state
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -11,6 +11,7 @@
 from ferryledge.leases import _admission
 from ferryledge.leases import _entry_events
 from ferryledge.leases import _jobs
+from ferryledge.leases import _moving
 from ferryledge.leases import _peers
 from ferryledge.leases import _placing
 from ferryledge.leases import _pool
@@ -95,7 +96,7 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether some endpoint takes work from this entry."""
-        return any(row.connected and row.reconciled for row in self._pool)
+        return self._pool.is_usable(now)
 
     def abandon_all(self) -> None:
         """Answer all open jobs now: the process is about to end."""
@@ -282,8 +283,8 @@
                     self._on_ended(now, row, name, end)
             case wire.RunsHeld(runs):
                 self._on_held(now, row, runs)
-            case wire.RunsProgress(runs):
-                self._on_progress(runs)
+            case wire.LateRuns(runs):
+                self._on_late(now, runs)
             case wire.Leaving():
                 row.leaving = True
 
@@ -310,7 +311,6 @@
         task.state = _jobs.TaskState.WAITING
         task.agent = ""
         task.stopping = False
-        task.done = 0.0
         self._dirty = True
         return job, task
 
@@ -413,12 +413,17 @@
         row.reconciled = True
         self._dirty = True
 
-    def _on_progress(self, runs: tuple[wire.RunProgress, ...]) -> None:
-        for progress in runs:
-            job = self._jobs.get(progress.job)
-            task = job.find(progress.run) if job else None
-            if task is not None:
-                task.done = progress.done
+    def _on_late(self, now: float, runs: tuple[wire.LateRun, ...]) -> None:
+        """Move runs away from a slow endpoint where that helps."""
+        for late in runs:
+            job = self._jobs.get(late.job)
+            task = job.find(late.run) if job else None
+            if job is None or task is None:
+                continue
+            if _moving.is_worth_moving(now, job, task, late, self._pool):
+                task.moves += 1
+                task.avoid.add(task.agent)
+                self._stop(job, [task])
 
     # Systems.
 
@@ -485,8 +490,11 @@
             need,
             tuple(runs),
             row.state.incarnation,
+            job.expected_s,
         )
         self._send(row.name, order)
+        if row.slow:
+            row.tried_at = now
         if not isinstance(self._judge.state(row.name), health.Healthy):
             self._judge.probe_sent(row.name)
             row.healthy = False
--- a/src/ferryledge/leases/_jobs.py
+++ b/src/ferryledge/leases/_jobs.py
@@ -78,8 +78,6 @@
     ordered_at: float = 0.0
     #: Agents that failed or were too slow for it.
     avoid: set[str] = dataclasses.field(default_factory=set)
-    #: Share of its work that is done, from 0 to 1.
-    done: float = 0.0
     #: Whether its run was told to stop.
     stopping: bool = False
     #: Times that it was moved for being too slow.
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -60,11 +60,20 @@
         :param now: monotonic seconds
         :param jobs: those with waiting tasks
         """
-        rows = [row for row in self._pool if row.usable(now)]
+        rows = [
+            row
+            for row in self._pool
+            if row.usable(now) and (not row.slow or row.may_try(now))
+        ]
         rows.sort(key=self._order)
+        names = {row.name for row in rows}
         for job in sorted(jobs, key=lambda job: self._urgency(now, job)):
             if not any(row.free.cpu_millis > 0 for row in rows):
                 return
+            for task in job.startable():
+                if names and names <= task.avoid:
+                    # Nowhere else is left to try it.
+                    task.avoid.clear()
             yield from self._place_job(job, rows)
 
     def _urgency(self, now: float, job: _jobs.Job) -> tuple[bool, int, float]:
@@ -72,7 +81,7 @@
         return (late, 0, job.start_by)
 
     def _order(self, row: _pool.AgentRow) -> tuple[int, int]:
-        slowness = self._run_times.slowness(row.name)
+        slowness = max(self._run_times.slowness(row.name), row.state.slowness)
         rank = self._ranks.get(row.name)
         if rank is None:
             rank = self._ranks[row.name] = _preference(self._name, row)
@@ -109,6 +118,8 @@
             return []
         free = row.free
         most = step.max_per_endpoint or len(tasks)
+        if row.slow:
+            most = 1 if row.free == row.state.capacity else 0
         if step.max_per_endpoint:
             most -= sum(
                 task.agent == row.name and task.state is not WAITING
--- a/src/ferryledge/leases/_pool.py
+++ b/src/ferryledge/leases/_pool.py
@@ -3,11 +3,16 @@
 from collections import abc
 import dataclasses
 
+from ferryledge.leases import _speed
 from ferryledge.leases import _timing
 from ferryledge import wire
 
 #: Seconds without a message after which an agent gets no new runs.
 _QUIET_S = 0.45
+#: Seconds between single runs on an endpoint that was slow.
+_TRY_EVERY_S = 1.0
+#: Seconds without a usable agent after which jobs are not kept waiting.
+_HOPE_S = 2.0
 _UNKNOWN = wire.EndpointState()
 
 
@@ -37,6 +42,8 @@
     )
     #: Whether its endpoint takes work by the judge of health.
     healthy: bool = True
+    #: When a run was last tried on it while it was slow.
+    tried_at: float = float("-inf")
 
     @property
     def free(self) -> wire.Resources:
@@ -46,6 +53,16 @@
             free = free.minus(need)
         return free
 
+    @property
+    def slow(self) -> bool:
+        """Whether runs take far longer there than they should."""
+        return self.state.slowness >= _speed.SLOW_FROM
+
+    def may_try(self, now: float) -> bool:
+        """Return whether a slow endpoint may get one run, to see."""
+        idle = self.free == self.state.capacity
+        return idle and now - self.tried_at > _TRY_EVERY_S
+
     def usable(self, now: float) -> bool:
         """Return whether new runs may be ordered there."""
         return (
@@ -67,6 +84,7 @@
     def __init__(self, timing: _timing.LeaseTiming) -> None:
         self._timing = timing
         self._rows: dict[str, AgentRow] = {}
+        self._usable_at: float | None = None
 
     def __iter__(self) -> abc.Iterator[AgentRow]:
         return iter(list(self._rows.values()))
@@ -134,6 +152,19 @@
         for row in self._rows.values():
             row.heard_at = now
 
+    def is_usable(self, now: float) -> bool:
+        """Return whether some endpoint takes work."""
+        usable = any(row.usable(now) for row in self._rows.values())
+        if usable or self._usable_at is None:
+            self._usable_at = now
+        return usable
+
+    def may_recover(self, now: float) -> bool:
+        """Return whether agents are likely to come back soon."""
+        if self.is_usable(now) or self._usable_at is None:
+            return False
+        return now - self._usable_at < _HOPE_S
+
     def capacity_cores(self, now: float, service: str) -> float:
         """Return the cores of the endpoints that can be used."""
         return sum(
--- a/src/ferryledge/leases/_runs.py
+++ b/src/ferryledge/leases/_runs.py
@@ -9,6 +9,7 @@
 import dataclasses
 import enum
 
+from ferryledge.leases import _speed
 from ferryledge import wire
 
 
@@ -65,8 +66,8 @@
     stop_confirmed_at: float | None = None
     #: Why it is stopped, if it turns out that it never started.
     release: wire.NotStarted | None = None
-    #: Share of the work that is done, from 0 to 1.
-    done: float = 0.0
+    #: Its progress; none if its expected time is unknown.
+    pace: _speed.RunPace | None = None
 
     @property
     def may_run(self) -> bool:
--- a/src/ferryledge/wire/__init__.py
+++ b/src/ferryledge/wire/__init__.py
@@ -56,15 +56,15 @@
 GrantLease = _lease_messages.GrantLease
 HeldRun = _lease_messages.HeldRun
 HowEnded = _lease_messages.HowEnded
+LateRun = _lease_messages.LateRun
+LateRuns = _lease_messages.LateRuns
 LeaseMessage = _lease_messages.LeaseMessage
 NotStarted = _lease_messages.NotStarted
 OrderRuns = _lease_messages.OrderRuns
 Resources = _lease_messages.Resources
 RunEnd = _lease_messages.RunEnd
-RunProgress = _lease_messages.RunProgress
 RunsEnded = _lease_messages.RunsEnded
 RunsHeld = _lease_messages.RunsHeld
-RunsProgress = _lease_messages.RunsProgress
 RunsReleased = _lease_messages.RunsReleased
 StopRuns = _lease_messages.StopRuns
 TaskRun = _lease_messages.TaskRun
@@ -101,6 +101,8 @@
     "HowEnded",
     "JobAnswered",
     "KeepAlive",
+    "LateRun",
+    "LateRuns",
     "LeaseMessage",
     "Leaving",
     "Message",
@@ -117,10 +119,8 @@
     "Resources",
     "Role",
     "RunEnd",
-    "RunProgress",
     "RunsEnded",
     "RunsHeld",
-    "RunsProgress",
     "RunsReleased",
     "Settle",
     "StartTasks",
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -61,6 +61,8 @@
     runs: tuple[TaskRun, ...]
     #: The endpoint's incarnation that is meant.
     endpoint: str
+    #: Expected run time of one task at normal speed, in seconds.
+    expected_s: float = 0.0
 
 
 class NotStarted(enum.StrEnum):
@@ -146,21 +148,22 @@
     runs: tuple[HeldRun, ...]
 
 
-class RunProgress(_messages.Model, frozen=True):
-    """How far a run has come."""
+class LateRun(_messages.Model, frozen=True):
+    """A run on an endpoint that has become slow."""
 
     job: str
     run: TaskRun
-    #: Share of its work that is done, from 0 to 1.
-    done: float
-    #: Seconds that it has run.
-    run_s: float
+    #: Seconds until its end at its present rate; none if it stands still.
+    left_s: float | None
+    #: Seconds that the whole run would take on a normal endpoint; none if
+    #: it stands still.
+    normal_s: float | None
 
 
-class RunsProgress(_messages.Model, frozen=True, tag="progress"):
-    """How far the receiver's runs have come."""
+class LateRuns(_messages.Model, frozen=True, tag="late"):
+    """Runs of the receiver that the sender's endpoint holds up."""
 
-    runs: tuple[RunProgress, ...]
+    runs: tuple[LateRun, ...]
 
 
 class EndpointState(_messages.Model, frozen=True, tag="endpoint"):
@@ -179,6 +182,8 @@
     orders_seen: int = 0
     #: Seconds until it may be gone; 0 is unlimited.
     remaining_s: float = 0.0
+    #: How many times as long runs take there now; 1 is as usual.
+    slowness: float = 1.0
 
 
 class AskLease(_messages.Model, frozen=True, tag="ask-lease"):
@@ -214,7 +219,7 @@
     | StopRuns
     | RunsHeld
     | ClaimRuns
-    | RunsProgress
+    | LateRuns
     | EndpointState
     | AskLease
     | GrantLease
