--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -10,6 +10,7 @@
 from ferryledge.leases import _owners
 from ferryledge.leases import _runs
 from ferryledge.leases import _speed
+from ferryledge.leases import _states
 from ferryledge.leases import _timing
 from ferryledge import wire
 
@@ -149,12 +150,17 @@
             for row in self._runs
             if row.stop_sent_at is not None and row.stop_confirmed_at is None
         ]
+        states = [
+            one.told_at + _states.EVERY_S
+            for one in self._owners.connected()
+            if one.told is not None and one.told.free != self._free()
+        ]
         grants = [
             owner.granted_at + self._timing.grant_s
             for owner in self._owners
             if self._runs.of_owner(owner.incarnation)
         ]
-        return min(asks + stops + grants, default=float("inf"))
+        return min(asks + stops + states + grants, default=float("inf"))
 
     def renewal(self, now: float) -> _agent_events.Renewal:
         """Return what the next call for a renewal is to say."""
@@ -533,6 +539,7 @@
                     seen.remaining_s,
                     self._speed.reported,
                 )
-            if state != owner.told:
+            if _states.is_due(owner.told, state, now - owner.told_at):
                 owner.told = state
+                owner.told_at = now
                 self._send(owner, state)
--- a/src/ferryledge/leases/_owners.py
+++ b/src/ferryledge/leases/_owners.py
@@ -26,6 +26,8 @@
     orders_seen: int = 0
     #: The state of the endpoint that it was told last.
     told: wire.EndpointState | None = None
+    #: When that was.
+    told_at: float = float("-inf")
     #: Whether it is still to hear what is held for it.
     wants_held: bool = True
     #: Ends that it was not told yet.
