--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -351,7 +351,7 @@
             case _agent_events.StartResult.STARTED:
                 row.confirmed_at = now
                 if row.pace is not None:
-                    row.pace.sampled_at = now
+                    row.pace.start(now)
                 if row.state is _runs.RunState.ORDERED:
                     row.state = _runs.RunState.RUNNING
             case _agent_events.StartResult.SILENT:
@@ -381,17 +381,19 @@
                 self._check_unlisted(event, row)
                 continue
             row.confirmed_at = row.confirmed_at or event.sent_at
-            self._sample(now, row, run.done)
+            if row.pace is not None:
+                row.pace.sample(now, run.done)
         for key in listed:
             self._adopt(now, key)
+        self._speed.update(now, self._paces())
         self._link.synced = True
 
-    def _sample(self, now: float, row: _runs.RunRow, done: float) -> None:
-        if row.pace is None or row.state is not _runs.RunState.RUNNING:
-            return
-        speed = row.pace.sample(now, done)
-        if speed is not None:
-            self._speed.sample(now, speed)
+    def _paces(self) -> list[_speed.RunPace]:
+        return [
+            row.pace
+            for row in self._runs
+            if row.pace is not None and row.state is _runs.RunState.RUNNING
+        ]
 
     def _on_listed_end(self, end: _agent_events.ListedEnd) -> None:
         if end.number <= self._link.acknowledged:
--- a/src/ferryledge/leases/_speed.py
+++ b/src/ferryledge/leases/_speed.py
@@ -5,13 +5,19 @@
 told apart from a large task.
 """
 
+from collections import abc
 import dataclasses
 import math
 
-#: Seconds over which older samples lose their weight.
-_MEMORY_S = 0.25
-#: Weight of the assumption that an endpoint is of normal speed.
-_PRIOR_WEIGHT = 1.0
+#: Weight of the speed that is assumed, in runs: a single run whose declared
+#: time is far off must not make an endpoint slow.
+_ASSUMED_WEIGHT = 1.5
+#: Weight of a run that stands still; no declared time explains that.
+_STILL_WEIGHT = 3.0
+#: Seconds without any progress after which a run stands still.
+_STILL_S = 0.15
+#: Largest speed that one run is taken to show.
+_FASTEST = 2.0
 #: Shortest time between two samples of one run; progress is whole percents.
 _SAMPLE_S = 0.05
 #: An endpoint on which everything stands still counts as this slow.
@@ -30,20 +36,30 @@
     done: float = 0.0
     #: Share of its work done in a second, lately.
     rate: float = 0.0
+    samples: int = 0
+    #: When it was seen to come further, last.
+    moved_at: float = 0.0
 
-    def sample(self, now: float, done: float) -> float | None:
-        """Take in how far it is.
+    def start(self, now: float) -> None:
+        """Begin to count: the endpoint said that it runs."""
+        self.sampled_at = now
+        self.moved_at = now
 
-        :return: its speed against the expected one; none if it is too
-            soon to tell
-        """
+    def sample(self, now: float, done: float) -> None:
+        """Take in how far it is."""
         passed = now - self.sampled_at
         if passed < _SAMPLE_S:
-            return None
+            return
+        if done > self.done:
+            self.moved_at = now
         self.rate = max(0.0, done - self.done) / passed
         self.done = done
         self.sampled_at = now
-        return self.rate * self.expected_s
+        self.samples += 1
+
+    def stands_still(self, now: float) -> bool:
+        """Return whether it makes no progress at all."""
+        return self.rate <= 0.0 and now - self.moved_at > _STILL_S
 
     def left_s(self, now: float) -> float:
         """Return the seconds until its end at its last rate."""
@@ -54,18 +70,16 @@
 
 
 class EndpointSpeed:
-    """The average speed of an endpoint's runs."""
+    """The speed of an endpoint, averaged over its runs."""
 
     def __init__(self) -> None:
-        self._sum = _PRIOR_WEIGHT
-        self._weight = _PRIOR_WEIGHT
-        self._at = 0.0
+        self._assumed = 1.0
+        self._speed = 1.0
 
     @property
     def slowness(self) -> float:
         """How many times as long runs take here as they should."""
-        speed = self._sum / self._weight
-        return min(MOST_SLOWNESS, 1.0 / max(speed, 1.0 / MOST_SLOWNESS))
+        return 1.0 / max(self._speed, 1.0 / MOST_SLOWNESS)
 
     @property
     def reported(self) -> float:
@@ -76,11 +90,26 @@
         slowness = self.slowness
         if slowness < SLOW_FROM:
             return 1.0
-        return 2.0 ** round(math.log2(slowness))
-
-    def sample(self, now: float, speed: float) -> None:
-        """Take in one run's speed against the expected one."""
-        kept = math.exp(min(0.0, self._at - now) / _MEMORY_S)
-        self._sum = self._sum * kept + min(speed, 2.0)
-        self._weight = self._weight * kept + 1.0
-        self._at = now
+        return max(SLOW_FROM, 2.0 ** round(math.log2(slowness)))
+
+    def update(self, now: float, paces: abc.Iterable[RunPace]) -> None:
+        """Take in the present progress of all runs.
+
+        With none to tell, the last word stands: an endpoint that became
+        slow is slow until a run shows otherwise.
+        """
+        weight = _ASSUMED_WEIGHT
+        total = _ASSUMED_WEIGHT * self._assumed
+        runs = 0
+        for pace in paces:
+            if not pace.samples:
+                continue
+            runs += 1
+            own = _STILL_WEIGHT if pace.stands_still(now) else 1.0
+            weight += own
+            total += own * min(pace.rate * pace.expected_s, _FASTEST)
+        if not runs:
+            return
+        self._speed = total / weight
+        slow = self.slowness >= SLOW_FROM
+        self._assumed = self._speed if slow else 1.0
