--- a/src/ferryledge/hosted/__main__.py
+++ b/src/ferryledge/hosted/__main__.py
@@ -22,7 +22,7 @@
     except platform.SettingsError as exc:
         click.echo(f"error: {exc}", err=True)
         sys.exit(EXIT_USAGE)
-    logs.configure_logging("info", settings.node, sys.stdout)
+    logs.configure_logging("info", settings.node, logs.standard_output())
     loguru.logger.info("started", step="start", hall=settings.zone)
     return settings
 
--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -6,6 +6,7 @@
 
 from ferryledge.hosted import _members
 from ferryledge import leases
+from ferryledge import logs
 from ferryledge import net
 from ferryledge import platform
 
@@ -57,7 +58,8 @@
             settings.zone,
             anyio.current_time(),
         )
-        self._driver = net.Driver(self._core, self._perform)
+        self._log = logs.DecisionLog()
+        self._driver = net.Driver(self._core, self._perform, self._ticked)
         self._mesh = net.Mesh(self._keys, self._core.hello, self._driver.post)
         self._dialler = _members.Dialler(self._mesh)
         timing = leases.LeaseTiming()
@@ -121,6 +123,9 @@
             else:
                 await anyio.sleep(_RENEW_PAUSE_S)
 
+    def _ticked(self) -> None:
+        self._log.write(anyio.current_time(), self._core.take_notes())
+
     def _perform(self, action: leases.AgentAction) -> None:
         assert self._group is not None
         match action:
--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -10,6 +10,7 @@
 from ferryledge.hosted import _config
 from ferryledge.hosted import _members
 from ferryledge import leases
+from ferryledge import logs
 from ferryledge import net
 from ferryledge import outcomes
 from ferryledge import platform
@@ -54,7 +55,8 @@
             settings.zone,
             random.Random(settings.node),
         )
-        self._driver = net.Driver(self._core, self._perform)
+        self._log = logs.DecisionLog()
+        self._driver = net.Driver(self._core, self._perform, self._ticked)
         self._mesh = net.Mesh(keys, self._core.hello, self._driver.post)
         self._dialler = _members.Dialler(self._mesh, settings.node)
         self._store = platform.StoreClient(settings.store.address)
@@ -124,11 +126,14 @@
             self._refusing = True
             while self._pending:
                 await anyio.sleep(_DRAIN_POLL_S)
-        self._core.abandon_all()
+        self._core.abandon_all(anyio.current_time())
         self._driver.post(leases.EntryDrain())
         await anyio.sleep(_FLUSH_S)
         loguru.logger.info("entry stopped", step="drain")
 
+    def _ticked(self) -> None:
+        self._log.write(anyio.current_time(), self._core.take_notes())
+
     def _perform(self, action: leases.EntryAction) -> None:
         assert self._group is not None
         match action:
@@ -230,9 +235,6 @@
             loguru.logger.warning("{}", exc, step="submit", job=name)
             return platform.refusal(outcomes.Reason.IMPOSSIBLE, 0.0, str(exc))
         outcome = await self._answer(request, job)
-        loguru.logger.info(
-            "job {}", outcomes.tag_of(outcome), step="answer", job=name
-        )
         return platform.render_outcome(outcome)
 
     async def _answer(
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -6,7 +6,9 @@
 """
 
 from ferryledge.leases import _agent_events
+from ferryledge.leases import _agent_notes
 from ferryledge.leases import _endpoint
+from ferryledge.leases import _notes
 from ferryledge.leases import _owners
 from ferryledge.leases import _runs
 from ferryledge.leases import _speed
@@ -55,6 +57,7 @@
         self._timing = timing or _timing.LeaseTiming()
         self._link = _endpoint.EndpointLink(self._timing, now)
         self._runs = _runs.RunTable()
+        self._notes = _agent_notes.AgentNotes()
         self._owners = _owners.OwnerTable(self._timing)
         self._actions: list[_agent_events.AgentAction] = []
         self._draining = False
@@ -78,6 +81,10 @@
         """Whether nothing runs here."""
         return not len(self._runs)
 
+    def take_notes(self) -> list[_notes.Note]:
+        """Return what was decided since the last call, for the log."""
+        return self._notes.take()
+
     def hello(self) -> wire.Hello:
         """Return the greeting for a new stream."""
         return wire.Hello(
@@ -111,6 +118,7 @@
     ) -> None:
         match event:
             case _agent_events.EndpointSeen():
+                self._notes.seen(self._link.seen, event)
                 if self._link.see(event, now):
                     self._speed = _speed.EndpointSpeed()
                     self._lose_all()
@@ -199,6 +207,7 @@
         owner.orders_seen = max(owner.orders_seen, order.number)
         refusal = self._refusal(now, owner, order)
         if refusal is not None:
+            self._notes.released(now, owner, order, refusal)
             self._release(owner, order.job, order.runs, refusal)
             return
         full = []
@@ -211,6 +220,9 @@
                 full.append(run)
                 continue
             self._start(now, owner, key, order)
+        self._notes.taken(
+            owner, order, len(full), self._free(), len(self._runs)
+        )
         if full:
             self._release(owner, order.job, full, wire.NotStarted.FULL)
 
@@ -321,6 +333,8 @@
             if self._owners.has_grant(owner, now):
                 continue
             for row in self._runs.of_owner(owner.incarnation):
+                if row.state is not _runs.RunState.STOPPING:
+                    self._notes.grant_ran_out(now, owner, row)
                 self._stop(now, row.key)
             if not owner.connected and now - owner.granted_at > _FORGET_S:
                 self._owners.forget(owner.incarnation)
@@ -355,6 +369,7 @@
                 if row.state is _runs.RunState.ORDERED:
                     row.state = _runs.RunState.RUNNING
             case _agent_events.StartResult.SILENT:
+                self._notes.unanswered(row)
                 self._stop(now, row.key, release=wire.NotStarted.NO_ANSWER)
             case _:
                 if event.result is _agent_events.StartResult.FENCED:
@@ -442,6 +457,7 @@
         self._report(row, how)
 
     def _report(self, row: _runs.RunRow, how: wire.HowEnded) -> None:
+        self._notes.over(self._now, row, how)
         owner = self._owners.find(row.owner)
         if owner is None:
             return
--- /dev/null
+++ b/src/ferryledge/leases/_agent_notes.py
@@ -0,0 +1,109 @@
+"""An agent's notes: what each says and which inputs it carries."""
+
+from ferryledge.leases import _agent_events
+from ferryledge.leases import _notes
+from ferryledge.leases import _owners
+from ferryledge.leases import _runs
+from ferryledge import outcomes
+from ferryledge import wire
+
+_EXPECTED = (wire.HowEnded.DONE, wire.HowEnded.STOPPED)
+
+
+class AgentNotes(_notes.Notes):
+    """What an agent decides about runs, and believes of its endpoint."""
+
+    def released(
+        self,
+        now: float,
+        owner: _owners.Owner,
+        order: wire.OrderRuns,
+        reason: wire.NotStarted,
+    ) -> None:
+        """An order was turned down as a whole."""
+        self.add(
+            outcomes.Step.START,
+            "order released",
+            order.job,
+            owner.name,
+            reason=str(reason),
+            grant_age_s=round(now - owner.granted_at, 3),
+        )
+
+    def taken(
+        self,
+        owner: _owners.Owner,
+        order: wire.OrderRuns,
+        full: int,
+        free: wire.Resources,
+        held: int,
+    ) -> None:
+        """An order was taken, as far as there was room."""
+        self.add(
+            outcomes.Step.START,
+            "order taken",
+            order.job,
+            owner.name,
+            started=len(order.runs) - full,
+            without_room=full,
+            free_cpu_millis=free.cpu_millis,
+            runs_here=held,
+        )
+
+    def grant_ran_out(
+        self, now: float, owner: _owners.Owner, row: _runs.RunRow
+    ) -> None:
+        """A run is stopped since its entry no longer answers for it."""
+        self.add(
+            outcomes.Step.LEASE,
+            "stopped: its entry's grant ran out",
+            row.key.job,
+            owner.name,
+            True,
+            grant_age_s=round(now - owner.granted_at, 3),
+        )
+
+    def over(self, now: float, row: _runs.RunRow, how: wire.HowEnded) -> None:
+        """A run is over."""
+        self.add(
+            outcomes.Step.RUN,
+            "run over",
+            row.key.job,
+            row.owner,
+            how not in _EXPECTED,
+            task=row.key.index,
+            run=row.key.run,
+            how=str(how),
+            held_s=round(now - row.ordered_at, 3),
+        )
+
+    def unanswered(self, row: _runs.RunRow) -> None:
+        """An order went without an answer and is taken back."""
+        self.add(
+            outcomes.Step.START,
+            "order without an answer: stopping it",
+            row.key.job,
+            row.owner,
+            True,
+            task=row.key.index,
+            run=row.key.run,
+        )
+
+    def seen(
+        self,
+        known: _agent_events.EndpointSeen | None,
+        event: _agent_events.EndpointSeen,
+    ) -> None:
+        """The endpoint is another, or began to drain."""
+        if known is not None and (known.incarnation, known.draining) == (
+            event.incarnation,
+            event.draining,
+        ):
+            return
+        self.add(
+            outcomes.Step.HEALTH,
+            "endpoint draining" if event.draining else "endpoint seen",
+            peer=event.incarnation,
+            capacity_cpu_millis=event.capacity.cpu_millis,
+            remaining_s=event.remaining_s,
+        )
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -10,8 +10,10 @@
 from ferryledge import health
 from ferryledge.leases import _admission
 from ferryledge.leases import _entry_events
+from ferryledge.leases import _entry_notes
 from ferryledge.leases import _jobs
 from ferryledge.leases import _moving
+from ferryledge.leases import _notes
 from ferryledge.leases import _peers
 from ferryledge.leases import _placing
 from ferryledge.leases import _pool
@@ -55,6 +57,7 @@
         self._pool = _pool.Pool(self._timing)
         self._run_times = placement.RunTimes()
         self._judge = health.HealthJudge()
+        self._notes = _entry_notes.EntryNotes()
         self._peers = _peers.EntryPeers(name)
         self._placing = _placing.Placing(name, self._pool, self._run_times)
         self._admission = _admission.Admission(name, self._pool, rng)
@@ -80,6 +83,10 @@
         """The other entries."""
         return self._peers
 
+    def take_notes(self) -> list[_notes.Note]:
+        """Return what was decided since the last call, for the log."""
+        return self._notes.take()
+
     def holds(self, name: str) -> bool:
         """Return whether a job is open here."""
         job = self._jobs.get(name)
@@ -98,11 +105,11 @@
         """Return whether some endpoint takes work from this entry."""
         return self._pool.is_usable(now)
 
-    def abandon_all(self) -> None:
+    def abandon_all(self, now: float) -> None:
         """Answer all open jobs now: the process is about to end."""
         for job in list(self._jobs.values()):
             if not job.closed:
-                self._finish(job, self._admission.give_up(job))
+                self._finish(now, job, self._admission.give_up(job))
 
     def hello(self) -> wire.Hello:
         """Return the greeting for a new stream."""
@@ -125,9 +132,9 @@
             case _entry_events.JobSubmitted(token, request):
                 self._submit(now, token, request)
             case _entry_events.ClientLeft(token, name):
-                self._client_left(token, name)
+                self._client_left(now, token, name)
             case _entry_events.JobCancelled(name):
-                self._cancel(name)
+                self._cancel(now, name)
             case _entry_events.EntriesFound(entries):
                 self._peers.learn_entries(entries)
             case _entry_events.ConfigRead(version, data):
@@ -172,8 +179,9 @@
         )
         refusal = self._admission.admit(now, job, self._jobs.values())
         if refusal is not None:
-            self._reply([token], refusal)
+            self._finish(now, job, refusal)
             return
+        self._notes.admitted(job, len(self._jobs), self._peers.version)
         self._jobs[job.name] = job
         self._dirty = True
 
@@ -194,27 +202,32 @@
                 task.failures = 0
         self._dirty = True
 
-    def _client_left(self, token: int, name: str) -> None:
+    def _client_left(self, now: float, token: int, name: str) -> None:
         job = self._jobs.get(name)
         if job is None or token not in job.tokens:
             return
         job.tokens.remove(token)
         if not job.tokens:
+            self._notes.client_left(now, job)
             self._close(job)
 
-    def _cancel(self, name: str) -> None:
+    def _cancel(self, now: float, name: str) -> None:
         job = self._jobs.get(name)
         if job is not None and not job.closed:
             origin = outcomes.Origin(outcomes.Step.CANCEL, self._name)
             reason = outcomes.Reason.CANCELLED
-            self._finish(job, outcomes.FailedMayHaveRun(reason, origin))
+            self._finish(now, job, outcomes.FailedMayHaveRun(reason, origin))
 
     def _reply(self, tokens: list[int], outcome: outcomes.JobOutcome) -> None:
         for token in tokens:
             self._actions.append(_entry_events.AnswerJob(token, outcome))
 
-    def _finish(self, job: _jobs.Job, outcome: outcomes.JobOutcome) -> None:
+    def _finish(
+        self, now: float, job: _jobs.Job, outcome: outcomes.JobOutcome
+    ) -> None:
         """Answer a job and stop what is left of it."""
+        if job.tokens:
+            self._notes.answered(now, job, outcome)
         self._reply(job.tokens, outcome)
         job.tokens = []
         self._close(job)
@@ -244,9 +257,11 @@
         match event:
             case wire.PeerUp(hello):
                 self._peers.join(hello)
+                self._notes.connected(hello)
                 if hello.role is wire.Role.AGENT:
                     self._pool.join(now, hello)
             case wire.PeerDown(name, incarnation):
+                self._notes.disconnected(name, incarnation)
                 self._peers.leave(name)
                 self._pool.leave(name, incarnation)
             case wire.Received(peer, message):
@@ -294,6 +309,7 @@
         if state.incarnation and state.incarnation != row.state.incarnation:
             self._judge.join(row.name)
             self._run_times.forget_endpoint(row.name)
+        self._notes.state_changed(row, state)
         self._pool.set_state(row, state)
         self._dirty = True
 
@@ -325,6 +341,7 @@
         if taken is None:
             return
         job, task = taken
+        self._notes.not_started(job, row, run, reason)
         if reason in (wire.NotStarted.REJECTED, wire.NotStarted.UNHEALTHY):
             task.avoid.add(row.name)
         self._forget_if_over(job)
@@ -336,6 +353,8 @@
         if taken is None:
             return
         job, task = taken
+        if end.how is not wire.HowEnded.DONE:
+            self._notes.ended(job, row, end, task.failures)
         match end.how:
             case wire.HowEnded.DONE:
                 task.state = _jobs.TaskState.DONE
@@ -345,7 +364,7 @@
                 task.failures += 1
                 task.avoid.add(row.name)
                 self._judge_end(now, row, job, False)
-                self._fail_if_hopeless(job, task, row)
+                self._fail_if_hopeless(now, job, task, row)
             case _:
                 pass
         self._forget_if_over(job)
@@ -370,22 +389,29 @@
         name = job.request.job_class.name
         self._judge.ended(row.name, name, job.name, ok, now)
         state = self._judge.state(row.name)
-        row.healthy = isinstance(state, health.Healthy)
+        healthy = isinstance(state, health.Healthy)
+        if healthy != row.healthy:
+            self._notes.judged(job, row, state)
+        row.healthy = healthy
 
     def _complete_if_done(self, now: float, job: _jobs.Job) -> None:
         if all(t.state is _jobs.TaskState.DONE for t in job.all_tasks):
             if not job.closed:
                 self._answered[job.name] = now
-            self._finish(job, outcomes.Complete(()))
+            self._finish(now, job, outcomes.Complete(()))
 
     def _fail_if_hopeless(
-        self, job: _jobs.Job, task: _jobs.Task, row: _pool.AgentRow
+        self,
+        now: float,
+        job: _jobs.Job,
+        task: _jobs.Task,
+        row: _pool.AgentRow,
     ) -> None:
         if job.closed or task.failures < job.request.job_class.attempts:
             return
         origin = outcomes.Origin(outcomes.Step.RUN, row.name)
         reason = outcomes.Reason.TASK_FAILED
-        self._finish(job, outcomes.FailedMayHaveRun(reason, origin))
+        self._finish(now, job, outcomes.FailedMayHaveRun(reason, origin))
 
     def _on_held(
         self,
@@ -423,6 +449,7 @@
             if _moving.is_worth_moving(now, job, task, late, self._pool):
                 task.moves += 1
                 task.avoid.add(task.agent)
+                self._notes.moved(job, task, late)
                 self._stop(job, [task])
 
     # Systems.
@@ -434,8 +461,10 @@
         for row in self._pool.silent(now):
             row.connected = False
             row.reconciled = False
+            self._notes.silent(now, row)
             self._actions.append(_entry_events.CloseStream(row.name))
         for row in self._pool.over(now):
+            self._notes.over(now, row)
             self._on_held(now, row, ())
             row.reconciled = False
         for name in self._judge.probes_due(now):
@@ -454,11 +483,11 @@
             if job.closed:
                 continue
             if now >= job.deadline_at - _GIVE_UP_S:
-                self._finish(job, self._admission.give_up(job))
+                self._finish(now, job, self._admission.give_up(job))
                 continue
             refusal = self._admission.review(now, job, self._jobs.values())
             if refusal is not None:
-                self._finish(job, refusal)
+                self._finish(now, job, refusal)
 
     def _place(self, now: float) -> None:
         waiting = [
@@ -493,6 +522,13 @@
             job.expected_s,
         )
         self._send(row.name, order)
+        self._notes.ordered(
+            now,
+            job,
+            row,
+            placed.tasks,
+            self._run_times.slowness(row.name),
+        )
         if row.slow:
             row.tried_at = now
         if not isinstance(self._judge.state(row.name), health.Healthy):
--- /dev/null
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -0,0 +1,237 @@
+"""An entry's notes: what each says and which inputs it carries."""
+
+from ferryledge import health
+from ferryledge.leases import _jobs
+from ferryledge.leases import _notes
+from ferryledge.leases import _pool
+from ferryledge import outcomes
+from ferryledge import wire
+
+
+class EntryNotes(_notes.Notes):
+    """What an entry decides about jobs, and believes of agents."""
+
+    def admitted(self, job: _jobs.Job, held: int, config: int) -> None:
+        """A job is kept."""
+        self.add(
+            outcomes.Step.ADMIT,
+            "admitted",
+            job.name,
+            queue=job.request.job_class.name,
+            tasks=len(job.all_tasks),
+            expected_s=round(job.expected_s, 3),
+            objective_s=round(job.objective_s, 3),
+            held_jobs=held,
+            config=config,
+        )
+
+    def answered(
+        self, now: float, job: _jobs.Job, outcome: outcomes.JobOutcome
+    ) -> None:
+        """A job is answered."""
+        match outcome:
+            case outcomes.Complete():
+                late = ", late" if now > job.objective_at else ""
+                self._answer(now, job, f"answered: complete{late}")
+            case outcomes.Refused(reason, _, retry_after_s, detail):
+                self._answer(
+                    now,
+                    job,
+                    "refused, not run",
+                    reason=str(reason),
+                    detail=detail,
+                    retry_after_s=round(retry_after_s, 3),
+                )
+            case outcomes.FailedMayHaveRun(reason, origin):
+                self._answer(
+                    now,
+                    job,
+                    "answered: failed, may have run",
+                    origin.peer,
+                    reason=str(reason),
+                )
+            case _:
+                tag = outcomes.tag_of(outcome)
+                self._answer(now, job, f"answered: {tag}", reason=tag)
+
+    def _answer(
+        self,
+        now: float,
+        job: _jobs.Job,
+        message: str,
+        peer: str = "",
+        **facts: object,
+    ) -> None:
+        if job.offered_at is not None:
+            facts["first_order_s"] = round(job.offered_at - job.arrived_at, 3)
+        self.add(
+            outcomes.Step.ANSWER,
+            message,
+            job.name,
+            peer,
+            "reason" in facts,
+            queue=job.request.job_class.name,
+            waited_s=round(now - job.arrived_at, 3),
+            objective_s=round(job.objective_s, 3),
+            runs=sum(task.run for task in job.all_tasks),
+            **facts,
+        )
+
+    def client_left(self, now: float, job: _jobs.Job) -> None:
+        """Nobody waits for a job any more."""
+        self.add(
+            outcomes.Step.CANCEL,
+            "client left",
+            job.name,
+            waited_s=round(now - job.arrived_at, 3),
+        )
+
+    def ordered(
+        self,
+        now: float,
+        job: _jobs.Job,
+        row: _pool.AgentRow,
+        tasks: tuple[_jobs.Task, ...],
+        slowness: float,
+    ) -> None:
+        """Runs were ordered at an agent."""
+        self.add(
+            outcomes.Step.PLACE,
+            "ordered",
+            job.name,
+            row.name,
+            tasks=[task.index for task in tasks],
+            run=tasks[0].run,
+            waited_s=round(now - job.arrived_at, 3),
+            free_cpu_millis=row.free.cpu_millis,
+            slowness=round(slowness, 2),
+            state_age_s=round(now - row.heard_at, 3),
+        )
+
+    def not_started(
+        self,
+        job: _jobs.Job,
+        row: _pool.AgentRow,
+        run: wire.TaskRun,
+        reason: wire.NotStarted,
+    ) -> None:
+        """An agent released a run."""
+        self.add(
+            outcomes.Step.START,
+            "not started",
+            job.name,
+            row.name,
+            task=run.index,
+            run=run.run,
+            reason=str(reason),
+        )
+
+    def ended(
+        self,
+        job: _jobs.Job,
+        row: _pool.AgentRow,
+        end: wire.RunEnd,
+        failures: int,
+    ) -> None:
+        """A run ended without a result."""
+        self.add(
+            outcomes.Step.RUN,
+            "run ended without a result",
+            job.name,
+            row.name,
+            not job.closed,
+            task=end.run.index,
+            run=end.run.run,
+            how=str(end.how),
+            run_s=round(end.run_s, 3),
+            failures=failures,
+        )
+
+    def moved(
+        self, job: _jobs.Job, task: _jobs.Task, late: wire.LateRun
+    ) -> None:
+        """A run is stopped to be started elsewhere."""
+        self.add(
+            outcomes.Step.MOVE,
+            "moved off a slow endpoint",
+            job.name,
+            task.agent,
+            task=task.index,
+            run=task.run,
+            left_s=late.left_s,
+            normal_s=late.normal_s,
+        )
+
+    def connected(self, hello: wire.Hello) -> None:
+        """A stream is open."""
+        self.add(
+            outcomes.Step.HEALTH,
+            f"{hello.role} connected",
+            peer=hello.name,
+            incarnation=hello.incarnation,
+        )
+
+    def disconnected(self, name: str, incarnation: str) -> None:
+        """A stream broke."""
+        self.add(
+            outcomes.Step.HEALTH,
+            "stream broken",
+            peer=name,
+            urgent=True,
+            incarnation=incarnation,
+        )
+
+    def silent(self, now: float, row: _pool.AgentRow) -> None:
+        """A stream was closed because nothing came."""
+        self.add(
+            outcomes.Step.HEALTH,
+            "agent silent: stream closed",
+            peer=row.name,
+            urgent=True,
+            silent_s=round(now - row.heard_at, 3),
+            runs=len(row.runs),
+        )
+
+    def over(self, now: float, row: _pool.AgentRow) -> None:
+        """Runs are over by the lease rule alone."""
+        self.add(
+            outcomes.Step.LEASE,
+            "runs taken for over: no grant for longer than any lease",
+            peer=row.name,
+            urgent=True,
+            runs=len(row.runs),
+            granted_s=round(now - row.granted_at, 3),
+        )
+
+    def state_changed(
+        self, row: _pool.AgentRow, state: wire.EndpointState
+    ) -> None:
+        """An endpoint is another, stopped or began taking work, or slowed."""
+        old = row.state
+        if (old.incarnation, old.accepting, old.slowness) == (
+            state.incarnation,
+            state.accepting,
+            state.slowness,
+        ):
+            return
+        self.add(
+            outcomes.Step.HEALTH,
+            "endpoint changed",
+            peer=row.name,
+            incarnation=state.incarnation,
+            accepting=state.accepting,
+            slowness=state.slowness,
+        )
+
+    def judged(
+        self, job: _jobs.Job, row: _pool.AgentRow, state: health.Health
+    ) -> None:
+        """An endpoint's health changed with the end of a run."""
+        self.add(
+            outcomes.Step.HEALTH,
+            "endpoint's health changed",
+            job.name,
+            row.name,
+            True,
+            state=repr(state),
+        )
--- /dev/null
+++ b/src/ferryledge/leases/tests/endpoints.py
@@ -0,0 +1,192 @@
+"""A stand-in for an endpoint that keeps leases, in virtual time."""
+
+from collections import abc
+import dataclasses
+
+from ferryledge import leases
+from ferryledge import wire
+
+#: Longest lease that it grants, in ms of its clock.
+HOLD_MAX_MS = 1000
+#: Seconds that a stop takes.
+STOP_S = 0.03
+
+
+@dataclasses.dataclass(slots=True)
+class Running:
+    """A run that is alive."""
+
+    key: leases.RunKey
+    need: wire.Resources
+    left_s: float
+    work_s: float
+    stops_at: float | None = None
+
+
+class Endpoint:
+    """Runs tasks under one lease.
+
+    :param capacity: its room
+    :param now: virtual seconds
+    :param need_of: tells what a job's tasks need
+    :param work_of: tells how long a run takes and whether it succeeds
+    :param watch: called with "start" or "end" and the run's key
+    """
+
+    def __init__(
+        self,
+        name: str,
+        capacity: wire.Resources,
+        now: float,
+        need_of: abc.Callable[[leases.RunKey], wire.Resources],
+        work_of: abc.Callable[[leases.RunKey, str], tuple[float, bool]],
+        watch: abc.Callable[[str, leases.RunKey, str], None],
+        clock_rate: float = 1.0,
+    ) -> None:
+        self.name = name
+        self.capacity = capacity
+        self.incarnation = f"{name}-1"
+        self.up = True
+        self.speed = 1.0
+        self.draining = False
+        self._lives = 1
+        self._need_of = need_of
+        self._work_of = work_of
+        self._watch = watch
+        self._rate = clock_rate
+        self._offset_s = 100.0
+        self._at = now
+        self._reset()
+
+    def _reset(self) -> None:
+        self.runs: dict[leases.RunKey, Running] = {}
+        self.ended: list[leases.ListedEnd] = []
+        self._ends = 0
+        self._fence = 0
+        self._lease_ms = 0
+        self._over: dict[tuple[str, int, int], int] = {}
+
+    def clock_ms(self, now: float) -> int:
+        """Return its steady clock."""
+        return int((self._offset_s + now * self._rate) * 1000.0)
+
+    @property
+    def used(self) -> wire.Resources:
+        """What its runs take."""
+        used = wire.Resources()
+        for run in self.runs.values():
+            used = used.plus(run.need)
+        return used
+
+    def crash(self) -> None:
+        """End everything; nothing answers until it is started again."""
+        for key in list(self.runs):
+            self._watch("end", key, self.name)
+        self.up = False
+        self._reset()
+
+    def restart(self, now: float) -> None:
+        """Start a new incarnation."""
+        self._lives += 1
+        self.incarnation = f"{self.name}-{self._lives}"
+        self._at = now
+        self.up = True
+        self.draining = False
+
+    def advance(self, now: float) -> None:
+        """Let time pass: progress, ends, the lease."""
+        while self.up and self._at < now:
+            step = min(now, self._at + 0.005)
+            passed = step - self._at
+            self._at = step
+            if self.runs and self.clock_ms(step) > self._lease_ms:
+                for key in list(self.runs):
+                    self._end(key, wire.HowEnded.LAPSED)
+                continue
+            for run in list(self.runs.values()):
+                run.left_s -= passed * self.speed
+                if run.stops_at is not None and run.stops_at <= step:
+                    self._end(run.key, wire.HowEnded.STOPPED)
+                elif run.left_s <= 0:
+                    _, ok = self._work_of(run.key, self.name)
+                    how = wire.HowEnded.DONE if ok else wire.HowEnded.FAILED
+                    self._end(run.key, how)
+
+    def _end(self, key: leases.RunKey, how: wire.HowEnded) -> None:
+        del self.runs[key]
+        self._ends += 1
+        self.ended.append(leases.ListedEnd(self._ends, key, how))
+        task = (key.job, key.step, key.index)
+        self._over[task] = max(self._over.get(task, 0), key.run)
+        self._watch("end", key, self.name)
+
+    def _extend(self, now: float, until_ms: int) -> None:
+        until_ms = min(until_ms, self.clock_ms(now) + HOLD_MAX_MS)
+        self._lease_ms = max(self._lease_ms, until_ms)
+
+    def start(self, now: float, order: leases.StartRun) -> leases.StartResult:
+        """Carry out an order to start."""
+        self.advance(now)
+        result = leases.StartResult
+        key = order.key
+        if order.incarnation and order.incarnation != self.incarnation:
+            return result.REPLACED
+        if order.token < self._fence:
+            return result.FENCED
+        self._fence = order.token
+        if order.lease_until_ms <= self.clock_ms(now):
+            return result.LATE
+        self._extend(now, order.lease_until_ms)
+        if key in self.runs:
+            return result.STARTED
+        if key.run <= self._over.get((key.job, key.step, key.index), 0):
+            return result.RUN_NUMBER
+        work_s, _ = self._work_of(key, self.name)
+        need = self._need_of(key)
+        self.runs[key] = Running(key, need, work_s, work_s)
+        self._watch("start", key, self.name)
+        return result.STARTED
+
+    def stop(self, now: float, order: leases.StopRun) -> bool:
+        """Carry out an order to stop."""
+        self.advance(now)
+        if order.incarnation and order.incarnation != self.incarnation:
+            return False
+        if order.token < self._fence:
+            return False
+        self._fence = order.token
+        key = order.key
+        task = (key.job, key.step, key.index)
+        run = self.runs.get(key)
+        if run is not None and run.stops_at is None:
+            run.stops_at = now + STOP_S
+        self._over[task] = max(self._over.get(task, 0), key.run)
+        return True
+
+    def renew(
+        self, now: float, sent_at: float, renewal: leases.Renewal
+    ) -> leases.LeaseRenewed | leases.LeaseNotRenewed:
+        """Carry out a renewal, without waiting."""
+        self.advance(now)
+        clock = self.clock_ms(now)
+        fault = leases.CallFault
+        incarnation = renewal.incarnation
+        if incarnation and incarnation != self.incarnation:
+            return leases.LeaseNotRenewed(fault.REPLACED, incarnation)
+        if renewal.token < self._fence:
+            return leases.LeaseNotRenewed(fault.FENCED, incarnation, clock)
+        self._fence = renewal.token
+        if renewal.lease_until_ms:
+            self._extend(now, renewal.lease_until_ms)
+        self.ended = [
+            end for end in self.ended if end.number > renewal.acknowledged
+        ]
+        running = tuple(
+            leases.ListedRun(
+                run.key, int(100 * (1 - run.left_s / run.work_s)) / 100
+            )
+            for run in self.runs.values()
+        )
+        return leases.LeaseRenewed(
+            sent_at, incarnation, clock, running, tuple(self.ended)
+        )
--- /dev/null
+++ b/src/ferryledge/leases/tests/faults.py
@@ -0,0 +1,142 @@
+"""Faults for the virtual world, and the steps at which they strike."""
+
+from collections import abc
+import dataclasses
+
+from ferryledge import leases
+from ferryledge.leases.tests import world as worlds
+from ferryledge import outcomes
+
+#: A client repeats a job this long after its entry was lost.
+REPEAT_S = 1.3
+
+Strike = abc.Callable[[worlds.World], None]
+
+
+def _lost_orders(world: worlds.World) -> None:
+    world.late_orders = 0.3
+    world.at(1.0, lambda: setattr(world, "late_orders", 0.0))
+
+
+def _cut(both: bool, from_entry: bool, for_s: float) -> Strike:
+    def strike(world: worlds.World) -> None:
+        for agent in world.agents[:2]:
+            ends = ("entry-0", agent) if from_entry else (agent, "entry-0")
+            world.cut(*ends, for_s, both)
+
+    return strike
+
+
+def _agent(act: abc.Callable[[worlds.World, str], None]) -> Strike:
+    def strike(world: worlds.World) -> None:
+        for agent in world.agents[:2]:
+            act(world, agent)
+
+    return strike
+
+
+def _streams(world: worlds.World) -> None:
+    for agent in world.agents:
+        world.break_stream(agent, "entry-0")
+
+
+def _slow(world: worlds.World) -> None:
+    endpoint = world.endpoints["agent-0"]
+    endpoint.speed = 0.0
+    world.at(3.0, lambda: setattr(endpoint, "speed", 1.0))
+
+
+def _drain(world: worlds.World, agent: str) -> None:
+    world.endpoints[agent].draining = True
+    world.heartbeat(agent, 1000)
+
+
+FAULTS: dict[str, Strike] = {
+    "orders lost or late": _lost_orders,
+    "agent killed": _agent(lambda w, a: w.kill(a)),
+    "agent down for long": _agent(lambda w, a: w.kill(a, 2.5)),
+    "agent paused": _agent(lambda w, a: w.pause(a, 0.5)),
+    "agent paused for long": _agent(lambda w, a: w.pause(a, 3.0)),
+    "endpoint crashed": _agent(lambda w, a: w.crash_endpoint(a)),
+    "endpoint gone": _agent(lambda w, a: w.crash_endpoint(a, None)),
+    "endpoint draining": _agent(_drain),
+    "endpoint stands still": _slow,
+    "entry paused": lambda w: w.pause("entry-0", 0.5),
+    "entry paused for long": lambda w: w.pause("entry-0", 3.0),
+    "entry killed": lambda w: w.kill("entry-0"),
+    "streams reset": _streams,
+    "cut for a moment": _cut(True, True, 0.5),
+    "cut": _cut(True, True, 3.0),
+    "cut towards agents": _cut(False, True, 3.0),
+    "cut towards agents for a moment": _cut(False, True, 0.8),
+    "cut towards the entry": _cut(False, False, 3.0),
+    "cut towards the entry for a moment": _cut(False, False, 0.8),
+}
+
+#: Seconds after a job's arrival at which a fault strikes.
+STEPS: dict[str, float] = {
+    "order": 0.0004,
+    "start": 0.0012,
+    "confirm": 0.0018,
+    "renew": 0.08,
+    "end": 0.2015,
+    "report": 0.2035,
+    "stop": 0.3006,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Repeat:
+    """A job that is sent again at another entry after its first is lost."""
+
+    world: worlds.World
+    name: str
+    count: int
+    tokens: list[int]
+
+    def again(self) -> None:
+        """Send it to the second entry."""
+        self.tokens.append(self.world.submit("entry-1", self.name, self.count))
+
+
+def play(strike: Strike, after_s: float, seed: int) -> worlds.World:
+    """Strike while jobs are at a step; let all settle; return the world.
+
+    Three jobs: one that runs to its end, one whose client leaves 0.3 s
+    after its arrival, and one at another entry.
+    """
+    world = worlds.World(seed)
+    world.run(2.0)
+    tokens = [world.submit("entry-0", f"{seed:016x}", 4)]
+    left = world.submit("entry-0", f"{seed + 1:016x}", 2, 1.0)
+    world.submit("entry-1", f"{seed + 2:016x}", 4)
+    world.at(
+        0.3,
+        lambda: world.post(
+            "entry-0", leases.ClientLeft(left, f"{seed + 1:016x}")
+        ),
+    )
+    life = world.nodes["entry-0"].life
+    world.at(after_s, lambda: strike(world))
+    world.run(after_s + 0.001)
+    if world.nodes["entry-0"].life != life:
+        repeat = Repeat(world, f"{seed:016x}", 4, tokens)
+        world.at(REPEAT_S, repeat.again)
+    world.run(9.0)
+    return world
+
+
+def check(world: worlds.World) -> None:
+    """Raise if a promise was broken."""
+    assert not world.violations, world.violations
+    for token, answers in world.answers.items():
+        job = world.jobs[token].job
+        others = [t for t, one in world.jobs.items() if one.job == job]
+        for outcome in answers:
+            if isinstance(outcome, outcomes.Refused) and len(others) == 1:
+                assert not world.started[job], f"{job} refused, but started"
+    for name, endpoint in world.endpoints.items():
+        assert not endpoint.runs, f"{name} still runs {endpoint.runs}"
+    for name in world.agents:
+        runs = list(world.nodes[name].core.runs)
+        assert not runs, f"{name} still counts {runs}"
--- /dev/null
+++ b/src/ferryledge/leases/tests/test_leases.py
@@ -0,0 +1,181 @@
+"""Jobs under leases, through the usual and through faults."""
+
+import pytest
+
+from ferryledge import leases
+from ferryledge.leases.tests import world as worlds
+from ferryledge import outcomes
+from ferryledge import wire
+
+
+@pytest.fixture
+def world() -> worlds.World:
+    made = worlds.World(seed=1)
+    made.run(2.0)
+    return made
+
+
+def is_complete(world: worlds.World, token: int) -> bool:
+    return isinstance(world.outcome(token), outcomes.Complete)
+
+
+def test_job_is_answered_within_its_objective(world: worlds.World) -> None:
+    token = world.submit("entry-0", "a" * 16, count=3)
+    world.run(0.25)
+    assert is_complete(world, token)
+    assert world.started["a" * 16] == 3
+
+
+def test_steps_wait_for_the_steps_they_depend_on(
+    world: worlds.World,
+) -> None:
+    need = wire.Resources(1000, 100, 0)
+    steps = (
+        leases.JobStep(2, need, 0.2),
+        leases.JobStep(1, need, 0.2, depends_on=(0,)),
+    )
+    token = world.submit("entry-0", "b" * 16, steps=steps)
+    world.run(0.1)
+    assert world.started["b" * 16] == 2
+    world.run(0.4)
+    assert is_complete(world, token)
+
+
+def test_room_is_never_exceeded_by_two_entries(world: worlds.World) -> None:
+    tokens = [
+        world.submit(f"entry-{n % 2}", f"{n:016x}", count=4, cpu=1700)
+        for n in range(20)
+    ]
+    world.run(6.0)
+    assert not world.violations
+    answers = [world.outcome(token) for token in tokens]
+    assert all(
+        isinstance(one, outcomes.Complete | outcomes.Refused)
+        for one in answers
+    )
+
+
+def test_refused_job_never_starts(world: worlds.World) -> None:
+    tokens = {
+        f"{n:016x}": world.submit("entry-0", f"{n:016x}", 8, 1.0, 2000)
+        for n in range(30)
+    }
+    world.run(8.0)
+    refused = [
+        name
+        for name, token in tokens.items()
+        if isinstance(world.outcome(token), outcomes.Refused)
+    ]
+    assert refused
+    assert not any(world.started[name] for name in refused)
+
+
+def test_job_too_large_for_every_endpoint_is_refused_at_once(
+    world: worlds.World,
+) -> None:
+    token = world.submit("entry-0", "c" * 16, cpu=9000)
+    world.run(0.01)
+    match world.outcome(token):
+        case outcomes.Refused(outcomes.Reason.IMPOSSIBLE):
+            pass
+        case other:
+            raise AssertionError(other)
+
+
+def test_failed_run_is_tried_on_another_endpoint(
+    world: worlds.World,
+) -> None:
+    world.failing.add("endpoint-of-agent-0")
+    world.failing.add("endpoint-of-agent-1")
+    token = world.submit("entry-0", "d" * 16, count=1)
+    world.run(1.5)
+    if not is_complete(world, token):
+        # Both attempts may have met a failing endpoint.
+        assert world.started["d" * 16] == worlds.JOB_CLASS.attempts
+
+
+def test_hopeless_job_fails_after_its_attempts(world: worlds.World) -> None:
+    world.failing_jobs.add("e" * 16)
+    token = world.submit("entry-0", "e" * 16, count=1)
+    world.run(2.0)
+    match world.outcome(token):
+        case outcomes.FailedMayHaveRun(outcomes.Reason.TASK_FAILED):
+            pass
+        case other:
+            raise AssertionError(other)
+    assert world.started["e" * 16] == worlds.JOB_CLASS.attempts
+
+
+def test_client_that_leaves_stops_its_runs(world: worlds.World) -> None:
+    token = world.submit("entry-0", "f" * 16, work_s=2.0)
+    world.run(0.2)
+    world.post("entry-0", leases.ClientLeft(token, "f" * 16))
+    world.run(0.3)
+    assert not any(one.runs for one in world.endpoints.values())
+
+
+def test_repeat_at_the_same_entry_joins_the_first(
+    world: worlds.World,
+) -> None:
+    first = world.submit("entry-0", "1" * 16, count=2)
+    world.run(0.1)
+    second = world.submit("entry-0", "1" * 16, count=2)
+    world.run(0.3)
+    assert is_complete(world, first) and is_complete(world, second)
+    assert world.started["1" * 16] == 2
+
+
+def test_slow_endpoint_loses_its_runs_to_others(world: worlds.World) -> None:
+    for endpoint in world.endpoints.values():
+        endpoint.speed = 1.0
+    slow = world.endpoints["agent-1"]
+    slow.speed = 0.0
+    tokens = [
+        world.submit("entry-0", f"{n:016x}", count=3, work_s=0.6)
+        for n in range(4)
+    ]
+    world.run(2.2)
+    assert all(is_complete(world, token) for token in tokens)
+    assert not world.violations
+
+
+def test_draining_endpoint_gets_no_new_runs(world: worlds.World) -> None:
+    world.endpoints["agent-0"].draining = True
+    world.run(1.6)
+    before = len(world.endpoints["agent-0"].runs)
+    for n in range(6):
+        world.submit("entry-0", f"{n:016x}", count=2)
+    world.run(0.1)
+    assert not before and not world.endpoints["agent-0"].runs
+
+
+def test_stopping_agent_finishes_its_runs(world: worlds.World) -> None:
+    token = world.submit("entry-0", "2" * 16, count=12, work_s=0.5)
+    world.run(0.1)
+    for agent in world.agents:
+        world.post(agent, leases.AgentDrain())
+    world.run(0.6)
+    assert is_complete(world, token)
+
+
+def test_jobs_wait_while_the_agents_are_being_found() -> None:
+    world = worlds.World(seed=3)
+    token = world.submit("entry-0", "3" * 16)
+    world.run(2.5)
+    assert is_complete(world, token)
+
+
+def test_config_and_addresses_are_handed_on() -> None:
+    world = worlds.World(seed=4)
+    hello = wire.Hello(wire.Role.ENTRY, "entry-1", "x", "north")
+    core = world.nodes["entry-0"].core
+    core.receive(0.0, wire.PeerUp(hello))
+    core.receive(0.0, leases.ConfigRead(7, b"new"))
+    core.receive(0.0, leases.ConfigRead(6, b"old"))
+    sent = [
+        action.message
+        for action in core.tick(0.0)
+        if isinstance(action, leases.SendMessage)
+    ]
+    assert wire.ConfigReply(7, b"new") in sent
+    assert wire.ConfigReply(6, b"old") not in sent
--- /dev/null
+++ b/src/ferryledge/leases/tests/test_matrix.py
@@ -0,0 +1,59 @@
+"""Every fault at every step of a leased task."""
+
+import random
+
+import pytest
+
+from ferryledge.leases.tests import faults
+from ferryledge.leases.tests import world as worlds
+from ferryledge import outcomes
+
+_SEEDS = range(24)
+
+
+@pytest.mark.parametrize("step", faults.STEPS)
+@pytest.mark.parametrize("fault", faults.FAULTS)
+def test_fault_at_step(fault: str, step: str) -> None:
+    for seed in (1, 2):
+        strike = faults.FAULTS[fault]
+        world = faults.play(strike, faults.STEPS[step], seed * 100)
+        faults.check(world)
+        untouched = [
+            world.answers[token]
+            for token, job in world.jobs.items()
+            if job.job == f"{seed * 100 + 2:016x}"
+        ]
+        assert untouched[0], "the job at the other entry has no answer"
+
+
+@pytest.mark.parametrize("seed", _SEEDS)
+def test_faults_in_series(seed: int) -> None:
+    """Faults overlap while jobs keep coming to both entries."""
+    rng = random.Random(seed)
+    world = worlds.World(seed, entries=2, agents=4)
+    world.run(2.0)
+    names = list(faults.FAULTS)
+    for number in range(60):
+        entry = f"entry-{rng.randrange(2)}"
+        name = f"{seed:08x}{number:08x}"
+        count = rng.randint(1, 6)
+        work_s = rng.choice((0.1, 0.3, 0.9))
+        cpu = rng.choice((800, 1600, 2300))
+        world.submit(entry, name, count, work_s, cpu, deadline_s=4.0)
+        if rng.random() < 0.1:
+            faults.FAULTS[rng.choice(names)](world)
+        world.run(rng.expovariate(8.0))
+    world.run(15.0)
+    faults.check(world)
+
+
+def test_jobs_survive_a_reset_of_all_streams() -> None:
+    world = faults.play(faults.FAULTS["streams reset"], 0.08, 7)
+    token = next(iter(world.jobs))
+    assert isinstance(world.outcome(token), outcomes.Complete)
+
+
+def test_jobs_survive_the_kill_of_their_agents() -> None:
+    world = faults.play(faults.FAULTS["agent killed"], 0.08, 8)
+    token = next(iter(world.jobs))
+    assert isinstance(world.outcome(token), outcomes.Complete)
--- /dev/null
+++ b/src/ferryledge/leases/tests/world.py
@@ -0,0 +1,510 @@
+"""Entries, agents and endpoints in virtual time, with faults.
+
+Streams keep the order of their messages; a cut holds them up and delivers
+them when it heals, as TCP does, unless the stream was broken meanwhile.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+from ferryledge import leases
+from ferryledge.leases.tests import endpoints
+from ferryledge import outcomes
+from ferryledge import wire
+
+HOP_S = 0.0006
+CALL_S = 0.0005
+RENEW_TIMEOUT_S = 0.27
+HEARTBEAT_S = 1.5
+JOB_CLASS = leases.JobClass("quick", "desk", 0, 2, 1.6, 0.06)
+ROOM = wire.Resources(8000, 8000, 0)
+
+
+@dataclasses.dataclass(slots=True)
+class Stream:
+    """One open stream between an agent and an entry."""
+
+    agent: str
+    entry: str
+    open: bool = True
+
+
+class Node:
+    """A process: its core, whether it runs, what waits for it."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.core: typing.Any = None
+        self.alive = True
+        self.paused = False
+        self.waiting: list[abc.Callable[[], None]] = []
+        self.life = 0
+        self.tick_at = float("inf")
+
+
+class World:
+    """All processes and what they promise.
+
+    :param seed: of all randomness
+    :param entries: how many
+    :param agents: how many, each with its endpoint
+    """
+
+    def __init__(self, seed: int, entries: int = 2, agents: int = 3) -> None:
+        self.now = 0.0
+        self.rng = random.Random(seed)
+        self._heap: list[tuple[float, int, abc.Callable[[], None]]] = []
+        self._count = itertools.count()
+        self._tokens = itertools.count(1)
+        self.nodes: dict[str, Node] = {}
+        self.endpoints: dict[str, endpoints.Endpoint] = {}
+        self.streams: dict[tuple[str, str], Stream] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.held: dict[
+            tuple[str, str], list[tuple[Stream, abc.Callable[[], None]]]
+        ] = collections.defaultdict(list)
+        #: Share of orders that are carried out without an answer, late.
+        self.late_orders = 0.0
+        self.answers: dict[int, list[outcomes.JobOutcome]] = {}
+        self.jobs: dict[int, leases.LeasedJob] = {}
+        self.alive_runs: dict[tuple[str, int, int], set[str]] = (
+            collections.defaultdict(set)
+        )
+        self.started: dict[str, int] = collections.Counter()
+        self.violations: list[str] = []
+        self.work_s: dict[str, float] = {}
+        self.failing: set[str] = set()
+        self.failing_jobs: set[str] = set()
+        self.entries = [f"entry-{n}" for n in range(entries)]
+        self.agents = [f"agent-{n}" for n in range(agents)]
+        for name in self.agents:
+            self.endpoints[name] = endpoints.Endpoint(
+                f"endpoint-of-{name}",
+                ROOM,
+                0.0,
+                self._need_of,
+                self._work_of,
+                self._watch,
+                1.0 - 0.02 * self.rng.random(),
+            )
+        for name in self.entries + self.agents:
+            self.nodes[name] = Node(name)
+            self._boot(name)
+        for name in self.agents:
+            self._heartbeat_loop(name)
+            self._renew_loop(name, self.nodes[name].life)
+            for entry in self.entries:
+                self._dial_loop(name, entry)
+        self._endpoint_loop()
+
+    # Time.
+
+    def at(self, delay: float, act: abc.Callable[[], None]) -> None:
+        """Do something later."""
+        entry = (self.now + delay, next(self._count), act)
+        heapq.heappush(self._heap, entry)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self._heap and self._heap[0][0] <= end:
+            self.now, _, act = heapq.heappop(self._heap)
+            act()
+        self.now = end
+
+    # What runs.
+
+    def _need_of(self, key: leases.RunKey) -> wire.Resources:
+        return next(
+            job.steps[key.step].need
+            for job in self.jobs.values()
+            if job.job == key.job
+        )
+
+    def _work_of(
+        self, key: leases.RunKey, endpoint: str
+    ) -> tuple[float, bool]:
+        ok = endpoint not in self.failing and key.job not in self.failing_jobs
+        return self.work_s[key.job], ok
+
+    def _watch(self, what: str, key: leases.RunKey, endpoint: str) -> None:
+        task = (key.job, key.step, key.index)
+        if what == "end":
+            self.alive_runs[task].discard(endpoint)
+            return
+        self.started[key.job] += 1
+        if self.alive_runs[task]:
+            self.violations.append(f"{self.now:.3f} twice: {task}")
+        self.alive_runs[task].add(endpoint)
+        agent = endpoint.removeprefix("endpoint-of-")
+        used = self.endpoints[agent].used
+        if not used.fits_in(ROOM):
+            self.violations.append(f"{self.now:.3f} over room: {agent}")
+
+    def _endpoint_loop(self) -> None:
+        for endpoint in self.endpoints.values():
+            endpoint.advance(self.now)
+        self.at(0.005, self._endpoint_loop)
+
+    # Processes.
+
+    def _boot(self, name: str) -> None:
+        node = self.nodes[name]
+        node.life += 1
+        node.alive = True
+        node.paused = False
+        node.waiting.clear()
+        node.tick_at = float("inf")
+        incarnation = f"{name}.{node.life}"
+        if name in self.entries:
+            rng = random.Random(f"{name}{node.life}")
+            node.core = leases.LeaseEntry(name, incarnation, "north", rng)
+            self.post(name, leases.ConfigRead(1, b"{}"))
+        else:
+            node.core = leases.LeaseAgent(name, incarnation, "north", self.now)
+
+    def post(self, name: str, event: typing.Any) -> None:
+        """Hand an event to a process, now or when it wakes."""
+        node = self.nodes[name]
+        life = node.life
+
+        def receive() -> None:
+            if node.life != life or not node.alive:
+                return
+            node.core.receive(self.now, event)
+            self._tick(name)
+
+        if node.paused:
+            node.waiting.append(receive)
+        elif node.alive:
+            receive()
+
+    def _tick(self, name: str) -> None:
+        node = self.nodes[name]
+        if node.paused or not node.alive:
+            return
+        for action in node.core.tick(self.now):
+            self._perform(name, action)
+        self._plan_tick(name)
+
+    def _plan_tick(self, name: str) -> None:
+        node = self.nodes[name]
+        due = max(node.core.wake_at(), self.now + 0.001)
+        if due >= node.tick_at or due == float("inf"):
+            return
+        node.tick_at = due
+        life = node.life
+
+        def tick() -> None:
+            if node.life != life or node.tick_at != due:
+                return
+            node.tick_at = float("inf")
+            if node.paused:
+                node.waiting.append(lambda: self._tick(name))
+            else:
+                self._tick(name)
+
+        self.at(due - self.now, tick)
+
+    def _perform(self, name: str, action: typing.Any) -> None:
+        match action:
+            case leases.SendMessage(peer, message):
+                self._send(name, peer, wire.Received(name, message))
+            case leases.CloseStream(peer):
+                self.break_stream(name, peer)
+            case leases.StartRun():
+                self._order(name, action)
+            case leases.StopRun():
+                self._order(name, action)
+            case leases.AnswerJob(token, outcome):
+                self._note_answer(token, outcome)
+            case _:
+                pass
+
+    def _note_answer(self, token: int, outcome: outcomes.JobOutcome) -> None:
+        self.answers[token].append(outcome)
+        if len(self.answers[token]) > 1:
+            self.violations.append(f"token {token} answered again")
+
+    # Streams.
+
+    def _key(self, one: str, other: str) -> tuple[str, str]:
+        return (one, other) if one in self.agents else (other, one)
+
+    def _send(self, source: str, target: str, event: typing.Any) -> None:
+        stream = self.streams.get(self._key(source, target))
+        if stream is None or not stream.open:
+            return
+        self._carry(stream, source, target, lambda: self.post(target, event))
+
+    def _carry(
+        self,
+        stream: Stream,
+        source: str,
+        target: str,
+        act: abc.Callable[[], None],
+    ) -> None:
+        way = (source, target)
+
+        def arrive() -> None:
+            if way in self.cuts or self.held[way]:
+                self.held[way].append((stream, act))
+            elif self.streams.get(self._key(source, target)) is stream:
+                act()
+
+        self.at(HOP_S, arrive)
+
+    def _dial_loop(self, agent: str, entry: str) -> None:
+        def loop() -> None:
+            self._dial(agent, entry)
+            self.at(0.05 + 0.1 * self.rng.random(), loop)
+
+        self.at(0.01, loop)
+
+    def _dial(self, agent: str, entry: str) -> None:
+        nodes = self.nodes[agent], self.nodes[entry]
+        if any(node.paused or not node.alive for node in nodes):
+            return
+        if (agent, entry) in self.cuts or (entry, agent) in self.cuts:
+            return
+        stream = self.streams.get((agent, entry))
+        if stream is not None and stream.open:
+            return
+        stream = self.streams[agent, entry] = Stream(agent, entry)
+        hellos = nodes[0].core.hello(), nodes[1].core.hello()
+        up = wire.PeerUp
+        self._carry(
+            stream, agent, entry, lambda: self.post(entry, up(hellos[0]))
+        )
+        self._carry(
+            stream, entry, agent, lambda: self.post(agent, up(hellos[1]))
+        )
+
+    def break_stream(self, one: str, other: str) -> None:
+        """Break the stream between two processes, for both."""
+        key = self._key(one, other)
+        stream = self.streams.pop(key, None)
+        if stream is None:
+            return
+        stream.open = False
+        for name, peer in (key, key[::-1]):
+            incarnation = f"{peer}.{self.nodes[peer].life}"
+            event = wire.PeerDown(peer, incarnation)
+            if (peer, name) in self.cuts and name != one:
+                continue  # The other side does not learn of it.
+            self.post(name, event)
+
+    # Calls to endpoints.
+
+    def _order(
+        self, agent: str, order: leases.StartRun | leases.StopRun
+    ) -> None:
+        node = self.nodes[agent]
+        endpoint = self.endpoints[agent]
+        life = node.life
+        late = self.rng.random() < self.late_orders
+        delay = self.rng.uniform(2.0, 12.0) if late else CALL_S
+
+        def carry_out() -> None:
+            if not endpoint.up:
+                answer(down=True)
+            elif isinstance(order, leases.StartRun):
+                answer(endpoint.start(self.now, order))
+            else:
+                answer(endpoint.stop(self.now, order))
+
+        def answer(result: typing.Any = None, down: bool = False) -> None:
+            if late or node.life != life:
+                return
+            if isinstance(order, leases.StopRun):
+                event: typing.Any = leases.StopAnswered(
+                    order.key, bool(result)
+                )
+            else:
+                if down:
+                    result = leases.StartResult.DOWN
+                event = leases.StartAnswered(
+                    order.key,
+                    result,
+                    order.incarnation,
+                    endpoint.clock_ms(self.now),
+                )
+            self.at(CALL_S, lambda: self.post(agent, event))
+
+        self.at(delay, carry_out)
+        if late and isinstance(order, leases.StartRun):
+            silent = leases.StartAnswered(
+                order.key, leases.StartResult.SILENT, order.incarnation
+            )
+            self.at(0.06, lambda: self.post(agent, silent))
+
+    def _renew_loop(self, agent: str, life: int) -> None:
+        node = self.nodes[agent]
+        endpoint = self.endpoints[agent]
+
+        def again(delay: float) -> None:
+            self.at(delay, lambda: self._renew_loop(agent, life))
+
+        if node.life != life or not node.alive:
+            return
+        if node.paused:
+            node.waiting.append(lambda: self._renew_loop(agent, life))
+            return
+        renewal = node.core.renewal(self.now)
+        sent_at = self.now
+        late = self.rng.random() < self.late_orders
+        fault = leases.CallFault
+
+        def carry_out() -> None:
+            if not endpoint.up:
+                event: typing.Any = leases.LeaseNotRenewed(
+                    fault.DOWN, renewal.incarnation
+                )
+            else:
+                event = endpoint.renew(self.now, sent_at, renewal)
+            if late:
+                return
+            self.at(CALL_S, lambda: self.post(agent, event))
+            again(CALL_S + 0.02)
+
+        self.at(self.rng.uniform(2, 12) if late else CALL_S, carry_out)
+        if late:
+            silent = leases.LeaseNotRenewed(fault.SILENT, renewal.incarnation)
+            self.at(RENEW_TIMEOUT_S, lambda: self.post(agent, silent))
+            again(RENEW_TIMEOUT_S + 0.03)
+
+    def _heartbeat_loop(self, agent: str) -> None:
+        endpoint = self.endpoints[agent]
+        numbers = itertools.count(1)
+
+        def beat() -> None:
+            if endpoint.up:
+                self.heartbeat(agent, next(numbers))
+            self.at(HEARTBEAT_S, beat)
+
+        self.at(0.2 * self.rng.random(), beat)
+
+    def heartbeat(self, agent: str, number: int) -> None:
+        """Let an endpoint report to its agent."""
+        endpoint = self.endpoints[agent]
+        seen = leases.EndpointSeen(
+            endpoint.incarnation,
+            "desk",
+            "127.0.0.1:1",
+            endpoint.capacity,
+            (),
+            endpoint.draining,
+            0.0,
+            endpoint.clock_ms(self.now),
+            number,
+        )
+        self.post(agent, seen)
+
+    # Clients.
+
+    def submit(
+        self,
+        entry: str,
+        name: str,
+        count: int = 2,
+        work_s: float = 0.2,
+        cpu: int = 1000,
+        deadline_s: float = 5.0,
+        steps: tuple[leases.JobStep, ...] = (),
+    ) -> int:
+        """Send a job to an entry.
+
+        :return: its token
+        """
+        token = next(self._tokens)
+        step = leases.JobStep(count, wire.Resources(cpu, 100, 0), work_s)
+        job = leases.LeasedJob(
+            name, JOB_CLASS, "spec", steps or (step,), deadline_s
+        )
+        self.jobs[token] = job
+        self.work_s[name] = work_s
+        self.answers[token] = []
+        self.post(entry, leases.JobSubmitted(token, job))
+        return token
+
+    def outcome(self, token: int) -> outcomes.JobOutcome | None:
+        """Return the answer to a job, if there is one."""
+        answers = self.answers[token]
+        return answers[0] if answers else None
+
+    # Faults.
+
+    def kill(self, name: str, down_s: float = 0.3) -> None:
+        """End a process; it starts again as another incarnation."""
+        node = self.nodes[name]
+        for key in [key for key in self.streams if name in key]:
+            other = key[1] if key[0] == name else key[0]
+            self.streams.pop(key).open = False
+            incarnation = f"{name}.{node.life}"
+            if (name, other) not in self.cuts:
+                self.post(other, wire.PeerDown(name, incarnation))
+        node.alive = False
+        node.life += 1
+
+        def restart() -> None:
+            self._boot(name)
+            if name in self.agents:
+                self._renew_loop(name, node.life)
+
+        self.at(down_s, restart)
+
+    def pause(self, name: str, for_s: float) -> None:
+        """Stop a process for a while."""
+        node = self.nodes[name]
+        life = node.life
+        node.paused = True
+
+        def wake() -> None:
+            if node.life != life:
+                return
+            node.paused = False
+            waiting, node.waiting = node.waiting, []
+            self._tick(name)
+            for act in waiting:
+                act()
+
+        self.at(for_s, wake)
+
+    def cut(
+        self, source: str, target: str, for_s: float, both: bool = True
+    ) -> None:
+        """Hold up what one process sends to another."""
+        ways = [(source, target)]
+        if both:
+            ways.append((target, source))
+        for way in ways:
+            self.cuts.add(way)
+        self.at(for_s, lambda: self._heal(ways))
+
+    def _heal(self, ways: list[tuple[str, str]]) -> None:
+        for way in ways:
+            self.cuts.discard(way)
+            held = self.held.pop(way, [])
+            for stream, act in held:
+                if self.streams.get(self._key(*way)) is stream:
+                    act()
+
+    def crash_endpoint(self, agent: str, down_s: float | None = 0.5) -> None:
+        """End an endpoint; it starts again unless that is none."""
+        endpoint = self.endpoints[agent]
+        endpoint.crash()
+        if down_s is None:
+            return
+
+        def restart() -> None:
+            if endpoint.up:
+                return  # Another crash's restart came first.
+            endpoint.restart(self.now)
+            self.heartbeat(agent, 1)
+
+        self.at(down_s, restart)
--- a/src/ferryledge/net/_driver.py
+++ b/src/ferryledge/net/_driver.py
@@ -26,20 +26,27 @@
         """Return when to tick at the latest."""
 
 
+def _nothing() -> None:
+    """Do nothing after a tick."""
+
+
 class Driver(typing.Generic[EventT, ActionT]):
     """Ticks a core once for all events that are ready.
 
     :param driven: the core
     :param perform: carries out one action; must not block
+    :param ticked: called after each tick
     """
 
     def __init__(
         self,
         driven: Core[EventT, ActionT],
         perform: abc.Callable[[ActionT], None],
+        ticked: abc.Callable[[], None] = _nothing,
     ) -> None:
         self._core = driven
         self._perform = perform
+        self._ticked = ticked
         self._wake = anyio.Event()
 
     def post(self, event: EventT) -> None:
@@ -54,6 +61,7 @@
             self._wake = anyio.Event()
             for action in self._core.tick(anyio.current_time()):
                 self._perform(action)
+            self._ticked()
 
     async def _sleep(self) -> None:
         if self._wake.is_set():
--- a/src/ferryledge/outcomes/_outcomes.py
+++ b/src/ferryledge/outcomes/_outcomes.py
@@ -22,6 +22,11 @@
     CANCEL = "cancel"
     AUTHORISE = "authorise"
     DRAIN = "drain"
+    #: A run's endpoint became slow, or its lease was given up.
+    MOVE = "move"
+    LEASE = "lease"
+    #: What a process believes of its peers and endpoints.
+    HEALTH = "health"
 
 
 class Reason(enum.StrEnum):
