--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -54,6 +54,7 @@
             net.new_incarnation(),
             settings.zone,
             random.Random(settings.node),
+            far_factor=settings.bounds.far_x,
         )
         self._log = logs.DecisionLog()
         self._driver = net.Driver(self._core, self._perform, self._ticked)
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -40,6 +40,7 @@
     :param hall: its availability zone
     :param rng: source of all randomness
     :param timing: the lease rule
+    :param far_factor: how many times as long a task takes away from its data
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         hall: str,
         rng: random.Random,
         timing: _timing.LeaseTiming | None = None,
+        far_factor: float = 1.0,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
@@ -59,7 +61,9 @@
         self._judge = health.HealthJudge()
         self._notes = _entry_notes.EntryNotes()
         self._peers = _peers.EntryPeers(name)
-        self._placing = _placing.Placing(name, self._pool, self._run_times)
+        self._placing = _placing.Placing(
+            name, self._pool, self._run_times, far_factor
+        )
         self._admission = _admission.Admission(name, self._pool, rng)
         self._jobs: dict[str, _jobs.Job] = {}
         self._answered: dict[str, float] = {}
--- a/src/ferryledge/leases/_jobs.py
+++ b/src/ferryledge/leases/_jobs.py
@@ -37,6 +37,9 @@
     label: str = ""
     #: Most tasks of the step on one endpoint; 0 is no bound.
     max_per_endpoint: int = 0
+    #: A label of the endpoints near the step's data; empty is none. On
+    #: others a task takes longer.
+    near: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -39,6 +39,7 @@
     :param name: this entry
     :param pool: the agents
     :param run_times: what was learned of run times and speeds
+    :param far_factor: how many times as long a task takes away from its data
     """
 
     def __init__(
@@ -46,10 +47,12 @@
         name: str,
         pool: _pool.Pool,
         run_times: placement.RunTimes,
+        far_factor: float = 1.0,
     ) -> None:
         self._name = name
         self._pool = pool
         self._run_times = run_times
+        self._far_factor = far_factor
         self._ranks: dict[str, int] = {}
 
     def place(
@@ -74,7 +77,7 @@
                 if names and names <= task.avoid:
                     # Nowhere else is left to try it.
                     task.avoid.clear()
-            yield from self._place_job(job, rows)
+            yield from self._place_job(now, job, rows)
 
     def _urgency(self, now: float, job: _jobs.Job) -> tuple[bool, int, float]:
         late = job.offered_at is None and now > job.start_by
@@ -88,14 +91,14 @@
         return (int(slowness / _SLOWNESS_GRAIN), rank)
 
     def _place_job(
-        self, job: _jobs.Job, rows: list[_pool.AgentRow]
+        self, now: float, job: _jobs.Job, rows: list[_pool.AgentRow]
     ) -> abc.Iterator[Placement]:
         by_step: dict[int, list[_jobs.Task]] = {}
         for task in job.startable():
             by_step.setdefault(task.step, []).append(task)
         for number, tasks in by_step.items():
             step = job.request.steps[number]
-            for row in rows:
+            for row in self._by_nearness(now, job, step, rows):
                 if not tasks:
                     break
                 chosen = self._choose(job, step, number, row, tasks)
@@ -103,6 +106,27 @@
                     tasks = [one for one in tasks if one not in chosen]
                     yield Placement(job, number, row, tuple(chosen))
 
+    def _by_nearness(
+        self,
+        now: float,
+        job: _jobs.Job,
+        step: _jobs.JobStep,
+        rows: list[_pool.AgentRow],
+    ) -> list[_pool.AgentRow]:
+        """Return the endpoints near a step's data, then others if need be.
+
+        Away from its data a task waits for room near them as long as it
+        would be late elsewhere anyway.
+        """
+        if not step.near:
+            return rows
+        near = [row for row in rows if step.near in row.state.labels]
+        far = [row for row in rows if step.near not in row.state.labels]
+        in_time = now + job.expected_s * self._far_factor < job.objective_at
+        if in_time or now > job.start_by:
+            return near + far
+        return near
+
     def _choose(
         self,
         job: _jobs.Job,
--- a/src/ferryledge/platform/_jobs.py
+++ b/src/ferryledge/platform/_jobs.py
@@ -77,8 +77,7 @@
 ) -> leases.LeasedJob:
     """Return the job that a body describes.
 
-    ``Affinity``, ``RackLocal`` and ``SavesProgress`` speed a task up and may
-    be passed over.
+    ``RackLocal`` and ``SavesProgress`` speed a task up and are passed over.
 
     :param name: the client's name for the job
     :param body: the request's body
@@ -130,6 +129,7 @@
         step.depends_on,
         step.requires,
         step.anti_affinity,
+        step.affinity,
     )
 
 
--- a/src/ferryledge/platform/_settings.py
+++ b/src/ferryledge/platform/_settings.py
@@ -47,6 +47,8 @@
     stop_ms: float = 50
     #: Seconds between SIGTERM and SIGKILL.
     grace_s: float = 6
+    #: How many times as long a task takes away from its data.
+    far_x: float = 1.0
 
 
 class Store(_Part, frozen=True):
