Add a fault soak of the real programs, metrics and stand-ins for the platform

Cause: nothing played faults against the daemons as separate processes, and their figures were not served.

Ruled out: OpenTelemetry's SDK in the hosted daemons (3 MB a process more than the Prometheus client that it renders by).

Change: `ferryledge-soak` plays seeded plans of 21 kinds of faults against real processes behind a loopback proxy and judges what clients and endpoints see; stand-ins for the store, an endpoint and a client speak the platform's protocol; entries and agents serve counters and histograms.

--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -5,6 +5,7 @@
 import loguru
 
 from ferryledge.hosted import _members
+from ferryledge.hosted import _metrics
 from ferryledge import leases
 from ferryledge import logs
 from ferryledge import net
@@ -52,11 +53,13 @@
     async def run(self, drain: anyio.Event) -> None:
         """Serve until the event is set and the runs have ended."""
         settings = self._settings
+        self._registry = _metrics.Registry("agent")
         self._core = leases.LeaseAgent(
             settings.node,
             net.new_incarnation(),
             settings.zone,
             anyio.current_time(),
+            meter=_metrics.AgentMetrics(self._registry),
         )
         self._log = logs.DecisionLog()
         self._driver = net.Driver(self._core, self._perform, self._ticked)
@@ -77,6 +80,14 @@
                 port,
                 stop,
             )
+            self._add_gauges()
+            await group.start(
+                net.serve_http,
+                net.asgi_app(self._registry.handle),
+                settings.ip,
+                _metrics.PORT,
+                stop,
+            )
             group.start_soon(self._driver.run)
             group.start_soon(self._renew)
             group.start_soon(self._find_entries)
@@ -123,6 +134,23 @@
             else:
                 await anyio.sleep(_RENEW_PAUSE_S)
 
+    def _add_gauges(self) -> None:
+        gauge = self._registry.gauge
+        core = self._core
+        gauge(
+            "runs", "Runs that the endpoint may hold", lambda: len(core.runs)
+        )
+        gauge(
+            "held_cpu_millis",
+            "Thousandths of a core that runs take",
+            lambda: core.runs.held.cpu_millis,
+        )
+        gauge(
+            "slowness_ratio",
+            "How many times as long runs take as they should",
+            lambda: core.slowness,
+        )
+
     def _ticked(self) -> None:
         self._log.write(anyio.current_time(), self._core.take_notes())
 
--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -9,6 +9,7 @@
 
 from ferryledge.hosted import _config
 from ferryledge.hosted import _members
+from ferryledge.hosted import _metrics
 from ferryledge import leases
 from ferryledge import logs
 from ferryledge import net
@@ -49,12 +50,14 @@
         self, settings: platform.Settings, keys: tuple[str, ...]
     ) -> None:
         self._settings = settings
+        self._registry = _metrics.Registry("entry")
         self._core = leases.LeaseEntry(
             settings.node,
             net.new_incarnation(),
             settings.zone,
             random.Random(settings.node),
             far_factor=settings.bounds.far_x,
+            meter=_metrics.EntryMetrics(self._registry),
         )
         self._log = logs.DecisionLog()
         self._driver = net.Driver(self._core, self._perform, self._ticked)
@@ -92,12 +95,22 @@
         async with anyio.create_task_group() as group:
             self._group = group
             await group.start(
-                self._mesh.listen, settings.ip, settings.stream_port
+                self._mesh.listen,
+                settings.stream_host,
+                settings.stream_port,
             )
             group.start_soon(self._driver.run)
             self._driver.post(leases.EntriesFound((own,)))
             await self._serve(group, settings.listen_addrs.readiness, stop)
             await self._serve(group, settings.listen_addrs.frontend, stop)
+            self._add_gauges()
+            await group.start(
+                net.serve_http,
+                net.asgi_app(self._registry.handle),
+                settings.stream_host,
+                _metrics.PORT,
+                stop,
+            )
             hosts = [platform.split_address(one)[0] for one in settings.seeds]
             hosts = [host for host in hosts if host != settings.ip]
             self._dialler.dial_seeds(group, hosts, settings.stream_port)
@@ -132,6 +145,26 @@
         await anyio.sleep(_FLUSH_S)
         loguru.logger.info("entry stopped", step="drain")
 
+    def _add_gauges(self) -> None:
+        gauge = self._registry.gauge
+        core = self._core
+        gauge("open_jobs", "Jobs whose clients wait", lambda: core.open_jobs)
+        gauge(
+            "waiting_tasks",
+            "Tasks that nothing is ordered for",
+            lambda: core.waiting_tasks,
+        )
+        gauge(
+            "usable_agents",
+            "Agents that take work",
+            lambda: core.usable_agents(anyio.current_time()),
+        )
+        gauge(
+            "config_version",
+            "Version of the configuration in force",
+            lambda: core.peers.version,
+        )
+
     def _ticked(self) -> None:
         self._log.write(anyio.current_time(), self._core.take_notes())
 
--- a/src/ferryledge/leases/__init__.py
+++ b/src/ferryledge/leases/__init__.py
@@ -9,12 +9,14 @@
 from ferryledge.leases import _entry
 from ferryledge.leases import _entry_events
 from ferryledge.leases import _jobs
+from ferryledge.leases import _meters
 from ferryledge.leases import _runs
 from ferryledge.leases import _timing
 from ferryledge import wire
 
 AgentAction = _agent_events.AgentAction
 AgentDrain = _agent_events.AgentDrain
+AgentMeter = _meters.AgentMeter
 AgentEvent = _agent_events.AgentEvent
 AnswerJob = _entry_events.AnswerJob
 ApplyConfig = _entry_events.ApplyConfig
@@ -29,6 +31,7 @@
 EntriesFound = _entry_events.EntriesFound
 EntryAction = _entry_events.EntryAction
 EntryDrain = _entry_events.EntryDrain
+EntryMeter = _meters.EntryMeter
 EntryEvent = _entry_events.EntryEvent
 JobCancelled = _entry_events.JobCancelled
 JobClass = _jobs.JobClass
@@ -55,6 +58,7 @@
     "AgentAction",
     "AgentDrain",
     "AgentEvent",
+    "AgentMeter",
     "AnswerJob",
     "ApplyConfig",
     "CallFault",
@@ -69,6 +73,7 @@
     "EntryAddress",
     "EntryDrain",
     "EntryEvent",
+    "EntryMeter",
     "JobCancelled",
     "JobClass",
     "JobStep",
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -8,6 +8,7 @@
 from ferryledge.leases import _agent_events
 from ferryledge.leases import _agent_notes
 from ferryledge.leases import _endpoint
+from ferryledge.leases import _meters
 from ferryledge.leases import _notes
 from ferryledge.leases import _owners
 from ferryledge.leases import _runs
@@ -41,6 +42,7 @@
     :param hall: its availability zone
     :param now: monotonic seconds
     :param timing: the lease rule
+    :param meter: counts its decisions; none is nowhere
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         hall: str,
         now: float,
         timing: _timing.LeaseTiming | None = None,
+        meter: _meters.AgentMeter | None = None,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
@@ -57,7 +60,7 @@
         self._timing = timing or _timing.LeaseTiming()
         self._link = _endpoint.EndpointLink(self._timing, now)
         self._runs = _runs.RunTable()
-        self._notes = _agent_notes.AgentNotes()
+        self._notes = _agent_notes.AgentNotes(meter or _meters.AgentMeter())
         self._owners = _owners.OwnerTable(self._timing)
         self._actions: list[_agent_events.AgentAction] = []
         self._draining = False
@@ -76,6 +79,11 @@
         """The runs that the endpoint holds, or may hold."""
         return self._runs
 
+    @property
+    def slowness(self) -> float:
+        """How many times as long runs take at the endpoint."""
+        return self._speed.slowness
+
     @property
     def idle(self) -> bool:
         """Whether nothing runs here."""
@@ -127,6 +135,7 @@
             case _agent_events.LeaseRenewed():
                 self._on_renewed(now, event)
             case _agent_events.LeaseNotRenewed(fault, incarnation, clock_ms):
+                self._notes.renewed(fault)
                 if fault is _agent_events.CallFault.FENCED:
                     self._link.raise_token(clock_ms, now)
             case _agent_events.StartAnswered():
@@ -387,6 +396,7 @@
         if not had_token:
             return
         self._link.renewed(event.sent_at)
+        self._notes.renewed()
         for end in event.ended:
             self._on_listed_end(end)
         listed = {run.key: run for run in event.running}
--- a/src/ferryledge/leases/_agent_notes.py
+++ b/src/ferryledge/leases/_agent_notes.py
@@ -1,6 +1,7 @@
 """An agent's notes: what each says and which inputs it carries."""
 
 from ferryledge.leases import _agent_events
+from ferryledge.leases import _meters
 from ferryledge.leases import _notes
 from ferryledge.leases import _owners
 from ferryledge.leases import _runs
@@ -11,7 +12,14 @@
 
 
 class AgentNotes(_notes.Notes):
-    """What an agent decides about runs, and believes of its endpoint."""
+    """What an agent decides about runs, and believes of its endpoint.
+
+    :param meter: counts along
+    """
+
+    def __init__(self, meter: _meters.AgentMeter) -> None:
+        super().__init__()
+        self._meter = meter
 
     def released(
         self,
@@ -21,6 +29,7 @@
         reason: wire.NotStarted,
     ) -> None:
         """An order was turned down as a whole."""
+        self._meter.order(str(reason), len(order.runs))
         self.add(
             outcomes.Step.START,
             "order released",
@@ -39,6 +48,9 @@
         held: int,
     ) -> None:
         """An order was taken, as far as there was room."""
+        self._meter.order("", len(order.runs) - full)
+        if full:
+            self._meter.order(str(wire.NotStarted.FULL), full)
         self.add(
             outcomes.Step.START,
             "order taken",
@@ -54,6 +66,7 @@
         self, now: float, owner: _owners.Owner, row: _runs.RunRow
     ) -> None:
         """A run is stopped since its entry no longer answers for it."""
+        self._meter.grant_ran_out()
         self.add(
             outcomes.Step.LEASE,
             "stopped: its entry's grant ran out",
@@ -65,6 +78,7 @@
 
     def over(self, now: float, row: _runs.RunRow, how: wire.HowEnded) -> None:
         """A run is over."""
+        self._meter.over(how, now - row.ordered_at)
         self.add(
             outcomes.Step.RUN,
             "run over",
@@ -79,6 +93,7 @@
 
     def unanswered(self, row: _runs.RunRow) -> None:
         """An order went without an answer and is taken back."""
+        self._meter.unanswered()
         self.add(
             outcomes.Step.START,
             "order without an answer: stopping it",
@@ -89,6 +104,10 @@
             run=row.key.run,
         )
 
+    def renewed(self, fault: _agent_events.CallFault | None = None) -> None:
+        """The endpoint's lease was renewed, or not."""
+        self._meter.renewed(str(fault.value) if fault else "")
+
     def seen(
         self,
         known: _agent_events.EndpointSeen | None,
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -12,6 +12,7 @@
 from ferryledge.leases import _entry_events
 from ferryledge.leases import _entry_notes
 from ferryledge.leases import _jobs
+from ferryledge.leases import _meters
 from ferryledge.leases import _moving
 from ferryledge.leases import _notes
 from ferryledge.leases import _peers
@@ -41,6 +42,7 @@
     :param rng: source of all randomness
     :param timing: the lease rule
     :param far_factor: how many times as long a task takes away from its data
+    :param meter: counts its decisions; none is nowhere
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         rng: random.Random,
         timing: _timing.LeaseTiming | None = None,
         far_factor: float = 1.0,
+        meter: _meters.EntryMeter | None = None,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
@@ -59,7 +62,7 @@
         self._pool = _pool.Pool(self._timing)
         self._run_times = placement.RunTimes()
         self._judge = health.HealthJudge()
-        self._notes = _entry_notes.EntryNotes()
+        self._notes = _entry_notes.EntryNotes(meter or _meters.EntryMeter())
         self._peers = _peers.EntryPeers(name)
         self._placing = _placing.Placing(
             name, self._pool, self._run_times, far_factor
@@ -96,6 +99,19 @@
         job = self._jobs.get(name)
         return job is not None and not job.closed
 
+    @property
+    def waiting_tasks(self) -> int:
+        """Tasks of open jobs that nothing is ordered for."""
+        return sum(
+            len(job.startable())
+            for job in self._jobs.values()
+            if not job.closed
+        )
+
+    def usable_agents(self, now: float) -> int:
+        """Return how many agents take work from this entry."""
+        return sum(row.usable(now) for row in self._pool)
+
     def pending(self, job_class: str) -> int:
         """Return how many open jobs of a class nothing was ordered for."""
         return sum(
@@ -357,8 +373,7 @@
         if taken is None:
             return
         job, task = taken
-        if end.how is not wire.HowEnded.DONE:
-            self._notes.ended(job, row, end, task.failures)
+        self._notes.ended(job, row, end, task.failures)
         match end.how:
             case wire.HowEnded.DONE:
                 task.state = _jobs.TaskState.DONE
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -2,6 +2,7 @@
 
 from ferryledge import health
 from ferryledge.leases import _jobs
+from ferryledge.leases import _meters
 from ferryledge.leases import _notes
 from ferryledge.leases import _pool
 from ferryledge import outcomes
@@ -9,7 +10,14 @@
 
 
 class EntryNotes(_notes.Notes):
-    """What an entry decides about jobs, and believes of agents."""
+    """What an entry decides about jobs, and believes of agents.
+
+    :param meter: counts along
+    """
+
+    def __init__(self, meter: _meters.EntryMeter) -> None:
+        super().__init__()
+        self._meter = meter
 
     def admitted(self, job: _jobs.Job, held: int, config: int) -> None:
         """A job is kept."""
@@ -29,14 +37,16 @@
         self, now: float, job: _jobs.Job, outcome: outcomes.JobOutcome
     ) -> None:
         """A job is answered."""
+        tag = outcomes.tag_of(outcome)
         match outcome:
             case outcomes.Complete():
                 late = ", late" if now > job.objective_at else ""
-                self._answer(now, job, f"answered: complete{late}")
+                self._answer(now, job, tag, f"answered: complete{late}")
             case outcomes.Refused(reason, _, retry_after_s, detail):
                 self._answer(
                     now,
                     job,
+                    tag,
                     "refused, not run",
                     reason=str(reason),
                     detail=detail,
@@ -46,22 +56,30 @@
                 self._answer(
                     now,
                     job,
+                    tag,
                     "answered: failed, may have run",
                     origin.peer,
                     reason=str(reason),
                 )
             case _:
-                tag = outcomes.tag_of(outcome)
-                self._answer(now, job, f"answered: {tag}", reason=tag)
+                self._answer(now, job, tag, f"answered: {tag}", reason=tag)
 
     def _answer(
         self,
         now: float,
         job: _jobs.Job,
+        outcome: str,
         message: str,
         peer: str = "",
+        reason: str = "",
         **facts: object,
     ) -> None:
+        waited_s = now - job.arrived_at
+        self._meter.answered(
+            outcome, str(reason), waited_s, waited_s / job.objective_s
+        )
+        if reason:
+            facts["reason"] = str(reason)
         if job.offered_at is not None:
             facts["first_order_s"] = round(job.offered_at - job.arrived_at, 3)
         self.add(
@@ -69,9 +87,9 @@
             message,
             job.name,
             peer,
-            "reason" in facts,
+            bool(reason),
             queue=job.request.job_class.name,
-            waited_s=round(now - job.arrived_at, 3),
+            waited_s=round(waited_s, 3),
             objective_s=round(job.objective_s, 3),
             runs=sum(task.run for task in job.all_tasks),
             **facts,
@@ -95,6 +113,9 @@
         slowness: float,
     ) -> None:
         """Runs were ordered at an agent."""
+        self._meter.ordered(len(tasks))
+        if job.offered_at == now:
+            self._meter.first_order(now - job.arrived_at)
         self.add(
             outcomes.Step.PLACE,
             "ordered",
@@ -116,6 +137,7 @@
         reason: wire.NotStarted,
     ) -> None:
         """An agent released a run."""
+        self._meter.not_started(reason)
         self.add(
             outcomes.Step.START,
             "not started",
@@ -133,7 +155,10 @@
         end: wire.RunEnd,
         failures: int,
     ) -> None:
-        """A run ended without a result."""
+        """A run ended; without a result, that is worth a line."""
+        self._meter.ended(end.how)
+        if end.how is wire.HowEnded.DONE:
+            return
         self.add(
             outcomes.Step.RUN,
             "run ended without a result",
@@ -151,6 +176,7 @@
         self, job: _jobs.Job, task: _jobs.Task, late: wire.LateRun
     ) -> None:
         """A run is stopped to be started elsewhere."""
+        self._meter.moved()
         self.add(
             outcomes.Step.MOVE,
             "moved off a slow endpoint",
@@ -227,6 +253,7 @@
         self, job: _jobs.Job, row: _pool.AgentRow, state: health.Health
     ) -> None:
         """An endpoint's health changed with the end of a run."""
+        self._meter.health_changed()
         self.add(
             outcomes.Step.HEALTH,
             "endpoint's health changed",
--- a/src/ferryledge/leases/tests/world.py
+++ b/src/ferryledge/leases/tests/world.py
@@ -13,7 +13,7 @@
 import typing
 
 from ferryledge import leases
-from ferryledge.leases.tests import endpoints
+from ferryledge import standin
 from ferryledge import outcomes
 from ferryledge import wire
 
@@ -62,7 +62,7 @@
         self._count = itertools.count()
         self._tokens = itertools.count(1)
         self.nodes: dict[str, Node] = {}
-        self.endpoints: dict[str, endpoints.Endpoint] = {}
+        self.endpoints: dict[str, standin.LeasedEndpoint] = {}
         self.streams: dict[tuple[str, str], Stream] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.held: dict[
@@ -83,7 +83,7 @@
         self.entries = [f"entry-{n}" for n in range(entries)]
         self.agents = [f"agent-{n}" for n in range(agents)]
         for name in self.agents:
-            self.endpoints[name] = endpoints.Endpoint(
+            self.endpoints[name] = standin.LeasedEndpoint(
                 f"endpoint-of-{name}",
                 ROOM,
                 0.0,
--- a/src/ferryledge/net/__init__.py
+++ b/src/ferryledge/net/__init__.py
@@ -20,6 +20,7 @@
 new_incarnation = _incarnation.new_incarnation
 run_daemon = _stop.run_daemon
 serve_http = _server.serve_http
+serve_until_cancelled = _server.serve_until_cancelled
 
 __all__ = [
     "BodyError",
@@ -34,4 +35,5 @@
     "new_incarnation",
     "run_daemon",
     "serve_http",
+    "serve_until_cancelled",
 ]
--- a/src/ferryledge/net/_http.py
+++ b/src/ferryledge/net/_http.py
@@ -46,7 +46,7 @@
         :param method: the HTTP method
         :param path: path and query
         :param content: the body
-        :param headers: further headers
+        :param headers: further headers; a ``host`` replaces the usual one
         :param connect_s: seconds to open a connection
         :param answer_s: seconds to wait for each part of the answer; none
             is without bound
@@ -54,15 +54,17 @@
         :raises httpcore.ReadTimeout: if the answer did not come in time
         :raises httpcore.NetworkError: if the connection broke
         """
+        names = {name for name, _ in headers}
+        usual = [
+            ("host", self._url.partition("://")[2]),
+            ("content-type", "application/json"),
+        ]
+        fields = [one for one in usual if one[0] not in names]
         async with self._limiter, self._connection() as connection:
             return await connection.request(
                 method,
                 self._url + path,
-                headers=[
-                    ("host", self._url.partition("://")[2]),
-                    ("content-type", "application/json"),
-                    *headers,
-                ],
+                headers=[*fields, *headers],
                 content=content,
                 extensions={
                     "timeout": {"connect": connect_s, "read": answer_s}
--- a/src/ferryledge/net/_server.py
+++ b/src/ferryledge/net/_server.py
@@ -72,3 +72,14 @@
 async def _stop_server(server: uvicorn.Server, stop: anyio.Event) -> None:
     await stop.wait()
     server.should_exit = True
+
+
+async def serve_until_cancelled(app: typing.Any, host: str, port: int) -> None:
+    """Serve until the calling task is cancelled.
+
+    :param app: the ASGI application
+    :param host: IP number to listen on
+    :param port: TCP port
+    """
+    async with anyio.create_task_group() as group:
+        await group.start(serve_http, app, host, port, anyio.Event())
--- a/src/ferryledge/platform/_settings.py
+++ b/src/ferryledge/platform/_settings.py
@@ -79,6 +79,14 @@
     #: Whether this is the first start of the whole system.
     bootstrap: bool = False
 
+    #: Address to listen on for streams, if peers reach it through another.
+    listen_ip: str = ""
+
+    @property
+    def stream_host(self) -> str:
+        """The address to listen on for streams."""
+        return self.listen_ip or self.ip
+
     @property
     def stream_port(self) -> int:
         """The port for streams between processes, alike on all machines."""
--- /dev/null
+++ b/src/ferryledge/platform/standin/__init__.py
@@ -0,0 +1,26 @@
+"""Stand-ins that speak the platform's protocol, for tests and the soak."""
+
+from ferryledge.platform.standin import _client
+from ferryledge.platform.standin import _endpoint
+from ferryledge.platform.standin import _settings
+from ferryledge.platform.standin import _store
+
+ClientAnswer = _client.ClientAnswer
+ClientState = _client.ClientState
+EndpointServer = _endpoint.EndpointServer
+StoreBehaviour = _store.StoreBehaviour
+StoreServer = _store.StoreServer
+render_config = _settings.render_config
+render_settings = _settings.render_settings
+submit = _client.submit
+
+__all__ = [
+    "ClientAnswer",
+    "ClientState",
+    "EndpointServer",
+    "StoreBehaviour",
+    "StoreServer",
+    "render_config",
+    "render_settings",
+    "submit",
+]
--- /dev/null
+++ b/src/ferryledge/platform/standin/_endpoint.py
@@ -0,0 +1,214 @@
+"""A stand-in for an endpoint behind the platform's protocol."""
+
+from collections import abc
+import contextlib
+import json
+import random
+import typing
+
+import anyio
+import httpcore
+
+from ferryledge import leases
+from ferryledge import net
+from ferryledge import standin
+from ferryledge import wire
+
+#: Seconds between steps of the tasks' progress.
+_STEP_S = 0.01
+_HEARTBEAT_S = 0.5
+_BEAT_TIMEOUT_S = 1.0
+
+_STATUS = {
+    leases.StartResult.STARTED: (200, ""),
+    leases.StartResult.FENCED: (409, "fence"),
+    leases.StartResult.RUN_NUMBER: (409, "old"),
+    leases.StartResult.LATE: (409, "late"),
+    leases.StartResult.REPLACED: (421, ""),
+}
+
+
+def _key(task: str, run: int) -> leases.RunKey:
+    job, _, step, index = task.rsplit(".", 3)
+    return leases.RunKey(job, int(step), int(index), run)
+
+
+def _task(key: leases.RunKey) -> str:
+    return f"{key.job}.0.{key.step}.{key.index}"
+
+
+class EndpointServer:
+    """Serves one endpoint and reports to its agent.
+
+    :param service: the service that it runs tasks of
+    :param host: IP number that it listens on
+    :param port: its port
+    :param agent_url: where its heartbeats go
+    :param model: what it does with orders
+    :param rng: decides which orders are lost
+    """
+
+    def __init__(
+        self,
+        service: str,
+        host: str,
+        port: int,
+        agent_url: str,
+        model: standin.LeasedEndpoint,
+        rng: random.Random,
+    ) -> None:
+        self.model = model
+        #: Share of the orders that are carried out late, unanswered.
+        self.late_orders = 0.0
+        self._service = service
+        self._host = host
+        self._port = port
+        self._caller = net.HttpCaller(agent_url, 1)
+        self._rng = rng
+        self._beats = 0
+
+    async def run(self) -> None:
+        """Serve for ever."""
+        stop = anyio.Event()
+        async with anyio.create_task_group() as group:
+            await group.start(
+                net.serve_http,
+                net.asgi_app(self._handle),
+                self._host,
+                self._port,
+                stop,
+            )
+            group.start_soon(self._progress)
+            group.start_soon(self._report)
+
+    async def _progress(self) -> None:
+        while True:
+            self.model.advance(anyio.current_time())
+            await anyio.sleep(_STEP_S)
+
+    async def _report(self) -> None:
+        while True:
+            if self.model.up:
+                with contextlib.suppress(
+                    httpcore.NetworkError,
+                    httpcore.TimeoutException,
+                    httpcore.ProtocolError,
+                ):
+                    await self._beat()
+            await anyio.sleep(_HEARTBEAT_S)
+
+    async def _beat(self) -> None:
+        self._beats += 1
+        model = self.model
+        capacity = model.capacity
+        body: dict[str, object] = {
+            "Backend": self._service,
+            "Address": f"{self._host}:{self._port}",
+            "Version": "v1",
+            "State": "draining" if model.draining else "ready",
+            "Capacity": {
+                "Cpu": capacity.cpu_millis,
+                "MemMb": capacity.memory_mb,
+                "Gpu": capacity.gpus,
+            },
+            "Labels": [],
+            "ClockMs": model.clock_ms(anyio.current_time()),
+            "Seq": self._beats,
+        }
+        await self._caller.call(
+            "POST",
+            f"/instances/{model.incarnation}/heartbeat",
+            json.dumps(body).encode(),
+            answer_s=_BEAT_TIMEOUT_S,
+        )
+
+    async def _handle(self, request: net.Request) -> net.HttpResponse:
+        fields = json.loads(await request.body())
+        if not self.model.up:
+            await anyio.sleep(_BEAT_TIMEOUT_S)
+            return net.HttpResponse.json(503, {})
+        incarnation = request.header("expect-instance")
+        if self._rng.random() < self.late_orders:
+            await anyio.sleep(self._rng.uniform(1.0, 4.0))
+            self._carry_out(request.path, fields, incarnation)
+            await anyio.sleep(_BEAT_TIMEOUT_S)
+        if request.path == "/hold":
+            return await self._hold(fields, incarnation)
+        return self._carry_out(request.path, fields, incarnation)
+
+    def _carry_out(
+        self,
+        path: str,
+        fields: abc.Mapping[str, typing.Any],
+        incarnation: str,
+    ) -> net.HttpResponse:
+        now = anyio.current_time()
+        clock = {"ClockMs": self.model.clock_ms(now)}
+        if path == "/hold":
+            return net.HttpResponse.json(200, clock)
+        key = _key(fields["Task"], fields["Run"])
+        token = fields["FencingToken"]
+        if path == "/run-stop":
+            stop = leases.StopRun(key, incarnation, token)
+            done = self.model.stop(now, stop)
+            return net.HttpResponse.json(200 if done else 409, clock)
+        start = leases.StartRun(
+            key, fields["Spec"], incarnation, fields["DeadlineMs"], token
+        )
+        status, reason = _STATUS[self.model.start(now, start)]
+        return net.HttpResponse.json(status, {**clock, "Reason": reason})
+
+    async def _hold(
+        self, fields: abc.Mapping[str, typing.Any], incarnation: str
+    ) -> net.HttpResponse:
+        now = anyio.current_time()
+        renewal = leases.Renewal(
+            incarnation,
+            fields.get("DeadlineMs", 0),
+            fields["FencingToken"],
+            fields["AckedUpto"],
+            0,
+        )
+        answer = self.model.renew(now, now, renewal)
+        wait_until = now + fields.get("WaitMs", 0) / 1000.0
+        while (
+            isinstance(answer, leases.LeaseRenewed)
+            and not answer.ended
+            and anyio.current_time() < wait_until
+        ):
+            await anyio.sleep(_STEP_S)
+            quiet = leases.Renewal(
+                incarnation, 0, renewal.token, renewal.acknowledged, 0
+            )
+            answer = self.model.renew(anyio.current_time(), now, quiet)
+        return _render(answer)
+
+
+def _render(
+    answer: leases.LeaseRenewed | leases.LeaseNotRenewed,
+) -> net.HttpResponse:
+    match answer:
+        case leases.LeaseNotRenewed(leases.CallFault.REPLACED):
+            return net.HttpResponse.json(421, {})
+        case leases.LeaseNotRenewed(_, _, clock_ms):
+            return net.HttpResponse.json(
+                409, {"ClockMs": clock_ms, "Reason": "fence"}
+            )
+    running = [
+        [_task(run.key), run.key.run, "", int(run.done * 100), 0]
+        for run in answer.running
+    ]
+    ended = [
+        [end.number, _task(end.key), end.key.run, str(end.how), ""]
+        for end in answer.ended
+    ]
+    return net.HttpResponse.json(
+        200,
+        {"ClockMs": answer.clock_ms, "Running": running, "Ended": ended},
+    )
+
+
+def need_of(spec: str) -> wire.Resources:
+    """Return what a task needs, from its job's text."""
+    plain = json.loads(spec)
+    return wire.Resources(plain["cpu"], plain["memory"], 0)
--- /dev/null
+++ b/src/ferryledge/platform/standin/_settings.py
@@ -0,0 +1,64 @@
+"""Settings files and configurations as the platform writes them."""
+
+from collections import abc
+import json
+
+
+def render_settings(
+    node: str,
+    ip: str,
+    listen_ip: str,
+    port: int,
+    store: str,
+    endpoint: str = "",
+) -> str:
+    """Return a settings file.
+
+    :param node: the machine's name
+    :param ip: where peers reach it
+    :param listen_ip: where it listens
+    :param port: first of its ports; further ones follow
+    :param store: ``host:port`` of the store
+    :param endpoint: ``host:port`` of the endpoint beside it
+    """
+    return f"""
+Node = "{node}"
+Ip = "{ip}"
+ListenIp = "{listen_ip}"
+Zone = "north"
+PortRange = [{port}, {port + 9}]
+Seeds = []
+app = "{endpoint}"
+[ListenAddrs]
+Frontend = "{listen_ip}:{port + 10}"
+Readiness = "{listen_ip}:{port + 11}"
+ControlPlane = "{listen_ip}:{port + 12}"
+[Bounds]
+HoldMaxMs = 1000
+StopMs = 50
+GraceS = 6
+[platform]
+Address = "{store}"
+"""
+
+
+def render_config(version: int, queues: abc.Sequence[str]) -> bytes:
+    """Return a configuration with one queue a name.
+
+    :param version: its version
+    :param queues: names, which are also the first part of the paths
+    """
+    routes = [
+        {
+            "Name": name,
+            "Hostname": "desk.example",
+            "PathPrefix": f"/{name}/",
+            "Backend": "desk",
+            "TargetLatencyMs": 200,
+            "Priority": 0,
+            "Attempts": 3,
+            "Stretch": 2.0,
+        }
+        for name in queues
+    ]
+    return json.dumps({"Version": version, "Routes": routes}).encode()
--- /dev/null
+++ b/src/ferryledge/soak/_judge.py
@@ -0,0 +1,116 @@
+"""What must hold, judged by what endpoints and clients see."""
+
+import collections
+import dataclasses
+
+from ferryledge import leases
+from ferryledge.platform import standin as platform_standin
+from ferryledge import wire
+
+#: Seconds after the last fault within which jobs are served again.
+RECOVERY_S = 12.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """A broken promise."""
+
+    #: Seconds from the start of the load.
+    at: float
+    promise: str
+    detail: str
+
+
+@dataclasses.dataclass(slots=True)
+class _Job:
+    tasks: int
+    answers: list[platform_standin.ClientState] = dataclasses.field(
+        default_factory=list
+    )
+    tries: int = 0
+    starts: int = 0
+    done: set[tuple[int, int]] = dataclasses.field(default_factory=set)
+
+
+class Judge:
+    """Takes in starts, ends and answers, and notes what must not be."""
+
+    def __init__(self) -> None:
+        self.findings: list[Finding] = []
+        self.now = 0.0
+        self._jobs: dict[str, _Job] = {}
+        self._alive: dict[tuple[str, int, int], set[str]] = (
+            collections.defaultdict(set)
+        )
+
+    @property
+    def jobs(self) -> int:
+        """Jobs that were submitted."""
+        return len(self._jobs)
+
+    def count(self, state: platform_standin.ClientState) -> int:
+        """Return how many jobs' last answers were like that."""
+        return sum(
+            bool(job.answers) and job.answers[-1] is state
+            for job in self._jobs.values()
+        )
+
+    def submitted(self, job: str, tasks: int) -> None:
+        """Note a try of a job."""
+        self._jobs.setdefault(job, _Job(tasks)).tries += 1
+
+    def answered(self, job: str, state: platform_standin.ClientState) -> None:
+        """Note the end of a try."""
+        known = self._jobs[job]
+        known.answers.append(state)
+        if state is platform_standin.ClientState.SUCCEEDED:
+            if len(known.done) < known.tasks:
+                self._find("whole", f"{job}: {len(known.done)} tasks done")
+        elif state is platform_standin.ClientState.FAILED:
+            self._find("failed", f"{job}: no task of it ever fails")
+
+    def watch(self, what: str, key: leases.RunKey, endpoint: str) -> None:
+        """Note the start or the end of a run."""
+        task = (key.job, key.step, key.index)
+        if what == "end":
+            self._alive[task].discard(endpoint)
+            return
+        job = self._jobs.get(key.job)
+        if job is None:
+            self._find("unasked", f"{key.job} was never submitted")
+            return
+        job.starts += 1
+        if self._alive[task]:
+            self._find("twice", f"{task} runs at {self._alive[task]} too")
+        self._alive[task].add(endpoint)
+        refused = platform_standin.ClientState.REFUSED
+        if len(job.answers) == job.tries and set(job.answers) == {refused}:
+            self._find("refused", f"{key.job} was refused, yet starts")
+
+    def done(self, key: leases.RunKey) -> None:
+        """Note that a run has done its task's work."""
+        job = self._jobs.get(key.job)
+        if job is not None:
+            job.done.add((key.step, key.index))
+
+    def room(
+        self, endpoint: str, used: wire.Resources, capacity: wire.Resources
+    ) -> None:
+        """Note what an endpoint's runs take."""
+        if not used.fits_in(capacity):
+            self._find("room", f"{endpoint}: {used} of {capacity}")
+
+    def close(self, served_at_end: int) -> None:
+        """Note what shows only once all is over.
+
+        :param served_at_end: jobs served after the faults
+        """
+        refused = platform_standin.ClientState.REFUSED
+        for name, job in self._jobs.items():
+            if job.starts and set(job.answers) == {refused}:
+                self._find("refused", f"{name} was refused, yet it ran")
+        if not served_at_end:
+            self._find("recover", "nothing was served after the faults")
+
+    def _find(self, promise: str, detail: str) -> None:
+        self.findings.append(Finding(round(self.now, 3), promise, detail))
--- /dev/null
+++ b/src/ferryledge/soak/_plan.py
@@ -0,0 +1,82 @@
+"""What goes wrong in a soak, and when: the same for the same seed."""
+
+import dataclasses
+import enum
+import random
+
+#: Seconds at the start and at the end without faults.
+_CALM_S = 2.0
+#: Mean seconds between faults; they last longer, so they overlap.
+_MEAN_GAP_S = 1.2
+
+
+class FaultKind(enum.StrEnum):
+    """What goes wrong."""
+
+    KILL_ENTRY = "kill_entry"
+    STOP_ENTRY = "stop_entry"
+    PAUSE_ENTRY = "pause_entry"
+    RELOAD_ENTRY = "reload_entry"
+    KILL_AGENT = "kill_agent"
+    STOP_AGENT = "stop_agent"
+    PAUSE_AGENT = "pause_agent"
+    DELAY = "delay"
+    RESET = "reset"
+    CUT = "cut"
+    CUT_ONE_WAY = "cut_one_way"
+    STORE_SILENT = "store_silent"
+    STORE_BUSY = "store_busy"
+    STORE_SLOW = "store_slow"
+    STORE_LOST = "store_lost"
+    ENDPOINT_CRASH = "endpoint_crash"
+    ENDPOINT_SLOW = "endpoint_slow"
+    ENDPOINT_STILL = "endpoint_still"
+    ENDPOINT_DRAIN = "endpoint_drain"
+    LATE_ORDERS = "late_orders"
+    CONFIG = "config"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault."""
+
+    #: Seconds from the start of the load.
+    at: float
+    kind: FaultKind
+    #: Picks the thing that it strikes, among those of its kind.
+    pick: int
+    #: Seconds that it lasts.
+    for_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """A whole soak."""
+
+    seed: int
+    seconds: float
+    entries: int
+    agents: int
+    faults: tuple[Fault, ...]
+
+
+def make_plan(
+    seed: int, seconds: float = 20.0, entries: int = 3, agents: int = 5
+) -> Plan:
+    """Return the plan of a seed.
+
+    :param seed: of all choices
+    :param seconds: how long load is offered
+    :param entries: number of entry processes
+    :param agents: number of agent processes, each with an endpoint
+    """
+    rng = random.Random(seed)
+    faults = []
+    at = _CALM_S
+    while at < seconds - 2 * _CALM_S:
+        kind = rng.choice(list(FaultKind))
+        faults.append(
+            Fault(at, kind, rng.randrange(1000), rng.uniform(0.2, 3.5))
+        )
+        at += rng.expovariate(1.0 / _MEAN_GAP_S)
+    return Plan(seed, seconds, entries, agents, tuple(faults))
--- /dev/null
+++ b/src/ferryledge/soak/_run.py
@@ -0,0 +1,342 @@
+"""Plays a plan against the real programs."""
+
+import asyncio
+import collections
+import dataclasses
+import json
+import pathlib
+import random
+import signal
+import tempfile
+
+from ferryledge import leases
+from ferryledge import net
+from ferryledge.platform import standin as platform_standin
+from ferryledge.soak import _judge
+from ferryledge.soak import _plan
+from ferryledge.soak import _processes
+from ferryledge.soak import _proxy
+from ferryledge import standin
+from ferryledge import wire
+
+_PORT = 7720
+_FRONTEND = _PORT + 10
+_CONTROL = _PORT + 12
+_STORE_PORT = 7800
+_ENDPOINT_PORT = 7801
+_STORE_HOST = "127.0.5.1"
+_CAPACITY = wire.Resources(8000, 16000, 0)
+_QUEUES = ("hold", "quote")
+#: Clients, each with one connection that it keeps open.
+_CLIENTS = 8
+_DEADLINE_S = 5.0
+#: A client repeats a job this long after its try broke off.
+_REPEAT_S = 1.3
+#: Seconds after the faults in which jobs must be served again.
+_TAIL_S = 4.0
+_WARM_UP_S = 4.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What a soak showed."""
+
+    seed: int
+    jobs: int
+    succeeded: int
+    refused: int
+    unknown: int
+    findings: tuple[_judge.Finding, ...]
+    #: Where the logs and settings are; empty if nothing was found.
+    logs: str
+
+
+class Soak:
+    """One soak.
+
+    :param plan: what to play
+    :param folder: where settings and logs go
+    """
+
+    def __init__(self, plan: _plan.Plan, folder: pathlib.Path) -> None:
+        self._plan = plan
+        self._rng = random.Random(plan.seed + 1)
+        self.judge = _judge.Judge()
+        self._store = platform_standin.StoreServer()
+        self._version = 1
+        self._work_s: dict[str, float] = {}
+        self._specs: dict[str, str] = {}
+        self._served_at: float = 0.0
+        self.proxies = [
+            _proxy.Proxy((f"127.0.2.{n + 1}", _PORT), (self._entry(n), _PORT))
+            for n in range(plan.entries)
+        ]
+        self.entries = [
+            self._program("entry", n, folder) for n in range(plan.entries)
+        ]
+        self.agents = [
+            self._program("agent", n, folder) for n in range(plan.agents)
+        ]
+        self.endpoints = [self._endpoint(n) for n in range(plan.agents)]
+        self._started_at = 0.0
+
+    def _entry(self, number: int) -> str:
+        return f"127.0.1.{number + 1}"
+
+    def _agent(self, number: int) -> str:
+        return f"127.0.3.{number + 1}"
+
+    def _program(
+        self, role: str, number: int, folder: pathlib.Path
+    ) -> _processes.Program:
+        host = self._entry(number) if role == "entry" else self._agent(number)
+        shown = f"127.0.2.{number + 1}" if role == "entry" else host
+        endpoint = ""
+        if role == "agent":
+            endpoint = f"127.0.4.{number + 1}:{_ENDPOINT_PORT}"
+        name = f"{role}-{number}"
+        store = f"{_STORE_HOST}:{_STORE_PORT}"
+        settings = platform_standin.render_settings(
+            name, shown, host, _PORT, store, endpoint
+        )
+        return _processes.Program(name, role, settings, folder)
+
+    def _endpoint(self, number: int) -> platform_standin.EndpointServer:
+        name = f"endpoint-{number}"
+        model = standin.LeasedEndpoint(
+            name,
+            _CAPACITY,
+            0.0,
+            self._need_of,
+            self._work_of,
+            self._watch,
+            1.0 - 0.02 * self._rng.random(),
+        )
+        return platform_standin.EndpointServer(
+            "desk",
+            f"127.0.4.{number + 1}",
+            _ENDPOINT_PORT,
+            f"http://{self._agent(number)}:{_CONTROL}",
+            model,
+            random.Random(self._plan.seed + number),
+        )
+
+    def _need_of(self, key: leases.RunKey) -> wire.Resources:
+        plain = json.loads(self._specs[key.job])
+        return wire.Resources(plain["cpu"], 64, 0)
+
+    def _work_of(
+        self, key: leases.RunKey, endpoint: str
+    ) -> tuple[float, bool]:
+        return self._work_s[key.job], True
+
+    def _watch(self, what: str, key: leases.RunKey, endpoint: str) -> None:
+        self.judge.now = self._now()
+        self.judge.watch(what, key, endpoint)
+        model = self.endpoints[int(endpoint.split("-")[1])].model
+        if what == "start":
+            self.judge.room(endpoint, model.used, model.capacity)
+            return
+        done = wire.HowEnded.DONE
+        if any(end.key == key and end.how is done for end in model.ended):
+            self.judge.done(key)
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time() - self._started_at
+
+    async def run(self) -> None:
+        """Play the plan; the programs are ended in any case."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                background = [
+                    group.create_task(one) for one in await self._set_up()
+                ]
+                await asyncio.sleep(_WARM_UP_S)
+                self._started_at = asyncio.get_running_loop().time()
+                clients = [
+                    group.create_task(self._client(n)) for n in range(_CLIENTS)
+                ]
+                faults = group.create_task(self._strike_all(group))
+                await asyncio.wait([*clients, faults])
+                for task in background:
+                    task.cancel()
+        finally:
+            for program in [*self.entries, *self.agents]:
+                program.end()
+            for proxy in self.proxies:
+                await proxy.close()
+        tail = self._served_at > self._plan.seconds - _TAIL_S
+        self.judge.close(int(tail))
+
+    async def _set_up(
+        self,
+    ) -> list[collections.abc.Coroutine[None, None, None]]:
+        config = platform_standin.render_config(1, _QUEUES)
+        self._store.put("keyed.op", "config", config)
+        for proxy in self.proxies:
+            await proxy.start()
+        programs = [*self.entries, *self.agents]
+        running = [self._serve_store()]
+        running += [endpoint.run() for endpoint in self.endpoints]
+        for program in programs:
+            program.start()
+            running.append(program.keep())
+        return running
+
+    async def _serve_store(self) -> None:
+        await net.serve_until_cancelled(
+            net.asgi_app(self._store.handle), _STORE_HOST, _STORE_PORT
+        )
+
+    # Clients.
+
+    async def _client(self, number: int) -> None:
+        """Submit one job after another over open connections."""
+        rng = random.Random(self._plan.seed * 100 + number)
+        callers = [
+            net.HttpCaller(f"http://{self._entry(n)}:{_FRONTEND}", 4)
+            for n in range(self._plan.entries)
+        ]
+        count = 0
+        while self._now() < self._plan.seconds:
+            count += 1
+            job = f"{self._plan.seed:06x}{number:02x}{count:08x}"
+            await self._one_job(rng, callers, job)
+            await asyncio.sleep(rng.expovariate(8.0))
+
+    async def _one_job(
+        self, rng: random.Random, callers: list[net.HttpCaller], job: str
+    ) -> None:
+        tasks = rng.randint(1, 6)
+        work_s = rng.choice((0.05, 0.2, 0.8))
+        cpu = rng.choice((800, 1600, 2300))
+        self._work_s[job] = work_s
+        self._specs[job] = json.dumps({"cpu": cpu})
+        for caller in rng.sample(callers, 2 if len(callers) > 1 else 1):
+            self.judge.submitted(job, tasks)
+            answer = await platform_standin.submit(
+                caller,
+                rng.choice(_QUEUES),
+                job,
+                self._specs[job],
+                tasks,
+                cpu,
+                int(work_s * 1000 * rng.uniform(0.6, 1.5)),
+                _DEADLINE_S,
+            )
+            self.judge.now = self._now()
+            self.judge.answered(job, answer.state)
+            if answer.state is platform_standin.ClientState.SUCCEEDED:
+                self._served_at = self._now()
+            if answer.state is not platform_standin.ClientState.UNKNOWN:
+                return
+            await asyncio.sleep(_REPEAT_S)
+
+    # Faults.
+
+    async def _strike_all(self, group: asyncio.TaskGroup) -> None:
+        running = []
+        for fault in self._plan.faults:
+            await asyncio.sleep(max(0.0, fault.at - self._now()))
+            running.append(group.create_task(self._strike(fault)))
+        if running:
+            await asyncio.wait(running)
+
+    async def _strike(self, fault: _plan.Fault) -> None:
+        name = fault.kind.value
+        if name.startswith("store"):
+            await self._strike_store(fault)
+        elif name.startswith("endpoint") or name == "late_orders":
+            await self._strike_endpoint(fault)
+        elif name.endswith(("_entry", "_agent")):
+            await self._strike_program(fault)
+        elif fault.kind is _plan.FaultKind.CONFIG:
+            self._version += 1
+            config = platform_standin.render_config(self._version, _QUEUES)
+            self._store.put("keyed.op", "config", config)
+        else:
+            await self._strike_proxy(fault)
+
+    async def _strike_program(self, fault: _plan.Fault) -> None:
+        kind, _, role = fault.kind.value.partition("_")
+        programs = self.entries if role == "entry" else self.agents
+        program = programs[fault.pick % len(programs)]
+        match kind:
+            case "kill":
+                program.signal(signal.SIGKILL)
+            case "stop":
+                await program.stop()
+            case "pause":
+                await program.pause(fault.for_s)
+            case "reload":
+                program.signal(signal.SIGHUP)
+
+    async def _strike_proxy(self, fault: _plan.Fault) -> None:
+        weather = self.proxies[fault.pick % len(self.proxies)].weather
+        match fault.kind:
+            case _plan.FaultKind.RESET:
+                self.proxies[fault.pick % len(self.proxies)].reset()
+                return
+            case _plan.FaultKind.DELAY:
+                weather.delay_s = 0.05
+            case _plan.FaultKind.CUT:
+                weather.cut_forth = weather.cut_back = True
+            case _plan.FaultKind.CUT_ONE_WAY:
+                weather.cut_forth = fault.pick % 2 == 0
+                weather.cut_back = not weather.cut_forth
+        await asyncio.sleep(fault.for_s)
+        weather.delay_s = 0.0
+        weather.cut_forth = weather.cut_back = False
+
+    async def _strike_store(self, fault: _plan.Fault) -> None:
+        behaviour = fault.kind.value.partition("_")[2]
+        self._store.behaviour = platform_standin.StoreBehaviour(behaviour)
+        await asyncio.sleep(fault.for_s)
+        self._store.behaviour = platform_standin.StoreBehaviour.UP
+
+    async def _strike_endpoint(self, fault: _plan.Fault) -> None:
+        server = self.endpoints[fault.pick % len(self.endpoints)]
+        model = server.model
+        loop = asyncio.get_running_loop()
+        match fault.kind:
+            case _plan.FaultKind.LATE_ORDERS:
+                server.late_orders = 0.1
+                await asyncio.sleep(fault.for_s)
+                server.late_orders = 0.0
+            case _plan.FaultKind.ENDPOINT_SLOW:
+                model.speed = 0.2
+            case _plan.FaultKind.ENDPOINT_STILL:
+                model.speed = 0.0
+            case _plan.FaultKind.ENDPOINT_DRAIN:
+                model.draining = True
+            case _plan.FaultKind.ENDPOINT_CRASH if model.up:
+                model.crash()
+                await asyncio.sleep(fault.for_s)
+                model.restart(loop.time())
+                return
+        await asyncio.sleep(fault.for_s)
+        model.speed = 1.0
+        model.draining = False
+
+
+def play(plan: _plan.Plan, folder: pathlib.Path | None = None) -> Report:
+    """Play a plan and return what it showed.
+
+    :param plan: what to play
+    :param folder: where settings and logs go; none is a new one
+    """
+    if folder is None:
+        folder = pathlib.Path(tempfile.mkdtemp(prefix="ferryledge-soak-"))
+    soak = Soak(plan, folder)
+    asyncio.run(soak.run())
+    judge = soak.judge
+    state = platform_standin.ClientState
+    return Report(
+        plan.seed,
+        judge.jobs,
+        judge.count(state.SUCCEEDED),
+        judge.count(state.REFUSED),
+        judge.count(state.UNKNOWN),
+        tuple(judge.findings),
+        str(folder),
+    )
--- a/src/ferryledge/leases/tests/endpoints.py
+++ b/src/ferryledge/standin/_leased_endpoint.py
@@ -1,4 +1,4 @@
-"""A stand-in for an endpoint that keeps leases, in virtual time."""
+"""A stand-in for an endpoint that keeps leases; the caller tells the time."""
 
 from collections import abc
 import dataclasses
@@ -23,7 +23,7 @@
     stops_at: float | None = None
 
 
-class Endpoint:
+class LeasedEndpoint:
     """Runs tasks under one lease.
 
     :param capacity: its room
