--- a/src/ferryledge/cli/_command.py
+++ b/src/ferryledge/cli/_command.py
@@ -6,6 +6,7 @@
 from ferryledge.cli import _config
 from ferryledge.cli import _explain
 from ferryledge.cli import _jobs
+from ferryledge.cli import _logs
 from ferryledge.cli import _status
 
 
@@ -31,3 +32,4 @@
 main.add_command(_status.status)
 main.add_command(_explain.explain)
 main.add_command(_explain.watch)
+main.add_command(_logs.logs)
--- a/src/ferryledge/cli/_explain.py
+++ b/src/ferryledge/cli/_explain.py
@@ -6,10 +6,24 @@
 import click
 import httpcore
 
+from ferryledge.cli import _logs
 from ferryledge.cli import _options
 from ferryledge.cli import _status
 
 
+def _explain_from_logs(
+    files: tuple[typing.TextIO, ...], request_id: str
+) -> None:
+    story = _logs.story_of(_logs.read_lines(files), request_id)
+    if not story:
+        raise _options.CommandError(
+            f"no line about {request_id}; give the logs of all entries and "
+            "agents of that time"
+        )
+    for line in story:
+        click.echo(line.render())
+
+
 async def _fetch_notes(
     entries: tuple[str, ...], team: str, request_id: str
 ) -> list[typing.Any]:
@@ -32,15 +46,34 @@
 
 
 @click.command()
-@_options.entry_option
-@click.option("--team", required=True, help="The team that asked.")
+@_options.optional_entry_option
+@click.option("--team", default="", help="The team that asked.")
+@click.option(
+    "--logs",
+    "files",
+    multiple=True,
+    type=_logs.File,
+    help="Read this log instead of asking entries; give it once a file.",
+)
 @click.argument("request_id")
-def explain(entries: tuple[str, ...], team: str, request_id: str) -> None:
-    """Show why a recent request went where it went.
+def explain(
+    entries: tuple[str, ...],
+    team: str,
+    files: tuple[typing.TextIO, ...],
+    request_id: str,
+) -> None:
+    """Show why a request went where it went.
 
-    Give all entries: the one that took it and the one that placed it hold
+    From logs: ferryledge explain --logs front.log --logs side.log ID.
+    Otherwise from the entries' memory of the last few hundred jobs. Give
+    all entries then: the one that took it and the one that placed it hold
     different parts. Times are seconds of each entry's own clock.
     """
+    if files:
+        _explain_from_logs(files, request_id)
+        return
+    if not team or not entries:
+        raise _options.InputError("give --logs, or --entry and --team")
     notes = _options.run(_fetch_notes, entries, team, request_id)
     if not notes:
         raise _options.CommandError(
--- a/src/ferryledge/cli/_options.py
+++ b/src/ferryledge/cli/_options.py
@@ -24,16 +24,21 @@
     exit_code = 2
 
 
-entry_option = click.option(
-    "--entry",
-    "entries",
-    multiple=True,
-    envvar="FERRYLEDGE_ENTRIES",
-    show_envvar=True,
-    required=True,
-    metavar="URL",
-    help="Address of an entry or the balancer; may be given repeatedly.",
-)
+def _entry_option(required: bool) -> abc.Callable[..., typing.Any]:
+    return click.option(
+        "--entry",
+        "entries",
+        multiple=True,
+        envvar="FERRYLEDGE_ENTRIES",
+        show_envvar=True,
+        required=required,
+        metavar="URL",
+        help="Address of an entry or the balancer; may be given repeatedly.",
+    )
+
+
+entry_option = _entry_option(required=True)
+optional_entry_option = _entry_option(required=False)
 platform_option = click.option(
     "--platform",
     "platform_url",
