--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -15,7 +15,7 @@
 #: Seconds before the platform's kill at which this process ends.
 _KILL_MARGIN_S = 0.5
 #: Seconds between renewals at the least: ends within it share an answer.
-_RENEW_PAUSE_S = 0.002
+_RENEW_PAUSE_S = 0.004
 #: Seconds after a renewal that failed.
 _RENEW_RETRY_S = 0.03
 #: Seconds between looks at the store while no entry is connected.
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -161,6 +161,7 @@
 
     def wake_at(self) -> float:
         """Return when to tick at the latest."""
+        now = self._now
         asks = [one.next_ask_at for one in self._owners.connected()]
         stops = [
             row.stop_sent_at + self._timing.order_s
@@ -168,9 +169,8 @@
             if row.stop_sent_at is not None and row.stop_confirmed_at is None
         ]
         states = [
-            one.told_at + _states.EVERY_S
+            _states.due_at(one.told, one.told_at, self._state_for(one, now))
             for one in self._owners.connected()
-            if one.told is not None and one.told.free != self._free()
         ]
         grants = [
             owner.granted_at + self._timing.grant_s
@@ -550,24 +550,28 @@
         return wire.LateRun(row.key.job, run, pace.left_s(now), normal_s)
 
     def _tell_state(self, now: float) -> None:
-        accepting = self._accepts(now)
-        free = self._free()
-        seen = self._link.seen
         for owner in self._owners.connected():
-            state = wire.EndpointState(orders_seen=owner.orders_seen)
-            if seen is not None:
-                state = wire.EndpointState(
-                    seen.incarnation,
-                    seen.service,
-                    seen.labels,
-                    seen.capacity,
-                    free,
-                    accepting,
-                    owner.orders_seen,
-                    seen.remaining_s,
-                    self._speed.reported,
-                )
-            if _states.is_due(owner.told, state, now - owner.told_at):
+            state = self._state_for(owner, now)
+            if _states.due_at(owner.told, owner.told_at, state) <= now:
                 owner.told = state
                 owner.told_at = now
                 self._send(owner, state)
+
+    def _state_for(
+        self, owner: _owners.Owner, now: float
+    ) -> wire.EndpointState:
+        """Return the endpoint's state as an entry is to know it."""
+        seen = self._link.seen
+        if seen is None:
+            return wire.EndpointState(orders_seen=owner.orders_seen)
+        return wire.EndpointState(
+            seen.incarnation,
+            seen.service,
+            seen.labels,
+            seen.capacity,
+            self._free(),
+            self._accepts(now),
+            owner.orders_seen,
+            seen.remaining_s,
+            self._speed.reported,
+        )
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -23,8 +23,10 @@
 from ferryledge import placement
 from ferryledge import wire
 
-#: Seconds between looks at silence, deadlines and late jobs.
-_SWEEP_S = 0.02
+#: Seconds between looks at jobs that nothing was ordered for.
+_REVIEW_S = 0.02
+#: Seconds between looks at silence and deadlines.
+_SWEEP_S = 0.1
 #: A sweep that comes later than this shows that the process was paused.
 _PAUSE_S = 0.3
 #: Seconds before the client's deadline at which a job is given up.
@@ -177,6 +179,13 @@
         """Return when to tick at the latest."""
         return self._next_sweep
 
+    def _sweep_every_s(self) -> float:
+        waiting = any(
+            job.offered_at is None and not job.closed
+            for job in self._jobs.values()
+        )
+        return _REVIEW_S if waiting else _SWEEP_S
+
     def _send(self, peer: str, message: wire.Message) -> None:
         self._actions.append(_entry_events.SendMessage(peer, message))
 
@@ -203,6 +212,7 @@
             return
         self._notes.admitted(job, len(self._jobs), self._peers.version)
         self._jobs[job.name] = job
+        self._next_sweep = min(self._next_sweep, now + _REVIEW_S)
         self._dirty = True
 
     def _rejoin(
@@ -476,7 +486,7 @@
     def _sweep(self, now: float) -> None:
         if self._next_sweep and now - self._next_sweep > _PAUSE_S:
             self._pool.forgive_silence(now)
-        self._next_sweep = now + _SWEEP_S
+        self._next_sweep = now + self._sweep_every_s()
         for row in self._pool.silent(now):
             row.connected = False
             row.reconciled = False
@@ -491,7 +501,7 @@
             if found is not None:
                 found.healthy = True
         self._sweep_jobs(now)
-        self._dirty = True
+        self._dirty = self._dirty or bool(self._jobs)
 
     def _sweep_jobs(self, now: float) -> None:
         for name, at in list(self._answered.items()):
--- a/src/ferryledge/leases/_states.py
+++ b/src/ferryledge/leases/_states.py
@@ -4,6 +4,8 @@
 
 #: Seconds between reports while there is plenty of room.
 EVERY_S = 0.05
+#: The same while room is scarce: a few changes then share a report.
+SCARCE_EVERY_S = 0.004
 #: Share of the capacity that must be free for that.
 _PLENTY_SHARE = 0.25
 
@@ -24,24 +26,24 @@
     )
 
 
-def is_due(
+def due_at(
     told: wire.EndpointState | None,
+    told_at: float,
     state: wire.EndpointState,
-    since_s: float,
-) -> bool:
-    """Return whether a report is due.
+) -> float:
+    """Return when a report is due, in monotonic seconds; never is infinite.
 
-    Where room is scarce, each change counts. Where there is plenty, an
-    entry's own orders keep its view close enough, and reports are few.
+    Where room is scarce, a change counts at once, or nearly. Where there is
+    plenty, an entry's own orders keep its view close enough, and reports are
+    few.
 
     :param told: what the entry was told last; none if nothing
+    :param told_at: when that was
     :param state: the endpoint's state now
-    :param since_s: seconds since it was told
     """
     if state == told:
-        return False
+        return float("inf")
     if told is None or _but_room(told) != _but_room(state):
-        return True
-    if _is_plenty(told) and _is_plenty(state):
-        return since_s >= EVERY_S
-    return True
+        return told_at
+    plenty = _is_plenty(told) and _is_plenty(state)
+    return told_at + (EVERY_S if plenty else SCARCE_EVERY_S)
--- a/src/ferryledge/leases/_timing.py
+++ b/src/ferryledge/leases/_timing.py
@@ -28,7 +28,7 @@
     #: How long a grant lets an agent renew.
     grant_s: float = 0.6
     #: Between an agent's asks for a grant while it has runs.
-    ask_every_s: float = 0.15
+    ask_every_s: float = 0.2
     #: The same while it has none.
     idle_ask_every_s: float = 0.3
     #: Silence after which an agent opens a new stream to an entry.
--- a/src/ferryledge/soak/__main__.py
+++ b/src/ferryledge/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import subprocess
 import sys
 
 import click
@@ -24,13 +25,31 @@
     Prints one JSON line a seed. The same seed is the same plan. Exits with
     1 if a promise was broken; the logs are kept where the line says.
     """
-    broken = False
+    if seeds > 1:
+        sys.exit(_play_each(seed, seeds, seconds, entries, agents))
+    plan = _plan.make_plan(seed, seconds, entries, agents)
+    report = _run.play(plan)
+    click.echo(json.dumps(dataclasses.asdict(report)))
+    sys.exit(int(bool(report.findings)))
+
+
+def _play_each(
+    seed: int, seeds: int, seconds: float, entries: int, agents: int
+) -> int:
+    """Play each seed in a process of its own, one by one."""
+    worst = 0
     for number in range(seed, seed + seeds):
-        plan = _plan.make_plan(number, seconds, entries, agents)
-        report = _run.play(plan)
-        broken = broken or bool(report.findings)
-        click.echo(json.dumps(dataclasses.asdict(report)))
-    sys.exit(int(broken))
+        command = [sys.executable, "-m", "ferryledge.soak"]
+        options = {
+            "--seed": number,
+            "--seconds": seconds,
+            "--entries": entries,
+            "--agents": agents,
+        }
+        for name, value in options.items():
+            command += [name, str(value)]
+        worst = max(worst, subprocess.run(command, check=False).returncode)
+    return worst
 
 
 if __name__ == "__main__":
--- a/src/ferryledge/soak/_run.py
+++ b/src/ferryledge/soak/_run.py
@@ -4,6 +4,8 @@
 import collections
 import dataclasses
 import json
+import logging
+import os
 import pathlib
 import random
 import signal
@@ -19,11 +21,15 @@
 from ferryledge import standin
 from ferryledge import wire
 
-_PORT = 7720
+#: Each soak takes ports of its own, so that several may run side by side.
+_FIRST_PORT = 20_000
+_PORTS_A_SOAK = 40
+_SOAKS = 300
+_PORT = _FIRST_PORT + os.getpid() % _SOAKS * _PORTS_A_SOAK
 _FRONTEND = _PORT + 10
 _CONTROL = _PORT + 12
-_STORE_PORT = 7800
-_ENDPOINT_PORT = 7801
+_STORE_PORT = _PORT + 20
+_ENDPOINT_PORT = _PORT + 21
 _STORE_HOST = "127.0.5.1"
 _CAPACITY = wire.Resources(8000, 16000, 0)
 _QUEUES = ("hold", "quote")
@@ -327,6 +333,7 @@
     """
     if folder is None:
         folder = pathlib.Path(tempfile.mkdtemp(prefix="ferryledge-soak-"))
+    logging.getLogger("uvicorn.error").disabled = True
     soak = Soak(plan, folder)
     asyncio.run(soak.run())
     judge = soak.judge
