--- a/src/ferryledge/core/_agent.py
+++ b/src/ferryledge/core/_agent.py
@@ -4,17 +4,16 @@
 import dataclasses
 
 from ferryledge.core import _actions
+from ferryledge.core import _arbiter
+from ferryledge.core import _batches
 from ferryledge.core import _convert
 from ferryledge.core import _events
 from ferryledge.core import _options
 from ferryledge import ledger
-from ferryledge import outcomes
 from ferryledge import wire
 
 _FORGOTTEN = b"result no longer kept"
 _EXPIRE_EVERY_S = 1.0
-#: Most tickets minted for one request.
-_MAX_MINTED = 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,22 +29,6 @@
     told_version: int = 0
 
 
-@dataclasses.dataclass(slots=True)
-class _Batch:
-    """Tasks of one job that came in one message."""
-
-    owner: str
-    submission: str
-    report_each: bool
-    left: int
-    ticket: str = ""
-    results: dict[int, bytes] = dataclasses.field(default_factory=dict)
-    held: list[wire.FinishedTask] = dataclasses.field(default_factory=list)
-    failed: bool = False
-    #: Tasks that never reached the endpoint.
-    unstarted: int = 0
-
-
 class AgentCore:
     """Owns the slots of one endpoint.
 
@@ -61,14 +44,12 @@
         self._identity = identity
         self._options = options
         self._starts = ledger.StartLedger(options.result_retention_s)
-        self._tickets: ledger.TicketLedger[wire.OutcomeRecord] = (
-            ledger.TicketLedger(
-                identity.name, identity.incarnation, options.ticket_life_s
-            )
+        self._arbiter = _arbiter.Arbiter(
+            identity, options.ticket_life_s, self._send
         )
         self._owners: dict[str, _Owner] = {}
         self._names: dict[str, str] = {}
-        self._batches: dict[ledger.TaskKey, _Batch] = {}
+        self._batches: dict[ledger.TaskKey, _batches.Batch] = {}
         self._fence_reports: dict[ledger.TaskKey, str] = {}
         self._memory: dict[ledger.TaskKey, int] = {}
         self._memory_used = 0
@@ -95,7 +76,7 @@
     @property
     def arbitrating(self) -> int:
         """Submissions that run under this agent's tickets."""
-        return self._tickets.in_progress
+        return self._arbiter.in_progress
 
     @property
     def config_version(self) -> int:
@@ -141,7 +122,7 @@
         if now >= self._next_expiry:
             self._next_expiry = now + _EXPIRE_EVERY_S
             self._starts.expire(now)
-            self._tickets.expire(now)
+            self._arbiter.expire(now)
             self._settle_lost_owners(now)
         self._send_keepalives(now)
         actions = self._actions
@@ -180,19 +161,13 @@
             del self._names[name]
 
     def _settle_lost_owners(self, now: float) -> None:
-        lost = wire.OutcomeRecord(
-            tag="failed_may_have_run",
-            reason=outcomes.Reason.ENTRY_LOST,
-            step=outcomes.Step.AUTHORISE,
-            peer=self._identity.name,
-        )
         grace = self._options.owner_grace_s
         for incarnation, owner in list(self._owners.items()):
             if owner.connected or now - owner.lost_at < grace:
                 continue
             if owner.running:
                 continue
-            self._tickets.settle_owner(incarnation, lost)
+            self._arbiter.settle_lost(incarnation)
             del self._owners[incarnation]
 
     def _interval(self, owner: _Owner) -> float:
@@ -252,32 +227,18 @@
             case wire.FenceOwner():
                 self._on_fence(now, owner, message)
             case _:
-                self._on_ticket_message(now, owner, message)
-
-    def _on_ticket_message(
-        self, now: float, owner: str, message: wire.Message
-    ) -> None:
-        match message:
-            case wire.AskTickets(count):
-                minted = self._tickets.mint(min(count, _MAX_MINTED), now)
-                self._send(now, owner, wire.Tickets(minted))
-            case wire.Authorise():
-                self._on_authorise(now, owner, message)
-            case wire.Settle():
-                self._on_settle(message)
-            case _:
-                return
+                self._arbiter.on_message(now, owner, message)
 
     def _on_start(
         self, now: float, owner: str, message: wire.StartTasks
     ) -> None:
-        if message.ticket and not self._may_use(now, owner, message):
+        if message.ticket and not self._arbiter.may_use(now, owner, message):
             self._release_all(now, owner, message, wire.ReleaseReason.TICKET)
             return
         refusal = self._refusal(message)
         if refusal:
             if message.ticket:
-                self._tickets.revoke(message.ticket, message.submission)
+                self._arbiter.revoke(message.ticket, message.submission)
             self._release_all(now, owner, message, refusal)
             return
         self._start(now, owner, message, self._room(message))
@@ -308,7 +269,7 @@
         self, now: float, owner: str, message: wire.StartTasks, room: int
     ) -> None:
         """Start the tasks that there is room for, release the others."""
-        batch = _Batch(
+        batch = _batches.Batch(
             owner, message.submission, message.report_each, 0, message.ticket
         )
         refused = []
@@ -343,7 +304,7 @@
         index: int,
         offset: int,
         message: wire.StartTasks,
-        batch: _Batch,
+        batch: _batches.Batch,
     ) -> None:
         batch.left += 1
         self._batches[key] = batch
@@ -428,7 +389,7 @@
         self._report(now, batch, _convert.finished_task(record))
         self._report_to_front(now, record)
 
-    def _free(self, key: ledger.TaskKey) -> _Batch:
+    def _free(self, key: ledger.TaskKey) -> _batches.Batch:
         """Take a task out of the tables and return its batch."""
         self._memory_used -= self._memory.pop(key, 0)
         owner = self._owners.get(key.owner)
@@ -445,7 +406,7 @@
         batch.left -= 1
         batch.unstarted += 1
         if not batch.left:
-            self._settle_own(batch)
+            self._arbiter.settle_batch(batch)
             self._flush(now, batch)
         self._released(
             now,
@@ -461,7 +422,7 @@
             self._send(now, front, report)
 
     def _report(
-        self, now: float, batch: _Batch, task: wire.FinishedTask
+        self, now: float, batch: _batches.Batch, task: wire.FinishedTask
     ) -> None:
         batch.left -= 1
         batch.held.append(task)
@@ -469,11 +430,11 @@
         if batch.ticket:
             batch.results[task.index] = task.body
         if not batch.left:
-            self._settle_own(batch)
+            self._arbiter.settle_batch(batch)
         if batch.report_each or not task.ok or not batch.left:
             self._flush(now, batch)
 
-    def _flush(self, now: float, batch: _Batch) -> None:
+    def _flush(self, now: float, batch: _batches.Batch) -> None:
         if not batch.held:
             return
         done = wire.TasksFinished(
@@ -543,66 +504,6 @@
         report = wire.FenceReport(record.key.owner, (job,), first=False)
         self._send(now, front, report)
 
-    # Tickets.
-
-    def _may_use(
-        self, now: float, owner: str, message: wire.StartTasks
-    ) -> bool:
-        verdict = self._tickets.authorise(
-            message.ticket, message.submission, message.label, owner
-        )
-        if verdict.word is ledger.TicketWord.GRANTED:
-            return True
-        self._send(
-            now,
-            owner,
-            _convert.verdict(message.ticket, message.submission, verdict),
-        )
-        return False
-
-    def _on_authorise(
-        self, now: float, owner: str, message: wire.Authorise
-    ) -> None:
-        verdict = self._tickets.authorise(
-            message.ticket, message.submission, message.digest, owner
-        )
-        self._send(
-            now,
-            owner,
-            _convert.verdict(message.ticket, message.submission, verdict),
-        )
-
-    def _on_settle(self, message: wire.Settle) -> None:
-        if message.outcome.tag == "failed_not_run":
-            self._tickets.revoke(message.ticket, message.submission)
-            return
-        self._tickets.settle(
-            message.ticket, message.submission, message.outcome
-        )
-
-    def _settle_own(self, batch: _Batch) -> None:
-        """Keep the outcome of a job that ran here as a whole."""
-        if not batch.ticket:
-            return
-        if batch.unstarted and not batch.failed and not batch.results:
-            self._tickets.revoke(batch.ticket, batch.submission)
-            return
-        if batch.failed or batch.unstarted:
-            outcome = wire.OutcomeRecord(
-                tag="failed_may_have_run",
-                reason=outcomes.Reason.TASK_FAILED,
-                step=outcomes.Step.RUN,
-                peer=self._identity.name,
-            )
-        else:
-            ordered = [batch.results[i] for i in sorted(batch.results)]
-            outcome = wire.OutcomeRecord(
-                tag="complete",
-                results=tuple(ordered),
-                task_tags=("complete",) * len(ordered),
-            )
-        self._tickets.settle(batch.ticket, batch.submission, outcome)
-
     # Leaving.
 
     def _on_drain(self) -> None:
