Keep serving without a metrics port

Cause: a taken metrics port ended the daemon, since uvicorn exits the process when it can't listen; seen with two soaks side by side.

Change: sockets are bound before the server gets them, so that a taken port is an error of its own; without its metrics port a daemon logs that and goes on.

--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -81,13 +81,7 @@
                 stop,
             )
             self._add_gauges()
-            await group.start(
-                net.serve_http,
-                net.asgi_app(self._registry.handle),
-                settings.ip,
-                _metrics.PORT,
-                stop,
-            )
+            group.start_soon(self._registry.serve, settings.stream_host)
             group.start_soon(self._driver.run)
             group.start_soon(self._renew)
             group.start_soon(self._find_entries)
--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -104,13 +104,7 @@
             await self._serve(group, settings.listen_addrs.readiness, stop)
             await self._serve(group, settings.listen_addrs.frontend, stop)
             self._add_gauges()
-            await group.start(
-                net.serve_http,
-                net.asgi_app(self._registry.handle),
-                settings.stream_host,
-                _metrics.PORT,
-                stop,
-            )
+            group.start_soon(self._registry.serve, settings.stream_host)
             hosts = [platform.split_address(one)[0] for one in settings.seeds]
             hosts = [host for host in hosts if host != settings.ip]
             self._dialler.dial_seeds(group, hosts, settings.stream_port)
--- a/src/ferryledge/hosted/_metrics.py
+++ b/src/ferryledge/hosted/_metrics.py
@@ -6,6 +6,7 @@
 
 from collections import abc
 
+import loguru
 import prometheus_client
 
 from ferryledge import leases
@@ -62,7 +63,20 @@
         )
         gauge.set_function(read)
 
-    async def handle(self, request: net.Request) -> net.HttpResponse:
+    async def serve(self, host: str) -> None:
+        """Serve figures until cancelled; without its port, only log that.
+
+        :param host: IP number to listen on
+        """
+        app = net.asgi_app(self._handle)
+        try:
+            await net.serve_until_cancelled(app, host, PORT)
+        except* OSError as group:
+            loguru.logger.error(
+                "no metrics: {}", group.exceptions[0], step="metrics"
+            )
+
+    async def _handle(self, request: net.Request) -> net.HttpResponse:
         """Answer a scraper."""
         if request.path != "/metrics":
             return net.HttpResponse.json(404, {"error": "no such page"})
--- a/src/ferryledge/net/_server.py
+++ b/src/ferryledge/net/_server.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import contextlib
+import socket
 import typing
 
 import anyio
@@ -37,11 +38,11 @@
     :param host: IP number to listen on
     :param port: TCP port; 0 picks one
     :param stop: ends the server
+    :raises OSError: if the address can't be listened on
     """
+    listener = _listen(host, port)
     config = uvicorn.Config(
         app,
-        host=host,
-        port=port,
         log_config=None,
         access_log=False,
         lifespan="off",
@@ -54,19 +55,32 @@
     )
     server = _Server(config)
     async with anyio.create_task_group() as group:
-        group.start_soon(_report_start, server, task_status)
+        bound = listener.getsockname()[1]
+        group.start_soon(_report_start, server, bound, task_status)
         group.start_soon(_stop_server, server, stop)
-        await server.serve()
+        await server.serve(sockets=[listener])
         group.cancel_scope.cancel()
 
 
+def _listen(host: str, port: int) -> socket.socket:
+    """Return a bound socket; the server itself would end the process."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, port))
+        listener.setblocking(False)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
 async def _report_start(
-    server: uvicorn.Server, task_status: anyio_abc.TaskStatus[int]
+    server: uvicorn.Server, port: int, task_status: anyio_abc.TaskStatus[int]
 ) -> None:
     while not server.started:
         await anyio.sleep(_POLL_S)
-    socket = server.servers[0].sockets[0]
-    task_status.started(socket.getsockname()[1])
+    task_status.started(port)
 
 
 async def _stop_server(server: uvicorn.Server, stop: anyio.Event) -> None:
