Report freed room to one entry after the other, and to few entries at all

Ruled out: slow endpoints or wrong views (orders were turned down within 2 ms and placed again).

Change: three entries a agent, by rendezvous hashing, hear of each change; the others every 100 ms. Freed room is shown to one of the three after the other, 2 ms apart. Answers of an entry without agents, or on its way out, close the connection so that the client's next request reaches another.

--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -263,7 +263,11 @@
             loguru.logger.warning("{}", exc, step="submit", job=name)
             return platform.refusal(outcomes.Reason.IMPOSSIBLE, 0.0, str(exc))
         outcome = await self._answer(request, job)
-        return platform.render_outcome(outcome)
+        response = platform.render_outcome(outcome)
+        if self._draining or not self._core.is_usable(anyio.current_time()):
+            # The client's next request should reach another entry.
+            response = response.closing()
+        return response
 
     async def _answer(
         self, request: net.Request, job: leases.LeasedJob
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -65,6 +65,8 @@
         self._actions: list[_agent_events.AgentAction] = []
         self._draining = False
         self._speed = _speed.EndpointSpeed()
+        self._turns = _states.Turns()
+        self._report_at = float("inf")
         self._late_told_at = now
         self._unclaimed_since = now
         self._now = now
@@ -161,23 +163,18 @@
 
     def wake_at(self) -> float:
         """Return when to tick at the latest."""
-        now = self._now
         asks = [one.next_ask_at for one in self._owners.connected()]
         stops = [
             row.stop_sent_at + self._timing.order_s
             for row in self._runs
             if row.stop_sent_at is not None and row.stop_confirmed_at is None
         ]
-        states = [
-            _states.due_at(one.told, one.told_at, self._state_for(one, now))
-            for one in self._owners.connected()
-        ]
         grants = [
             owner.granted_at + self._timing.grant_s
             for owner in self._owners
             if self._runs.of_owner(owner.incarnation)
         ]
-        return min(asks + stops + states + grants, default=float("inf"))
+        return min([*asks, *stops, *grants, self._report_at])
 
     def renewal(self, now: float) -> _agent_events.Renewal:
         """Return what the next call for a renewal is to say."""
@@ -550,15 +547,28 @@
         return wire.LateRun(row.key.job, run, pace.left_s(now), normal_s)
 
     def _tell_state(self, now: float) -> None:
-        for owner in self._owners.connected():
-            state = self._state_for(owner, now)
-            if _states.due_at(owner.told, owner.told_at, state) <= now:
+        """Tell entries how the endpoint stands, as far as that is due."""
+        self._turns.see(now, self._free())
+        self._report_at = float("inf")
+        owners = self._owners.connected()
+        names = tuple(sorted(owner.name for owner in owners))
+        homes = _states.homes_of(self._name, names)
+        for owner in owners:
+            shown_at = None
+            if owner.name in homes:
+                position = homes.index(owner.name)
+                shown_at = self._turns.shown_at(position, len(homes))
+            state = self._state_for(owner, now, shown_at is not None)
+            due = _states.due_at(owner.told, owner.told_at, state, shown_at)
+            if due <= now:
                 owner.told = state
                 owner.told_at = now
                 self._send(owner, state)
+            else:
+                self._report_at = min(self._report_at, due)
 
     def _state_for(
-        self, owner: _owners.Owner, now: float
+        self, owner: _owners.Owner, now: float, home: bool
     ) -> wire.EndpointState:
         """Return the endpoint's state as an entry is to know it."""
         seen = self._link.seen
@@ -574,4 +584,5 @@
             owner.orders_seen,
             seen.remaining_s,
             self._speed.reported,
+            home,
         )
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -83,12 +83,12 @@
         late = job.offered_at is None and now > job.start_by
         return (late, 0, job.start_by)
 
-    def _order(self, row: _pool.AgentRow) -> tuple[int, int]:
+    def _order(self, row: _pool.AgentRow) -> tuple[bool, int, int]:
         slowness = max(self._run_times.slowness(row.name), row.state.slowness)
         rank = self._ranks.get(row.name)
         if rank is None:
             rank = self._ranks[row.name] = _preference(self._name, row)
-        return (int(slowness / _SLOWNESS_GRAIN), rank)
+        return (not row.state.home, int(slowness / _SLOWNESS_GRAIN), rank)
 
     def _place_job(
         self, now: float, job: _jobs.Job, rows: list[_pool.AgentRow]
--- a/src/ferryledge/leases/_states.py
+++ b/src/ferryledge/leases/_states.py
@@ -1,15 +1,68 @@
-"""When an entry is told again how its agents' endpoints stand."""
+"""When an entry is told again how an agent's endpoint stands."""
 
+import dataclasses
+import functools
+
+from ferryledge import placement
 from ferryledge import wire
 
-#: Seconds between reports while there is plenty of room.
-EVERY_S = 0.05
-#: The same while room is scarce: a few changes then share a report.
-SCARCE_EVERY_S = 0.004
-#: Share of the capacity that must be free for that.
+#: Entries that an agent keeps up to date: few enough that they seldom want
+#: the same room, and that reports stay bounded as entries are added.
+HOMES = 3
+#: Seconds between reports to other entries, and while room is plentiful.
+SELDOM_S = 0.1
+PLENTY_S = 0.05
+#: The same to a home while room is scarce: a few changes share a report.
+SCARCE_S = 0.004
+#: Room that becomes free is shown to one home after the other, this many
+#: seconds apart: about a round trip, so that the first can take it before
+#: the next one would ask for it in vain.
+TURN_S = 0.002
+#: Share of the capacity that must be free to be plenty.
 _PLENTY_SHARE = 0.25
 
 
+_NOTHING = wire.Resources()
+
+
+@dataclasses.dataclass(slots=True)
+class Turns:
+    """Whose turn it is to hear first of room that became free."""
+
+    free: wire.Resources = _NOTHING
+    freed_at: float = 0.0
+    turn: int = 0
+
+    def see(self, now: float, free: wire.Resources) -> None:
+        """Take in the present room."""
+        if free.cpu_millis > self.free.cpu_millis:
+            self.freed_at = now
+            self.turn += 1
+        self.free = free
+
+    def shown_at(self, position: int, homes: int) -> float:
+        """Return when a home hears of room that became free last.
+
+        :param position: the home's place among them
+        :param homes: how many they are
+        """
+        return self.freed_at + TURN_S * ((position + self.turn) % homes)
+
+
+@functools.lru_cache(maxsize=64)
+def homes_of(agent: str, entries: tuple[str, ...]) -> list[str]:
+    """Return the entries that an agent keeps up to date.
+
+    Entries and agents agree on them as far as they know the same entries;
+    where they don't, reports come seldom and orders are turned down, no
+    more.
+
+    :param agent: the agent's name
+    :param entries: names of the entries that are connected, sorted
+    """
+    return placement.rank(agent, entries)[:HOMES]
+
+
 def _is_plenty(state: wire.EndpointState) -> bool:
     free = state.free.cpu_millis
     return free >= _PLENTY_SHARE * state.capacity.cpu_millis
@@ -23,6 +76,7 @@
         state.accepting,
         state.remaining_s,
         state.slowness,
+        state.home,
     )
 
 
@@ -30,20 +84,27 @@
     told: wire.EndpointState | None,
     told_at: float,
     state: wire.EndpointState,
+    shown_at: float | None,
 ) -> float:
     """Return when a report is due, in monotonic seconds; never is infinite.
 
-    Where room is scarce, a change counts at once, or nearly. Where there is
-    plenty, an entry's own orders keep its view close enough, and reports are
-    few.
+    Where there is plenty of room, an entry's own orders keep its view close
+    enough.
 
     :param told: what the entry was told last; none if nothing
     :param told_at: when that was
     :param state: the endpoint's state now
+    :param shown_at: when it is the entry's turn to hear of freed room; none
+        if it is no home
     """
     if state == told:
         return float("inf")
     if told is None or _but_room(told) != _but_room(state):
         return told_at
-    plenty = _is_plenty(told) and _is_plenty(state)
-    return told_at + (EVERY_S if plenty else SCARCE_EVERY_S)
+    if shown_at is None:
+        return told_at + SELDOM_S
+    if _is_plenty(told) and _is_plenty(state):
+        return told_at + PLENTY_S
+    if state.free.cpu_millis > told.free.cpu_millis:
+        return max(told_at + SCARCE_S, shown_at)
+    return told_at + SCARCE_S
--- a/src/ferryledge/net/_asgi.py
+++ b/src/ferryledge/net/_asgi.py
@@ -43,6 +43,11 @@
     #: Further chunks of the body, sent as they come.
     stream: abc.AsyncIterator[bytes] | None = None
 
+    def closing(self) -> "HttpResponse":
+        """Return the response with the connection closed after it."""
+        headers = (*self.headers, ("connection", "close"))
+        return dataclasses.replace(self, headers=headers)
+
     @classmethod
     def json(
         cls,
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -184,6 +184,8 @@
     remaining_s: float = 0.0
     #: How many times as long runs take there now; 1 is as usual.
     slowness: float = 1.0
+    #: Whether the receiver is told of each change; others are told seldom.
+    home: bool = True
 
 
 class AskLease(_messages.Model, frozen=True, tag="ask-lease"):
