--- a/src/ferryledge/leases/_agent_events.py
+++ b/src/ferryledge/leases/_agent_events.py
@@ -7,7 +7,7 @@
 from ferryledge import wire
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class EndpointSeen:
     """The endpoint's heartbeat came."""
 
@@ -26,14 +26,14 @@
     number: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class EndpointLeft:
     """The endpoint said that it ends now."""
 
     incarnation: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class ListedRun:
     """A run that the endpoint lists as alive."""
 
@@ -42,7 +42,7 @@
     done: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class ListedEnd:
     """An end that the endpoint lists until it is acknowledged."""
 
@@ -52,7 +52,7 @@
     how: wire.HowEnded
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class LeaseRenewed:
     """The endpoint took a renewal and listed what it holds."""
 
@@ -80,7 +80,7 @@
     UNHEALTHY = "unhealthy"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class LeaseNotRenewed:
     """A renewal brought no list."""
 
@@ -108,7 +108,7 @@
     SILENT = "silent"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class StartAnswered:
     """The call for a start came back."""
 
@@ -118,7 +118,7 @@
     clock_ms: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class StopAnswered:
     """The call for a stop came back."""
 
@@ -127,7 +127,7 @@
     confirmed: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class AgentDrain:
     """The agent is to stop: take no new runs, finish the rest."""
 
@@ -144,7 +144,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class SendMessage:
     """Send a message to a peer."""
 
@@ -152,7 +152,7 @@
     message: wire.Message
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class StartRun:
     """Order the endpoint to start a run."""
 
@@ -164,7 +164,7 @@
     token: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class StopRun:
     """Order the endpoint to stop a run."""
 
@@ -173,14 +173,14 @@
     token: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class CloseStream:
     """Break the stream to a peer that is silent."""
 
     peer: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class DialEntries:
     """Keep streams to these entries open."""
 
@@ -190,7 +190,7 @@
 AgentAction = SendMessage | CloseStream | DialEntries | StartRun | StopRun
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class Renewal:
     """What the next call for a renewal is to say."""
 
--- a/src/ferryledge/leases/_entry_events.py
+++ b/src/ferryledge/leases/_entry_events.py
@@ -8,7 +8,7 @@
 from ferryledge import wire
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class JobSubmitted:
     """A client's job arrived; ``token`` names the waiting request."""
 
@@ -16,7 +16,7 @@
     request: _jobs.LeasedJob
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class ClientLeft:
     """The client of a waiting request hung up."""
 
@@ -24,21 +24,21 @@
     job: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class JobCancelled:
     """A client cancelled a job by its name."""
 
     job: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class EntriesFound:
     """Other entries are known by their addresses."""
 
     entries: tuple[wire.EntryAddress, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class ConfigRead:
     """A configuration was read; the newest version counts."""
 
@@ -47,7 +47,7 @@
     data: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class EntryDrain:
     """The entry is to stop: finish what it holds."""
 
@@ -63,7 +63,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class AnswerJob:
     """Answer a waiting request; once for each token."""
 
@@ -76,7 +76,7 @@
 SendMessage = _agent_events.SendMessage
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class ApplyConfig:
     """Put a configuration in force."""
 
--- a/src/ferryledge/leases/_runs.py
+++ b/src/ferryledge/leases/_runs.py
@@ -26,7 +26,7 @@
     STOPPING = "stopping"
 
 
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class RunKey:
     """Names a run at an endpoint."""
 
