Count the runs of one job as one sample of an endpoint's speed

Ruled out: a slow endpoint (none was due then; the run that stayed took its usual time).

Change: the runs of one job share one vote.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -276,7 +276,7 @@
             lease_until_ms,
         )
         if order.expected_s > 0.0:
-            row.pace = _speed.RunPace(order.expected_s, now)
+            row.pace = _speed.RunPace(order.job, order.expected_s, now)
         self._runs.add(row)
         self._actions.append(
             _agent_events.StartRun(
--- a/src/ferryledge/leases/_speed.py
+++ b/src/ferryledge/leases/_speed.py
@@ -1,15 +1,15 @@
 """How fast an endpoint works, from the progress of what runs there.
 
-A run's declared time is a guess, an endpoint's speed is shared by all that
-runs on it: so the speed is averaged over the runs, and a slow endpoint is
-told apart from a large task.
+A job's declared time is a guess, an endpoint's speed is shared by all that
+runs on it: so the speed is averaged over the jobs, and a slow endpoint is
+told apart from a large job.
 """
 
 from collections import abc
 import dataclasses
 import math
 
-#: Weight of the speed that is assumed, in runs: a single run whose declared
+#: Weight of the speed that is assumed, in jobs: a single job whose declared
 #: time is far off must not make an endpoint slow.
 _ASSUMED_WEIGHT = 1.5
 #: Weight of a run that stands still; no declared time explains that.
@@ -30,6 +30,7 @@
 class RunPace:
     """The progress of one run."""
 
+    job: str
     #: Expected run time at normal speed in seconds.
     expected_s: float
     sampled_at: float
@@ -96,20 +97,27 @@
         """Take in the present progress of all runs.
 
         With none to tell, the last word stands: an endpoint that became
-        slow is slow until a run shows otherwise.
+        slow is slow until a run shows otherwise. The runs of one job count
+        as one, since the same guess of their time is behind them all.
         """
+        by_job: dict[str, list[RunPace]] = {}
+        for pace in paces:
+            if pace.samples:
+                by_job.setdefault(pace.job, []).append(pace)
+        if not by_job:
+            return
         weight = _ASSUMED_WEIGHT
         total = _ASSUMED_WEIGHT * self._assumed
-        runs = 0
-        for pace in paces:
-            if not pace.samples:
-                continue
-            runs += 1
-            own = _STILL_WEIGHT if pace.stands_still(now) else 1.0
+        for job_paces in by_job.values():
+            still = all(pace.stands_still(now) for pace in job_paces)
+            own = _STILL_WEIGHT if still else 1.0
             weight += own
-            total += own * min(pace.rate * pace.expected_s, _FASTEST)
-        if not runs:
-            return
+            total += own * _mean_speed(job_paces)
         self._speed = total / weight
         slow = self.slowness >= SLOW_FROM
         self._assumed = self._speed if slow else 1.0
+
+
+def _mean_speed(paces: list[RunPace]) -> float:
+    speeds = [min(pace.rate * pace.expected_s, _FASTEST) for pace in paces]
+    return sum(speeds) / len(speeds)
