--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -251,9 +251,8 @@
         body = await request.body()
         if self._refusing:
             return platform.refusal(outcomes.Reason.DRAINING, _RETRY_S)
-        deadline_ms = request.header("deadline-ms")
-        deadline_s = float(deadline_ms) / 1000.0 if deadline_ms else 0.0
         try:
+            deadline_s = platform.parse_deadline(request.header("deadline-ms"))
             job = platform.parse_job(name, body, route.job_class, deadline_s)
         except platform.MalformedJobError as exc:
             return net.HttpResponse.json(
--- a/src/ferryledge/platform/__init__.py
+++ b/src/ferryledge/platform/__init__.py
@@ -28,6 +28,7 @@
 StoreError = _store.StoreError
 UnsupportedJobError = _jobs.UnsupportedJobError
 parse_config = _config.parse_config
+parse_deadline = _jobs.parse_deadline
 parse_heartbeat = _heartbeat.parse_heartbeat
 parse_job = _jobs.parse_job
 parse_settings = _settings.parse_settings
@@ -56,6 +57,7 @@
     "StoreError",
     "UnsupportedJobError",
     "parse_config",
+    "parse_deadline",
     "parse_heartbeat",
     "parse_job",
     "parse_settings",
--- a/src/ferryledge/platform/_jobs.py
+++ b/src/ferryledge/platform/_jobs.py
@@ -95,6 +95,20 @@
     return leases.LeasedJob(name, job_class, plain.spec, steps, deadline_s)
 
 
+def parse_deadline(text: str) -> float:
+    """Return the seconds for which a client waits; 0 is unknown.
+
+    :param text: the header's value in ms, or an empty text
+    :raises MalformedJobError: if it is no number
+    """
+    if not text:
+        return 0.0
+    try:
+        return max(0.0, float(text) / 1000.0)
+    except ValueError as exc:
+        raise MalformedJobError("Deadline-Ms", f"{text!r}: {exc}") from exc
+
+
 def _check(body: _Body) -> None:
     if not body.best_effort:
         raise UnsupportedJobError("BestEffort", "kept jobs are not taken")
@@ -115,6 +129,8 @@
     for field in _UNSUPPORTED_STEP:
         if getattr(step, field):
             raise UnsupportedJobError(field, "not supported")
+    if min(step.cpu, step.mem_mb, step.gpu) < 0:
+        raise MalformedJobError("Cpu, MemMb, Gpu", "may not be negative")
     if step.count < 1:
         raise MalformedJobError("Count", "at least one task is needed")
     if any(not 0 <= one < number for one in step.depends_on):
--- a/src/ferryledge/platform/standin/_endpoint.py
+++ b/src/ferryledge/platform/standin/_endpoint.py
@@ -73,7 +73,7 @@
         async with anyio.create_task_group() as group:
             await group.start(
                 net.serve_http,
-                net.asgi_app(self._handle),
+                net.asgi_app(self.handle),
                 self._host,
                 self._port,
                 stop,
@@ -122,7 +122,8 @@
             answer_s=_BEAT_TIMEOUT_S,
         )
 
-    async def _handle(self, request: net.Request) -> net.HttpResponse:
+    async def handle(self, request: net.Request) -> net.HttpResponse:
+        """Answer a call of the agent."""
         fields = json.loads(await request.body())
         if not self.model.up:
             await anyio.sleep(_BEAT_TIMEOUT_S)
--- /dev/null
+++ b/src/ferryledge/platform/tests/test_calls.py
@@ -0,0 +1,151 @@
+"""Calls to the store and to an endpoint, against the stand-ins."""
+
+from collections import abc
+import random
+
+import anyio
+import pytest
+
+from ferryledge import leases
+from ferryledge import net
+from ferryledge import platform
+from ferryledge.platform import standin as platform_standin
+from ferryledge import standin
+from ferryledge import wire
+
+
+def _serve(
+    handler: net.Handler, use: abc.Callable[[int], abc.Awaitable[None]]
+) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            port = await group.start(
+                net.serve_http,
+                net.asgi_app(handler),
+                "127.0.0.1",
+                0,
+                anyio.Event(),
+            )
+            await use(port)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def test_store_keeps_the_newest_of_each_key() -> None:
+    server = platform_standin.StoreServer()
+
+    async def use(port: int) -> None:
+        store = platform.StoreClient(f"127.0.0.1:{port}")
+        for value in (b"old", b"new"):
+            await store.put("keyed.t", platform.KeyedRecord("k", value))
+        page = await store.newest("keyed.t")
+        assert page.records == (platform.KeyedRecord("k", b"new"),)
+        await store.put("keyed.t", platform.KeyedRecord("l", b""))
+        later = await store.read("keyed.t", page.next_offset, 0.0)
+        assert later.records == (platform.KeyedRecord("l", b""),)
+        assert later.next_offset == page.next_offset + 1
+        await store.close()
+
+    _serve(server.handle, use)
+
+
+def test_store_that_is_busy_is_an_error() -> None:
+    server = platform_standin.StoreServer()
+    server.behaviour = platform_standin.StoreBehaviour.BUSY
+
+    async def use(port: int) -> None:
+        store = platform.StoreClient(f"127.0.0.1:{port}")
+        with pytest.raises(platform.StoreError, match="503"):
+            await store.newest("keyed.t")
+
+    _serve(server.handle, use)
+
+
+def test_records_that_are_gone_are_told_apart() -> None:
+    async def gone(request: net.Request) -> net.HttpResponse:
+        return net.HttpResponse.json(410, {"First": 9})
+
+    async def use(port: int) -> None:
+        store = platform.StoreClient(f"127.0.0.1:{port}")
+        with pytest.raises(platform.RecordsGoneError):
+            await store.read("keyed.t", 1, 0.0)
+
+    _serve(gone, use)
+
+
+def test_nobody_listens_at_the_store() -> None:
+    async def main() -> None:
+        store = platform.StoreClient("127.0.0.1:9")
+        with pytest.raises(platform.StoreError):
+            await store.newest("keyed.t")
+
+    anyio.run(main)
+
+
+def _endpoint() -> platform_standin.EndpointServer:
+    model = standin.LeasedEndpoint(
+        "e",
+        wire.Resources(4000, 4000, 0),
+        0.0,
+        lambda key: wire.Resources(1000, 10, 0),
+        lambda key, endpoint: (60.0, True),
+        lambda what, key, endpoint: None,
+    )
+    return platform_standin.EndpointServer(
+        "desk", "127.0.0.1", 0, "http://127.0.0.1:9", model, random.Random(1)
+    )
+
+
+def test_run_is_started_listed_and_stopped() -> None:
+    server = _endpoint()
+    key = leases.RunKey("j", 0, 3, 1)
+
+    async def use(port: int) -> None:
+        calls = platform.EndpointCalls(f"127.0.0.1:{port}", 5.0)
+        until = server.model.clock_ms(anyio.current_time()) + 900
+        order = leases.StartRun(key, "x", "e-1", until, 7)
+        started = await calls.start(order)
+        assert started.result is leases.StartResult.STARTED
+        renewal = leases.Renewal("e-1", until, 7, 0, 0)
+        renewed = await calls.renew(renewal)
+        assert isinstance(renewed, leases.LeaseRenewed)
+        assert [run.key for run in renewed.running] == [key]
+        stopped = await calls.stop(leases.StopRun(key, "e-1", 7))
+        assert stopped.confirmed
+        await calls.close()
+
+    _serve(server.handle, use)
+
+
+def test_refusals_of_an_order_are_told_apart() -> None:
+    server = _endpoint()
+    key = leases.RunKey("j", 0, 0, 1)
+
+    async def use(port: int) -> None:
+        calls = platform.EndpointCalls(f"127.0.0.1:{port}", 5.0)
+        until = server.model.clock_ms(anyio.current_time()) + 900
+        cases = (
+            (leases.StartRun(key, "x", "e-2", until, 7), "replaced"),
+            (leases.StartRun(key, "x", "e-1", 1, 7), "late"),
+            (leases.StartRun(key, "x", "e-1", until, 6), "fenced"),
+        )
+        for order, word in cases:
+            answer = await calls.start(order)
+            assert answer.result is leases.StartResult(word)
+        fenced = await calls.renew(leases.Renewal("e-1", 0, 1, 0, 0))
+        assert isinstance(fenced, leases.LeaseNotRenewed)
+        assert fenced.fault is leases.CallFault.FENCED
+        assert fenced.clock_ms > 0
+
+    _serve(server.handle, use)
+
+
+def test_endpoint_that_is_down_has_started_nothing() -> None:
+    async def main() -> None:
+        calls = platform.EndpointCalls("127.0.0.1:9", 5.0)
+        order = leases.StartRun(leases.RunKey("j", 0, 0, 1), "x", "", 1, 1)
+        answer = await calls.start(order)
+        assert answer.result is leases.StartResult.DOWN
+
+    anyio.run(main)
