Give freed room first to the entry with the most urgent job

Change: entries tell their agents the latest start that their most urgent waiting job can bear, at most every 6 ms and only when it changes; agents show freed room in that order.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -200,6 +200,10 @@
                     self._stop(now, _runs.RunKey.of(job, run), owner)
             case wire.ClaimRuns(runs):
                 self._on_claim(owner, runs)
+            case wire.RoomWanted(start_by_s):
+                owner.wanted_by = float("inf")
+                if start_by_s is not None:
+                    owner.wanted_by = now + start_by_s
             case wire.GrantLease(number):
                 self._owners.granted(owner, number)
             case wire.EntryList(entries):
@@ -553,11 +557,16 @@
         owners = self._owners.connected()
         names = tuple(sorted(owner.name for owner in owners))
         homes = _states.homes_of(self._name, names)
+        wanted_by = {
+            owner.name: owner.wanted_by
+            for owner in owners
+            if owner.name in homes
+        }
+        order = self._turns.order(wanted_by)
         for owner in owners:
             shown_at = None
-            if owner.name in homes:
-                position = homes.index(owner.name)
-                shown_at = self._turns.shown_at(position, len(homes))
+            if owner.name in wanted_by:
+                shown_at = self._turns.shown_at(order.index(owner.name))
             state = self._state_for(owner, now, shown_at is not None)
             due = _states.due_at(owner.told, owner.told_at, state, shown_at)
             if due <= now:
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -19,6 +19,7 @@
 from ferryledge.leases import _placing
 from ferryledge.leases import _pool
 from ferryledge.leases import _timing
+from ferryledge.leases import _wanting
 from ferryledge import outcomes
 from ferryledge import placement
 from ferryledge import wire
@@ -76,6 +77,8 @@
         self._draining = False
         self._next_sweep = 0.0
         self._dirty = False
+        self._wanting = _wanting.Wanting()
+        self._wanted_at = float("inf")
 
     @property
     def open_jobs(self) -> int:
@@ -104,11 +107,7 @@
     @property
     def waiting_tasks(self) -> int:
         """Tasks of open jobs that nothing is ordered for."""
-        return sum(
-            len(job.startable())
-            for job in self._jobs.values()
-            if not job.closed
-        )
+        return sum(len(job.startable()) for job in self._waiting_jobs())
 
     def usable_agents(self, now: float) -> int:
         """Return how many agents take work from this entry."""
@@ -171,13 +170,15 @@
         if self._dirty:
             self._dirty = False
             self._place(now)
+        if now >= self._wanted_at:
+            self._tell_wanted(now)
         actions = self._actions + self._peers.take_actions()
         self._actions = []
         return actions
 
     def wake_at(self) -> float:
         """Return when to tick at the latest."""
-        return self._next_sweep
+        return min(self._next_sweep, self._wanted_at)
 
     def _sweep_every_s(self) -> float:
         waiting = any(
@@ -519,13 +520,25 @@
                 self._finish(now, job, refusal)
 
     def _place(self, now: float) -> None:
-        waiting = [
+        waiting = self._waiting_jobs()
+        for placed in self._placing.place(now, waiting):
+            self._order(now, placed)
+        start_by = _wanting.most_urgent(now, self._waiting_jobs())
+        self._wanted_at = self._wanting.due_at(start_by)
+
+    def _waiting_jobs(self) -> list[_jobs.Job]:
+        return [
             job
             for job in self._jobs.values()
             if not job.closed and job.startable()
         ]
-        for placed in self._placing.place(now, waiting):
-            self._order(now, placed)
+
+    def _tell_wanted(self, now: float) -> None:
+        """Tell agents how urgent the waiting jobs are."""
+        self._wanted_at = float("inf")
+        start_by = _wanting.most_urgent(now, self._waiting_jobs())
+        for row, message in self._wanting.tell(now, start_by, self._pool):
+            self._send(row.name, message)
 
     def _order(self, now: float, placed: _placing.Placement) -> None:
         job, row = placed.job, placed.row
--- a/src/ferryledge/leases/_owners.py
+++ b/src/ferryledge/leases/_owners.py
@@ -28,6 +28,8 @@
     told: wire.EndpointState | None = None
     #: When that was.
     told_at: float = float("-inf")
+    #: Latest start that its most urgent waiting job can bear.
+    wanted_by: float = float("inf")
     #: Whether it is still to hear what is held for it.
     wants_held: bool = True
     #: Ends that it was not told yet.
@@ -70,6 +72,7 @@
         owner.connected = True
         owner.heard_at = now
         owner.wants_held = True
+        owner.wanted_by = float("inf")
         owner.told = None
         owner.next_ask_at = 0.0
         return owner
--- a/src/ferryledge/leases/_states.py
+++ b/src/ferryledge/leases/_states.py
@@ -40,13 +40,26 @@
             self.turn += 1
         self.free = free
 
-    def shown_at(self, position: int, homes: int) -> float:
-        """Return when a home hears of room that became free last.
+    def order(self, wanted_by: dict[str, float]) -> list[str]:
+        """Return homes in the order in which they hear of freed room.
 
-        :param position: the home's place among them
-        :param homes: how many they are
+        The one with the most urgent job comes first. Those that wait for
+        nothing take turns behind the others.
+
+        :param wanted_by: the homes' names with the latest start that their
+            most urgent waiting job can bear
         """
-        return self.freed_at + TURN_S * ((position + self.turn) % homes)
+        names = list(wanted_by)
+        places = len(names)
+
+        def key(name: str) -> tuple[float, int]:
+            return wanted_by[name], (names.index(name) + self.turn) % places
+
+        return sorted(names, key=key)
+
+    def shown_at(self, place: int) -> float:
+        """Return when the home at that place hears of room freed last."""
+        return self.freed_at + TURN_S * place
 
 
 @functools.lru_cache(maxsize=64)
--- /dev/null
+++ b/src/ferryledge/leases/_wanting.py
@@ -0,0 +1,56 @@
+"""Tells agents how urgently an entry waits for room."""
+
+from collections import abc
+import dataclasses
+
+from ferryledge.leases import _jobs
+from ferryledge.leases import _pool
+from ferryledge import wire
+
+#: Seconds between two words to the same agents; several placements of one
+#: moment share one.
+_EVERY_S = 0.006
+#: A latest start that moves by less than this changes nobody's turn.
+_GRAIN_S = 0.01
+#: A late job counts as if it could wait this long, in seconds: behind all
+#: that can still meet their objective.
+_LATE_S = 30.0
+
+
+@dataclasses.dataclass(slots=True)
+class Wanting:
+    """What agents were told last."""
+
+    told_by: float | None = None
+    told_at: float = float("-inf")
+
+    def due_at(self, start_by: float | None) -> float:
+        """Return when agents are to be told; never is infinite."""
+        if start_by is None or self.told_by is None:
+            same = start_by is self.told_by
+        else:
+            same = abs(start_by - self.told_by) < _GRAIN_S
+        return float("inf") if same else self.told_at + _EVERY_S
+
+    def tell(
+        self, now: float, start_by: float | None, pool: _pool.Pool
+    ) -> abc.Iterator[tuple[_pool.AgentRow, wire.RoomWanted]]:
+        """Yield each agent to tell, and what."""
+        self.told_by = start_by
+        self.told_at = now
+        start_by_s = None if start_by is None else start_by - now
+        for row in pool:
+            if row.connected and row.reconciled and row.state.home:
+                yield row, wire.RoomWanted(start_by_s)
+
+
+def most_urgent(now: float, waiting: abc.Iterable[_jobs.Job]) -> float | None:
+    """Return the earliest latest start of the jobs that wait for room.
+
+    One that is late already yields to those that are not.
+    """
+    starts = [job.start_by for job in waiting]
+    timely = [start for start in starts if start >= now]
+    if timely:
+        return min(timely)
+    return now + _LATE_S if starts else None
--- a/src/ferryledge/wire/__init__.py
+++ b/src/ferryledge/wire/__init__.py
@@ -62,6 +62,7 @@
 NotStarted = _lease_messages.NotStarted
 OrderRuns = _lease_messages.OrderRuns
 Resources = _lease_messages.Resources
+RoomWanted = _lease_messages.RoomWanted
 RunEnd = _lease_messages.RunEnd
 RunsEnded = _lease_messages.RunsEnded
 RunsHeld = _lease_messages.RunsHeld
@@ -118,6 +119,7 @@
     "ReportNow",
     "Resources",
     "Role",
+    "RoomWanted",
     "RunEnd",
     "RunsEnded",
     "RunsHeld",
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -188,6 +188,14 @@
     home: bool = True
 
 
+class RoomWanted(_messages.Model, frozen=True, tag="wanted"):
+    """How urgently the sender waits for room at the receiver's endpoint."""
+
+    #: Seconds until the latest start that its most urgent job can bear; may
+    #: be negative. None if it waits for nothing.
+    start_by_s: float | None
+
+
 class AskLease(_messages.Model, frozen=True, tag="ask-lease"):
     """Ask an entry for the right to go on renewing its runs."""
 
@@ -223,6 +231,7 @@
     | ClaimRuns
     | LateRuns
     | EndpointState
+    | RoomWanted
     | AskLease
     | GrantLease
     | EntryList
