A stopping agent goes on with runs that end before it does

Change: it takes runs whose expected time fits twice into what is left, and tells entries how much that is.

The test starts nothing on stopping agents without the change.

--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -91,8 +91,9 @@
             group.cancel_scope.cancel()
 
     async def _finish(self) -> None:
-        self._driver.post(leases.AgentDrain())
         grace_s = self._settings.bounds.grace_s - _KILL_MARGIN_S
+        until = anyio.current_time() + grace_s
+        self._driver.post(leases.AgentDrain(until))
         with anyio.move_on_after(grace_s):
             while not self._core.idle:
                 await anyio.sleep(_DRAIN_POLL_S)
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -19,6 +19,10 @@
 
 #: Seconds between reports of runs that a slow endpoint holds up.
 _LATE_S = 0.1
+#: An order is taken if this many times its expected run time is left.
+_RUN_MARGIN = 2.0
+#: Steps in which the time left is told, in seconds.
+_TIME_STEP_S = 0.5
 #: Seconds after which a disconnected entry without runs is forgotten.
 _FORGET_S = 10.0
 
@@ -63,7 +67,7 @@
         self._notes = _agent_notes.AgentNotes(meter or _meters.AgentMeter())
         self._owners = _owners.OwnerTable(self._timing)
         self._actions: list[_agent_events.AgentAction] = []
-        self._draining = False
+        self._drain_until = float("inf")
         self._speed = _speed.EndpointSpeed()
         self._turns = _states.Turns()
         self._report_at = float("inf")
@@ -102,7 +106,7 @@
             self._name,
             self._incarnation,
             self._hall,
-            leaving=self._draining,
+            leaving=self._drain_until < float("inf"),
         )
 
     # Driving.
@@ -118,8 +122,8 @@
                 self._owners.leave(name, incarnation)
             case wire.Received(peer, message):
                 self._on_message(now, peer, message)
-            case _agent_events.AgentDrain():
-                self._draining = True
+            case _agent_events.AgentDrain(until):
+                self._drain_until = until
             case _:
                 self._on_endpoint_event(now, event)
 
@@ -239,7 +243,7 @@
     def _refusal(
         self, now: float, owner: _owners.Owner, order: wire.OrderRuns
     ) -> wire.NotStarted | None:
-        if self._draining:
+        if order.expected_s * _RUN_MARGIN > self._time_left(now):
             return wire.NotStarted.LEAVING
         if order.endpoint != self._link.incarnation:
             return wire.NotStarted.ENDPOINT
@@ -251,12 +255,19 @@
 
     def _accepts(self, now: float) -> bool:
         seen = self._link.seen
-        if seen is None or seen.draining or self._draining:
+        if seen is None or seen.draining or self._time_left(now) <= 0.0:
             return False
         if not self._link.synced or not self._link.is_fresh(now):
             return False
         return not self._runs.of_owner("")
 
+    def _time_left(self, now: float) -> float:
+        """Return the seconds until this process ends, in whole steps."""
+        if self._drain_until == float("inf"):
+            return self._drain_until
+        steps = int((self._drain_until - now) / _TIME_STEP_S)
+        return steps * _TIME_STEP_S
+
     def _free(self) -> wire.Resources:
         seen = self._link.seen
         if seen is None:
@@ -576,6 +587,15 @@
             else:
                 self._report_at = min(self._report_at, due)
 
+    def _remaining_s(
+        self, now: float, seen: _agent_events.EndpointSeen
+    ) -> float:
+        """Return the seconds that are left here; 0 is unlimited."""
+        left = self._time_left(now)
+        if left == float("inf"):
+            return seen.remaining_s
+        return min(left, seen.remaining_s or left)
+
     def _state_for(
         self, owner: _owners.Owner, now: float, home: bool
     ) -> wire.EndpointState:
@@ -591,7 +611,7 @@
             self._free(),
             self._accepts(now),
             owner.orders_seen,
-            seen.remaining_s,
+            self._remaining_s(now, seen),
             self._speed.reported,
             home,
         )
--- a/src/ferryledge/leases/_agent_events.py
+++ b/src/ferryledge/leases/_agent_events.py
@@ -129,7 +129,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class AgentDrain:
-    """The agent is to stop: take no new runs, finish the rest."""
+    """The agent is to stop: it takes only runs that end before that."""
+
+    #: When it ends at the latest, in monotonic seconds.
+    until: float
 
 
 AgentEvent = (
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -15,6 +15,8 @@
 
 #: Slowness differences below this share are taken as noise.
 _SLOWNESS_GRAIN = 0.1
+#: A run is ordered where this many times its expected time is left.
+_RUN_MARGIN = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,6 +142,9 @@
             return []
         if step.label and step.label not in row.state.labels:
             return []
+        left_s = row.state.remaining_s
+        if left_s and job.expected_s * _RUN_MARGIN > left_s:
+            return []
         free = row.free
         most = step.max_per_endpoint or len(tasks)
         if row.slow:
--- a/src/ferryledge/leases/tests/test_leases.py
+++ b/src/ferryledge/leases/tests/test_leases.py
@@ -153,11 +153,27 @@
     token = world.submit("entry-0", "2" * 16, count=12, work_s=0.5)
     world.run(0.1)
     for agent in world.agents:
-        world.post(agent, leases.AgentDrain())
+        world.post(agent, leases.AgentDrain(world.now + 3.0))
     world.run(0.6)
     assert is_complete(world, token)
 
 
+def test_stopping_agent_takes_only_runs_that_end_before_it(
+    world: worlds.World,
+) -> None:
+    for agent in world.agents:
+        world.post(agent, leases.AgentDrain(world.now + 2.0))
+    short = world.submit("entry-0", "8" * 16, work_s=0.2)
+    world.submit("entry-0", "9" * 16, work_s=1.5)
+    world.run(0.4)
+    assert is_complete(world, short)
+    assert not world.started["9" * 16]
+    world.run(1.6)
+    world.submit("entry-0", "7" * 16, work_s=0.2)
+    world.run(0.2)
+    assert not world.started["7" * 16]
+
+
 def test_jobs_wait_while_the_agents_are_being_found() -> None:
     world = worlds.World(seed=3)
     token = world.submit("entry-0", "3" * 16)
