Split the leased entry and agent by job

Change: the job table, the tracking of runs and the agent's reports stand in modules of their own; what decides a job's answer is returned, not called back.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -11,14 +11,12 @@
 from ferryledge.leases import _meters
 from ferryledge.leases import _notes
 from ferryledge.leases import _owners
+from ferryledge.leases import _reports
 from ferryledge.leases import _runs
 from ferryledge.leases import _speed
-from ferryledge.leases import _states
 from ferryledge.leases import _timing
 from ferryledge import wire
 
-#: Seconds between reports of runs that a slow endpoint holds up.
-_LATE_S = 0.1
 #: An order is taken if this many times its expected run time is left.
 _RUN_MARGIN = 2.0
 #: Steps in which the time left is told, in seconds.
@@ -69,9 +67,9 @@
         self._actions: list[_agent_events.AgentAction] = []
         self._drain_until = float("inf")
         self._speed = _speed.EndpointSpeed()
-        self._turns = _states.Turns()
-        self._report_at = float("inf")
-        self._late_told_at = now
+        self._reports = _reports.Reports(
+            name, self._owners, self._runs, self._send
+        )
         self._unclaimed_since = now
         self._now = now
 
@@ -157,10 +155,11 @@
         self._check_endpoint(now)
         self._check_grants(now)
         self._repeat_stops(now)
-        self._tell_held()
+        if self._link.synced:
+            self._reports.tell_held()
         self._ask(now)
-        self._tell_late(now)
-        self._tell_state(now)
+        self._reports.tell_late(now, self._speed)
+        self._reports.tell_state(now, self._free(), self._state_for)
         actions = self._actions
         self._actions = []
         return actions
@@ -178,7 +177,7 @@
             for owner in self._owners
             if self._runs.of_owner(owner.incarnation)
         ]
-        return min([*asks, *stops, *grants, self._report_at])
+        return min([*asks, *stops, *grants, self._reports.due_at])
 
     def renewal(self, now: float) -> _agent_events.Renewal:
         """Return what the next call for a renewal is to say."""
@@ -506,25 +505,6 @@
         if owner.connected:
             self._send(owner, wire.RunsReleased(job, tuple(runs), reason))
 
-    def _tell_held(self) -> None:
-        """Tell entries with a new stream what is held for them."""
-        if not self._link.synced:
-            return
-        for owner in self._owners.connected():
-            if not owner.wants_held:
-                continue
-            owner.wants_held = False
-            for message in owner.pending:
-                self._send(owner, message)
-            owner.pending.clear()
-            rows = self._runs.of_owner(owner.incarnation)
-            rows += self._runs.of_owner("")
-            held = tuple(
-                wire.HeldRun(row.key.job, row.key.task_run, row.need)
-                for row in rows
-            )
-            self._send(owner, wire.RunsHeld(held))
-
     def _ask(self, now: float) -> None:
         for owner in self._owners.connected():
             if self._owners.is_silent(owner, now):
@@ -536,57 +516,6 @@
             busy = bool(self._runs.of_owner(owner.incarnation))
             self._send(owner, self._owners.ask(owner, now, busy))
 
-    def _tell_late(self, now: float) -> None:
-        """Tell entries of their runs on an endpoint that became slow."""
-        if self._speed.reported < _speed.SLOW_FROM:
-            return
-        if now - self._late_told_at < _LATE_S:
-            return
-        self._late_told_at = now
-        for owner in self._owners.connected():
-            runs = tuple(
-                self._late_run(now, row, row.pace)
-                for row in self._runs.of_owner(owner.incarnation)
-                if row.pace is not None and row.state is _runs.RunState.RUNNING
-            )
-            if runs:
-                self._send(owner, wire.LateRuns(runs))
-
-    def _late_run(
-        self, now: float, row: _runs.RunRow, pace: _speed.RunPace
-    ) -> wire.LateRun:
-        run = row.key.task_run
-        if pace.rate <= 0.0:
-            return wire.LateRun(row.key.job, run, None, None)
-        normal_s = 1.0 / (pace.rate * self._speed.slowness)
-        return wire.LateRun(row.key.job, run, pace.left_s(now), normal_s)
-
-    def _tell_state(self, now: float) -> None:
-        """Tell entries how the endpoint stands, as far as that is due."""
-        self._turns.see(now, self._free())
-        self._report_at = float("inf")
-        owners = self._owners.connected()
-        names = tuple(sorted(owner.name for owner in owners))
-        homes = _states.homes_of(self._name, names)
-        wanted_by = {
-            owner.name: owner.wanted_by
-            for owner in owners
-            if owner.name in homes
-        }
-        order = self._turns.order(wanted_by)
-        for owner in owners:
-            shown_at = None
-            if owner.name in wanted_by:
-                shown_at = self._turns.shown_at(order.index(owner.name))
-            state = self._state_for(owner, now, shown_at is not None)
-            due = _states.due_at(owner.told, owner.told_at, state, shown_at)
-            if due <= now:
-                owner.told = state
-                owner.told_at = now
-                self._send(owner, state)
-            else:
-                self._report_at = min(self._report_at, due)
-
     def _remaining_s(
         self, now: float, seen: _agent_events.EndpointSeen
     ) -> float:
@@ -597,7 +526,7 @@
         return min(left, seen.remaining_s or left)
 
     def _state_for(
-        self, owner: _owners.Owner, now: float, home: bool
+        self, owner: _owners.Owner, home: bool
     ) -> wire.EndpointState:
         """Return the endpoint's state as an entry is to know it."""
         seen = self._link.seen
@@ -609,9 +538,9 @@
             seen.labels,
             seen.capacity,
             self._free(),
-            self._accepts(now),
+            self._accepts(self._now),
             owner.orders_seen,
-            self._remaining_s(now, seen),
+            self._remaining_s(self._now, seen),
             self._speed.reported,
             home,
         )
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -11,13 +11,14 @@
 from ferryledge.leases import _admission
 from ferryledge.leases import _entry_events
 from ferryledge.leases import _entry_notes
+from ferryledge.leases import _job_table
 from ferryledge.leases import _jobs
 from ferryledge.leases import _meters
-from ferryledge.leases import _moving
 from ferryledge.leases import _notes
 from ferryledge.leases import _peers
 from ferryledge.leases import _placing
 from ferryledge.leases import _pool
+from ferryledge.leases import _run_tracking
 from ferryledge.leases import _timing
 from ferryledge.leases import _wanting
 from ferryledge import outcomes
@@ -32,8 +33,6 @@
 _PAUSE_S = 0.3
 #: Seconds before the client's deadline at which a job is given up.
 _GIVE_UP_S = 0.05
-#: Seconds for which the answer of a complete job is kept for a repeat.
-_KEEP_ANSWER_S = 10.0
 
 
 class LeaseEntry:
@@ -71,8 +70,15 @@
             name, self._pool, self._run_times, far_factor
         )
         self._admission = _admission.Admission(name, self._pool, rng)
-        self._jobs: dict[str, _jobs.Job] = {}
-        self._answered: dict[str, float] = {}
+        self._jobs = _job_table.JobTable()
+        self._runs = _run_tracking.RunTracking(
+            self._jobs,
+            self._pool,
+            self._run_times,
+            self._judge,
+            self._notes,
+            self._send,
+        )
         self._actions: list[_entry_events.EntryAction] = []
         self._draining = False
         self._next_sweep = 0.0
@@ -83,7 +89,7 @@
     @property
     def open_jobs(self) -> int:
         """Jobs whose clients wait."""
-        return sum(not job.closed for job in self._jobs.values())
+        return len(self._jobs.open)
 
     @property
     def pool(self) -> _pool.Pool:
@@ -101,13 +107,13 @@
 
     def holds(self, name: str) -> bool:
         """Return whether a job is open here."""
-        job = self._jobs.get(name)
+        job = self._jobs.find(name)
         return job is not None and not job.closed
 
     @property
     def waiting_tasks(self) -> int:
         """Tasks of open jobs that nothing is ordered for."""
-        return sum(len(job.startable()) for job in self._waiting_jobs())
+        return sum(len(job.startable()) for job in self._jobs.waiting)
 
     def usable_agents(self, now: float) -> int:
         """Return how many agents take work from this entry."""
@@ -117,9 +123,7 @@
         """Return how many open jobs of a class nothing was ordered for."""
         return sum(
             job.request.job_class.name == job_class
-            and job.offered_at is None
-            and not job.closed
-            for job in self._jobs.values()
+            for job in self._jobs.untried
         )
 
     def is_usable(self, now: float) -> bool:
@@ -128,9 +132,8 @@
 
     def abandon_all(self, now: float) -> None:
         """Answer all open jobs now: the process is about to end."""
-        for job in list(self._jobs.values()):
-            if not job.closed:
-                self._finish(now, job, self._admission.give_up(job))
+        for job in self._jobs.open:
+            self._finish(now, job, self._admission.give_up(job))
 
     def hello(self) -> wire.Hello:
         """Return the greeting for a new stream."""
@@ -181,11 +184,7 @@
         return min(self._next_sweep, self._wanted_at)
 
     def _sweep_every_s(self) -> float:
-        waiting = any(
-            job.offered_at is None and not job.closed
-            for job in self._jobs.values()
-        )
-        return _REVIEW_S if waiting else _SWEEP_S
+        return _REVIEW_S if self._jobs.untried else _SWEEP_S
 
     def _send(self, peer: str, message: wire.Message) -> None:
         self._actions.append(_entry_events.SendMessage(peer, message))
@@ -195,11 +194,11 @@
     def _submit(
         self, now: float, token: int, request: _jobs.LeasedJob
     ) -> None:
-        known = self._jobs.get(request.job)
+        known = self._jobs.find(request.job)
         if known is not None:
             self._rejoin(now, known, token, request)
             return
-        if request.job in self._answered:
+        if self._jobs.was_complete(request.job):
             self._reply([token], outcomes.Complete(()))
             return
         estimate = max(step.estimate_s for step in request.steps)
@@ -207,12 +206,12 @@
         job = _jobs.Job(
             request, [token], now, expected, _jobs.make_tasks(request)
         )
-        refusal = self._admission.admit(now, job, self._jobs.values())
+        refusal = self._admission.admit(now, job, self._jobs)
         if refusal is not None:
             self._finish(now, job, refusal)
             return
         self._notes.admitted(job, len(self._jobs), self._peers.version)
-        self._jobs[job.name] = job
+        self._jobs.add(job)
         self._next_sweep = min(self._next_sweep, now + _REVIEW_S)
         self._dirty = True
 
@@ -234,7 +233,7 @@
         self._dirty = True
 
     def _client_left(self, now: float, token: int, name: str) -> None:
-        job = self._jobs.get(name)
+        job = self._jobs.find(name)
         if job is None or token not in job.tokens:
             return
         job.tokens.remove(token)
@@ -243,7 +242,7 @@
             self._close(job)
 
     def _cancel(self, now: float, name: str) -> None:
-        job = self._jobs.get(name)
+        job = self._jobs.find(name)
         if job is not None and not job.closed:
             origin = outcomes.Origin(outcomes.Step.CANCEL, self._name)
             reason = outcomes.Reason.CANCELLED
@@ -266,21 +265,8 @@
     def _close(self, job: _jobs.Job) -> None:
         """Stop a job's runs; it is forgotten once they are over."""
         job.closed = True
-        self._stop(job, job.bound())
-        self._forget_if_over(job)
-
-    def _forget_if_over(self, job: _jobs.Job) -> None:
-        if job.closed and not job.bound():
-            self._jobs.pop(job.name, None)
-
-    def _stop(self, job: _jobs.Job, tasks: list[_jobs.Task]) -> None:
-        by_agent: dict[str, list[wire.TaskRun]] = {}
-        for task in tasks:
-            if not task.stopping:
-                task.stopping = True
-                by_agent.setdefault(task.agent, []).append(task.task_run)
-        for agent, runs in by_agent.items():
-            self._send(agent, wire.StopRuns(job.name, tuple(runs)))
+        self._runs.stop(job, job.bound())
+        self._jobs.drop_if_over(job)
 
     # Messages.
 
@@ -321,18 +307,39 @@
                 self._send(row.name, wire.GrantLease(number))
             case wire.EndpointState():
                 self._on_state(row, message)
+            case wire.LateRuns(runs):
+                self._runs.late(now, runs)
+            case wire.Leaving():
+                row.leaving = True
+            case _:
+                self._on_runs_message(now, row, message)
+                self._dirty = True
+
+    def _on_runs_message(
+        self, now: float, row: _pool.AgentRow, message: wire.Message
+    ) -> None:
+        match message:
             case wire.RunsReleased(name, runs, reason):
                 for run in runs:
-                    self._on_released(row, name, run, reason)
+                    self._runs.released(row, name, run, reason)
             case wire.RunsEnded(name, ends):
                 for end in ends:
-                    self._on_ended(now, row, name, end)
+                    self._decide(now, self._runs.ended(now, row, name, end))
             case wire.RunsHeld(runs):
-                self._on_held(now, row, runs)
-            case wire.LateRuns(runs):
-                self._on_late(now, runs)
-            case wire.Leaving():
-                row.leaving = True
+                for decided in self._runs.held(now, row, runs):
+                    self._decide(now, decided)
+                row.reconciled = True
+
+    def _decide(
+        self, now: float, decided: _run_tracking.Decided | None
+    ) -> None:
+        """Answer a job that the end of a run decided."""
+        if decided is None:
+            return
+        job = decided.job
+        if isinstance(decided.outcome, outcomes.Complete) and not job.closed:
+            self._jobs.note_complete(job.name, now)
+        self._finish(now, job, decided.outcome)
 
     def _on_state(
         self, row: _pool.AgentRow, state: wire.EndpointState
@@ -344,144 +351,6 @@
         self._pool.set_state(row, state)
         self._dirty = True
 
-    def _take_back(
-        self, row: _pool.AgentRow, name: str, run: wire.TaskRun
-    ) -> tuple[_jobs.Job, _jobs.Task] | None:
-        """Unbind a run that is over; none if it is not known here."""
-        row.runs.discard((name, run))
-        job = self._jobs.get(name)
-        task = job.find(run) if job else None
-        if job is None or task is None or task.agent != row.name:
-            return None
-        if task.state is not _jobs.TaskState.BOUND:
-            return None
-        task.state = _jobs.TaskState.WAITING
-        task.agent = ""
-        task.stopping = False
-        self._dirty = True
-        return job, task
-
-    def _on_released(
-        self,
-        row: _pool.AgentRow,
-        name: str,
-        run: wire.TaskRun,
-        reason: wire.NotStarted,
-    ) -> None:
-        taken = self._take_back(row, name, run)
-        if taken is None:
-            return
-        job, task = taken
-        self._notes.not_started(job, row, run, reason)
-        if reason in (wire.NotStarted.REJECTED, wire.NotStarted.UNHEALTHY):
-            task.avoid.add(row.name)
-        self._forget_if_over(job)
-
-    def _on_ended(
-        self, now: float, row: _pool.AgentRow, name: str, end: wire.RunEnd
-    ) -> None:
-        taken = self._take_back(row, name, end.run)
-        if taken is None:
-            return
-        job, task = taken
-        self._notes.ended(job, row, end, task.failures)
-        match end.how:
-            case wire.HowEnded.DONE:
-                task.state = _jobs.TaskState.DONE
-                self._learn(now, row, job, task, end)
-                self._complete_if_done(now, job)
-            case wire.HowEnded.FAILED:
-                task.failures += 1
-                task.avoid.add(row.name)
-                self._judge_end(now, row, job, False)
-                self._fail_if_hopeless(now, job, task, row)
-            case _:
-                pass
-        self._forget_if_over(job)
-
-    def _learn(
-        self,
-        now: float,
-        row: _pool.AgentRow,
-        job: _jobs.Job,
-        task: _jobs.Task,
-        end: wire.RunEnd,
-    ) -> None:
-        self._judge_end(now, row, job, True)
-        step = job.request.steps[task.step]
-        self._run_times.learn(
-            job.request.job_class.name, row.name, end.run_s, step.estimate_s
-        )
-
-    def _judge_end(
-        self, now: float, row: _pool.AgentRow, job: _jobs.Job, ok: bool
-    ) -> None:
-        name = job.request.job_class.name
-        self._judge.ended(row.name, name, job.name, ok, now)
-        state = self._judge.state(row.name)
-        healthy = isinstance(state, health.Healthy)
-        if healthy != row.healthy:
-            self._notes.judged(job, row, state)
-        row.healthy = healthy
-
-    def _complete_if_done(self, now: float, job: _jobs.Job) -> None:
-        if all(t.state is _jobs.TaskState.DONE for t in job.all_tasks):
-            if not job.closed:
-                self._answered[job.name] = now
-            self._finish(now, job, outcomes.Complete(()))
-
-    def _fail_if_hopeless(
-        self,
-        now: float,
-        job: _jobs.Job,
-        task: _jobs.Task,
-        row: _pool.AgentRow,
-    ) -> None:
-        if job.closed or task.failures < job.request.job_class.attempts:
-            return
-        origin = outcomes.Origin(outcomes.Step.RUN, row.name)
-        reason = outcomes.Reason.TASK_FAILED
-        self._finish(now, job, outcomes.FailedMayHaveRun(reason, origin))
-
-    def _on_held(
-        self,
-        now: float,
-        row: _pool.AgentRow,
-        runs: tuple[wire.HeldRun, ...],
-    ) -> None:
-        """Compare what an agent holds with what was ordered there."""
-        held = {(one.job, one.run) for one in runs}
-        for name, run in list(row.runs - held):
-            end = wire.RunEnd(run, wire.HowEnded.LOST, 0.0)
-            self._on_ended(now, row, name, end)
-        claimed = []
-        for name, run in held & row.runs:
-            job = self._jobs[name]
-            need = job.request.steps[run.step].need
-            claimed.append(wire.HeldRun(name, run, need))
-            task = job.find(run)
-            if task is not None and task.stopping:
-                self._send(row.name, wire.StopRuns(name, (run,)))
-        if claimed:
-            self._send(row.name, wire.ClaimRuns(tuple(claimed)))
-        for name, run in held - row.runs:
-            self._send(row.name, wire.StopRuns(name, (run,)))
-        row.reconciled = True
-        self._dirty = True
-
-    def _on_late(self, now: float, runs: tuple[wire.LateRun, ...]) -> None:
-        """Move runs away from a slow endpoint where that helps."""
-        for late in runs:
-            job = self._jobs.get(late.job)
-            task = job.find(late.run) if job else None
-            if job is None or task is None:
-                continue
-            if _moving.is_worth_moving(now, job, task, late, self._pool):
-                task.moves += 1
-                task.avoid.add(task.agent)
-                self._notes.moved(job, task, late)
-                self._stop(job, [task])
-
     # Systems.
 
     def _sweep(self, now: float) -> None:
@@ -495,84 +364,34 @@
             self._actions.append(_entry_events.CloseStream(row.name))
         for row in self._pool.over(now):
             self._notes.over(now, row)
-            self._on_held(now, row, ())
-            row.reconciled = False
+            for decided in self._runs.held(now, row, ()):
+                self._decide(now, decided)
         for name in self._judge.probes_due(now):
             found = self._pool.find(name)
             if found is not None:
                 found.healthy = True
         self._sweep_jobs(now)
-        self._dirty = self._dirty or bool(self._jobs)
+        self._dirty = self._dirty or len(self._jobs) > 0
 
     def _sweep_jobs(self, now: float) -> None:
-        for name, at in list(self._answered.items()):
-            if now - at < _KEEP_ANSWER_S:
-                break
-            del self._answered[name]
-        for job in list(self._jobs.values()):
-            if job.closed:
-                continue
+        self._jobs.expire(now)
+        for job in self._jobs.open:
             if now >= job.deadline_at - _GIVE_UP_S:
                 self._finish(now, job, self._admission.give_up(job))
                 continue
-            refusal = self._admission.review(now, job, self._jobs.values())
+            refusal = self._admission.review(now, job, self._jobs)
             if refusal is not None:
                 self._finish(now, job, refusal)
 
     def _place(self, now: float) -> None:
-        waiting = self._waiting_jobs()
-        for placed in self._placing.place(now, waiting):
-            self._order(now, placed)
-        start_by = _wanting.most_urgent(now, self._waiting_jobs())
+        for placed in self._placing.place(now, self._jobs.waiting):
+            self._runs.order(now, placed.job, placed.row, placed.tasks)
+        start_by = _wanting.most_urgent(now, self._jobs.waiting)
         self._wanted_at = self._wanting.due_at(start_by)
 
-    def _waiting_jobs(self) -> list[_jobs.Job]:
-        return [
-            job
-            for job in self._jobs.values()
-            if not job.closed and job.startable()
-        ]
-
     def _tell_wanted(self, now: float) -> None:
         """Tell agents how urgent the waiting jobs are."""
         self._wanted_at = float("inf")
-        start_by = _wanting.most_urgent(now, self._waiting_jobs())
+        start_by = _wanting.most_urgent(now, self._jobs.waiting)
         for row, message in self._wanting.tell(now, start_by, self._pool):
             self._send(row.name, message)
-
-    def _order(self, now: float, placed: _placing.Placement) -> None:
-        job, row = placed.job, placed.row
-        need = job.request.steps[placed.step].need
-        runs = []
-        for task in placed.tasks:
-            task.state = _jobs.TaskState.BOUND
-            task.run += 1
-            task.agent = row.name
-            task.ordered_at = now
-            runs.append(task.task_run)
-            row.runs.add((job.name, task.task_run))
-        if job.offered_at is None:
-            job.offered_at = now
-        number = self._pool.order(row, need, len(runs))
-        order = wire.OrderRuns(
-            number,
-            job.name,
-            job.request.spec,
-            need,
-            tuple(runs),
-            row.state.incarnation,
-            job.expected_s,
-        )
-        self._send(row.name, order)
-        self._notes.ordered(
-            now,
-            job,
-            row,
-            placed.tasks,
-            self._run_times.slowness(row.name),
-        )
-        if row.slow:
-            row.tried_at = now
-        if not isinstance(self._judge.state(row.name), health.Healthy):
-            self._judge.probe_sent(row.name)
-            row.healthy = False
--- /dev/null
+++ b/src/ferryledge/leases/_reports.py
@@ -0,0 +1,123 @@
+"""What an agent tells entries of its endpoint and their runs."""
+
+from collections import abc
+
+from ferryledge.leases import _owners
+from ferryledge.leases import _runs
+from ferryledge.leases import _speed
+from ferryledge.leases import _states
+from ferryledge import wire
+
+#: Seconds between reports of runs that a slow endpoint holds up.
+_LATE_S = 0.1
+
+Send = abc.Callable[[_owners.Owner, wire.Message], None]
+
+
+class Reports:
+    """Tells entries what they need to know, as seldom as will do.
+
+    :param name: this agent
+    :param owners: the entries
+    :param runs: what the endpoint holds
+    :param send: sends a message to an entry
+    """
+
+    def __init__(
+        self,
+        name: str,
+        owners: _owners.OwnerTable,
+        runs: _runs.RunTable,
+        send: Send,
+    ) -> None:
+        self._name = name
+        self._owners = owners
+        self._runs = runs
+        self._send = send
+        self._turns = _states.Turns()
+        self._late_told_at = float("-inf")
+        #: When the next report of the endpoint's state is due.
+        self.due_at = float("inf")
+
+    def tell_held(self) -> None:
+        """Tell entries with a new stream what is held for them."""
+        for owner in self._owners.connected():
+            if not owner.wants_held:
+                continue
+            owner.wants_held = False
+            for message in owner.pending:
+                self._send(owner, message)
+            owner.pending.clear()
+            rows = self._runs.of_owner(owner.incarnation)
+            rows += self._runs.of_owner("")
+            held = tuple(
+                wire.HeldRun(row.key.job, row.key.task_run, row.need)
+                for row in rows
+            )
+            self._send(owner, wire.RunsHeld(held))
+
+    def tell_late(self, now: float, speed: _speed.EndpointSpeed) -> None:
+        """Tell entries of their runs on an endpoint that became slow."""
+        if speed.reported < _speed.SLOW_FROM:
+            return
+        if now - self._late_told_at < _LATE_S:
+            return
+        self._late_told_at = now
+        for owner in self._owners.connected():
+            runs = tuple(
+                _late_run(now, row, row.pace, speed)
+                for row in self._runs.of_owner(owner.incarnation)
+                if row.pace is not None and row.state is _runs.RunState.RUNNING
+            )
+            if runs:
+                self._send(owner, wire.LateRuns(runs))
+
+    def tell_state(
+        self,
+        now: float,
+        free: wire.Resources,
+        state_for: abc.Callable[[_owners.Owner, bool], wire.EndpointState],
+    ) -> None:
+        """Tell entries how the endpoint stands, as far as that is due.
+
+        :param now: monotonic seconds
+        :param free: room that no run takes
+        :param state_for: returns the state as an entry is to know it, and
+            whether the entry is a home
+        """
+        self._turns.see(now, free)
+        self.due_at = float("inf")
+        owners = self._owners.connected()
+        names = tuple(sorted(owner.name for owner in owners))
+        homes = _states.homes_of(self._name, names)
+        wanted_by = {
+            owner.name: owner.wanted_by
+            for owner in owners
+            if owner.name in homes
+        }
+        order = self._turns.order(wanted_by)
+        for owner in owners:
+            shown_at = None
+            if owner.name in wanted_by:
+                shown_at = self._turns.shown_at(order.index(owner.name))
+            state = state_for(owner, shown_at is not None)
+            due = _states.due_at(owner.told, owner.told_at, state, shown_at)
+            if due <= now:
+                owner.told = state
+                owner.told_at = now
+                self._send(owner, state)
+            else:
+                self.due_at = min(self.due_at, due)
+
+
+def _late_run(
+    now: float,
+    row: _runs.RunRow,
+    pace: _speed.RunPace,
+    speed: _speed.EndpointSpeed,
+) -> wire.LateRun:
+    run = row.key.task_run
+    if pace.rate <= 0.0:
+        return wire.LateRun(row.key.job, run, None, None)
+    normal_s = 1.0 / (pace.rate * speed.slowness)
+    return wire.LateRun(row.key.job, run, pace.left_s(now), normal_s)
--- /dev/null
+++ b/src/ferryledge/leases/_run_tracking.py
@@ -0,0 +1,248 @@
+"""What becomes of the runs that an entry ordered."""
+
+from collections import abc
+import dataclasses
+
+from ferryledge import health
+from ferryledge.leases import _entry_notes
+from ferryledge.leases import _job_table
+from ferryledge.leases import _jobs
+from ferryledge.leases import _moving
+from ferryledge.leases import _pool
+from ferryledge import outcomes
+from ferryledge import placement
+from ferryledge import wire
+
+Send = abc.Callable[[str, wire.Message], None]
+
+_COSTS_TRUST = (wire.NotStarted.REJECTED, wire.NotStarted.UNHEALTHY)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class Decided:
+    """A job whose answer is known."""
+
+    job: _jobs.Job
+    outcome: outcomes.JobOutcome
+
+
+class RunTracking:
+    """Binds tasks to agents and takes them back when their runs are over.
+
+    :param jobs: the jobs that are held
+    :param pool: the agents
+    :param run_times: learns from ends
+    :param judge: of the endpoints' health
+    :param notes: what is decided
+    :param send: sends a message to an agent
+    """
+
+    def __init__(
+        self,
+        jobs: _job_table.JobTable,
+        pool: _pool.Pool,
+        run_times: placement.RunTimes,
+        judge: health.HealthJudge,
+        notes: _entry_notes.EntryNotes,
+        send: Send,
+    ) -> None:
+        self._jobs = jobs
+        self._pool = pool
+        self._run_times = run_times
+        self._judge = judge
+        self._notes = notes
+        self._send = send
+
+    def order(
+        self,
+        now: float,
+        job: _jobs.Job,
+        row: _pool.AgentRow,
+        tasks: tuple[_jobs.Task, ...],
+    ) -> None:
+        """Order a run of each task, all of one step, at an agent."""
+        need = job.request.steps[tasks[0].step].need
+        for task in tasks:
+            task.state = _jobs.TaskState.BOUND
+            task.run += 1
+            task.agent = row.name
+            task.ordered_at = now
+            row.runs.add((job.name, task.task_run))
+        if job.offered_at is None:
+            job.offered_at = now
+        order = wire.OrderRuns(
+            self._pool.order(row, need, len(tasks)),
+            job.name,
+            job.request.spec,
+            need,
+            tuple(task.task_run for task in tasks),
+            row.state.incarnation,
+            job.expected_s,
+        )
+        self._send(row.name, order)
+        slowness = self._run_times.slowness(row.name)
+        self._notes.ordered(now, job, row, tasks, slowness)
+        if row.slow:
+            row.tried_at = now
+        if not isinstance(self._judge.state(row.name), health.Healthy):
+            self._judge.probe_sent(row.name)
+            row.healthy = False
+
+    def stop(self, job: _jobs.Job, tasks: list[_jobs.Task]) -> None:
+        """Stop runs; each stays bound until it is known to be over."""
+        by_agent: dict[str, list[wire.TaskRun]] = {}
+        for task in tasks:
+            if not task.stopping:
+                task.stopping = True
+                by_agent.setdefault(task.agent, []).append(task.task_run)
+        for agent, runs in by_agent.items():
+            self._send(agent, wire.StopRuns(job.name, tuple(runs)))
+
+    def released(
+        self,
+        row: _pool.AgentRow,
+        name: str,
+        run: wire.TaskRun,
+        reason: wire.NotStarted,
+    ) -> None:
+        """Take back a run that never started."""
+        taken = self._take_back(row, name, run)
+        if taken is None:
+            return
+        job, task = taken
+        self._notes.not_started(job, row, run, reason)
+        if reason in _COSTS_TRUST:
+            task.avoid.add(row.name)
+        self._jobs.drop_if_over(job)
+
+    def ended(
+        self, now: float, row: _pool.AgentRow, name: str, end: wire.RunEnd
+    ) -> Decided | None:
+        """Take in the end of a run.
+
+        :return: the job's answer, if this end decides it
+        """
+        taken = self._take_back(row, name, end.run)
+        if taken is None:
+            return None
+        job, task = taken
+        self._notes.ended(job, row, end, task.failures)
+        decided = None
+        match end.how:
+            case wire.HowEnded.DONE:
+                task.state = _jobs.TaskState.DONE
+                self._learn(now, row, job, task, end)
+                decided = self._if_done(job)
+            case wire.HowEnded.FAILED:
+                task.failures += 1
+                task.avoid.add(row.name)
+                self._judge_end(now, row, job, False)
+                decided = self._if_hopeless(job, task, row)
+            case _:
+                pass
+        self._jobs.drop_if_over(job)
+        return decided
+
+    def _take_back(
+        self, row: _pool.AgentRow, name: str, run: wire.TaskRun
+    ) -> tuple[_jobs.Job, _jobs.Task] | None:
+        """Unbind a run that is over; none if it is not known here."""
+        row.runs.discard((name, run))
+        job = self._jobs.find(name)
+        task = job.find(run) if job else None
+        if job is None or task is None or task.agent != row.name:
+            return None
+        if task.state is not _jobs.TaskState.BOUND:
+            return None
+        task.state = _jobs.TaskState.WAITING
+        task.agent = ""
+        task.stopping = False
+        return job, task
+
+    def _learn(
+        self,
+        now: float,
+        row: _pool.AgentRow,
+        job: _jobs.Job,
+        task: _jobs.Task,
+        end: wire.RunEnd,
+    ) -> None:
+        self._judge_end(now, row, job, True)
+        step = job.request.steps[task.step]
+        self._run_times.learn(
+            job.request.job_class.name, row.name, end.run_s, step.estimate_s
+        )
+
+    def _judge_end(
+        self, now: float, row: _pool.AgentRow, job: _jobs.Job, ok: bool
+    ) -> None:
+        name = job.request.job_class.name
+        self._judge.ended(row.name, name, job.name, ok, now)
+        state = self._judge.state(row.name)
+        healthy = isinstance(state, health.Healthy)
+        if healthy != row.healthy:
+            self._notes.judged(job, row, state)
+        row.healthy = healthy
+
+    def _if_done(self, job: _jobs.Job) -> Decided | None:
+        if all(t.state is _jobs.TaskState.DONE for t in job.all_tasks):
+            return Decided(job, outcomes.Complete(()))
+        return None
+
+    def _if_hopeless(
+        self, job: _jobs.Job, task: _jobs.Task, row: _pool.AgentRow
+    ) -> Decided | None:
+        if job.closed or task.failures < job.request.job_class.attempts:
+            return None
+        origin = outcomes.Origin(outcomes.Step.RUN, row.name)
+        reason = outcomes.Reason.TASK_FAILED
+        return Decided(job, outcomes.FailedMayHaveRun(reason, origin))
+
+    def held(
+        self,
+        now: float,
+        row: _pool.AgentRow,
+        runs: tuple[wire.HeldRun, ...],
+    ) -> list[Decided]:
+        """Compare what an agent holds with what was ordered there.
+
+        :return: the answers that this decides
+        """
+        held = {(one.job, one.run) for one in runs}
+        decided = []
+        for name, run in list(row.runs - held):
+            end = wire.RunEnd(run, wire.HowEnded.LOST, 0.0)
+            decided.append(self.ended(now, row, name, end))
+        for name, run in held - row.runs:
+            self._send(row.name, wire.StopRuns(name, (run,)))
+        self._claim(row, held & row.runs)
+        return [one for one in decided if one is not None]
+
+    def _claim(
+        self, row: _pool.AgentRow, runs: set[tuple[str, wire.TaskRun]]
+    ) -> None:
+        """Tell an agent which runs are still wanted, and which are not."""
+        claimed = []
+        for name, run in runs:
+            job = self._jobs.find(name)
+            task = job.find(run) if job else None
+            if job is None or task is None or task.stopping:
+                self._send(row.name, wire.StopRuns(name, (run,)))
+            if job is not None:
+                need = job.request.steps[run.step].need
+                claimed.append(wire.HeldRun(name, run, need))
+        if claimed:
+            self._send(row.name, wire.ClaimRuns(tuple(claimed)))
+
+    def late(self, now: float, runs: tuple[wire.LateRun, ...]) -> None:
+        """Move runs away from a slow endpoint where that helps."""
+        for late in runs:
+            job = self._jobs.find(late.job)
+            task = job.find(late.run) if job else None
+            if job is None or task is None:
+                continue
+            if _moving.is_worth_moving(now, job, task, late, self._pool):
+                task.moves += 1
+                task.avoid.add(task.agent)
+                self._notes.moved(job, task, late)
+                self.stop(job, [task])
