--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -10,6 +10,7 @@
 from ferryledge.hosted import _config
 from ferryledge.hosted import _members
 from ferryledge.hosted import _metrics
+from ferryledge.hosted import _reload
 from ferryledge import leases
 from ferryledge import logs
 from ferryledge import net
@@ -78,12 +79,7 @@
 
     def reload(self) -> None:
         """Take over changed settings; wrong ones change nothing."""
-        try:
-            self._settings = platform.read_settings()
-        except platform.SettingsError as exc:
-            loguru.logger.error("settings kept: {}", exc, step="reload")
-            return
-        self._store.move(self._settings.store.address)
+        self._settings = _reload.reload_settings(self._settings, self._store)
 
     async def run(self, drain: anyio.Event) -> None:
         """Serve until the event is set and the jobs are answered."""
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -8,6 +8,7 @@
 from ferryledge.leases import _agent_events
 from ferryledge.leases import _agent_notes
 from ferryledge.leases import _endpoint
+from ferryledge.leases import _listing
 from ferryledge.leases import _meters
 from ferryledge.leases import _notes
 from ferryledge.leases import _owners
@@ -414,7 +415,9 @@
         for row in self._runs:
             run = listed.pop(row.key, None)
             if run is None:
-                self._check_unlisted(event, row)
+                how = _listing.end_of(row, event, self._timing)
+                if how is not None:
+                    self._end(row, how)
                 continue
             row.confirmed_at = row.confirmed_at or event.sent_at
             if row.pace is not None:
@@ -440,25 +443,6 @@
             row.confirmed_at = row.confirmed_at or row.ordered_at
             self._end(row, end.how)
 
-    def _check_unlisted(
-        self, event: _agent_events.LeaseRenewed, row: _runs.RunRow
-    ) -> None:
-        """End a run that the endpoint neither lists nor can start."""
-        if row.state is _runs.RunState.RUNNING:
-            if row.confirmed_at is None or row.confirmed_at < event.sent_at:
-                self._end(row, wire.HowEnded.LOST)
-            return
-        if row.state is not _runs.RunState.STOPPING:
-            return
-        stopped = row.stop_confirmed_at
-        refused = (
-            stopped is not None
-            and stopped + self._timing.stop_s <= event.sent_at
-        )
-        expired = 0 < row.expires_ms < event.clock_ms - 1
-        if refused or expired:
-            self._end(row, wire.HowEnded.STOPPED)
-
     def _adopt(self, now: float, key: _runs.RunKey) -> None:
         """Keep a run that this incarnation of the agent did not order."""
         row = _runs.RunRow(
