Don't spin while runs are being stopped; leases within an endpoint's bounds

Cause: reading the agent's core again: once an entry's grant had run out, the next tick was due in the past until its runs were gone, so the agent ticked without a pause for up to the time of a stop, longer when stops were lost. The lease was a constant although the platform names its bounds, and an entry's end needed a call beside its events.

Ruled out: a sleep in the driver; other reasons to wake stand.

Change: only runs that are not being stopped yet wake the agent; the lease is at most 0.65 of the longest that the settings name; the entry's end is an event.

Figures: the test of the spin fails without the change.

--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -50,18 +50,21 @@
         """Serve until the event is set and the runs have ended."""
         settings = self._settings
         self._registry = _metrics.Registry("agent")
+        timing = leases.LeaseTiming.within(
+            settings.longest_lease_s, settings.stop_s
+        )
         self._core = leases.LeaseAgent(
             settings.node,
             net.new_incarnation(),
             settings.zone,
             anyio.current_time(),
+            timing,
             meter=_metrics.AgentMetrics(self._registry),
         )
         self._log = logs.DecisionLog()
         self._driver = net.Driver(self._core, self._perform, self._ticked)
         self._mesh = net.Mesh(self._keys, self._core.hello, self._driver.post)
         self._dialler = _members.Dialler(self._mesh)
-        timing = leases.LeaseTiming()
         self._calls = platform.EndpointCalls(settings.endpoint, timing.order_s)
         stop = anyio.Event()
         async with anyio.create_task_group() as group:
--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -57,6 +57,9 @@
             net.new_incarnation(),
             settings.zone,
             random.Random(settings.node),
+            leases.LeaseTiming.within(
+                settings.longest_lease_s, settings.stop_s
+            ),
             far_factor=settings.bounds.far_x,
             meter=_metrics.EntryMetrics(self._registry),
         )
@@ -130,8 +133,7 @@
             self._refusing = True
             while self._pending:
                 await anyio.sleep(_DRAIN_POLL_S)
-        self._core.abandon_all(anyio.current_time())
-        self._driver.post(leases.EntryDrain())
+        self._driver.post(leases.EntryStop())
         await anyio.sleep(_FLUSH_S)
         loguru.logger.info("entry stopped", step="drain")
 
--- a/src/ferryledge/leases/__init__.py
+++ b/src/ferryledge/leases/__init__.py
@@ -33,6 +33,7 @@
 EntryDrain = _entry_events.EntryDrain
 EntryMeter = _meters.EntryMeter
 EntryEvent = _entry_events.EntryEvent
+EntryStop = _entry_events.EntryStop
 JobCancelled = _entry_events.JobCancelled
 JobClass = _jobs.JobClass
 JobStep = _jobs.JobStep
@@ -74,6 +75,7 @@
     "EntryDrain",
     "EntryEvent",
     "EntryMeter",
+    "EntryStop",
     "JobCancelled",
     "JobClass",
     "JobStep",
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -176,10 +176,16 @@
         grants = [
             owner.granted_at + self._timing.grant_s
             for owner in self._owners
-            if self._runs.of_owner(owner.incarnation)
+            if self._has_unstopped(owner.incarnation)
         ]
         return min([*asks, *stops, *grants, self._reports.due_at])
 
+    def _has_unstopped(self, owner: str) -> bool:
+        return any(
+            row.state is not _runs.RunState.STOPPING
+            for row in self._runs.of_owner(owner)
+        )
+
     def renewal(self, now: float) -> _agent_events.Renewal:
         """Return what the next call for a renewal is to say."""
         return self._link.renewal(now)
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -130,11 +130,6 @@
         """Return whether some endpoint takes work from this entry."""
         return self._pool.is_usable(now)
 
-    def abandon_all(self, now: float) -> None:
-        """Answer all open jobs now: the process is about to end."""
-        for job in self._jobs.open:
-            self._finish(now, job, self._admission.give_up(job))
-
     def hello(self) -> wire.Hello:
         """Return the greeting for a new stream."""
         return wire.Hello(
@@ -165,6 +160,8 @@
                 self._peers.learn_config(version, data)
             case _entry_events.EntryDrain():
                 self._draining = True
+            case _entry_events.EntryStop():
+                self._answer_all(now)
 
     def tick(self, now: float) -> list[_entry_events.EntryAction]:
         """Return the actions that are due."""
@@ -248,6 +245,11 @@
             reason = outcomes.Reason.CANCELLED
             self._finish(now, job, outcomes.FailedMayHaveRun(reason, origin))
 
+    def _answer_all(self, now: float) -> None:
+        """Answer all open jobs: the process is about to end."""
+        for job in self._jobs.open:
+            self._finish(now, job, self._admission.give_up(job))
+
     def _reply(self, tokens: list[int], outcome: outcomes.JobOutcome) -> None:
         for token in tokens:
             self._actions.append(_entry_events.AnswerJob(token, outcome))
--- a/src/ferryledge/leases/_entry_events.py
+++ b/src/ferryledge/leases/_entry_events.py
@@ -52,6 +52,11 @@
     """The entry is to stop: finish what it holds."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class EntryStop:
+    """The entry ends now: answer all that is open."""
+
+
 EntryEvent = (
     wire.StreamEvent
     | JobSubmitted
@@ -60,6 +65,7 @@
     | EntriesFound
     | ConfigRead
     | EntryDrain
+    | EntryStop
 )
 
 
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -17,6 +17,7 @@
 _SLOWNESS_GRAIN = 0.1
 #: A run is ordered where this many times its expected time is left.
 _RUN_MARGIN = 2.0
+_WAITING = _jobs.TaskState.WAITING
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,9 +82,9 @@
                     task.avoid.clear()
             yield from self._place_job(now, job, rows)
 
-    def _urgency(self, now: float, job: _jobs.Job) -> tuple[bool, int, float]:
+    def _urgency(self, now: float, job: _jobs.Job) -> tuple[bool, float]:
         late = job.offered_at is None and now > job.start_by
-        return (late, 0, job.start_by)
+        return (late, job.start_by)
 
     def _order(self, row: _pool.AgentRow) -> tuple[bool, int, int]:
         slowness = max(self._run_times.slowness(row.name), row.state.slowness)
@@ -151,7 +152,7 @@
             most = 1 if row.free == row.state.capacity else 0
         if step.max_per_endpoint:
             most -= sum(
-                task.agent == row.name and task.state is not WAITING
+                task.agent == row.name and task.state is not _WAITING
                 for task in job.tasks[number]
             )
         chosen: list[_jobs.Task] = []
@@ -165,9 +166,6 @@
         return chosen
 
 
-WAITING = _jobs.TaskState.WAITING
-
-
 def fits_somewhere(
     pool: _pool.Pool, step: _jobs.JobStep, service: str
 ) -> bool:
--- a/src/ferryledge/leases/_timing.py
+++ b/src/ferryledge/leases/_timing.py
@@ -10,6 +10,8 @@
 
 #: Share by which an endpoint's clock may run slow (the platform's figure).
 CLOCK_DRIFT = 0.02
+#: Share of the longest lease that an agent asks for: several renewals fit.
+_LEASE_SHARE = 0.65
 #: Seconds added to a bound for timers that fire late.
 _MARGIN_S = 0.1
 
@@ -40,6 +42,16 @@
     #: How long an order to the endpoint may go without an answer.
     order_s: float = 0.06
 
+    @classmethod
+    def within(cls, longest_lease_s: float, stop_s: float) -> "LeaseTiming":
+        """Return the figures for an endpoint's bounds.
+
+        :param longest_lease_s: the longest lease that it accepts
+        :param stop_s: the longest that a stop takes there
+        """
+        lease_s = min(cls().lease_s, _LEASE_SHARE * longest_lease_s)
+        return cls(lease_s=lease_s, stop_s=stop_s)
+
     @property
     def over_after_s(self) -> float:
         """From an entry's last grant until the agent's runs are over."""
--- a/src/ferryledge/leases/tests/test_leases.py
+++ b/src/ferryledge/leases/tests/test_leases.py
@@ -195,3 +195,40 @@
     ]
     assert wire.ConfigReply(7, b"new") in sent
     assert wire.ConfigReply(6, b"old") not in sent
+
+
+def test_ending_entry_answers_what_is_open(world: worlds.World) -> None:
+    started = world.submit("entry-0", "5" * 16, work_s=2.0)
+    world.run(0.1)
+    world.post("entry-0", leases.EntryStop())
+    match world.outcome(started):
+        case outcomes.FailedMayHaveRun():
+            pass
+        case other:
+            raise AssertionError(other)
+
+
+def test_agent_does_not_spin_while_it_stops_runs(
+    world: worlds.World,
+) -> None:
+    world.submit("entry-0", "6" * 16, work_s=3.0)
+    world.run(0.1)
+    world.pause("entry-0", 3.0)
+    agents = [world.nodes[name].core for name in world.agents]
+    checked = 0
+    for _ in range(160):
+        world.run(0.005)
+        for core in agents:
+            stopping = [row for row in core.runs if row.stop_sent_at]
+            if stopping:
+                core.tick(world.now)
+                assert core.wake_at() > world.now
+                checked += 1
+    assert checked
+
+
+def test_lease_stays_within_an_endpoints_bounds() -> None:
+    timing = leases.LeaseTiming.within(0.4, 0.02)
+    assert timing.lease_s < 0.4
+    assert timing.stop_s == 0.02
+    assert leases.LeaseTiming.within(9.0, 0.05) == leases.LeaseTiming()
--- a/src/ferryledge/platform/_settings.py
+++ b/src/ferryledge/platform/_settings.py
@@ -82,6 +82,16 @@
     #: Address to listen on for streams, if peers reach it through another.
     listen_ip: str = ""
 
+    @property
+    def longest_lease_s(self) -> float:
+        """The longest lease that an endpoint accepts, in seconds."""
+        return self.bounds.hold_max_ms / 1000.0
+
+    @property
+    def stop_s(self) -> float:
+        """The longest time a stop takes at an endpoint, in seconds."""
+        return self.bounds.stop_ms / 1000.0
+
     @property
     def stream_host(self) -> str:
         """The address to listen on for streams."""
