--- a/src/ferryledge/leases/tests/world.py
+++ b/src/ferryledge/leases/tests/world.py
@@ -13,8 +13,8 @@
 import typing
 
 from ferryledge import leases
-from ferryledge import standin
 from ferryledge import outcomes
+from ferryledge import standin
 from ferryledge import wire
 
 HOP_S = 0.0006
--- a/src/ferryledge/platform/_store.py
+++ b/src/ferryledge/platform/_store.py
@@ -1,7 +1,7 @@
 """A client of the platform's log store."""
 
-from collections import abc
 import base64
+from collections import abc
 import dataclasses
 import typing
 
