--- a/src/ferryledge/soak/_run.py
+++ b/src/ferryledge/soak/_run.py
@@ -38,8 +38,8 @@
 _DEADLINE_S = 5.0
 #: A client repeats a job this long after its try broke off.
 _REPEAT_S = 1.3
-#: Seconds after the faults in which jobs must be served again.
-_TAIL_S = 4.0
+#: Seconds between tries to be served after the faults.
+_TRY_S = 0.5
 _WARM_UP_S = 4.0
 
 
@@ -72,7 +72,6 @@
         self._version = 1
         self._work_s: dict[str, float] = {}
         self._specs: dict[str, str] = {}
-        self._served_at: float = 0.0
         self.proxies = [
             _proxy.Proxy((f"127.0.2.{n + 1}", _PORT), (self._entry(n), _PORT))
             for n in range(plan.entries)
@@ -152,6 +151,7 @@
 
     async def run(self) -> None:
         """Play the plan; the programs are ended in any case."""
+        recovered = False
         try:
             async with asyncio.TaskGroup() as group:
                 background = [
@@ -164,6 +164,7 @@
                 ]
                 faults = group.create_task(self._strike_all(group))
                 await asyncio.wait([*clients, faults])
+                recovered = await self._recovers()
                 for task in background:
                     task.cancel()
         finally:
@@ -171,8 +172,7 @@
                 program.end()
             for proxy in self.proxies:
                 await proxy.close()
-        tail = self._served_at > self._plan.seconds - _TAIL_S
-        self.judge.close(int(tail))
+        self.judge.close(recovered)
 
     async def _set_up(
         self,
@@ -199,10 +199,7 @@
     async def _client(self, number: int) -> None:
         """Submit one job after another over open connections."""
         rng = random.Random(self._plan.seed * 100 + number)
-        callers = [
-            net.HttpCaller(f"http://{self._entry(n)}:{_FRONTEND}", 4)
-            for n in range(self._plan.entries)
-        ]
+        callers = self._callers()
         count = 0
         while self._now() < self._plan.seconds:
             count += 1
@@ -210,6 +207,28 @@
             await self._one_job(rng, callers, job)
             await asyncio.sleep(rng.expovariate(8.0))
 
+    async def _recovers(self) -> bool:
+        """Return whether a job is served after the faults."""
+        rng = random.Random(self._plan.seed)
+        callers = self._callers()
+        until = self._now() + _judge.RECOVERY_S
+        before = self.judge.count(platform_standin.ClientState.SUCCEEDED)
+        count = 0
+        while self._now() < until:
+            count += 1
+            await self._one_job(rng, callers, f"{count:016x}")
+            state = platform_standin.ClientState.SUCCEEDED
+            if self.judge.count(state) > before:
+                return True
+            await asyncio.sleep(_TRY_S)
+        return False
+
+    def _callers(self) -> list[net.HttpCaller]:
+        return [
+            net.HttpCaller(f"http://{self._entry(n)}:{_FRONTEND}", 4)
+            for n in range(self._plan.entries)
+        ]
+
     async def _one_job(
         self, rng: random.Random, callers: list[net.HttpCaller], job: str
     ) -> None:
@@ -232,8 +251,6 @@
             )
             self.judge.now = self._now()
             self.judge.answered(job, answer.state)
-            if answer.state is platform_standin.ClientState.SUCCEEDED:
-                self._served_at = self._now()
             if answer.state is not platform_standin.ClientState.UNKNOWN:
                 return
             await asyncio.sleep(_REPEAT_S)
