Count a job's waiting tasks instead of looking through them

Cause: an entry looked through all tasks of all open jobs up to three times a tick to find those that wait.

Change: a job counts its tasks that wait; one without any is passed over.

--- a/src/ferryledge/leases/_jobs.py
+++ b/src/ferryledge/leases/_jobs.py
@@ -106,6 +106,17 @@
     offered_at: float | None = None
     #: Whether it was answered, or nobody waits for it any more.
     closed: bool = False
+    #: Tasks in the state of waiting, whether their turn has come or not.
+    waiting: int = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.waiting = len(self.all_tasks)
+
+    def set_state(self, task: Task, state: TaskState) -> None:
+        """Change the state of one of its tasks."""
+        self.waiting -= task.state is TaskState.WAITING
+        self.waiting += state is TaskState.WAITING
+        task.state = state
 
     @property
     def name(self) -> str:
@@ -167,6 +178,8 @@
 
     def startable(self) -> list[Task]:
         """Return the waiting tasks whose earlier steps are done."""
+        if not self.waiting:
+            return []
         ready: list[Task] = []
         for number, step in enumerate(self.request.steps):
             if all(self.is_done(one) for one in step.depends_on):
--- a/src/ferryledge/leases/_run_tracking.py
+++ b/src/ferryledge/leases/_run_tracking.py
@@ -63,7 +63,7 @@
         """Order a run of each task, all of one step, at an agent."""
         need = job.request.steps[tasks[0].step].need
         for task in tasks:
-            task.state = _jobs.TaskState.BOUND
+            job.set_state(task, _jobs.TaskState.BOUND)
             task.run += 1
             task.agent = row.name
             task.ordered_at = now
@@ -130,7 +130,7 @@
         decided = None
         match end.how:
             case wire.HowEnded.DONE:
-                task.state = _jobs.TaskState.DONE
+                job.set_state(task, _jobs.TaskState.DONE)
                 self._learn(now, row, job, task, end)
                 decided = self._if_done(job)
             case wire.HowEnded.FAILED:
@@ -154,7 +154,7 @@
             return None
         if task.state is not _jobs.TaskState.BOUND:
             return None
-        task.state = _jobs.TaskState.WAITING
+        job.set_state(task, _jobs.TaskState.WAITING)
         task.agent = ""
         task.stopping = False
         return job, task
