Retry a job at another entry than the one that failed

The client took its entries in one turn shared by all jobs, so the tries of one job could meet the stopped entry again and again.

Ruled out: the server's new way to bind (other jobs reached it at the same time); too short a time to connect (each try was refused at once, the entry had stopped).

Change: each job goes from one entry to the next by itself.

--- a/src/ferryledge/client/_client.py
+++ b/src/ferryledge/client/_client.py
@@ -68,7 +68,7 @@
         self._callers = [
             runtime.HttpCaller(url, self._options.connections) for url in urls
         ]
-        self._rotation = itertools.cycle(self._callers)
+        self._turns = itertools.count()
         self._spares: collections.deque[tuple[str, float]] = collections.deque(
             maxlen=_MAX_SPARES
         )
@@ -99,9 +99,10 @@
         ticket_used = False
         self._budget.attempt()
         attempt = 0
-        while True:
+        for turn in itertools.count(next(self._turns)):
             attempt += 1
-            reply = await self._attempt(job, request_id, ticket)
+            caller = self._caller(turn)
+            reply = await self._attempt(caller, job, request_id, ticket)
             reply = dataclasses.replace(reply, attempts=attempt)
             self._keep_spare(reply.spare_ticket)
             if reply.outcome == "ticket_required":
@@ -123,11 +124,12 @@
             if not self._budget.take():
                 return reply
             await anyio.sleep(self._delay(reply))
+        raise AssertionError("turns never end")
 
     async def cancel(self, team: str, request_id: str) -> None:
         """Cancel a job; its submission gets the outcome."""
         path = f"/v1/jobs/{team}/{request_id}"
-        await next(self._rotation).call("DELETE", path)
+        await self._caller(next(self._turns)).call("DELETE", path)
 
     def _take_spare(self) -> str:
         now = time.monotonic()
@@ -146,15 +148,25 @@
             return reply.retry_after_s
         return _LOST_DELAY_S * (1.0 + random.random())
 
+    def _caller(self, turn: int) -> runtime.HttpCaller:
+        """Return the entry whose turn it is.
+
+        A job's tries go to one entry after the other, so that a dead one is
+        not tried twice before all others were.
+        """
+        return self._callers[turn % len(self._callers)]
+
     async def _attempt(
-        self, job: _model.Job, request_id: str, ticket: str
+        self,
+        caller: runtime.HttpCaller,
+        job: _model.Job,
+        request_id: str,
+        ticket: str,
     ) -> _model.Reply:
         body = job.to_json(request_id, ticket)
         try:
             with anyio.fail_after(self._options.timeout_s):
-                response = await next(self._rotation).call(
-                    "POST", "/v1/jobs", body
-                )
+                response = await caller.call("POST", "/v1/jobs", body)
             return _model.Reply.parse(response.status, response.content)
         except (httpcore.ConnectError, httpcore.ConnectTimeout):
             return _model.Reply(0, "lost", "no", reason="unreachable")
