Say once what a call without an answer raises, and how to repeat one

Cause: reading the change again: three copies of the same handlers around calls to the endpoint, two loops that repeat a call to the store, settings and a name that nothing reads. And a test that failed on this reading: test_run_is_started_listed_and_stopped. Its stand-in stepped from second 0 to the machine's uptime before the first order, 5 ms a step, so the lease was over by then once the machine had been up for long.

Change: one tuple of errors, one loop, dead code removed; an endpoint without runs lets time pass at once.

Conclusion: behaviour is unchanged.

--- a/src/ferryledge/hosted/_members.py
+++ b/src/ferryledge/hosted/_members.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import contextlib
+import typing
 
 import anyio
 from anyio import abc as anyio_abc
@@ -19,6 +20,7 @@
 #: How long one call waits for news, in seconds.
 _WAIT_S = 10.0
 
+AnswerT = typing.TypeVar("AnswerT")
 Found = abc.Callable[[tuple[wire.EntryAddress, ...]], None]
 
 
@@ -27,15 +29,20 @@
 ) -> None:
     """Write an entry's address into the store, however long it takes."""
     record = platform.KeyedRecord(address.name, msgspec.json.encode(address))
+    await _until_answered(lambda: store.put(MEMBERS_TOPIC, record))
+    loguru.logger.info("registered in the store", step="join")
+
+
+async def _until_answered(
+    call: abc.Callable[[], abc.Awaitable[AnswerT]],
+) -> AnswerT:
+    """Repeat a call until the store answers it."""
     while True:
         try:
-            await store.put(MEMBERS_TOPIC, record)
+            return await call()
         except platform.StoreError as exc:
-            loguru.logger.debug("not registered: {}", exc, step="join")
+            loguru.logger.debug("no answer: {}", exc, step="join")
             await anyio.sleep(_RETRY_S)
-            continue
-        loguru.logger.info("registered in the store", step="join")
-        return
 
 
 def _decode(
@@ -56,15 +63,8 @@
 
 async def read_once(store: platform.StoreClient, found: Found) -> None:
     """Read all entries' addresses, however long it takes."""
-    while True:
-        try:
-            page = await store.newest(MEMBERS_TOPIC)
-        except platform.StoreError as exc:
-            loguru.logger.debug("entries not read: {}", exc, step="join")
-            await anyio.sleep(_RETRY_S)
-            continue
-        found(_decode(page.records))
-        return
+    page = await _until_answered(lambda: store.newest(MEMBERS_TOPIC))
+    found(_decode(page.records))
 
 
 async def follow(store: platform.StoreClient, found: Found) -> None:
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -65,7 +65,7 @@
         self._run_times = placement.RunTimes()
         self._judge = health.HealthJudge()
         self._notes = _entry_notes.EntryNotes(meter or _meters.EntryMeter())
-        self._peers = _peers.EntryPeers(name)
+        self._peers = _peers.EntryPeers()
         self._placing = _placing.Placing(
             name, self._pool, self._run_times, far_factor
         )
--- a/src/ferryledge/leases/_peers.py
+++ b/src/ferryledge/leases/_peers.py
@@ -9,12 +9,9 @@
 
     The store may turn this process away while it serves others: what any
     entry reads, all learn.
-
-    :param name: this entry
     """
 
-    def __init__(self, name: str) -> None:
-        self._name = name
+    def __init__(self) -> None:
         self._entries: dict[str, wire.EntryAddress] = {}
         self._peers: dict[str, wire.Role] = {}
         self._version = 0
--- a/src/ferryledge/platform/_endpoint.py
+++ b/src/ferryledge/platform/_endpoint.py
@@ -15,6 +15,13 @@
 #: Seconds beyond a renewal's own wait until it counts as unanswered.
 _RENEW_SLACK_S = 0.15
 _CONNECT_S = 0.2
+#: What a call raises that may have been carried out, or may be yet.
+_NO_ANSWER = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    TimeoutError,
+)
 
 _HOW = {
     "done": wire.HowEnded.DONE,
@@ -113,9 +120,7 @@
             )
         except httpcore.ConnectError:
             return _started(order, leases.StartResult.DOWN, 0)
-        except (httpcore.NetworkError, httpcore.ProtocolError):
-            return _started(order, leases.StartResult.SILENT, 0)
-        except (httpcore.TimeoutException, TimeoutError):
+        except _NO_ANSWER:
             return _started(order, leases.StartResult.SILENT, 0)
         answer = _decode(response.content)
         result = _start_result(response.status, answer)
@@ -132,9 +137,7 @@
             response = await self._call(
                 "/run-stop", fields, order.incarnation, self._order_s
             )
-        except (httpcore.NetworkError, httpcore.ProtocolError):
-            return leases.StopAnswered(order.key, False)
-        except (httpcore.TimeoutException, TimeoutError):
+        except _NO_ANSWER:
             return leases.StopAnswered(order.key, False)
         return leases.StopAnswered(order.key, response.status == 200)
 
@@ -158,9 +161,7 @@
             )
         except httpcore.ConnectError:
             return _not_renewed(renewal, leases.CallFault.DOWN)
-        except (httpcore.NetworkError, httpcore.ProtocolError):
-            return _not_renewed(renewal, leases.CallFault.SILENT)
-        except (httpcore.TimeoutException, TimeoutError):
+        except _NO_ANSWER:
             return _not_renewed(renewal, leases.CallFault.SILENT)
         if response.status != 200:
             answer = _decode(response.content)
--- a/src/ferryledge/platform/_settings.py
+++ b/src/ferryledge/platform/_settings.py
@@ -31,13 +31,6 @@
     control_plane: str = ""
 
 
-class Limits(_Part, frozen=True):
-    """What the machine gives the process."""
-
-    memory_mb: float = 0
-    max_fds: int = 0
-
-
 class Bounds(_Part, frozen=True):
     """Times that the platform promises or asks for."""
 
@@ -69,15 +62,12 @@
     #: First and last port that is free for streams between processes.
     port_range: tuple[int, int]
     listen_addrs: Listen = Listen()
-    limits: Limits = Limits()
     bounds: Bounds = Bounds()
     #: Addresses of processes that may know others; may be stale.
     seeds: tuple[str, ...] = ()
     store: Store = msgspec.field(name="platform", default=Store())
     #: ``host:port`` of the endpoint beside this process; empty at entries.
     endpoint: str = msgspec.field(name="app", default="")
-    #: Whether this is the first start of the whole system.
-    bootstrap: bool = False
 
     #: Address to listen on for streams, if peers reach it through another.
     listen_ip: str = ""
--- a/src/ferryledge/standin/_leased_endpoint.py
+++ b/src/ferryledge/standin/_leased_endpoint.py
@@ -95,6 +95,8 @@
 
     def advance(self, now: float) -> None:
         """Let time pass: progress, ends, the lease."""
+        if not self.runs:
+            self._at = max(self._at, now)
         while self.up and self._at < now:
             step = min(now, self._at + 0.005)
             passed = step - self._at
