--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -160,7 +160,7 @@
             self._reports.tell_held()
         self._ask(now)
         self._reports.tell_late(now, self._speed)
-        self._reports.tell_state(now, self._free(), self._state_for)
+        self._reports.tell_state(now, self._state())
         actions = self._actions
         self._actions = []
         return actions
@@ -181,7 +181,7 @@
         return min([*asks, *stops, *grants, self._reports.due_at])
 
     def _has_unstopped(self, owner: str) -> bool:
-        return any(
+        return self._runs.has_owner(owner) and any(
             row.state is not _runs.RunState.STOPPING
             for row in self._runs.of_owner(owner)
         )
@@ -265,7 +265,7 @@
             return False
         if not self._link.synced or not self._link.is_fresh(now):
             return False
-        return not self._runs.of_owner("")
+        return not self._runs.has_owner("")
 
     def _time_left(self, now: float) -> float:
         """Return the seconds until this process ends, in whole steps."""
@@ -455,7 +455,7 @@
             key, "", wire.Resources(), _runs.RunState.RUNNING, now
         )
         row.confirmed_at = now
-        if not self._runs.of_owner(""):
+        if not self._runs.has_owner(""):
             self._unclaimed_since = now
         self._runs.add(row)
         for owner in self._owners.connected():
@@ -503,7 +503,7 @@
                 continue
             if now < owner.next_ask_at:
                 continue
-            busy = bool(self._runs.of_owner(owner.incarnation))
+            busy = self._runs.has_owner(owner.incarnation)
             self._send(owner, self._owners.ask(owner, now, busy))
 
     def _remaining_s(
@@ -515,13 +515,11 @@
             return seen.remaining_s
         return min(left, seen.remaining_s or left)
 
-    def _state_for(
-        self, owner: _owners.Owner, home: bool
-    ) -> wire.EndpointState:
-        """Return the endpoint's state as an entry is to know it."""
+    def _state(self) -> wire.EndpointState:
+        """Return the endpoint's state, but for what is an entry's own."""
         seen = self._link.seen
         if seen is None:
-            return wire.EndpointState(orders_seen=owner.orders_seen)
+            return wire.EndpointState(home=False)
         return wire.EndpointState(
             seen.incarnation,
             seen.service,
@@ -529,8 +527,7 @@
             seen.capacity,
             self._free(),
             self._accepts(self._now),
-            owner.orders_seen,
-            self._remaining_s(self._now, seen),
-            self._speed.reported,
-            home,
+            remaining_s=self._remaining_s(self._now, seen),
+            slowness=self._speed.reported,
+            home=False,
         )
--- a/src/ferryledge/leases/_owners.py
+++ b/src/ferryledge/leases/_owners.py
@@ -26,6 +26,8 @@
     orders_seen: int = 0
     #: The state of the endpoint that it was told last.
     told: wire.EndpointState | None = None
+    #: The part of it that all entries share.
+    told_of: wire.EndpointState | None = None
     #: When that was.
     told_at: float = float("-inf")
     #: Latest start that its most urgent waiting job can bear.
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -66,21 +66,27 @@
         :param now: monotonic seconds
         :param jobs: those with waiting tasks
         """
-        rows = [
+        waiting = sorted(jobs, key=lambda job: self._urgency(now, job))
+        if not waiting:
+            return
+        open_rows = [
             row
             for row in self._pool
             if row.usable(now) and (not row.slow or row.may_try(now))
         ]
+        least = min(_smallest_cpu(job) for job in waiting)
+        rows = _with_room(open_rows, least)
         rows.sort(key=self._order)
-        names = {row.name for row in rows}
-        for job in sorted(jobs, key=lambda job: self._urgency(now, job)):
-            if not any(row.free.cpu_millis > 0 for row in rows):
+        for job in waiting:
+            if not rows:
                 return
-            for task in job.startable():
-                if names and names <= task.avoid:
-                    # Nowhere else is left to try it.
-                    task.avoid.clear()
-            yield from self._place_job(now, job, rows)
+            _forget_avoided(job, open_rows)
+            placed = False
+            for chosen in self._place_job(now, job, rows):
+                placed = True
+                yield chosen
+            if placed:
+                rows = _with_room(rows, least)
 
     def _urgency(self, now: float, job: _jobs.Job) -> tuple[bool, float]:
         late = job.offered_at is None and now > job.start_by
@@ -166,6 +172,32 @@
         return chosen
 
 
+def _smallest_cpu(job: _jobs.Job) -> int:
+    return min(step.need.cpu_millis for step in job.request.steps)
+
+
+def _with_room(
+    rows: list[_pool.AgentRow], cpu_millis: int
+) -> list[_pool.AgentRow]:
+    """Return the rows that have at least so much of a processor free.
+
+    One that has none at all is left out even for tasks that ask for none.
+    """
+    least = max(1, cpu_millis)
+    return [row for row in rows if row.free.cpu_millis >= least]
+
+
+def _forget_avoided(job: _jobs.Job, rows: list[_pool.AgentRow]) -> None:
+    """Let tasks run anywhere again that have been everywhere already."""
+    avoiding = [task for task in job.startable() if task.avoid]
+    if not avoiding:
+        return
+    names = {row.name for row in rows}
+    for task in avoiding:
+        if names and names <= task.avoid:
+            task.avoid.clear()
+
+
 def fits_somewhere(
     pool: _pool.Pool, step: _jobs.JobStep, service: str
 ) -> bool:
--- a/src/ferryledge/leases/_reports.py
+++ b/src/ferryledge/leases/_reports.py
@@ -2,6 +2,8 @@
 
 from collections import abc
 
+import msgspec
+
 from ferryledge.leases import _owners
 from ferryledge.leases import _runs
 from ferryledge.leases import _speed
@@ -35,6 +37,8 @@
         self._runs = runs
         self._send = send
         self._turns = _states.Turns()
+        #: The state told last, kept as one object while it stays the same.
+        self._state = wire.EndpointState(home=False)
         self._late_told_at = float("-inf")
         #: When the next report of the endpoint's state is due.
         self.due_at = float("inf")
@@ -72,20 +76,15 @@
             if runs:
                 self._send(owner, wire.LateRuns(runs))
 
-    def tell_state(
-        self,
-        now: float,
-        free: wire.Resources,
-        state_for: abc.Callable[[_owners.Owner, bool], wire.EndpointState],
-    ) -> None:
+    def tell_state(self, now: float, state: wire.EndpointState) -> None:
         """Tell entries how the endpoint stands, as far as that is due.
 
         :param now: monotonic seconds
-        :param free: room that no run takes
-        :param state_for: returns the state as an entry is to know it, and
-            whether the entry is a home
+        :param state: the endpoint's state, but for what is an entry's own
         """
-        self._turns.see(now, free)
+        if state != self._state:
+            self._state = state
+        self._turns.see(now, state.free)
         self.due_at = float("inf")
         owners = self._owners.connected()
         names = tuple(sorted(owner.name for owner in owners))
@@ -100,14 +99,38 @@
             shown_at = None
             if owner.name in wanted_by:
                 shown_at = self._turns.shown_at(order.index(owner.name))
-            state = state_for(owner, shown_at is not None)
-            due = _states.due_at(owner.told, owner.told_at, state, shown_at)
-            if due <= now:
-                owner.told = state
-                owner.told_at = now
-                self._send(owner, state)
-            else:
-                self.due_at = min(self.due_at, due)
+            self._tell_owner(now, owner, shown_at)
+
+    def _tell_owner(
+        self, now: float, owner: _owners.Owner, shown_at: float | None
+    ) -> None:
+        home = shown_at is not None
+        if _knows(owner, self._state, home):
+            return
+        state = msgspec.structs.replace(
+            self._state, orders_seen=owner.orders_seen, home=home
+        )
+        due = _states.due_at(owner.told, owner.told_at, state, shown_at)
+        if due > now:
+            self.due_at = min(self.due_at, due)
+            return
+        owner.told = state
+        owner.told_of = self._state
+        owner.told_at = now
+        self._send(owner, state)
+
+
+def _knows(
+    owner: _owners.Owner, state: wire.EndpointState, home: bool
+) -> bool:
+    """Return whether an entry was told just that last."""
+    told = owner.told
+    return (
+        told is not None
+        and owner.told_of is state
+        and told.orders_seen == owner.orders_seen
+        and told.home is home
+    )
 
 
 def _late_run(
--- a/src/ferryledge/leases/_runs.py
+++ b/src/ferryledge/leases/_runs.py
@@ -80,6 +80,7 @@
 
     def __init__(self) -> None:
         self._rows: dict[RunKey, RunRow] = {}
+        self._by_owner: dict[str, dict[RunKey, RunRow]] = {}
         self._held = wire.Resources()
 
     def __iter__(self) -> abc.Iterator[RunRow]:
@@ -107,6 +108,7 @@
     def add(self, row: RunRow) -> None:
         """Add a run; it takes its room from now on."""
         self._rows[row.key] = row
+        self._by_owner.setdefault(row.owner, {})[row.key] = row
         self._held = self._held.plus(row.need)
 
     def remove(self, key: RunKey) -> RunRow | None:
@@ -114,15 +116,25 @@
         row = self._rows.pop(key, None)
         if row is not None:
             self._held = self._held.minus(row.need)
+            of_owner = self._by_owner[row.owner]
+            del of_owner[key]
+            if not of_owner:
+                del self._by_owner[row.owner]
         return row
 
     def clear(self) -> list[RunRow]:
         """Remove all runs and return them."""
         rows = list(self._rows.values())
         self._rows.clear()
+        self._by_owner.clear()
         self._held = wire.Resources()
         return rows
 
     def of_owner(self, owner: str) -> list[RunRow]:
         """Return the runs that an entry ordered."""
-        return [row for row in self._rows.values() if row.owner == owner]
+        rows = self._by_owner.get(owner)
+        return list(rows.values()) if rows else []
+
+    def has_owner(self, owner: str) -> bool:
+        """Return whether an entry ordered any of the runs."""
+        return owner in self._by_owner
