--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -5,6 +5,7 @@
 import loguru
 
 from ferryledge.hosted import _members
+from ferryledge.hosted import _memory
 from ferryledge.hosted import _metrics
 from ferryledge.hosted import _reload
 from ferryledge import leases
@@ -36,6 +37,9 @@
         self._settings = settings
         self._keys = keys
         self._store = platform.StoreClient(settings.store.address)
+        self._memory = _memory.EndpointMemory(
+            self._store, settings.node, settings.store.partitions
+        )
         self._group: anyio_abc.TaskGroup | None = None
 
     def unfinished(self) -> str:
@@ -83,6 +87,8 @@
             group.start_soon(self._registry.serve, settings.stream_host)
             group.start_soon(self._driver.run)
             group.start_soon(self._renew)
+            group.start_soon(self._recall_endpoint)
+            group.start_soon(self._memory.run)
             group.start_soon(self._find_entries)
             loguru.logger.info("agent ready", step="join")
             await drain.wait()
@@ -98,6 +104,11 @@
                 await anyio.sleep(_DRAIN_POLL_S)
         loguru.logger.info("agent stopped", step="drain")
 
+    async def _recall_endpoint(self) -> None:
+        seen = await self._memory.recall()
+        if seen is not None:
+            self._driver.post(leases.EndpointRecalled(seen))
+
     async def _find_entries(self) -> None:
         settings = self._settings
         assert self._group is not None
@@ -161,6 +172,8 @@
                 self._group.start_soon(self._start, action)
             case leases.StopRun():
                 self._group.start_soon(self._stop, action)
+            case leases.RememberEndpoint(seen):
+                self._memory.remember(seen)
 
     async def _start(self, order: leases.StartRun) -> None:
         self._driver.post(await self._calls.start(order))
--- a/src/ferryledge/hosted/_members.py
+++ b/src/ferryledge/hosted/_members.py
@@ -16,7 +16,7 @@
 #: The system's own topic: one record an entry, under the entry's name.
 MEMBERS_TOPIC = "keyed.ferryledge-entries"
 #: Between tries while the store does not answer, in seconds.
-_RETRY_S = 0.5
+RETRY_S = 0.5
 #: How long one call waits for news, in seconds.
 _WAIT_S = 10.0
 
@@ -29,11 +29,11 @@
 ) -> None:
     """Write an entry's address into the store, however long it takes."""
     record = platform.KeyedRecord(address.name, msgspec.json.encode(address))
-    await _until_answered(lambda: store.put(MEMBERS_TOPIC, record))
+    await until_answered(lambda: store.put(MEMBERS_TOPIC, record))
     loguru.logger.info("registered in the store", step="join")
 
 
-async def _until_answered(
+async def until_answered(
     call: abc.Callable[[], abc.Awaitable[AnswerT]],
 ) -> AnswerT:
     """Repeat a call until the store answers it."""
@@ -42,7 +42,7 @@
             return await call()
         except platform.StoreError as exc:
             loguru.logger.debug("no answer: {}", exc, step="join")
-            await anyio.sleep(_RETRY_S)
+            await anyio.sleep(RETRY_S)
 
 
 def _decode(
@@ -63,7 +63,7 @@
 
 async def read_once(store: platform.StoreClient, found: Found) -> None:
     """Read all entries' addresses, however long it takes."""
-    page = await _until_answered(lambda: store.newest(MEMBERS_TOPIC))
+    page = await until_answered(lambda: store.newest(MEMBERS_TOPIC))
     found(_decode(page.records))
 
 
@@ -77,7 +77,7 @@
                 page = await store.read(
                     MEMBERS_TOPIC, page.next_offset, _WAIT_S
                 )
-        await anyio.sleep(_RETRY_S)
+        await anyio.sleep(RETRY_S)
 
 
 class Dialler:
--- a/src/ferryledge/leases/__init__.py
+++ b/src/ferryledge/leases/__init__.py
@@ -26,6 +26,7 @@
 ConfigRead = _entry_events.ConfigRead
 DialEntries = _agent_events.DialEntries
 EndpointLeft = _agent_events.EndpointLeft
+EndpointRecalled = _agent_events.EndpointRecalled
 EndpointSeen = _agent_events.EndpointSeen
 EntryAddress = wire.EntryAddress
 EntriesFound = _entry_events.EntriesFound
@@ -46,6 +47,7 @@
 LeasedJob = _jobs.LeasedJob
 ListedEnd = _agent_events.ListedEnd
 ListedRun = _agent_events.ListedRun
+RememberEndpoint = _agent_events.RememberEndpoint
 Renewal = _agent_events.Renewal
 RunKey = _runs.RunKey
 SendMessage = _agent_events.SendMessage
@@ -68,6 +70,7 @@
     "ConfigRead",
     "DialEntries",
     "EndpointLeft",
+    "EndpointRecalled",
     "EndpointSeen",
     "EntriesFound",
     "EntryAction",
@@ -88,6 +91,7 @@
     "LeasedJob",
     "ListedEnd",
     "ListedRun",
+    "RememberEndpoint",
     "Renewal",
     "RunKey",
     "SendMessage",
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -131,10 +131,10 @@
     ) -> None:
         match event:
             case _agent_events.EndpointSeen():
-                self._notes.seen(self._link.seen, event)
-                if self._link.see(event, now):
-                    self._speed = _speed.EndpointSpeed()
-                    self._lose_all()
+                self._on_seen(now, event)
+            case _agent_events.EndpointRecalled(seen):
+                if self._link.recall(seen):
+                    self._notes.recalled(seen)
             case _agent_events.EndpointLeft(incarnation):
                 self._link.leave(incarnation)
             case _agent_events.LeaseRenewed():
@@ -143,6 +143,8 @@
                 self._notes.renewed(fault)
                 if fault is _agent_events.CallFault.FENCED:
                     self._link.raise_token(clock_ms, now)
+                if fault is _agent_events.CallFault.REPLACED:
+                    self._link.refute(incarnation)
             case _agent_events.StartAnswered():
                 self._on_start_answered(now, event)
             case _agent_events.StopAnswered(key, confirmed):
@@ -150,6 +152,15 @@
                 if row is not None and confirmed:
                     row.stop_confirmed_at = now
 
+    def _on_seen(self, now: float, seen: _agent_events.EndpointSeen) -> None:
+        known = self._link.seen
+        self._notes.seen(known, seen)
+        if self._link.see(seen, now):
+            self._speed = _speed.EndpointSpeed()
+            self._lose_all()
+        if known is None or not seen.describes_as(known):
+            self._actions.append(_agent_events.RememberEndpoint(seen))
+
     def tick(self, now: float) -> list[_agent_events.AgentAction]:
         """Return the actions that are due."""
         self._now = now
--- a/src/ferryledge/leases/_agent_events.py
+++ b/src/ferryledge/leases/_agent_events.py
@@ -25,6 +25,26 @@
     #: Rises with each heartbeat of an incarnation.
     number: int
 
+    def describes_as(self, other: "EndpointSeen") -> bool:
+        """Return whether both say the same, but for times and numbers."""
+        return (
+            self.incarnation == other.incarnation
+            and self.service == other.service
+            and self.capacity == other.capacity
+            and self.labels == other.labels
+            and self.draining == other.draining
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class EndpointRecalled:
+    """What an earlier start of this agent kept of the endpoint.
+
+    It may be out of date: the endpoint's next heartbeat replaces it.
+    """
+
+    seen: EndpointSeen
+
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class EndpointLeft:
@@ -138,6 +158,7 @@
 AgentEvent = (
     wire.StreamEvent
     | EndpointSeen
+    | EndpointRecalled
     | EndpointLeft
     | LeaseRenewed
     | LeaseNotRenewed
@@ -190,7 +211,21 @@
     entries: tuple[wire.EntryAddress, ...]
 
 
-AgentAction = SendMessage | CloseStream | DialEntries | StartRun | StopRun
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class RememberEndpoint:
+    """Keep this for the agent's next start."""
+
+    seen: EndpointSeen
+
+
+AgentAction = (
+    SendMessage
+    | CloseStream
+    | DialEntries
+    | StartRun
+    | StopRun
+    | RememberEndpoint
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
--- a/src/ferryledge/leases/_agent_notes.py
+++ b/src/ferryledge/leases/_agent_notes.py
@@ -108,6 +108,16 @@
         """The endpoint's lease was renewed, or not."""
         self._meter.renewed(str(fault.value) if fault else "")
 
+    def recalled(self, seen: _agent_events.EndpointSeen) -> None:
+        """What an earlier start kept of the endpoint is used for now."""
+        self.add(
+            outcomes.Step.HEALTH,
+            "endpoint recalled",
+            peer=seen.incarnation,
+            capacity_cpu_millis=seen.capacity.cpu_millis,
+            draining=seen.draining,
+        )
+
     def seen(
         self,
         known: _agent_events.EndpointSeen | None,
--- a/src/ferryledge/leases/_endpoint.py
+++ b/src/ferryledge/leases/_endpoint.py
@@ -33,6 +33,7 @@
         self._leased_at = now
         self._last = ""
         self._left = ""
+        self._recalled = False
 
     @property
     def incarnation(self) -> str:
@@ -72,6 +73,7 @@
         known = self.seen
         if seen.incarnation == self._left:
             return False
+        self._recalled = False
         if known is not None and known.incarnation == seen.incarnation:
             if seen.number >= known.number:
                 self.seen = seen
@@ -85,6 +87,24 @@
         self.note_clock(seen.clock_ms, now)
         return replaced
 
+    def recall(self, seen: _agent_events.EndpointSeen) -> bool:
+        """Take in what was kept; a heartbeat that came first goes before.
+
+        :return: whether it was taken in
+        """
+        if self.seen is not None or self._last:
+            return False
+        self.seen = seen
+        self._last = seen.incarnation
+        self._recalled = True
+        return True
+
+    def refute(self, incarnation: str) -> None:
+        """Drop what was recalled: another incarnation answered."""
+        if self._recalled and self.incarnation == incarnation:
+            self.seen = None
+            self._recalled = False
+
     def _start_anew(self) -> None:
         """Forget what was true of the incarnation before."""
         self.acknowledged = 0
--- a/src/ferryledge/leases/tests/test_leases.py
+++ b/src/ferryledge/leases/tests/test_leases.py
@@ -232,3 +232,41 @@
     assert timing.lease_s < 0.4
     assert timing.stop_s == 0.02
     assert leases.LeaseTiming.within(9.0, 0.05) == leases.LeaseTiming()
+
+
+def usable_agents(world: worlds.World, entry: str = "entry-0") -> int:
+    return world.nodes[entry].core.usable_agents(world.now)
+
+
+def test_agents_that_start_again_do_not_wait_for_a_heartbeat(
+    world: worlds.World,
+) -> None:
+    for agent in world.agents:
+        world.kill(agent)
+    world.run(0.6)
+    assert usable_agents(world) == len(world.agents)
+
+
+def test_agent_whose_endpoint_was_replaced_waits_for_its_heartbeat(
+    world: worlds.World,
+) -> None:
+    for agent in world.agents:
+        world.kill(agent)
+        world.crash_endpoint(agent, 0.1)
+    world.run(0.6)
+    assert usable_agents(world) == 0
+    token = world.submit("entry-0", "d" * 16)
+    world.run(2.0)
+    assert is_complete(world, token)
+    assert not world.violations
+
+
+def test_agent_that_recalls_a_draining_endpoint_starts_nothing(
+    world: worlds.World,
+) -> None:
+    for agent in world.agents:
+        world.endpoints[agent].draining = True
+        world.heartbeat(agent, 1000)
+        world.kill(agent)
+    world.run(0.6)
+    assert usable_agents(world) == 0
--- a/src/ferryledge/leases/tests/world.py
+++ b/src/ferryledge/leases/tests/world.py
@@ -21,6 +21,7 @@
 CALL_S = 0.0005
 RENEW_TIMEOUT_S = 0.27
 HEARTBEAT_S = 1.5
+STORE_S = 0.01
 JOB_CLASS = leases.JobClass("quick", "desk", 0, 2, 1.6, 0.06)
 ROOM = wire.Resources(8000, 8000, 0)
 
@@ -63,6 +64,8 @@
         self._tokens = itertools.count(1)
         self.nodes: dict[str, Node] = {}
         self.endpoints: dict[str, standin.LeasedEndpoint] = {}
+        #: What each agent kept of its endpoint for its next start.
+        self.remembered: dict[str, leases.EndpointSeen] = {}
         self.streams: dict[tuple[str, str], Stream] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.held: dict[
@@ -167,6 +170,12 @@
             self.post(name, leases.ConfigRead(1, b"{}"))
         else:
             node.core = leases.LeaseAgent(name, incarnation, "north", self.now)
+            self.at(STORE_S, lambda: self._recall(name, node.life))
+
+    def _recall(self, name: str, life: int) -> None:
+        seen = self.remembered.get(name)
+        if seen is not None and self.nodes[name].life == life:
+            self.post(name, leases.EndpointRecalled(seen))
 
     def post(self, name: str, event: typing.Any) -> None:
         """Hand an event to a process, now or when it wakes."""
@@ -223,6 +232,8 @@
                 self._order(name, action)
             case leases.AnswerJob(token, outcome):
                 self._note_answer(token, outcome)
+            case leases.RememberEndpoint(seen):
+                self.remembered[name] = seen
             case _:
                 pass
 
--- a/src/ferryledge/platform/_settings.py
+++ b/src/ferryledge/platform/_settings.py
@@ -48,6 +48,8 @@
     """The platform's log store."""
 
     address: str = ""
+    #: Partitions that each topic has.
+    partitions: int = msgspec.field(name="parts", default=1)
 
 
 class Settings(_Part, frozen=True):
--- a/src/ferryledge/platform/_store.py
+++ b/src/ferryledge/platform/_store.py
@@ -78,16 +78,17 @@
         """Close all connections that are not in use."""
         await self._caller.close()
 
-    async def newest(self, topic: str) -> KeyedPage:
+    async def newest(self, topic: str, partition: int = 0) -> KeyedPage:
         """Return the newest record of each key.
 
         :param topic: a topic that keeps them
+        :param partition: of the topic
         :raises StoreError: if the store did not answer with them
         """
         records: list[KeyedRecord] = []
         after = ""
         while True:
-            path = f"/log-newest?Topic={topic}&part=0"
+            path = f"/log-newest?Topic={topic}&part={partition}"
             if after:
                 path += f"&DependsOn={after}"
             content = await self._call("GET", path)
@@ -117,15 +118,20 @@
         records = tuple(_decode_records(content))
         return KeyedPage(records, offset + len(records))
 
-    async def put(self, topic: str, record: KeyedRecord) -> None:
+    async def put(
+        self, topic: str, record: KeyedRecord, partition: int = 0
+    ) -> None:
         """Append one record.
 
+        :param topic: a topic that keeps the newest record of each key
+        :param record: what to append
+        :param partition: of the topic
         :raises StoreError: if it is not known to be kept
         """
         key = record.key.encode()
         raw = bytes([len(key)]) + key + record.value
         body = len(raw).to_bytes(_LENGTH_BYTES, "big") + raw
-        path = f"/log-append?Topic={topic}&part=0"
+        path = f"/log-append?Topic={topic}&part={partition}"
         await self._call("POST", path, body)
 
     async def _call(
