--- /dev/null
+++ b/src/ferryledge/core/_endpoints.py
@@ -0,0 +1,107 @@
+"""Endpoints of a pool as they come, break off and go."""
+
+from ferryledge.core import _answering
+from ferryledge.core import _jobs
+from ferryledge.core import _pool_state
+from ferryledge.core import _ticketing
+from ferryledge import ledger
+from ferryledge import outcomes
+from ferryledge import placement
+from ferryledge import wire
+
+
+class Endpoints:
+    """Keeps the table of endpoints.
+
+    :param state: the pool
+    :param answering: ends jobs that are lost with an endpoint
+    :param ticketing: asks again where a ticket's agent came back
+    """
+
+    def __init__(
+        self,
+        state: _pool_state.PoolState,
+        answering: _answering.Answering,
+        ticketing: _ticketing.Ticketing,
+    ) -> None:
+        self._state = state
+        self._answering = answering
+        self._ticketing = ticketing
+
+    def agent_up(self, now: float, hello: wire.Hello) -> None:
+        """Add an endpoint, or take back one whose stream broke."""
+        row = self._state.table.find(hello.name)
+        if row is not None and row.incarnation == hello.incarnation:
+            row.connected = True
+            row.leaving = row.leaving or hello.leaving
+            row.progress_at = now
+            self._state.table.refresh(row)
+            self._reconcile(now, row)
+            return
+        if row is not None:
+            self.agent_gone(now, row)
+        self._state.judge.join(hello.name)
+        self._state.run_times.forget_endpoint(hello.name)
+        self._state.table.put(
+            placement.EndpointRow(
+                hello.name,
+                hello.incarnation,
+                hello.hall,
+                hello.slots,
+                hello.connections,
+                hello.memory_mb,
+                wire.process_key(hello.name, hello.incarnation),
+                leaving=hello.leaving,
+                progress_at=now,
+            )
+        )
+
+    def agent_down(self, now: float, name: str) -> None:
+        """Note a broken stream; it may come back for a while."""
+        row = self._state.table.find(name)
+        if row is None:
+            return
+        row.connected = False
+        row.lost_at = now
+        self._state.table.refresh(row)
+
+    def agent_leaving(self, name: str) -> None:
+        """Send no new work to an endpoint."""
+        row = self._state.table.find(name)
+        if row is not None and not row.leaving:
+            row.leaving = True
+            self._state.table.refresh(row)
+
+    def _reconcile(self, now: float, row: placement.EndpointRow) -> None:
+        for job in list(self._state.jobs.values()):
+            asked = job.ticket_use is _jobs.TicketUse.ASKED
+            if asked and ledger.minter_of(job.message.ticket) == row.name:
+                self._ticketing.authorise(now, job, row)
+        if not row.bound:
+            return
+        bound = list(row.bound.values())
+        message = wire.Reconcile(
+            tuple(one.seq for one in bound),
+            tuple(one.submission for one in bound),
+        )
+        self._state.peers.send(now, row.name, message)
+
+    def agent_gone(self, now: float, row: placement.EndpointRow) -> None:
+        """Fail the jobs with tasks at an endpoint that is lost."""
+        submissions = {one.submission for one in row.bound.values()}
+        for job in self._state.jobs.values():
+            asked = job.ticket_use is _jobs.TicketUse.ASKED
+            if asked and ledger.minter_of(job.message.ticket) == row.name:
+                submissions.add(job.submission)
+        self._state.table.drop(row.name)
+        self._state.judge.leave(row.name)
+        for submission in submissions:
+            held = self._state.jobs.get(submission)
+            if held is not None:
+                self._answering.fail(
+                    now,
+                    held,
+                    outcomes.Reason.AGENT_LOST,
+                    outcomes.Step.RUN,
+                    row.name,
+                )
--- a/src/ferryledge/core/_entry.py
+++ b/src/ferryledge/core/_entry.py
@@ -149,11 +149,11 @@
         if now >= self._next_sweep:
             self._sweep(now)
         self._scheduler.run_systems(now)
-        for moved in self._scheduler.take_handed_back():
+        for moved in self._scheduler.task_ends.take_handed_back():
             taken = self._front.take_back(moved.submission, moved.indices)
             if taken is not None:
                 self._hand_over(now, *taken, direct=False)
-        for local in self._scheduler.take_answers():
+        for local in self._scheduler.answering.take_answers():
             self._front.on_answer(local.submission, "", local.answer)
         self._peers.send_keepalives(
             now,
@@ -338,11 +338,11 @@
         if hello.name in self._leaving_vms:
             peer.leaving = True
         if hello.role is wire.Role.AGENT:
-            self._scheduler.agent_up(now, hello)
+            self._scheduler.endpoints.agent_up(now, hello)
             process = wire.process_key(hello.name, hello.incarnation)
             self._front.recovery.agent_up(now, hello.name, process)
             if peer.leaving:
-                self._scheduler.agent_leaving(hello.name)
+                self._scheduler.endpoints.agent_leaving(hello.name)
             self._tell_schedulers(now)
             self._stock_tickets(now)
         elif not self._rulebook.version:
@@ -355,7 +355,7 @@
             return
         self._reachable_cache = None
         if peer.hello.role is wire.Role.AGENT:
-            self._scheduler.agent_down(now, name)
+            self._scheduler.endpoints.agent_down(now, name)
             process = wire.process_key(name, incarnation)
             self._front.recovery.agent_lost(now, process)
             self._front.drop_tickets(name)
@@ -420,20 +420,20 @@
         name = peer.name
         match message:
             case wire.TasksFinished():
-                self._scheduler.on_finished(now, name, message)
+                self._scheduler.task_ends.on_finished(now, name, message)
             case wire.TasksReleased():
-                self._scheduler.on_released(now, name, message)
+                self._scheduler.task_ends.on_released(now, name, message)
             case wire.KeepAlive(version):
                 peer.config_version = version
             case wire.Leaving():
                 peer.leaving = True
-                self._scheduler.agent_leaving(name)
+                self._scheduler.endpoints.agent_leaving(name)
                 self._front.drop_tickets(name)
             case wire.Tickets(tickets):
                 self._tickets_due = False
                 self._front.add_tickets(tickets)
             case wire.Verdict():
-                self._scheduler.on_verdict(now, message)
+                self._scheduler.ticketing.on_verdict(now, message)
             case wire.FenceReport():
                 process = wire.process_key(name, peer.incarnation)
                 for job, left in self._front.recovery.on_report(
@@ -514,7 +514,7 @@
                 continue
             peer.leaving = True
             if peer.hello.role is wire.Role.AGENT:
-                self._scheduler.agent_leaving(name)
+                self._scheduler.endpoints.agent_leaving(name)
 
     def _on_drain(self, now: float) -> None:
         if self._draining:
--- a/src/ferryledge/proofs/_mutations.py
+++ b/src/ferryledge/proofs/_mutations.py
@@ -12,10 +12,12 @@
 from ferryledge import configlog
 from ferryledge.configlog import _fold
 from ferryledge import core
+from ferryledge.core import _endpoints
 from ferryledge.core import _front
 from ferryledge.core import _jobs
 from ferryledge.core import _recovery
 from ferryledge.core import _scheduler
+from ferryledge.core import _ticketing
 from ferryledge import ledger
 from ferryledge.proofs import _cells
 from ferryledge.proofs import _faults
@@ -96,7 +98,7 @@
         return
     for index in range(job.size):
         job.results.setdefault(index, b"null")
-    self._complete(now, job)
+    self._answering.complete(now, job)
 
 
 def _take_any_answer(
@@ -164,7 +166,7 @@
     ),
     Mutation(
         "tasks of a lost agent are bound again",
-        (Patch(_scheduler.Scheduler, "_agent_gone", _rebind_lost),),
+        (Patch(_endpoints.Endpoints, "agent_gone", _rebind_lost),),
         _P.ONE_START,
         (_F.KILL_AFTER, _F.KILL_BEFORE, _F.PAUSE),
     ),
@@ -182,7 +184,7 @@
     ),
     Mutation(
         "a job is answered before its last task",
-        (Patch(_scheduler.Scheduler, "_check_arbiter", _answer_early),),
+        (Patch(_ticketing.Ticketing, "check_arbiter", _answer_early),),
         _P.OWN_ANSWER,
         (_F.LIST_STALE, _F.REPEAT),
     ),
@@ -195,7 +197,7 @@
     Mutation(
         "leaving is ignored by scheduler and agent",
         (
-            Patch(_scheduler.Scheduler, "agent_leaving", _ignore),
+            Patch(_endpoints.Endpoints, "agent_leaving", _ignore),
             Patch(core.AgentCore, "_refusal", _ignore_leaving),
         ),
         _P.LEAVING,
@@ -225,7 +227,7 @@
     Mutation(
         "a lost agent is not noticed",
         (
-            Patch(_scheduler.Scheduler, "_agent_gone", _ignore),
+            Patch(_endpoints.Endpoints, "agent_gone", _ignore),
             Patch(_scheduler.Scheduler, "_sweep_timeouts", _ignore),
         ),
         _P.ANSWERED,
