--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -64,7 +64,7 @@
         self._link = _endpoint.EndpointLink(self._timing, now)
         self._runs = _runs.RunTable()
         self._notes = _agent_notes.AgentNotes(meter or _meters.AgentMeter())
-        self._owners = _owners.OwnerTable(self._timing)
+        self._owners = _owners.OwnerTable(self._timing, name)
         self._actions: list[_agent_events.AgentAction] = []
         self._drain_until = float("inf")
         self._speed = _speed.EndpointSpeed()
@@ -232,6 +232,7 @@
         self, now: float, owner: _owners.Owner, order: wire.OrderRuns
     ) -> None:
         owner.orders_seen = max(owner.orders_seen, order.number)
+        self._owners.granted(owner, order.ask_seen)
         refusal = self._refusal(now, owner, order)
         if refusal is not None:
             self._notes.released(now, owner, order, refusal)
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -305,8 +305,7 @@
     ) -> None:
         match message:
             case wire.AskLease(number):
-                row.granted_at = now
-                self._send(row.name, wire.GrantLease(number))
+                self._on_ask(now, row, number)
             case wire.EndpointState():
                 self._on_state(row, message)
             case wire.LateRuns(runs):
@@ -317,6 +316,13 @@
                 self._on_runs_message(now, row, message)
                 self._dirty = True
 
+    def _on_ask(self, now: float, row: _pool.AgentRow, number: int) -> None:
+        row.ask_seen = number
+        if self._pool.must_answer(row, now):
+            row.granted_at = now
+            row.answered_at = now
+            self._send(row.name, wire.GrantLease(number))
+
     def _on_runs_message(
         self, now: float, row: _pool.AgentRow, message: wire.Message
     ) -> None:
--- a/src/ferryledge/leases/_owners.py
+++ b/src/ferryledge/leases/_owners.py
@@ -2,12 +2,15 @@
 
 from collections import abc
 import dataclasses
+import math
+import zlib
 
 from ferryledge.leases import _timing
 from ferryledge import wire
 
 #: Ends kept for an entry whose stream is broken.
 _MAX_PENDING = 2000
+_CRC_RANGE = 2.0**32
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,10 +45,12 @@
     """All entries that this agent knows.
 
     :param timing: the lease rule
+    :param name: the agent
     """
 
-    def __init__(self, timing: _timing.LeaseTiming) -> None:
+    def __init__(self, timing: _timing.LeaseTiming, name: str = "") -> None:
         self._timing = timing
+        self._phase = zlib.crc32(name.encode()) / _CRC_RANGE
         self._owners: dict[str, Owner] = {}
         self._current: dict[str, str] = {}
         self._asked = 0
@@ -112,13 +117,24 @@
         :param busy: whether the entry has runs here
         """
         self._asked += 1
+        oldest = now - self._timing.grant_s
+        owner.asks = {n: at for n, at in owner.asks.items() if at > oldest}
         owner.asks[self._asked] = now
         every = self._timing.ask_every_s
         if not busy:
             every = self._timing.idle_ask_every_s
-        owner.next_ask_at = now + every
+        owner.next_ask_at = self._next_beat(now, every)
         return wire.AskLease(self._asked)
 
+    def _next_beat(self, now: float, every: float) -> float:
+        """Return the next ask's time, the same for all entries.
+
+        Asks that leave together cost one wake-up. Agents differ by a phase,
+        so that an entry is not asked by all of them at once.
+        """
+        beats = math.floor((now - self._phase * every) / every)
+        return (beats + 1 + self._phase) * every
+
     def granted(self, owner: Owner, number: int) -> None:
         """Take in a grant; an unknown or older one changes nothing."""
         asked_at = owner.asks.pop(number, None)
--- a/src/ferryledge/leases/_pool.py
+++ b/src/ferryledge/leases/_pool.py
@@ -30,6 +30,10 @@
     heard_at: float = 0.0
     #: When this entry granted it the right to renew, last.
     granted_at: float = float("-inf")
+    #: Number of its last ask for a grant.
+    ask_seen: int = 0
+    #: When an ask was answered last.
+    answered_at: float = float("-inf")
     #: Number of the last order.
     orders: int = 0
     #: What orders took that its last state does not account for.
@@ -106,6 +110,8 @@
         row.state = _UNKNOWN
         row.heard_at = now
         row.orders = 0
+        row.ask_seen = 0
+        row.answered_at = float("-inf")
         row.in_flight.clear()
         return row
 
@@ -129,6 +135,15 @@
         row.in_flight[row.orders] = wire.Resources().plus(need, count)
         return row.orders
 
+    def must_answer(self, row: AgentRow, now: float) -> bool:
+        """Return whether an agent's ask for a grant wants an answer now.
+
+        Without runs there, an order brings its own grant; an answer now and
+        then shows that this entry is alive.
+        """
+        idle_s = now - row.answered_at
+        return bool(row.runs) or idle_s >= self._timing.idle_answer_every_s
+
     def silent(self, now: float) -> list[AgentRow]:
         """Return the connected agents that are silent for too long."""
         return [
--- a/src/ferryledge/leases/_run_tracking.py
+++ b/src/ferryledge/leases/_run_tracking.py
@@ -78,7 +78,9 @@
             tuple(task.task_run for task in tasks),
             row.state.incarnation,
             job.expected_s,
+            row.ask_seen,
         )
+        row.granted_at = now
         self._send(row.name, order)
         slowness = self._run_times.slowness(row.name)
         self._notes.ordered(now, job, row, tasks, slowness)
--- a/src/ferryledge/leases/_timing.py
+++ b/src/ferryledge/leases/_timing.py
@@ -33,6 +33,8 @@
     ask_every_s: float = 0.2
     #: The same while it has none.
     idle_ask_every_s: float = 0.3
+    #: Between an entry's answers to those: some within ``redial_s``.
+    idle_answer_every_s: float = 0.5
     #: Silence after which an agent opens a new stream to an entry.
     redial_s: float = 1.5
     #: Silence after which an entry gives up an agent's stream.
--- a/src/ferryledge/leases/tests/test_leases.py
+++ b/src/ferryledge/leases/tests/test_leases.py
@@ -291,3 +291,22 @@
     world.run(0.15)
     assert isinstance(world.outcome(token), outcomes.Refused)
     assert not world.started["f" * 16]
+
+
+def test_entries_without_runs_answer_few_asks(world: worlds.World) -> None:
+    world.sent.clear()
+    world.run(6.0)
+    pairs = len(world.agents) * len(world.entries)
+    assert world.sent[wire.GrantLease] <= pairs * 12
+    assert usable_agents(world) == len(world.agents)
+
+
+def test_order_brings_its_own_grant(world: worlds.World) -> None:
+    """It starts although the agent's last answered ask is too old."""
+    world.run(0.3)
+    for agent in world.agents:
+        for owner in world.nodes[agent].core._owners:
+            owner.granted_at = float("-inf")
+    token = world.submit("entry-0", "1" * 16)
+    world.run(0.3)
+    assert is_complete(world, token)
--- a/src/ferryledge/leases/tests/world.py
+++ b/src/ferryledge/leases/tests/world.py
@@ -79,6 +79,8 @@
             collections.defaultdict(set)
         )
         self.started: dict[str, int] = collections.Counter()
+        #: Messages between processes, by type.
+        self.sent: dict[type, int] = collections.Counter()
         self.violations: list[str] = []
         self.work_s: dict[str, float] = {}
         self.failing: set[str] = set()
@@ -223,6 +225,7 @@
     def _perform(self, name: str, action: typing.Any) -> None:
         match action:
             case leases.SendMessage(peer, message):
+                self.sent[type(message)] += 1
                 self._send(name, peer, wire.Received(name, message))
             case leases.CloseStream(peer):
                 self.break_stream(name, peer)
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -63,6 +63,9 @@
     endpoint: str
     #: Expected run time of one task at normal speed, in seconds.
     expected_s: float = 0.0
+    #: Number of the receiver's last ask that has arrived: the order grants
+    #: what a :class:`GrantLease` with that number would.
+    ask_seen: int = 0
 
 
 class NotStarted(enum.StrEnum):
