--- a/src/ferryledge/leases/_admission.py
+++ b/src/ferryledge/leases/_admission.py
@@ -10,9 +10,6 @@
 
 #: Share of the objective within which a refusal counts as prompt.
 _PROMPT_SHARE = 0.25
-#: A result is worth something until this many times the objective (the
-#: platform's rule on late results).
-_LATE_FACTOR = 3.0
 #: Share of the client's time after which an untried job is given up.
 _UNTRIED_SHARE = 0.4
 #: Base and longest delay in seconds that a refused client is told.
@@ -53,8 +50,8 @@
     ) -> outcomes.Refused | None:
         """Return a refusal for a job that nothing was ordered for yet.
 
-        A job that will only be late is kept while its result is still
-        worth something: it takes room that nothing timely wants.
+        One that would only be late is refused: started after all, it would
+        make a later one late in its turn, and its client can come back now.
 
         :param now: monotonic seconds
         :param job: the job
@@ -69,8 +66,7 @@
         if self._pool.may_recover(now):
             return None
         wait_s = self._wait_s(now, job, ahead)
-        useful_s = _LATE_FACTOR * job.objective_s - job.expected_s
-        if now + wait_s > job.arrived_at + useful_s:
+        if now + wait_s > job.start_by:
             return self._refuse(
                 outcomes.Reason.CAPACITY,
                 f"{wait_s:.2f} s of work is ahead",
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -365,6 +365,7 @@
         if self._next_sweep and now - self._next_sweep > _PAUSE_S:
             self._pool.forgive_silence(now)
         self._next_sweep = now + self._sweep_every_s()
+        self._pool.note_usable(now)
         for row in self._pool.silent(now):
             row.connected = False
             row.reconciled = False
@@ -389,19 +390,15 @@
         self._review(now)
 
     def _review(self, now: float) -> None:
-        """Refuse the jobs that wait in vain, in the order of their turns.
-
-        Other entries are taken to have as much waiting as this one.
-        """
+        """Refuse the jobs that wait in vain, in the order of their turns."""
         untried = sorted(
             self._jobs.untried, key=lambda job: _placing.urgency(now, job)
         )
-        entries = self._peers.entries
         ahead: dict[str, float] = {}
         for job in untried:
             service = job.request.job_class.service
             work = ahead.get(service, 0.0)
-            refusal = self._admission.review(now, job, work * entries)
+            refusal = self._admission.review(now, job, work)
             if refusal is not None:
                 self._finish(now, job, refusal)
                 continue
--- a/src/ferryledge/leases/_peers.py
+++ b/src/ferryledge/leases/_peers.py
@@ -23,12 +23,6 @@
         """The newest configuration's version; 0 is none."""
         return self._version
 
-    @property
-    def entries(self) -> int:
-        """How many entries are up, this one among them."""
-        roles = self._peers.values()
-        return 1 + sum(role is wire.Role.ENTRY for role in roles)
-
     def take_actions(self) -> list[_entry_events.EntryAction]:
         """Return what is to be done."""
         actions = self._actions
--- a/src/ferryledge/leases/_pool.py
+++ b/src/ferryledge/leases/_pool.py
@@ -13,6 +13,9 @@
 _TRY_EVERY_S = 1.0
 #: Seconds without a usable agent after which jobs are not kept waiting.
 _HOPE_S = 2.0
+#: Seconds after the first usable agent in which the others are likely to
+#: come: after a loss of power all of them were back within 0.3 s of it.
+_SETTLE_S = 0.4
 _UNKNOWN = wire.EndpointState()
 
 
@@ -88,7 +91,11 @@
     def __init__(self, timing: _timing.LeaseTiming) -> None:
         self._timing = timing
         self._rows: dict[str, AgentRow] = {}
+        #: When some agent was usable, last.
         self._usable_at: float | None = None
+        #: When some agent became usable after none was.
+        self._recovered_at = float("-inf")
+        self._was_usable = False
 
     def __iter__(self) -> abc.Iterator[AgentRow]:
         return iter(list(self._rows.values()))
@@ -169,14 +176,22 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether some endpoint takes work."""
-        usable = any(row.usable(now) for row in self._rows.values())
+        return any(row.usable(now) for row in self._rows.values())
+
+    def note_usable(self, now: float) -> None:
+        """Note whether some endpoint takes work; to be called often."""
+        usable = self.is_usable(now)
+        if usable and not self._was_usable:
+            self._recovered_at = now
+        self._was_usable = usable
         if usable or self._usable_at is None:
             self._usable_at = now
-        return usable
 
     def may_recover(self, now: float) -> bool:
         """Return whether agents are likely to come back soon."""
-        if self.is_usable(now) or self._usable_at is None:
+        if self.is_usable(now):
+            return now - self._recovered_at < _SETTLE_S
+        if self._usable_at is None:
             return False
         return now - self._usable_at < _HOPE_S
 
