--- a/src/ferryledge/capacity/_measure.py
+++ b/src/ferryledge/capacity/_measure.py
@@ -4,16 +4,13 @@
 of one role alone. Memory is what the interpreter allocates.
 """
 
-from collections import abc
-import functools
-import gc
 import random
 import subprocess
 import sys
-import time
-import tracemalloc
 
 from ferryledge.capacity import _fit
+from ferryledge.capacity import _leased
+from ferryledge.capacity import _tools
 from ferryledge import configlog
 from ferryledge import core
 from ferryledge import ledger
@@ -26,7 +23,6 @@
     configlog.Team("team"),
 )
 _SLOTS = 32
-_REPEATS = 3
 
 
 def _snapshot(version: int = 1) -> configlog.Snapshot:
@@ -54,28 +50,6 @@
     return core.JobRequest(f"r-{number}", "team", "service", made)
 
 
-def _allocated(make: abc.Callable[[], object]) -> float:
-    gc.collect()
-    tracemalloc.start()
-    kept = make()
-    gc.collect()
-    size = tracemalloc.get_traced_memory()[0]
-    tracemalloc.stop()
-    del kept
-    return float(size)
-
-
-def _least_cpu(run: abc.Callable[[], int]) -> float:
-    """Return seconds of processor time a unit, the least of some runs."""
-    best = float("inf")
-    for _ in range(_REPEATS):
-        gc.collect()
-        started = time.process_time()
-        units = run()
-        best = min(best, (time.process_time() - started) / units)
-    return best
-
-
 def _entry_with_jobs(jobs: int, tasks: int) -> core.EntryCore:
     entry = _entry(1)
     for number in range(jobs):
@@ -85,10 +59,6 @@
     return entry
 
 
-def _decode(data: bytes) -> wire.Message:
-    return next(iter(wire.Decoder().feed(data)))
-
-
 def _serve_jobs(endpoints: int, tasks: int, jobs: int) -> int:
     """Drive an entry through whole jobs, with the codec's work."""
     entry = _entry(endpoints)
@@ -121,7 +91,7 @@
     groups = [ends] if not start.report_each else [(end,) for end in ends]
     for group in groups:
         data = wire.encode(wire.TasksFinished(start.submission, group))
-        message = _decode(data)
+        message = _tools.decode(data)
         entry.receive(now, core.Received(action.peer, message))
 
 
@@ -152,7 +122,7 @@
             False,
         )
         seq += tasks
-        message = _decode(wire.encode(start))
+        message = _tools.decode(wire.encode(start))
         agent.receive(now, core.Received("entry-1", message))
         for action in agent.tick(now):
             if isinstance(action, core.RunTask):
@@ -262,7 +232,7 @@
                 wire.encode(action.message)
         if not now % 5.0:
             for number in range(streams):
-                alive = _decode(wire.encode(wire.KeepAlive(1)))
+                alive = _tools.decode(wire.encode(wire.KeepAlive(1)))
                 event = core.Received(f"agent-{number}", alive)
                 entry.receive(now, event)
     return 60
@@ -284,17 +254,6 @@
     return float(done.stdout)
 
 
-_Point = abc.Callable[[int], float]
-
-
-def _by(measure: _Point, *sizes: int) -> list[tuple[float, float]]:
-    return [(float(size), measure(size)) for size in sizes]
-
-
-def _cpu(run: abc.Callable[..., int], *fixed: int) -> _Point:
-    return lambda size: _least_cpu(functools.partial(run, size, *fixed))
-
-
 def measure_all() -> list[_fit.Slope]:
     """Measure every slope; takes about a minute."""
     fit = _fit.fit
@@ -303,14 +262,22 @@
             "entry_memory_by_endpoints",
             "bytes",
             "endpoint",
-            _by(lambda n: _allocated(lambda: _entry(n)), 50, 100, 200, 400),
+            _tools.by(
+                lambda n: _tools.allocated(lambda: _entry(n)),
+                50,
+                100,
+                200,
+                400,
+            ),
         ),
         fit(
             "entry_memory_by_open_tasks",
             "bytes",
             "task in jobs of 10",
-            _by(
-                lambda n: _allocated(lambda: _entry_with_jobs(n // 10, 10)),
+            _tools.by(
+                lambda n: _tools.allocated(
+                    lambda: _entry_with_jobs(n // 10, 10)
+                ),
                 2_000,
                 5_000,
                 10_000,
@@ -321,8 +288,8 @@
             "entry_cpu_by_tasks_of_a_job",
             "s a job",
             "task",
-            _by(
-                lambda n: _least_cpu(
+            _tools.by(
+                lambda n: _tools.least_cpu(
                     lambda: _serve_jobs(32, n, max(5, 2000 // n))
                 ),
                 1,
@@ -336,8 +303,8 @@
             "entry_cpu_by_endpoints",
             "s a job of 10",
             "endpoint",
-            _by(
-                lambda n: _least_cpu(lambda: _serve_jobs(n, 10, 300)),
+            _tools.by(
+                lambda n: _tools.least_cpu(lambda: _serve_jobs(n, 10, 300)),
                 24,
                 48,
                 96,
@@ -348,32 +315,32 @@
             "agent_cpu_by_tasks_of_a_batch",
             "s a batch",
             "task",
-            _by(_cpu(_run_batches, 500), 1, 4, 8, 16, 32),
+            _tools.by(_tools.cpu(_run_batches, 500), 1, 4, 8, 16, 32),
         ),
         fit(
             "bytes_by_tasks_of_a_job",
             "bytes a job",
             "task",
-            _by(_bytes_of_job, 1, 10, 100, 810),
+            _tools.by(_bytes_of_job, 1, 10, 100, 810),
         ),
         fit(
             "fold_cpu_by_entities",
             "s a change",
             "entity",
-            _by(_cpu(_fold_changes, 100), 50, 140, 400, 1000),
+            _tools.by(_tools.cpu(_fold_changes, 100), 50, 140, 400, 1000),
         ),
         fit(
             "checkpoint_bytes_by_entities",
             "bytes",
             "entity",
-            _by(_checkpoint_bytes, 50, 140, 400, 1000),
+            _tools.by(_checkpoint_bytes, 50, 140, 400, 1000),
         ),
         fit(
             "agent_memory_by_finished_tasks",
             "bytes",
             "task",
-            _by(
-                lambda n: _allocated(lambda: _finished_tasks(n)),
+            _tools.by(
+                lambda n: _tools.allocated(lambda: _finished_tasks(n)),
                 1_000,
                 2_000,
                 4_000,
@@ -384,8 +351,8 @@
             "agent_memory_by_used_tickets",
             "bytes",
             "ticket",
-            _by(
-                lambda n: _allocated(lambda: _used_tickets(n)),
+            _tools.by(
+                lambda n: _tools.allocated(lambda: _used_tickets(n)),
                 1_000,
                 2_000,
                 4_000,
@@ -396,13 +363,13 @@
             "keepalive_bytes_by_streams",
             "bytes",
             "stream",
-            _by(_keepalive_bytes, 10, 50, 100, 225),
+            _tools.by(_keepalive_bytes, 10, 50, 100, 225),
         ),
         fit(
             "idle_entry_cpu_by_streams",
             "s a second",
             "stream",
-            _by(_cpu(_idle_tick), 25, 50, 100, 225),
+            _tools.by(_tools.cpu(_idle_tick), 25, 50, 100, 225),
         ),
         fit(
             "library_floor_mb",
@@ -413,4 +380,5 @@
                 (2.0, _resident_mb("ferryledge.entry")),
             ],
         ),
+        *_leased.measure_leased(),
     ]
--- a/src/ferryledge/capacity/_model.py
+++ b/src/ferryledge/capacity/_model.py
@@ -5,19 +5,22 @@
 import math
 
 from ferryledge.capacity import _fit
+from ferryledge.capacity import _tools
 
 #: A processor is loaded to that share at the peak.
 TARGET_UTILISATION = 0.6
 #: Endpoints in a pool.
 POOL_SIZE = 96
-#: Seconds between keep-alives on an idle stream, and headers of a packet.
+#: Seconds between keep-alives on an idle stream.
 KEEPALIVE_S = 15.0
-PACKET_BYTES = 66
 RETENTION_S = 30.0
 TICKET_LIFE_S = 900.0
 #: Mean run time of a task in seconds, and tasks of a job: assumptions.
 MEAN_RUN_S = 0.3
 MEAN_TASKS = 10
+#: Tasks of a job and of an order in the measurements under leases.
+_TASKS_OF_A_JOB = 4
+_TASKS_OF_AN_ORDER = 4
 #: Share of the jobs that may not be repeated: an assumption.
 UNREPEATABLE = 0.1
 
@@ -69,6 +72,23 @@
     appends_per_s: float
     checkpoint_kb: float
     fold_cpu: float
+    #: The same on the users' platform, where tasks run under leases.
+    leased: "LeasedCosts"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeasedCosts:
+    """What tasks under leases cost, for each process of a region."""
+
+    #: Processor shares of an agent: without work, and at the peak.
+    agent_idle_cpu: float
+    agent_cpu: float
+    #: The same of an entry.
+    entry_idle_cpu: float
+    entry_cpu: float
+    #: Bytes a second, both ways, of streams without runs.
+    agent_bytes: float
+    entry_bytes: float
 
 
 def _entries(
@@ -98,7 +118,9 @@
     streams = round(endpoints) + entries - 1
     agent_starts = starts / endpoints
     batch = by_name["agent_cpu_by_tasks_of_a_batch"]
-    alive = by_name["keepalive_bytes_by_streams"].per_unit + PACKET_BYTES
+    alive = (
+        by_name["keepalive_bytes_by_streams"].per_unit + _tools.PACKET_BYTES
+    )
     changes = deployment.changes_per_day / 86_400
     checkpoints = 1 / 600 + changes / 200
     return Costs(
@@ -142,4 +164,29 @@
         )
         / 1e3,
         fold_cpu=by_name["fold_cpu_by_entities"].at(deployment.teams + 60),
+        leased=_work_out_leased(by_name, endpoints, entries, starts),
+    )
+
+
+def _work_out_leased(
+    by_name: abc.Mapping[str, _fit.Slope],
+    endpoints: float,
+    entries: int,
+    starts: float,
+) -> LeasedCosts:
+    """Return the costs under leases; all figures are those of a region."""
+    order = by_name["leased_agent_cpu_by_tasks_of_an_order"]
+    orders = starts / endpoints / _TASKS_OF_AN_ORDER
+    agent_idle = by_name["leased_agent_idle_cpu_by_entries"].at(entries)
+    entry_idle = by_name["leased_entry_idle_cpu_by_agents"].at(endpoints)
+    job = by_name["leased_entry_cpu_by_agents"].at(endpoints)
+    jobs = starts / entries / _TASKS_OF_A_JOB
+    alive = by_name["leased_idle_bytes_by_streams"]
+    return LeasedCosts(
+        agent_idle,
+        agent_idle + orders * order.at(_TASKS_OF_AN_ORDER),
+        entry_idle,
+        entry_idle + jobs * job,
+        alive.at(entries),
+        alive.at(endpoints),
     )
--- a/src/ferryledge/capacity/_page.py
+++ b/src/ferryledge/capacity/_page.py
@@ -146,6 +146,28 @@
     )
 
 
+def _leased_section(costs: _model.Costs) -> str:
+    """Return the part on the users' platform."""
+    leased = costs.leased
+    rows = [
+        ("agent idle, share of a core", leased.agent_idle_cpu, _CONTROL_CPU),
+        ("agent idle, bytes a second", leased.agent_bytes, _CONTROL_BYTES),
+        ("entry idle, share of a core", leased.entry_idle_cpu, _CONTROL_CPU),
+        ("entry idle, bytes a second", leased.entry_bytes, _CONTROL_BYTES),
+    ]
+    text = _row("line", "worked out", "budget", "met")
+    text += _row(*["---"] * 4)
+    for name, value, budget in rows:
+        met = "yes" if value <= budget else "**no**"
+        text += _row(name, _number(value), _number(budget), met)
+    return (
+        f"\n### Under leases, at {costs.deployment.name}\n\n{text}\n"
+        f"At the peak an agent's decisions take {leased.agent_cpu:.2f} and "
+        f"an entry's {leased.entry_cpu:.2f} of a core, without HTTP, which "
+        "costs an agent several times as much: see docs/platform.md.\n"
+    )
+
+
 def _answers(costs: _model.Costs) -> str:
     one, ten, hundred = costs.entry_starts
     entries = costs.entries * costs.deployment.regions
@@ -191,6 +213,14 @@
 team may use that part twice, for as long as they differ. Regions do not
 share quotas: regions that lose each other change nothing.
 
+**Under leases.** An agent asks each entry for the right to renew every
+0.3 s, since an entry must know within 0.45 s that an agent is gone: that is
+what the lines above that are not met consist of. It grows with agents times
+entries. To stay within 3 kB a second an entry may hold streams to
+{int(3000 / (costs.leased.entry_bytes / costs.endpoints_per_region))} agents
+only; with more, an agent would ask those entries often that hold runs there,
+and the others seldom, as it does with its reports of room (`homes`).
+
 **Where it breaks first.** One scheduler a pool: beyond {ten:,.0f} starts a
 second in jobs of ten, a pool must be smaller (`pool_size`). The memory
 floor: the libraries alone take {costs.entry_floor_mb:.0f} of the 64 MB. The
@@ -226,7 +256,9 @@
         f"{100 * _model.TARGET_UTILISATION:.0f}%. Budget lines that are "
         "not met stand first.\n"
         + _size_section(target)
+        + _leased_section(target)
         + _size_section(today)
+        + _leased_section(today)
         + _answers(target)
         + "\n## Slopes\n\n"
         + _slope_table(slopes)
--- a/src/ferryledge/core/_entry.py
+++ b/src/ferryledge/core/_entry.py
@@ -12,20 +12,14 @@
 from ferryledge.core import _peers
 from ferryledge.core import _reach
 from ferryledge.core import _requests
+from ferryledge.core import _routing
 from ferryledge.core import _rulebook
 from ferryledge.core import _scheduler
+from ferryledge.core import _ticket_stock
 from ferryledge.core import _trace
-from ferryledge import ledger
-from ferryledge import placement
 from ferryledge import wire
 
 _SWEEP_S = 0.1
-#: Seconds in which agents should have sent the tickets asked for.
-_TICKETS_WAIT_S = 1.0
-#: Most tickets kept in stock.
-_MAX_STOCK = 1024
-#: Added to the load up to which a job of one task is placed directly.
-_SMALL_JOB_BONUS = 0.4
 
 
 class EntryCore:
@@ -44,7 +38,6 @@
     ) -> None:
         self._identity = identity
         self._options = options
-        self._rng = rng
         self._peers = _peers.Peers(
             options.keepalive_s, options.busy_keepalive_s
         )
@@ -55,6 +48,12 @@
         self._scheduler = _scheduler.Scheduler(
             identity, options, self._peers, rng, self._trace
         )
+        self._routing = _routing.Routing(
+            identity, options, self._peers, self._scheduler, rng
+        )
+        self._tickets = _ticket_stock.TicketStock(
+            options, self._peers, self._front, self._scheduler, rng
+        )
         self._rulebook = _rulebook.Rulebook(configlog.EMPTY)
         self._reaches: dict[str, _reach.Reach] = {}
         self._own_group = _reach.Group(set())
@@ -62,9 +61,6 @@
         self._leaving_vms: frozenset[str] = frozenset()
         self._draining = False
         self._next_sweep = 0.0
-        self._asked_tickets_at = float("-inf")
-        self._tickets_due = False
-        self._ticket_stock = options.ticket_stock
 
     @property
     def idle(self) -> bool:
@@ -179,7 +175,7 @@
         if job is not None:
             indices = tuple(range(len(request.tasks)))
             self._hand_over(now, job, indices)
-        self._stock_tickets(now)
+        self._tickets.refill(now)
 
     def _hand_over(
         self,
@@ -188,10 +184,10 @@
         indices: tuple[int, ...],
         direct: bool = True,
     ) -> None:
-        peer = self._choose_scheduler(job.request)
+        peer = self._routing.choose_scheduler(job.request)
         limited = self._rulebook.has_quota(job.request.team)
         direct = direct and not limited
-        if direct and peer and self._places_itself(peer, len(indices)):
+        if direct and peer and self._routing.places_itself(peer, len(indices)):
             peer = None
         group = self._own_group
         if peer is not None:
@@ -214,86 +210,6 @@
         peer.busy = True
         self._peers.send(now, peer.name, message)
 
-    def _places_itself(self, scheduler: _peers.Peer, tasks: int) -> bool:
-        """Return whether to place a job here, as the pool has much room.
-
-        That saves the way to the scheduler. Each entry then uses the
-        endpoints that fall to it, so that entries rarely meet.
-        """
-        limit = self._options.direct_load
-        if limit:
-            # The way to the scheduler weighs most on the smallest jobs.
-            limit += _SMALL_JOB_BONUS / tasks
-        if scheduler.load >= limit:
-            return False
-        if self._draining:
-            return False
-        return self._scheduler.can_place(tasks, self._options.direct_margin)
-
-    def _share_endpoints(self) -> None:
-        """Work out which endpoints fall to this entry."""
-        names = [
-            peer.name
-            for peer in self._peers.of_role(wire.Role.ENTRY)
-            if not peer.leaving
-        ]
-        names.append(self._identity.name)
-        own = frozenset(
-            row.name
-            for row in self._scheduler.table
-            if placement.rank(row.name, names)[0] == self._identity.name
-        )
-        agents = [row.name for row in self._scheduler.table]
-        pools = placement.pool_count(len(agents), self._options.pool_size)
-        mine = {
-            pool for pool in range(pools) if self._scheduler_of(pool) is None
-        }
-        endpoints = None
-        if 0 < len(mine) < pools:
-            endpoints = frozenset(
-                name
-                for name in agents
-                if placement.pool_of(name, pools) in mine
-            )
-        self._scheduler.share(own, bool(mine), endpoints)
-
-    def _choose_scheduler(
-        self, request: _requests.JobRequest
-    ) -> _peers.Peer | None:
-        """Return the entry that schedules a job; none is this one."""
-        agents = self._peers.of_role(wire.Role.AGENT)
-        pools = placement.pool_count(len(agents), self._options.pool_size)
-        if request.ticket:
-            minter = ledger.minter_of(request.ticket)
-            pool = placement.pool_of(minter, pools)
-        else:
-            pool = self._choose_pool(pools)
-        return self._scheduler_of(pool)
-
-    def _choose_pool(self, pools: int) -> int:
-        if pools == 1:
-            return 0
-        first, second = self._rng.sample(range(pools), 2)
-        return min(first, second, key=self._pool_waiting)
-
-    def _pool_waiting(self, pool: int) -> int:
-        peer = self._scheduler_of(pool)
-        return self._scheduler.waiting if peer is None else peer.waiting
-
-    def _scheduler_of(self, pool: int) -> _peers.Peer | None:
-        entries = {
-            peer.name: peer
-            for peer in self._peers.of_role(wire.Role.ENTRY)
-            if not (peer.leaving or peer.doubted)
-        }
-        names = list(entries)
-        if not self._draining:
-            names.append(self._identity.name)
-        if not names:
-            return None
-        best = placement.rank(f"pool-{pool}", names)[0]
-        return entries.get(best)
-
     def _on_cancel(self, now: float, event: _events.ClientCancelled) -> None:
         local = self._front.local_parts(event.team, event.request_id)
         if self._front.cancel(now, event.team, event.request_id):
@@ -306,27 +222,6 @@
         for peer in self._peers.of_role(wire.Role.ENTRY):
             self._peers.send(now, peer.name, message)
 
-    def _stock_tickets(self, now: float) -> None:
-        """Keep tickets of several agents ready."""
-        stock = self._front.tickets
-        if self._tickets_due:
-            if now - self._asked_tickets_at < _TICKETS_WAIT_S:
-                return
-        elif stock >= self._ticket_stock // 2:
-            return
-        elif now - self._asked_tickets_at < _TICKETS_WAIT_S:
-            # The stock went too quickly: keep a larger one.
-            self._ticket_stock = min(_MAX_STOCK, 2 * self._ticket_stock)
-        agents = [row.name for row in self._scheduler.table if row.usable]
-        if not agents:
-            return
-        self._asked_tickets_at = now
-        self._tickets_due = True
-        chosen = self._rng.sample(agents, min(4, len(agents)))
-        count = max(1, (self._ticket_stock - stock) // len(chosen))
-        for name in chosen:
-            self._peers.send(now, name, wire.AskTickets(count))
-
     # Peers.
 
     def _on_up(self, now: float, hello: wire.Hello) -> None:
@@ -344,10 +239,10 @@
             if peer.leaving:
                 self._scheduler.endpoints.agent_leaving(hello.name)
             self._tell_schedulers(now)
-            self._stock_tickets(now)
+            self._tickets.refill(now)
         elif not self._rulebook.version:
             self._peers.send(now, hello.name, wire.ConfigRequest())
-        self._share_endpoints()
+        self._routing.share_endpoints()
 
     def _on_down(self, now: float, name: str, incarnation: str) -> None:
         peer = self._peers.down(name, incarnation)
@@ -362,7 +257,7 @@
             return
         self._scheduler.front_lost(now, name)
         self._scheduler_lost(now, peer)
-        self._share_endpoints()
+        self._routing.share_endpoints()
 
     def _scheduler_lost(self, now: float, peer: _peers.Peer) -> None:
         self._front.recovery.scheduler_lost(now, peer.name, peer.incarnation)
@@ -408,7 +303,7 @@
         peer.last_heard = now
         if peer.doubted:
             peer.doubted = False
-            self._share_endpoints()
+            self._routing.share_endpoints()
         if peer.hello.role is wire.Role.AGENT:
             self._on_agent_message(now, peer, message)
         else:
@@ -430,8 +325,7 @@
                 self._scheduler.endpoints.agent_leaving(name)
                 self._front.drop_tickets(name)
             case wire.Tickets(tickets):
-                self._tickets_due = False
-                self._front.add_tickets(tickets)
+                self._tickets.add(tickets)
             case wire.Verdict():
                 self._scheduler.ticketing.on_verdict(now, message)
             case wire.FenceReport():
@@ -473,7 +367,7 @@
                 peer.load = load
             case wire.Leaving():
                 peer.leaving = True
-                self._share_endpoints()
+                self._routing.share_endpoints()
             case _:
                 self._on_config_message(now, name, message)
 
@@ -520,6 +414,7 @@
         if self._draining:
             return
         self._draining = True
+        self._routing.draining = True
         self._front.drain()
         for peer in list(self._peers):
             self._peers.send(now, peer.name, wire.Leaving())
@@ -544,4 +439,4 @@
         abandon = wire.AbandonJobs(self._front.last_number)
         self._peers.send(now, peer.name, abandon)
         self._scheduler_lost(now, peer)
-        self._share_endpoints()
+        self._routing.share_endpoints()
