--- /dev/null
+++ b/src/ferryledge/hosted/tests/test_refusals.py
@@ -0,0 +1,54 @@
+"""Refusals that the shell gives before the core sees a job."""
+
+import anyio
+import loguru
+import pytest
+
+from ferryledge.hosted import _entry
+from ferryledge import leases
+from ferryledge import net
+from ferryledge import platform
+
+_SETTINGS = """
+Node = "front-1"
+Ip = "127.0.0.1"
+Zone = "north"
+PortRange = [7720, 7735]
+"""
+_CLASS = leases.JobClass("holds", "desk", 0, 2, 1.6, 0.06)
+_JOB = "5c0e7a21d94b36f8"
+
+
+@pytest.fixture
+def logged() -> list[dict[str, object]]:
+    """Return the fields of all lines that are logged meanwhile."""
+    lines: list[dict[str, object]] = []
+    number = loguru.logger.add(
+        lambda message: lines.append(dict(message.record["extra"]))
+    )
+    yield lines
+    loguru.logger.remove(number)
+
+
+def _request() -> net.Request:
+    async def receive() -> dict[str, object]:
+        return {"type": "http.request", "body": b"{}", "more_body": False}
+
+    scope = {"method": "POST", "path": f"/holds/{_JOB}", "headers": []}
+    return net.Request(scope, receive)
+
+
+def test_refusal_while_stopping_is_logged_with_its_job(
+    logged: list[dict[str, object]],
+) -> None:
+    route = platform.Route("desk.example", "/holds/", _CLASS)
+
+    async def main() -> net.HttpResponse:
+        settings = platform.parse_settings(_SETTINGS)
+        entry = _entry.HostedEntry(settings, ("key",))
+        entry._refusing = True
+        return await entry._submit(_request(), route, _JOB)
+
+    response = anyio.run(main)
+    assert response.status == 503
+    assert any(line.get("job") == _JOB for line in logged)
