Keep an agent with the endpoint's newest incarnation

Cause: the agent took any other incarnation than the last for a successor. A heartbeat of the replaced one that was held up by a cut turned it back: it lost track of the live one's runs and the entry started them again. Ruled out: comparing heartbeat numbers or clocks, which start anew with each incarnation. Change: a heartbeat of another incarnation only proposes it. The endpoint decides: its next answer under the known name discards the other, a refusal of that name (or a lease without any answer) lets it take over. What is kept for the next start is kept once the endpoint has answered as that.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -72,6 +72,8 @@
             name, self._owners, self._runs, self._send
         )
         self._unclaimed_since = now
+        #: What was kept of the endpoint last, for this agent's next start.
+        self._kept: _agent_events.EndpointSeen | None = None
         self._now = now
 
     @property
@@ -133,7 +135,8 @@
             case _agent_events.EndpointSeen():
                 self._on_seen(now, event)
             case _agent_events.EndpointRecalled(seen):
-                if self._link.recall(seen):
+                if self._link.recall(seen, now):
+                    self._kept = seen
                     self._notes.recalled(seen)
             case _agent_events.EndpointLeft(incarnation):
                 self._link.leave(incarnation)
@@ -150,12 +153,31 @@
 
     def _on_seen(self, now: float, seen: _agent_events.EndpointSeen) -> None:
         known = self._link.seen
-        self._notes.seen(known, seen)
         if self._link.see(seen, now):
-            self._speed = _speed.EndpointSpeed()
-            self._lose_all()
-        if known is None or not seen.describes_as(known):
+            self._forget_endpoint()
+        self._note_endpoint(known)
+        if self._kept and self._kept.incarnation == self._link.incarnation:
+            self._keep_endpoint()
+
+    def _note_endpoint(self, known: _agent_events.EndpointSeen | None) -> None:
+        """Log what the endpoint is now, if that changed."""
+        seen = self._link.seen
+        if seen is not None and seen is not known:
+            self._notes.seen(known, seen)
+
+    def _keep_endpoint(self) -> None:
+        """Keep what the endpoint is, now that it answered as that."""
+        seen = self._link.seen
+        if seen is None or seen is self._kept:
+            return
+        if self._kept is None or not seen.describes_as(self._kept):
             self._actions.append(_agent_events.RememberEndpoint(seen))
+        self._kept = seen
+
+    def _forget_endpoint(self) -> None:
+        """Start anew: another incarnation runs nothing of before."""
+        self._speed = _speed.EndpointSpeed()
+        self._lose_all()
 
     def tick(self, now: float) -> list[_agent_events.AgentAction]:
         """Return the actions that are due."""
@@ -378,6 +400,10 @@
                 self._stop(now, row.key)
 
     def _check_endpoint(self, now: float) -> None:
+        known = self._link.seen
+        if self._link.give_way(now):
+            self._forget_endpoint()
+            self._note_endpoint(known)
         if not self._link.is_over(now):
             return
         self._link.synced = self._link.synced or not len(self._runs)
@@ -422,6 +448,7 @@
         if not had_token:
             return
         self._link.renewed(event.sent_at)
+        self._keep_endpoint()
         self._notes.renewed()
         for end in event.ended:
             self._on_listed_end(end)
@@ -449,7 +476,9 @@
             case _agent_events.CallFault.FENCED:
                 self._link.raise_token(event.clock_ms, now)
             case _agent_events.CallFault.REPLACED:
-                self._link.refute(event.incarnation)
+                if self._link.refute(event.incarnation, now):
+                    self._forget_endpoint()
+                    self._note_endpoint(None)
             case _:
                 pass
 
--- a/src/ferryledge/leases/_endpoint.py
+++ b/src/ferryledge/leases/_endpoint.py
@@ -9,6 +9,9 @@
 #: Without a renewal for this share of a lease nothing new is started.
 _FRESH_SHARE = 0.6
 _MARGIN_S = 0.05
+#: Replaced incarnations that are remembered beside the last one: a held-up
+#: heartbeat is some seconds old, and a restart takes longer than one.
+_REPLACED_KEPT = 15
 
 
 class EndpointLink:
@@ -32,8 +35,14 @@
         self._renewed_at = float("-inf")
         self._leased_at = now
         self._last = ""
+        #: The incarnation that said its last word here.
         self._left = ""
-        self._recalled = False
+        #: Another incarnation that was heard of while one was known, and
+        #: when.
+        self._candidate: _agent_events.EndpointSeen | None = None
+        self._candidate_at = now
+        #: Incarnations that are known to have been replaced.
+        self._replaced: list[str] = []
 
     @property
     def incarnation(self) -> str:
@@ -68,42 +77,89 @@
     def see(self, seen: _agent_events.EndpointSeen, now: float) -> bool:
         """Take in a heartbeat.
 
+        One of another incarnation than the known one may be of its
+        successor, or a late one of its predecessor. The endpoint tells
+        which: its next answer is the known one's, or refutes it.
+
         :return: whether the endpoint is another incarnation than before
         """
         known = self.seen
-        if seen.incarnation == self._left:
+        if self._is_gone(seen.incarnation):
             return False
-        self._recalled = False
         if known is not None and known.incarnation == seen.incarnation:
             if seen.number >= known.number:
                 self.seen = seen
                 self.note_clock(seen.clock_ms, now)
             return False
-        replaced = bool(self._last)
-        self.seen = seen
-        self._last = seen.incarnation
-        if replaced:
-            self._start_anew()
-        self.note_clock(seen.clock_ms, now)
-        return replaced
+        if known is not None:
+            self._propose(seen, now)
+            return False
+        return self._take(seen, now)
 
-    def recall(self, seen: _agent_events.EndpointSeen) -> bool:
+    def recall(self, seen: _agent_events.EndpointSeen, now: float) -> bool:
         """Take in what was kept; a heartbeat that came first goes before.
 
         :return: whether it was taken in
         """
-        if self.seen is not None or self._last:
+        if self.seen is not None:
+            if self.incarnation != seen.incarnation:
+                self._propose(seen, now)
+            return False
+        if self._is_gone(seen.incarnation):
             return False
         self.seen = seen
         self._last = seen.incarnation
-        self._recalled = True
         return True
 
-    def refute(self, incarnation: str) -> None:
-        """Drop what was recalled: another incarnation answered."""
-        if self._recalled and self.incarnation == incarnation:
-            self.seen = None
-            self._recalled = False
+    def refute(self, incarnation: str, now: float) -> bool:
+        """Note that the endpoint is no longer an incarnation.
+
+        :return: whether what is known here was true of that one
+        """
+        if not incarnation or self.incarnation != incarnation:
+            return False
+        self._note_replaced(incarnation)
+        self.seen = None
+        if not self._take_candidate(now):
+            self._start_anew()
+        return True
+
+    def give_way(self, now: float) -> bool:
+        """Let a successor take over from an incarnation that is silent.
+
+        :return: whether it did
+        """
+        waited = now - self._candidate_at > self._timing.lease_s
+        return waited and self.is_dark(now) and self._take_candidate(now)
+
+    def _is_gone(self, incarnation: str) -> bool:
+        return incarnation in (self._left, *self._replaced)
+
+    def _note_replaced(self, incarnation: str) -> None:
+        self._replaced = [*self._replaced[-_REPLACED_KEPT:], incarnation]
+
+    def _propose(self, seen: _agent_events.EndpointSeen, now: float) -> None:
+        if self._candidate is None or (
+            self._candidate.incarnation != seen.incarnation
+        ):
+            self._candidate_at = now
+        self._candidate = seen
+
+    def _take_candidate(self, now: float) -> bool:
+        seen = self._candidate
+        self._candidate = None
+        return seen is not None and self._take(seen, now)
+
+    def _take(self, seen: _agent_events.EndpointSeen, now: float) -> bool:
+        replaced = self._last not in ("", seen.incarnation)
+        if self.seen is not None:
+            self._note_replaced(self.incarnation)
+        self.seen = seen
+        self._last = seen.incarnation
+        if replaced:
+            self._start_anew()
+        self.note_clock(seen.clock_ms, now)
+        return replaced
 
     def _start_anew(self) -> None:
         """Forget what was true of the incarnation before."""
@@ -145,6 +201,11 @@
     def renewed(self, sent_at: float) -> None:
         """Note that the endpoint took a renewal sent at that time."""
         self._renewed_at = max(self._renewed_at, sent_at)
+        candidate = self._candidate
+        if candidate is not None and sent_at > self._candidate_at:
+            # The known incarnation answers still: the other came before it.
+            self._note_replaced(candidate.incarnation)
+            self._candidate = None
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the endpoint answered lately."""
--- /dev/null
+++ b/src/ferryledge/leases/tests/test_endpoint_lives.py
@@ -0,0 +1,87 @@
+"""Which incarnation of an endpoint an agent works with."""
+
+import dataclasses
+
+import pytest
+
+from ferryledge import leases
+from ferryledge.leases.tests import world as worlds
+from ferryledge import outcomes
+
+_AGENT = "agent-0"
+_OLD = "endpoint-of-agent-0-1"
+_NEW = "endpoint-of-agent-0-2"
+
+
+def _core(world: worlds.World) -> leases.LeaseAgent:
+    return world.nodes[_AGENT].core
+
+
+def _late_heartbeat(world: worlds.World, number: int = 1) -> None:
+    """Deliver a heartbeat of the endpoint's first incarnation."""
+    seen = world.remembered[_AGENT]
+    world.post(
+        _AGENT, dataclasses.replace(seen, incarnation=_OLD, number=number)
+    )
+
+
+@pytest.fixture
+def world() -> worlds.World:
+    """Return a world whose only endpoint was replaced."""
+    made = worlds.World(seed=3, agents=1)
+    made.run(2.0)
+    made.crash_endpoint(_AGENT, 0.2)
+    made.run(2.0)
+    return made
+
+
+@pytest.mark.parametrize("number", [1, 1_000_000])
+def test_late_heartbeat_of_a_replaced_endpoint_changes_nothing(
+    world: worlds.World, number: int
+) -> None:
+    token = world.submit("entry-0", "a" * 16, work_s=0.5)
+    world.run(0.2)
+    _late_heartbeat(world, number)
+    world.run(0.1)
+    assert _core(world).link.incarnation == _NEW
+    assert len(world.endpoints[_AGENT].runs) == 2
+    world.run(1.0)
+    assert isinstance(world.outcome(token), outcomes.Complete)
+    assert world.started["a" * 16] == 2
+    assert not world.violations
+
+
+def test_late_heartbeat_after_the_agent_started_again(
+    world: worlds.World,
+) -> None:
+    world.kill(_AGENT, 0.1)
+    world.run(0.11)
+    _late_heartbeat(world)
+    world.run(0.2)
+    assert _core(world).link.incarnation == _NEW
+
+
+def test_late_heartbeat_before_anything_is_known(
+    world: worlds.World,
+) -> None:
+    kept = world.remembered.pop(_AGENT)
+    world.kill(_AGENT, 0.1)
+    world.run(0.12)
+    seen = dataclasses.replace(kept, incarnation=_OLD)
+    world.post(_AGENT, seen)
+    world.run(1.8)
+    assert _core(world).link.incarnation == _NEW
+    token = world.submit("entry-0", "b" * 16)
+    world.run(0.5)
+    assert isinstance(world.outcome(token), outcomes.Complete)
+
+
+def test_successor_takes_over_from_a_silent_endpoint() -> None:
+    world = worlds.World(seed=3, agents=1)
+    world.run(2.0)
+    seen = world.remembered[_AGENT]
+    world.endpoints[_AGENT].crash()
+    world.run(0.1)
+    world.post(_AGENT, dataclasses.replace(seen, incarnation="next"))
+    world.run(1.0)
+    assert _core(world).link.incarnation == "next"
