Take jobs while stopping if they end in time; notice silent streams

Streams between two entries had no sign of life, so one that went silent for good would have cut an entry off from configurations while the store turned it away. Ruled out: closing the listening socket too; a job that still arrives is better served than reset. Change: the core refuses jobs that can't end before the entry does and logs them; unused connections are closed as new ones stop coming. Entries send a sign of life each second and reopen a stream after 2.2 s of silence. The virtual world can silence a stream for good, which joins the fault matrix.

--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -88,6 +88,7 @@
         """Serve until the event is set and the jobs are answered."""
         settings = self._settings
         stop = anyio.Event()
+        release = anyio.Event()
         own = leases.EntryAddress(
             settings.node, settings.ip, settings.stream_port
         )
@@ -100,8 +101,9 @@
             )
             group.start_soon(self._driver.run)
             self._driver.post(leases.EntriesFound((own,)))
-            await self._serve(group, settings.listen_addrs.readiness, stop)
-            await self._serve(group, settings.listen_addrs.frontend, stop)
+            addresses = settings.listen_addrs
+            await self._serve(group, addresses.readiness, stop)
+            await self._serve(group, addresses.frontend, stop, release)
             self._add_gauges()
             group.start_soon(self._registry.serve, settings.stream_host)
             hosts = [platform.split_address(one)[0] for one in settings.seeds]
@@ -113,26 +115,35 @@
             group.start_soon(follower.run)
             loguru.logger.info("entry ready", step="join")
             await drain.wait()
-            await self._finish()
+            await self._finish(release)
             group.cancel_scope.cancel()
 
     async def _serve(
-        self, group: anyio_abc.TaskGroup, address: str, stop: anyio.Event
+        self,
+        group: anyio_abc.TaskGroup,
+        address: str,
+        stop: anyio.Event,
+        release: anyio.Event | None = None,
     ) -> None:
         host, port = platform.split_address(address)
         app = net.asgi_app(self._handle)
-        await group.start(net.serve_http, app, host, port, stop)
+        await group.start(net.serve_http, app, host, port, stop, release)
 
-    async def _finish(self) -> None:
-        """Answer what is in flight; then refuse, then end."""
+    async def _finish(self, release: anyio.Event) -> None:
+        """Answer what is in flight and what ends in time; then end.
+
+        :param release: closes connections that clients keep open unused
+        """
         self._draining = True
-        self._driver.post(leases.EntryDrain())
         grace_s = self._settings.bounds.grace_s - _KILL_MARGIN_S
+        until = anyio.current_time() + grace_s
+        self._driver.post(leases.EntryDrain(until))
         with anyio.move_on_after(grace_s):
             await anyio.sleep(_LINGER_S)
-            self._refusing = True
+            release.set()
             while self._pending:
                 await anyio.sleep(_DRAIN_POLL_S)
+        self._refusing = True
         self._driver.post(leases.EntryStop())
         await anyio.sleep(_FLUSH_S)
         loguru.logger.info("entry stopped", step="drain")
@@ -248,6 +259,9 @@
     ) -> net.HttpResponse:
         body = await request.body()
         if self._refusing:
+            loguru.logger.info(
+                "refused, not run: this process ends", step="admit", job=name
+            )
             return platform.refusal(outcomes.Reason.DRAINING, _RETRY_S)
         try:
             deadline_s = platform.parse_deadline(request.header("deadline-ms"))
--- a/src/ferryledge/leases/_admission.py
+++ b/src/ferryledge/leases/_admission.py
@@ -12,6 +12,8 @@
 _PROMPT_SHARE = 0.25
 #: Share of the client's time after which an untried job is given up.
 _UNTRIED_SHARE = 0.4
+#: A job is taken if this many times its expected time is left.
+_RUN_MARGIN = 2.0
 #: Base and longest delay in seconds that a refused client is told.
 _RETRY_S = 0.5
 _LONGEST_RETRY_S = 5.0
@@ -31,9 +33,21 @@
         self._name = name
         self._pool = pool
         self._rng = rng
+        self._ends_at = float("inf")
+
+    def close(self, ends_at: float) -> None:
+        """Take only jobs that end before this entry does.
+
+        :param ends_at: when that is, in monotonic seconds
+        """
+        self._ends_at = ends_at
 
     def admit(self, now: float, job: _jobs.Job) -> outcomes.Refused | None:
         """Return a refusal for a new job, or none."""
+        if now + job.expected_s * _RUN_MARGIN > self._ends_at:
+            return self._refuse(
+                outcomes.Reason.DRAINING, "this entry ends before the job"
+            )
         service = job.request.job_class.service
         if not self._pool.capacity_cores(now, service):
             return None
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -158,8 +158,9 @@
                 self._peers.learn_entries(entries)
             case _entry_events.ConfigRead(version, data):
                 self._peers.learn_config(version, data)
-            case _entry_events.EntryDrain():
+            case _entry_events.EntryDrain(until):
                 self._draining = True
+                self._admission.close(until)
             case _entry_events.EntryStop():
                 self._answer_all(now)
 
@@ -275,7 +276,7 @@
     def _on_stream(self, now: float, event: wire.StreamEvent) -> None:
         match event:
             case wire.PeerUp(hello):
-                self._peers.join(hello)
+                self._peers.join(now, hello)
                 self._notes.connected(hello)
                 if hello.role is wire.Role.AGENT:
                     self._pool.join(now, hello)
@@ -289,6 +290,7 @@
     def _on_message(
         self, now: float, peer: str, message: wire.Message
     ) -> None:
+        self._peers.heard(now, peer)
         match message:
             case wire.ConfigReply(version, data):
                 self._peers.learn_config(version, data)
@@ -364,6 +366,8 @@
     def _sweep(self, now: float) -> None:
         if self._next_sweep and now - self._next_sweep > _PAUSE_S:
             self._pool.forgive_silence(now)
+            self._peers.forgive_silence(now)
+        self._peers.keep_alive(now)
         self._next_sweep = now + self._sweep_every_s()
         self._pool.note_usable(now)
         for row in self._pool.silent(now):
--- a/src/ferryledge/leases/_entry_events.py
+++ b/src/ferryledge/leases/_entry_events.py
@@ -49,7 +49,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class EntryDrain:
-    """The entry is to stop: finish what it holds."""
+    """The entry is to stop: it takes only jobs that end before that."""
+
+    #: When it ends at the latest, in monotonic seconds.
+    until: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
--- a/src/ferryledge/leases/_peers.py
+++ b/src/ferryledge/leases/_peers.py
@@ -1,8 +1,27 @@
 """The other entries: their addresses and the newest configuration."""
 
+import dataclasses
+
+from ferryledge.leases import _agent_events
 from ferryledge.leases import _entry_events
 from ferryledge import wire
 
+#: Seconds between signs of life to another entry. Configurations must be in
+#: force within two to three seconds, also through a peer.
+_ALIVE_EVERY_S = 1.0
+#: Silence after which the stream to another entry is opened anew: two signs
+#: of life went missing.
+_SILENCE_S = 2.2
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    """A process with a stream to this entry."""
+
+    role: wire.Role
+    heard_at: float
+    told_at: float = float("-inf")
+
 
 class EntryPeers:
     """Hands addresses and configurations on between entries and agents.
@@ -13,7 +32,7 @@
 
     def __init__(self) -> None:
         self._entries: dict[str, wire.EntryAddress] = {}
-        self._peers: dict[str, wire.Role] = {}
+        self._peers: dict[str, _Peer] = {}
         self._version = 0
         self._config = b""
         self._actions: list[_entry_events.EntryAction] = []
@@ -29,9 +48,9 @@
         self._actions = []
         return actions
 
-    def join(self, hello: wire.Hello) -> None:
+    def join(self, now: float, hello: wire.Hello) -> None:
         """Tell a new peer what is known."""
-        self._peers[hello.name] = hello.role
+        self._peers[hello.name] = _Peer(hello.role, now)
         self._send(hello.name, self._list())
         if self._version and hello.role is wire.Role.ENTRY:
             self._send(hello.name, self._reply())
@@ -59,9 +78,37 @@
         self._version = version
         self._config = data
         self._actions.append(_entry_events.ApplyConfig(version, data))
-        for peer, role in self._peers.items():
-            if role is wire.Role.ENTRY:
-                self._send(peer, self._reply())
+        for name in self._entry_names():
+            self._send(name, self._reply())
+
+    def heard(self, now: float, name: str) -> None:
+        """Note that a message came from a peer."""
+        peer = self._peers.get(name)
+        if peer is not None:
+            peer.heard_at = now
+
+    def keep_alive(self, now: float) -> None:
+        """Show other entries that this one is alive; drop silent streams."""
+        for name in self._entry_names():
+            peer = self._peers[name]
+            if now - peer.heard_at > _SILENCE_S:
+                self._actions.append(_agent_events.CloseStream(name))
+                self.leave(name)
+            elif now - peer.told_at >= _ALIVE_EVERY_S:
+                peer.told_at = now
+                self._send(name, wire.KeepAlive())
+
+    def forgive_silence(self, now: float) -> None:
+        """Start counting silence anew: this process was paused itself."""
+        for peer in self._peers.values():
+            peer.heard_at = now
+
+    def _entry_names(self) -> list[str]:
+        return [
+            name
+            for name, peer in self._peers.items()
+            if peer.role is wire.Role.ENTRY
+        ]
 
     def _list(self) -> wire.EntryList:
         return wire.EntryList(tuple(self._entries.values()))
--- a/src/ferryledge/leases/tests/faults.py
+++ b/src/ferryledge/leases/tests/faults.py
@@ -40,6 +40,11 @@
         world.break_stream(agent, "entry-0")
 
 
+def _silence(world: worlds.World) -> None:
+    for agent in world.agents:
+        world.silence_stream(agent, "entry-0")
+
+
 def _slow(world: worlds.World) -> None:
     endpoint = world.endpoints["agent-0"]
     endpoint.speed = 0.0
@@ -65,6 +70,7 @@
     "entry paused for long": lambda w: w.pause("entry-0", 3.0),
     "entry killed": lambda w: w.kill("entry-0"),
     "streams reset": _streams,
+    "streams silent for good": _silence,
     "cut for a moment": _cut(True, True, 0.5),
     "cut": _cut(True, True, 3.0),
     "cut towards agents": _cut(False, True, 3.0),
--- a/src/ferryledge/leases/tests/test_leases.py
+++ b/src/ferryledge/leases/tests/test_leases.py
@@ -314,3 +314,26 @@
     token = world.submit("entry-0", "1" * 16)
     world.run(0.3)
     assert is_complete(world, token)
+
+
+def test_stopping_entry_takes_jobs_that_end_before_it(
+    world: worlds.World,
+) -> None:
+    world.post("entry-0", leases.EntryDrain(world.now + 1.0))
+    short = world.submit("entry-0", "3" * 16, work_s=0.2)
+    long = world.submit("entry-0", "4" * 16, work_s=0.9)
+    world.run(0.3)
+    assert is_complete(world, short)
+    match world.outcome(long):
+        case outcomes.Refused(outcomes.Reason.DRAINING):
+            pass
+        case other:
+            raise AssertionError(other)
+    assert not world.started["4" * 16]
+
+
+def test_refusal_of_a_stopping_entry_is_noted(world: worlds.World) -> None:
+    world.post("entry-0", leases.EntryDrain(world.now + 0.1))
+    world.submit("entry-0", "5" * 16, work_s=0.9)
+    notes = world.nodes["entry-0"].core.take_notes()
+    assert any(note.job == "5" * 16 and note.urgent for note in notes)
--- /dev/null
+++ b/src/ferryledge/leases/tests/test_silence.py
@@ -0,0 +1,66 @@
+"""Streams that go silent for good are noticed and opened anew."""
+
+import random
+
+from ferryledge import leases
+from ferryledge.leases.tests import world as worlds
+from ferryledge import outcomes
+from ferryledge import wire
+
+#: An agent opens a new stream after this silence, with a redial.
+_REDIAL_S = 1.5 + 0.4
+
+
+def test_silent_streams_of_an_agent_are_replaced() -> None:
+    world = worlds.World(seed=2, entries=1)
+    world.run(2.0)
+    for agent in world.agents:
+        world.silence_stream(agent, "entry-0")
+    world.run(_REDIAL_S)
+    assert world.nodes["entry-0"].core.usable_agents(world.now) == 3
+    token = world.submit("entry-0", "a" * 16)
+    world.run(0.3)
+    assert isinstance(world.outcome(token), outcomes.Complete)
+
+
+def _drive(core: leases.LeaseEntry, until: float) -> list[object]:
+    actions: list[object] = []
+    now = 0.0
+    while now < until:
+        actions += core.tick(now)
+        now += 0.1
+    return actions
+
+
+def _entry() -> leases.LeaseEntry:
+    core = leases.LeaseEntry("entry-0", "0.1", "north", random.Random(1))
+    hello = wire.Hello(wire.Role.ENTRY, "entry-1", "1.1", "north")
+    core.receive(0.0, wire.PeerUp(hello))
+    return core
+
+
+def test_entries_show_each_other_that_they_are_alive() -> None:
+    sent = [
+        action.message
+        for action in _drive(_entry(), 2.0)
+        if isinstance(action, leases.SendMessage)
+    ]
+    assert sent.count(wire.KeepAlive()) == 2
+
+
+def test_silent_stream_to_another_entry_is_closed() -> None:
+    closed = [
+        action.peer
+        for action in _drive(_entry(), 2.5)
+        if isinstance(action, leases.CloseStream)
+    ]
+    assert closed == ["entry-1"]
+
+
+def test_entry_that_is_heard_keeps_its_stream() -> None:
+    core = _entry()
+    actions: list[object] = []
+    for step in range(50):
+        core.receive(step / 10, wire.Received("entry-1", wire.KeepAlive()))
+        actions += core.tick(step / 10)
+    assert not any(isinstance(one, leases.CloseStream) for one in actions)
--- a/src/ferryledge/leases/tests/world.py
+++ b/src/ferryledge/leases/tests/world.py
@@ -33,6 +33,8 @@
     agent: str
     entry: str
     open: bool = True
+    #: Whether nothing arrives any more, though neither side is told.
+    silent: bool = False
 
 
 class Node:
@@ -266,6 +268,8 @@
         way = (source, target)
 
         def arrive() -> None:
+            if stream.silent:
+                return
             if way in self.cuts or self.held[way]:
                 self.held[way].append((stream, act))
             elif self.streams.get(self._key(source, target)) is stream:
@@ -309,10 +313,17 @@
         for name, peer in (key, key[::-1]):
             incarnation = f"{peer}.{self.nodes[peer].life}"
             event = wire.PeerDown(peer, incarnation)
-            if (peer, name) in self.cuts and name != one:
+            unheard = (peer, name) in self.cuts or stream.silent
+            if unheard and name != one:
                 continue  # The other side does not learn of it.
             self.post(name, event)
 
+    def silence_stream(self, agent: str, entry: str) -> None:
+        """Let nothing arrive on an open stream any more; new ones work."""
+        stream = self.streams.get((agent, entry))
+        if stream is not None:
+            stream.silent = True
+
     # Calls to endpoints.
 
     def _order(
--- a/src/ferryledge/net/_server.py
+++ b/src/ferryledge/net/_server.py
@@ -21,12 +21,18 @@
     def capture_signals(self) -> abc.Iterator[None]:
         yield
 
+    def release_connections(self) -> None:
+        """Close unused connections, and others after their answer."""
+        for connection in list(self.server_state.connections):
+            connection.shutdown()
+
 
 async def serve_http(
     app: typing.Any,
     host: str,
     port: int,
     stop: anyio.Event,
+    release: anyio.Event | None = None,
     *,
     task_status: anyio_abc.TaskStatus[int],
 ) -> None:
@@ -38,6 +44,8 @@
     :param host: IP number to listen on
     :param port: TCP port; 0 picks one
     :param stop: ends the server
+    :param release: closes connections that clients keep open; new ones are
+        still accepted
     :raises OSError: if the address can't be listened on
     """
     listener = _listen(host, port)
@@ -58,6 +66,8 @@
         bound = listener.getsockname()[1]
         group.start_soon(_report_start, server, bound, task_status)
         group.start_soon(_stop_server, server, stop)
+        if release is not None:
+            group.start_soon(_release, server, release)
         await server.serve(sockets=[listener])
         group.cancel_scope.cancel()
 
@@ -88,6 +98,11 @@
     server.should_exit = True
 
 
+async def _release(server: _Server, release: anyio.Event) -> None:
+    await release.wait()
+    server.release_connections()
+
+
 async def serve_until_cancelled(app: typing.Any, host: str, port: int) -> None:
     """Serve until the calling task is cancelled.
 
--- a/src/ferryledge/net/tests/test_server.py
+++ b/src/ferryledge/net/tests/test_server.py
@@ -6,6 +6,9 @@
 from ferryledge import net
 
 
+_REQUEST = b"GET / HTTP/1.1\r\nhost: desk\r\n\r\n"
+
+
 async def _answer(request: net.Request) -> net.HttpResponse:
     return net.HttpResponse.json(200, {})
 
@@ -22,3 +25,28 @@
             group.cancel_scope.cancel()
 
     anyio.run(main)
+
+
+def test_released_connections_close_while_new_ones_are_served() -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            app = net.asgi_app(_answer)
+            release = anyio.Event()
+            port = await group.start(
+                net.serve_http, app, "127.0.0.1", 0, anyio.Event(), release
+            )
+            unused = await anyio.connect_tcp("127.0.0.1", port)
+            await unused.send(_REQUEST)
+            assert (await unused.receive()).startswith(b"HTTP/1.1 200")
+            release.set()
+            with pytest.raises(anyio.EndOfStream):
+                while True:
+                    await unused.receive()
+            fresh = await anyio.connect_tcp("127.0.0.1", port)
+            await fresh.send(_REQUEST)
+            assert (await fresh.receive()).startswith(b"HTTP/1.1 200")
+            await unused.aclose()
+            await fresh.aclose()
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
