Ask and tell entries that seldom order here less often

Change: such an agent asks and tells each 0.45 s, and an entry waits longer for it (0.7 s for new runs, 1.2 s to give its stream up) unless it runs something for the entry. While room is plentiful homes hear of it each 0.1 s.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -255,6 +255,7 @@
     ) -> None:
         owner.orders_seen = max(owner.orders_seen, order.number)
         self._owners.granted(owner, order.ask_seen)
+        self._owners.ask_soon(owner)
         refusal = self._refusal(now, owner, order)
         if refusal is not None:
             self._notes.released(now, owner, order, refusal)
--- a/src/ferryledge/leases/_owners.py
+++ b/src/ferryledge/leases/_owners.py
@@ -27,6 +27,8 @@
     next_ask_at: float = 0.0
     heard_at: float = 0.0
     orders_seen: int = 0
+    #: Whether it is one of those that the agent keeps up to date.
+    home: bool = True
     #: The state of the endpoint that it was told last.
     told: wire.EndpointState | None = None
     #: The part of it that all entries share.
@@ -123,9 +125,16 @@
         every = self._timing.ask_every_s
         if not busy:
             every = self._timing.idle_ask_every_s
+            if not owner.home:
+                every = self._timing.far_ask_every_s
         owner.next_ask_at = self._next_beat(now, every)
         return wire.AskLease(self._asked)
 
+    def ask_soon(self, owner: Owner) -> None:
+        """Ask in time for an order that came with an old grant."""
+        due = owner.granted_at + self._timing.idle_ask_every_s
+        owner.next_ask_at = min(owner.next_ask_at, due)
+
     def _next_beat(self, now: float, every: float) -> float:
         """Return the next ask's time, the same for all entries.
 
--- a/src/ferryledge/leases/_pool.py
+++ b/src/ferryledge/leases/_pool.py
@@ -9,6 +9,8 @@
 
 #: Seconds without a message after which an agent gets no new runs.
 _QUIET_S = 0.45
+#: The same for an agent that is asked seldom.
+_FAR_QUIET_S = 0.7
 #: Seconds between single runs on an endpoint that was slow.
 _TRY_EVERY_S = 1.0
 #: Seconds without a usable agent after which jobs are not kept waiting.
@@ -78,9 +80,13 @@
             and not self.leaving
             and self.healthy
             and self.state.accepting
-            and now - self.heard_at < _QUIET_S
+            and now - self.heard_at < self._quiet_s
         )
 
+    @property
+    def _quiet_s(self) -> float:
+        return _QUIET_S if self.state.home else _FAR_QUIET_S
+
 
 class Pool:
     """All agents that an entry knows.
@@ -156,9 +162,14 @@
         return [
             row
             for row in self._rows.values()
-            if row.connected and now - row.heard_at > self._timing.silence_s
+            if row.connected and now - row.heard_at > self._silence_s(row)
         ]
 
+    def _silence_s(self, row: AgentRow) -> float:
+        if row.state.home or row.runs:
+            return self._timing.silence_s
+        return self._timing.far_silence_s
+
     def over(self, now: float) -> list[AgentRow]:
         """Return agents without a stream whose runs must all be over."""
         return [
--- a/src/ferryledge/leases/_reports.py
+++ b/src/ferryledge/leases/_reports.py
@@ -87,28 +87,30 @@
         self._turns.see(now, state.free)
         self.due_at = float("inf")
         owners = self._owners.connected()
-        names = tuple(sorted(owner.name for owner in owners))
-        homes = _states.homes_of(self._name, names)
+        self._choose_homes(owners)
         wanted_by = {
-            owner.name: owner.wanted_by
-            for owner in owners
-            if owner.name in homes
+            owner.name: owner.wanted_by for owner in owners if owner.home
         }
         order = self._turns.order(wanted_by)
         for owner in owners:
             shown_at = None
-            if owner.name in wanted_by:
+            if owner.home:
                 shown_at = self._turns.shown_at(order.index(owner.name))
             self._tell_owner(now, owner, shown_at)
 
+    def _choose_homes(self, owners: list[_owners.Owner]) -> None:
+        names = tuple(sorted(owner.name for owner in owners))
+        homes = _states.homes_of(self._name, names)
+        for owner in owners:
+            owner.home = owner.name in homes
+
     def _tell_owner(
         self, now: float, owner: _owners.Owner, shown_at: float | None
     ) -> None:
-        home = shown_at is not None
-        if _knows(owner, self._state, home):
+        if _knows(owner, self._state, owner.home):
             return
         state = msgspec.structs.replace(
-            self._state, orders_seen=owner.orders_seen, home=home
+            self._state, orders_seen=owner.orders_seen, home=owner.home
         )
         due = _states.due_at(owner.told, owner.told_at, state, shown_at)
         if due > now:
--- a/src/ferryledge/leases/_states.py
+++ b/src/ferryledge/leases/_states.py
@@ -10,8 +10,8 @@
 #: the same room, and that reports stay bounded as entries are added.
 HOMES = 3
 #: Seconds between reports to other entries, and while room is plentiful.
-SELDOM_S = 0.1
-PLENTY_S = 0.05
+SELDOM_S = 0.45
+PLENTY_S = 0.1
 #: The same to a home while room is scarce: a few changes share a report.
 SCARCE_S = 0.004
 #: Room that becomes free is shown to one home after the other, this many
--- a/src/ferryledge/leases/_timing.py
+++ b/src/ferryledge/leases/_timing.py
@@ -33,12 +33,17 @@
     ask_every_s: float = 0.2
     #: The same while it has none.
     idle_ask_every_s: float = 0.3
+    #: The same for an entry that seldom orders here (no home).
+    far_ask_every_s: float = 0.45
     #: Between an entry's answers to those: some within ``redial_s``.
     idle_answer_every_s: float = 0.5
     #: Silence after which an agent opens a new stream to an entry.
     redial_s: float = 1.5
     #: Silence after which an entry gives up an agent's stream.
     silence_s: float = 0.7
+    #: The same for an agent that is asked seldom and runs nothing for it:
+    #: two asks went missing.
+    far_silence_s: float = 1.2
     #: The longest that a stop takes at the endpoint.
     stop_s: float = 0.05
     #: How long an order to the endpoint may go without an answer.
