--- a/src/ferryledge/leases/_admission.py
+++ b/src/ferryledge/leases/_admission.py
@@ -5,6 +5,7 @@
 from ferryledge.leases import _jobs
 from ferryledge.leases import _placing
 from ferryledge.leases import _pool
+from ferryledge.leases import _share
 from ferryledge import limits
 from ferryledge import outcomes
 
@@ -24,14 +25,20 @@
 
     :param name: this entry
     :param pool: the agents
+    :param share: what this entry gets of their room
     :param rng: spreads the delays that clients are told
     """
 
     def __init__(
-        self, name: str, pool: _pool.Pool, rng: random.Random
+        self,
+        name: str,
+        pool: _pool.Pool,
+        share: _share.Share,
+        rng: random.Random,
     ) -> None:
         self._name = name
         self._pool = pool
+        self._share = share
         self._rng = rng
         self._ends_at = float("inf")
 
@@ -60,7 +67,7 @@
         return None
 
     def review(
-        self, now: float, job: _jobs.Job, ahead: float
+        self, now: float, job: _jobs.Job, ahead: float, entries: int
     ) -> outcomes.Refused | None:
         """Return a refusal for a job that nothing was ordered for yet.
 
@@ -70,6 +77,7 @@
         :param now: monotonic seconds
         :param job: the job
         :param ahead: core-seconds that get room before it
+        :param entries: how many entries share the pool, with this one
         """
         waited = now - job.arrived_at
         deadline_s = job.request.deadline_s or job.objective_s * 4.0
@@ -79,7 +87,7 @@
             return None
         if self._pool.may_recover(now):
             return None
-        wait_s = self._wait_s(now, job, ahead)
+        wait_s = self._wait_s(now, job, ahead, entries)
         if now + wait_s > job.start_by:
             return self._refuse(
                 outcomes.Reason.CAPACITY,
@@ -87,11 +95,16 @@
             )
         return None
 
-    def _wait_s(self, now: float, job: _jobs.Job, ahead: float) -> float:
-        """Return how long the work ahead of a job takes."""
+    def _wait_s(
+        self, now: float, job: _jobs.Job, ahead: float, entries: int
+    ) -> float:
+        """Return how long it takes until the last task of a job has room."""
         service = job.request.job_class.service
-        cores = self._pool.capacity_cores(now, service)
-        return ahead / cores if cores else float("inf")
+        pool_cores = self._pool.capacity_cores(now, service)
+        if not pool_cores:
+            return float("inf")
+        cores = self._share.cores(now, pool_cores, entries)
+        return (ahead + job.work) / cores
 
     def give_up(
         self, job: _jobs.Job
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -19,6 +19,7 @@
 from ferryledge.leases import _placing
 from ferryledge.leases import _pool
 from ferryledge.leases import _run_tracking
+from ferryledge.leases import _share
 from ferryledge.leases import _timing
 from ferryledge.leases import _wanting
 from ferryledge import outcomes
@@ -69,7 +70,10 @@
         self._placing = _placing.Placing(
             name, self._pool, self._run_times, far_factor
         )
-        self._admission = _admission.Admission(name, self._pool, rng)
+        self._share = _share.Share()
+        self._admission = _admission.Admission(
+            name, self._pool, self._share, rng
+        )
         self._jobs = _job_table.JobTable()
         self._runs = _run_tracking.RunTracking(
             self._jobs,
@@ -399,10 +403,11 @@
             self._jobs.untried, key=lambda job: _placing.urgency(now, job)
         )
         ahead: dict[str, float] = {}
+        entries = 1 + self._peers.entry_count
         for job in untried:
             service = job.request.job_class.service
             work = ahead.get(service, 0.0)
-            refusal = self._admission.review(now, job, work)
+            refusal = self._admission.review(now, job, work, entries)
             if refusal is not None:
                 self._finish(now, job, refusal)
                 continue
@@ -411,6 +416,7 @@
     def _place(self, now: float) -> None:
         for placed in self._placing.place(now, self._jobs.waiting):
             self._runs.order(now, placed.job, placed.row, placed.tasks)
+            self._share.note_started(now, placed.work)
         start_by = _wanting.most_urgent(now, self._jobs.waiting)
         self._wanted_at = self._wanting.due_at(start_by)
 
--- a/src/ferryledge/leases/_peers.py
+++ b/src/ferryledge/leases/_peers.py
@@ -42,6 +42,11 @@
         """The newest configuration's version; 0 is none."""
         return self._version
 
+    @property
+    def entry_count(self) -> int:
+        """How many other entries have a stream to this one."""
+        return len(self._entry_names())
+
     def take_actions(self) -> list[_entry_events.EntryAction]:
         """Return what is to be done."""
         actions = self._actions
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -29,6 +29,12 @@
     row: _pool.AgentRow
     tasks: tuple[_jobs.Task, ...]
 
+    @property
+    def work(self) -> float:
+        """Core-seconds that they are expected to take."""
+        need = self.job.request.steps[self.step].need
+        return self.job.expected_s * need.cpu_millis / 1e3 * len(self.tasks)
+
 
 def urgency(now: float, job: _jobs.Job) -> tuple[bool, float]:
     """Return a key that sorts jobs by who gets room first."""
--- /dev/null
+++ b/src/ferryledge/leases/_share.py
@@ -0,0 +1,41 @@
+"""How much of the pool's room this entry gets."""
+
+import math
+
+#: Seconds over which the work that was started is averaged: a few hundred
+#: starts at the users' load, and shorter than a burst.
+_SPAN_S = 0.5
+
+
+class Share:
+    """The cores that work of this entry gets while jobs wait.
+
+    The entries share the pool without a central count. What an entry got
+    lately shows its share, if it had work for it; else all get the same.
+    """
+
+    def __init__(self) -> None:
+        self._started = 0.0
+        self._started_at = 0.0
+
+    def note_started(self, now: float, work: float) -> None:
+        """Take in that work was ordered.
+
+        :param now: monotonic seconds
+        :param work: core-seconds that it is expected to take
+        """
+        self._started = self._decayed(now) + work
+        self._started_at = now
+
+    def cores(self, now: float, pool_cores: float, entries: int) -> float:
+        """Return the cores that this entry's waiting work can count on.
+
+        :param now: monotonic seconds
+        :param pool_cores: of all endpoints that can be used
+        :param entries: how many entries there are, with this one
+        """
+        lately = self._decayed(now) / _SPAN_S
+        return min(pool_cores, max(lately, pool_cores / entries))
+
+    def _decayed(self, now: float) -> float:
+        return self._started * math.exp((self._started_at - now) / _SPAN_S)
--- a/src/ferryledge/leases/tests/test_leases.py
+++ b/src/ferryledge/leases/tests/test_leases.py
@@ -337,3 +337,21 @@
     world.submit("entry-0", "5" * 16, work_s=0.9)
     notes = world.nodes["entry-0"].core.take_notes()
     assert any(note.job == "5" * 16 and note.urgent for note in notes)
+
+
+def test_job_is_refused_when_the_share_of_its_entry_is_too_small() -> None:
+    """A pool that would do for one entry is shared by two."""
+    world = worlds.World(seed=1, agents=2)
+    world.run(2.0)
+    core = world.nodes["entry-0"].core
+    hello = wire.Hello(wire.Role.ENTRY, "entry-1", "entry-1.1", "north")
+    core.receive(world.now, wire.PeerUp(hello))
+    tokens = [
+        world.submit("entry-0", f"{n:016x}", count=4, work_s=1.0, cpu=2000)
+        for n in range(5)
+    ]
+    world.run(0.6)
+    refused = [
+        isinstance(world.outcome(token), outcomes.Refused) for token in tokens
+    ]
+    assert refused == [False, False, True, True, True]
--- /dev/null
+++ b/src/ferryledge/leases/tests/test_share.py
@@ -0,0 +1,23 @@
+"""What an entry takes for its share of the pool."""
+
+import pytest
+
+from ferryledge.leases import _share
+
+
+def test_entries_share_alike_until_something_was_started() -> None:
+    assert _share.Share().cores(0.0, 80.0, 4) == 20.0
+
+
+def test_share_follows_what_was_started_lately() -> None:
+    share = _share.Share()
+    for tick in range(400):
+        share.note_started(tick / 100, 0.5)
+    assert share.cores(4.0, 80.0, 4) == pytest.approx(50.0, rel=0.02)
+    assert share.cores(9.0, 80.0, 4) == 20.0
+
+
+def test_share_is_never_more_than_the_pool() -> None:
+    share = _share.Share()
+    share.note_started(0.0, 1000.0)
+    assert share.cores(0.0, 80.0, 4) == 80.0
