--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -206,7 +206,12 @@
         estimate = max(step.estimate_s for step in request.steps)
         expected = self._run_times.expect(request.job_class.name, estimate)
         job = _jobs.Job(
-            request, [token], now, expected, _jobs.make_tasks(request)
+            request,
+            [token],
+            now,
+            expected,
+            _jobs.make_tasks(request),
+            self._run_times.spread(request.job_class.name),
         )
         refusal = self._admission.admit(now, job)
         if refusal is not None:
--- a/src/ferryledge/leases/_jobs.py
+++ b/src/ferryledge/leases/_jobs.py
@@ -2,10 +2,15 @@
 
 import dataclasses
 import enum
+import math
 
 from ferryledge import wire
 
 
+#: A job is smaller than expected by this many deviations one time in ten.
+_LIKELY_DEVIATIONS = 1.28
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobClass:
     """How the operators want one kind of job to be treated."""
@@ -102,6 +107,8 @@
     #: Expected run time of its longest task at normal speed, in seconds.
     expected_s: float
     tasks: list[list[Task]]
+    #: By how much that may be off: the deviation of its logarithm.
+    spread: float = 0.0
     #: When its first run was ordered; none yet if nothing was.
     offered_at: float | None = None
     #: Whether it was answered, or nobody waits for it any more.
@@ -141,8 +148,17 @@
 
     @property
     def start_by(self) -> float:
-        """The latest start that still meets the objective."""
-        return self.objective_at - self.expected_s
+        """The latest start that is likely to meet the objective.
+
+        Objective and run time grow together with the true size of the
+        tasks, which is known by a guess only: the smaller the job really
+        is, the less it may wait. One that waited for the whole of what its
+        expected size allows would be late half of the time.
+        """
+        job_class = self.request.job_class
+        least_s = self.expected_s * math.exp(-_LIKELY_DEVIATIONS * self.spread)
+        wait_s = (job_class.stretch - 1.0) * least_s + job_class.target_s
+        return self.arrived_at + wait_s
 
     @property
     def deadline_at(self) -> float:
--- /dev/null
+++ b/src/ferryledge/leases/tests/test_order.py
@@ -0,0 +1,36 @@
+"""How long a job may wait for its start."""
+
+import pytest
+
+from ferryledge import leases
+from ferryledge.leases import _jobs
+from ferryledge import placement
+from ferryledge import wire
+
+_CLASS = leases.JobClass("quick", "desk", stretch=1.6, target_s=0.06)
+
+
+def _job(spread: float) -> _jobs.Job:
+    step = leases.JobStep(2, wire.Resources(1000, 100, 0), 1.0)
+    request = leases.LeasedJob("a" * 16, _CLASS, "spec", (step,))
+    tasks = _jobs.make_tasks(request)
+    return _jobs.Job(request, [1], 10.0, 1.0, tasks, spread)
+
+
+def test_job_of_known_size_may_wait_for_all_its_slack() -> None:
+    assert _job(0.0).start_by == pytest.approx(10.0 + 0.66)
+
+
+def test_job_of_uncertain_size_may_wait_less() -> None:
+    assert _job(0.4).start_by == pytest.approx(
+        10.0 + 0.06 + 0.6 * 0.6, abs=0.01
+    )
+
+
+def test_spread_is_learned_from_what_tasks_took() -> None:
+    times = placement.RunTimes()
+    assert times.spread("quick") == pytest.approx(0.7)
+    for number in range(400):
+        declared_s = 0.2 if number % 2 else 0.3
+        times.learn("quick", "endpoint", 0.25, declared_s)
+    assert times.spread("quick") < 0.1
--- a/src/ferryledge/placement/_runtimes.py
+++ b/src/ferryledge/placement/_runtimes.py
@@ -9,6 +9,8 @@
 
 #: Run time assumed of a service that never ran, in seconds.
 DEFAULT_RUN_S = 0.3
+#: Spread assumed of a service that never ran: half to double.
+DEFAULT_SPREAD = 0.7
 _SHORTEST_S = 1e-4
 _SERVICE_DECAY = 0.02
 _SPEED_DECAY = 0.06
@@ -76,6 +78,20 @@
         weight = told * told / (own * own + told * told)
         return math.exp(learned + weight * (corrected - learned))
 
+    def spread(self, service: str) -> float:
+        """Return by how much expected run times are off.
+
+        The standard deviation of the logarithm of what tasks took against
+        what was expected.
+
+        :param service: the task's service
+        """
+        row = self._services.get(service)
+        if row is None:
+            return DEFAULT_SPREAD
+        error = min(row.mean_error.value, row.declared_error.value)
+        return min(DEFAULT_SPREAD, math.sqrt(error))
+
     def slowness(self, endpoint: str) -> float:
         """Return how many times as long tasks take there; 1 is normal."""
         row = self._speeds.get(endpoint)
