--- a/src/ferryledge/leases/_jobs.py
+++ b/src/ferryledge/leases/_jobs.py
@@ -160,6 +160,10 @@
         wait_s = (job_class.stretch - 1.0) * least_s + job_class.target_s
         return self.arrived_at + wait_s
 
+    def is_late(self, now: float) -> bool:
+        """Return whether it has not begun and is unlikely to be in time."""
+        return self.offered_at is None and now > self.start_by
+
     @property
     def deadline_at(self) -> float:
         """When the client stops waiting."""
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -38,8 +38,7 @@
 
 def urgency(now: float, job: _jobs.Job) -> tuple[bool, float]:
     """Return a key that sorts jobs by who gets room first."""
-    late = job.offered_at is None and now > job.start_by
-    return (late, job.start_by)
+    return (job.is_late(now), job.start_by)
 
 
 def _preference(name: str, row: _pool.AgentRow) -> int:
--- a/src/ferryledge/leases/_wanting.py
+++ b/src/ferryledge/leases/_wanting.py
@@ -47,10 +47,11 @@
 def most_urgent(now: float, waiting: abc.Iterable[_jobs.Job]) -> float | None:
     """Return the earliest latest start of the jobs that wait for room.
 
-    One that is late already yields to those that are not.
+    One that is late already yields to those that are not, unless some of
+    its tasks run: they hold their room until the last one has ended.
     """
-    starts = [job.start_by for job in waiting]
-    timely = [start for start in starts if start >= now]
-    if timely:
-        return min(timely)
-    return now + _LATE_S if starts else None
+    jobs = list(waiting)
+    pressing = [job.start_by for job in jobs if not job.is_late(now)]
+    if pressing:
+        return min(pressing)
+    return now + _LATE_S if jobs else None
--- a/src/ferryledge/leases/tests/test_order.py
+++ b/src/ferryledge/leases/tests/test_order.py
@@ -4,6 +4,7 @@
 
 from ferryledge import leases
 from ferryledge.leases import _jobs
+from ferryledge.leases import _wanting
 from ferryledge import placement
 from ferryledge import wire
 
@@ -34,3 +35,17 @@
         declared_s = 0.2 if number % 2 else 0.3
         times.learn("quick", "endpoint", 0.25, declared_s)
     assert times.spread("quick") < 0.1
+
+
+def test_begun_job_stays_pressing_for_agents() -> None:
+    begun, waiting = _job(0.0), _job(0.0)
+    begun.offered_at = 10.1
+    late = begun.start_by + 1.0
+    assert _wanting.most_urgent(late, [begun, waiting]) == begun.start_by
+
+
+def test_late_job_yields_to_all_that_are_not() -> None:
+    late, timely = _job(0.0), _job(0.0)
+    timely.arrived_at = 11.0
+    assert _wanting.most_urgent(11.0, [late, timely]) == timely.start_by
+    assert _wanting.most_urgent(11.0, [late]) == pytest.approx(41.0)
