--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -405,10 +405,12 @@
     def _review(self, now: float) -> None:
         """Refuse the jobs that wait in vain, in the order of their turns."""
         untried = sorted(
-            self._jobs.untried, key=lambda job: _placing.urgency(now, job)
+            self._jobs.untried,
+            key=lambda job: _placing.urgency(now, job, self._share.gap_s),
         )
         ahead: dict[str, float] = {}
         entries = 1 + self._peers.entry_count
+        self._share.update(now, self._pool.all_cores(now), entries)
         for job in untried:
             service = job.request.job_class.service
             work = ahead.get(service, 0.0)
@@ -419,15 +421,17 @@
             ahead[service] = work + job.work
 
     def _place(self, now: float) -> None:
-        for placed in self._placing.place(now, self._jobs.waiting):
+        gap_s = self._share.gap_s
+        for placed in self._placing.place(now, self._jobs.waiting, gap_s):
             self._runs.order(now, placed.job, placed.row, placed.tasks)
-            self._share.note_started(now, placed.work)
-        start_by = _wanting.most_urgent(now, self._jobs.waiting)
+            self._share.note_started(now, placed.work, len(placed.tasks))
+        start_by = _wanting.most_urgent(now, self._jobs.waiting, gap_s)
         self._wanted_at = self._wanting.due_at(start_by)
 
     def _tell_wanted(self, now: float) -> None:
         """Tell agents how urgent the waiting jobs are."""
         self._wanted_at = float("inf")
-        start_by = _wanting.most_urgent(now, self._jobs.waiting)
+        gap_s = self._share.gap_s
+        start_by = _wanting.most_urgent(now, self._jobs.waiting, gap_s)
         for row, message in self._wanting.tell(now, start_by, self._pool):
             self._send(row.name, message)
--- a/src/ferryledge/leases/_jobs.py
+++ b/src/ferryledge/leases/_jobs.py
@@ -160,6 +160,15 @@
         wait_s = (job_class.stretch - 1.0) * least_s + job_class.target_s
         return self.arrived_at + wait_s
 
+    def begin_by(self, gap_s: float) -> float:
+        """Return when its next task should start.
+
+        Its last waiting task starts one gap later for each other one.
+
+        :param gap_s: seconds between two starts while the pool is full
+        """
+        return self.start_by - gap_s * self.waiting
+
     def is_late(self, now: float) -> bool:
         """Return whether it has not begun and is unlikely to be in time."""
         return self.offered_at is None and now > self.start_by
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -36,9 +36,16 @@
         return self.job.expected_s * need.cpu_millis / 1e3 * len(self.tasks)
 
 
-def urgency(now: float, job: _jobs.Job) -> tuple[bool, float]:
-    """Return a key that sorts jobs by who gets room first."""
-    return (job.is_late(now), job.start_by)
+def urgency(
+    now: float, job: _jobs.Job, gap_s: float = 0.0
+) -> tuple[bool, float]:
+    """Return a key that sorts jobs by who gets room first.
+
+    :param now: monotonic seconds
+    :param job: the job
+    :param gap_s: seconds between two starts while the pool is full
+    """
+    return (job.is_late(now), job.begin_by(gap_s))
 
 
 def _preference(name: str, row: _pool.AgentRow) -> int:
@@ -70,14 +77,15 @@
         self._ranks: dict[str, int] = {}
 
     def place(
-        self, now: float, jobs: abc.Iterable[_jobs.Job]
+        self, now: float, jobs: abc.Iterable[_jobs.Job], gap_s: float = 0.0
     ) -> abc.Iterator[Placement]:
         """Yield placements; each is to be ordered before the next is asked.
 
         :param now: monotonic seconds
         :param jobs: those with waiting tasks
+        :param gap_s: seconds between two starts while the pool is full
         """
-        waiting = sorted(jobs, key=lambda job: urgency(now, job))
+        waiting = sorted(jobs, key=lambda job: urgency(now, job, gap_s))
         if not waiting:
             return
         open_rows = [
--- a/src/ferryledge/leases/_pool.py
+++ b/src/ferryledge/leases/_pool.py
@@ -206,6 +206,14 @@
             return False
         return now - self._usable_at < _HOPE_S
 
+    def all_cores(self, now: float) -> float:
+        """Return the cores of all endpoints that can be used."""
+        return sum(
+            row.state.capacity.cpu_millis / 1000.0
+            for row in self._rows.values()
+            if row.usable(now)
+        )
+
     def capacity_cores(self, now: float, service: str) -> float:
         """Return the cores of the endpoints that can be used."""
         return sum(
--- a/src/ferryledge/leases/_share.py
+++ b/src/ferryledge/leases/_share.py
@@ -16,15 +16,21 @@
 
     def __init__(self) -> None:
         self._started = 0.0
+        self._tasks = 0.0
         self._started_at = 0.0
+        #: Seconds between two starts of waiting tasks, at this share.
+        self.gap_s = 0.0
 
-    def note_started(self, now: float, work: float) -> None:
+    def note_started(self, now: float, work: float, tasks: int) -> None:
         """Take in that work was ordered.
 
         :param now: monotonic seconds
         :param work: core-seconds that it is expected to take
+        :param tasks: how many
         """
-        self._started = self._decayed(now) + work
+        decay = self._decay(now)
+        self._started = self._started * decay + work
+        self._tasks = self._tasks * decay + tasks
         self._started_at = now
 
     def cores(self, now: float, pool_cores: float, entries: int) -> float:
@@ -34,8 +40,14 @@
         :param pool_cores: of all endpoints that can be used
         :param entries: how many entries there are, with this one
         """
-        lately = self._decayed(now) / _SPAN_S
+        lately = self._started * self._decay(now) / _SPAN_S
         return min(pool_cores, max(lately, pool_cores / entries))
 
-    def _decayed(self, now: float) -> float:
-        return self._started * math.exp((self._started_at - now) / _SPAN_S)
+    def update(self, now: float, pool_cores: float, entries: int) -> None:
+        """Work out the gap between starts anew."""
+        cores = self.cores(now, pool_cores, entries)
+        if cores > 0.0 and self._tasks > 0.0:
+            self.gap_s = self._started / self._tasks / cores
+
+    def _decay(self, now: float) -> float:
+        return math.exp((self._started_at - now) / _SPAN_S)
--- a/src/ferryledge/leases/tests/test_order.py
+++ b/src/ferryledge/leases/tests/test_order.py
@@ -4,6 +4,7 @@
 
 from ferryledge import leases
 from ferryledge.leases import _jobs
+from ferryledge.leases import _share
 from ferryledge.leases import _wanting
 from ferryledge import placement
 from ferryledge import wire
@@ -49,3 +50,18 @@
     timely.arrived_at = 11.0
     assert _wanting.most_urgent(11.0, [late, timely]) == timely.start_by
     assert _wanting.most_urgent(11.0, [late]) == pytest.approx(41.0)
+
+
+def test_wide_job_begins_sooner_than_one_task_of_its_size() -> None:
+    job = _job(0.0)
+    assert job.begin_by(0.02) == pytest.approx(job.start_by - 0.04)
+    job.set_state(job.all_tasks[0], _jobs.TaskState.BOUND)
+    assert job.begin_by(0.02) == pytest.approx(job.start_by - 0.02)
+
+
+def test_gap_between_starts_follows_share_and_size() -> None:
+    share = _share.Share()
+    for tick in range(400):
+        share.note_started(tick / 100, 0.5, 2)
+    share.update(4.0, 80.0, 4)
+    assert share.gap_s == pytest.approx(0.25 / 50.0, rel=0.02)
--- a/src/ferryledge/leases/tests/test_share.py
+++ b/src/ferryledge/leases/tests/test_share.py
@@ -12,12 +12,12 @@
 def test_share_follows_what_was_started_lately() -> None:
     share = _share.Share()
     for tick in range(400):
-        share.note_started(tick / 100, 0.5)
+        share.note_started(tick / 100, 0.5, 1)
     assert share.cores(4.0, 80.0, 4) == pytest.approx(50.0, rel=0.02)
     assert share.cores(9.0, 80.0, 4) == 20.0
 
 
 def test_share_is_never_more_than_the_pool() -> None:
     share = _share.Share()
-    share.note_started(0.0, 1000.0)
+    share.note_started(0.0, 1000.0, 1)
     assert share.cores(0.0, 80.0, 4) == 80.0
