--- a/src/ferryledge/leases/_states.py
+++ b/src/ferryledge/leases/_states.py
@@ -8,7 +8,7 @@
 
 #: Entries that an agent keeps up to date: few enough that they seldom want
 #: the same room, and that reports stay bounded as entries are added.
-HOMES = 3
+HOMES = 4
 #: Seconds between reports to other entries, and while room is plentiful.
 SELDOM_S = 0.45
 PLENTY_S = 0.1
