--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -172,12 +172,17 @@
                 self._group.start_soon(self._start, action)
             case leases.StopRun():
                 self._group.start_soon(self._stop, action)
+            case leases.ListRuns(renewal):
+                self._group.start_soon(self._list_runs, renewal)
             case leases.RememberEndpoint(seen):
                 self._memory.remember(seen)
 
     async def _start(self, order: leases.StartRun) -> None:
         self._driver.post(await self._calls.start(order))
 
+    async def _list_runs(self, renewal: leases.Renewal) -> None:
+        self._driver.post(await self._calls.list_runs(renewal))
+
     async def _stop(self, order: leases.StopRun) -> None:
         self._driver.post(await self._calls.stop(order))
 
--- a/src/ferryledge/leases/__init__.py
+++ b/src/ferryledge/leases/__init__.py
@@ -45,6 +45,7 @@
 LeaseRenewed = _agent_events.LeaseRenewed
 LeaseTiming = _timing.LeaseTiming
 LeasedJob = _jobs.LeasedJob
+ListRuns = _agent_events.ListRuns
 ListedEnd = _agent_events.ListedEnd
 ListedRun = _agent_events.ListedRun
 RememberEndpoint = _agent_events.RememberEndpoint
@@ -89,6 +90,7 @@
     "LeaseRenewed",
     "LeaseTiming",
     "LeasedJob",
+    "ListRuns",
     "ListedEnd",
     "ListedRun",
     "RememberEndpoint",
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -5,8 +5,11 @@
 whose grant has run out.
 """
 
+import dataclasses
+
 from ferryledge.leases import _agent_events
 from ferryledge.leases import _agent_notes
+from ferryledge.leases import _answer_times
 from ferryledge.leases import _endpoint
 from ferryledge.leases import _listing
 from ferryledge.leases import _meters
@@ -68,6 +71,9 @@
         self._actions: list[_agent_events.AgentAction] = []
         self._drain_until = float("inf")
         self._speed = _speed.EndpointSpeed()
+        self._answer_times = _answer_times.AnswerTimes(self._timing.order_s)
+        #: When the endpoint is asked beside the renewals what it runs.
+        self._list_at = float("inf")
         self._reports = _reports.Reports(
             name, self._owners, self._runs, self._send
         )
@@ -147,9 +153,8 @@
             case _agent_events.StartAnswered():
                 self._on_start_answered(now, event)
             case _agent_events.StopAnswered(key, confirmed):
-                row = self._runs.find(key)
-                if row is not None and confirmed:
-                    row.stop_confirmed_at = now
+                if confirmed:
+                    self._on_stop_confirmed(now, key)
 
     def _on_seen(self, now: float, seen: _agent_events.EndpointSeen) -> None:
         known = self._link.seen
@@ -185,6 +190,7 @@
         self._check_endpoint(now)
         self._check_grants(now)
         self._repeat_stops(now)
+        self._list_runs(now)
         if self._link.synced:
             self._reports.tell_held()
         self._ask(now)
@@ -207,7 +213,9 @@
             for owner in self._owners
             if self._has_unstopped(owner.incarnation)
         ]
-        return min([*asks, *stops, *grants, self._reports.due_at])
+        return min(
+            [*asks, *stops, *grants, self._reports.due_at, self._list_at]
+        )
 
     def _has_unstopped(self, owner: str) -> bool:
         return self._runs.has_owner(owner) and any(
@@ -335,6 +343,7 @@
                 self._link.incarnation,
                 lease_until_ms,
                 self._link.token,
+                self._answer_times.limit_s,
             )
         )
 
@@ -414,6 +423,23 @@
 
     # What the endpoint says.
 
+    def _on_stop_confirmed(self, now: float, key: _runs.RunKey) -> None:
+        row = self._runs.find(key)
+        if row is None:
+            return
+        row.stop_confirmed_at = now
+        if row.release is not None:
+            # Its task waits to be ordered elsewhere: don't wait for the
+            # renewal that is on its way.
+            self._list_at = min(self._list_at, now + self._timing.stop_s)
+
+    def _list_runs(self, now: float) -> None:
+        if now < self._list_at:
+            return
+        self._list_at = float("inf")
+        renewal = dataclasses.replace(self._link.renewal(now), wait_ms=0)
+        self._actions.append(_agent_events.ListRuns(renewal))
+
     def _on_start_answered(
         self, now: float, event: _agent_events.StartAnswered
     ) -> None:
@@ -423,6 +449,7 @@
             return
         match event.result:
             case _agent_events.StartResult.STARTED:
+                self._answer_times.note(now - row.ordered_at)
                 row.confirmed_at = now
                 if row.pace is not None:
                     row.pace.start(now)
--- a/src/ferryledge/leases/_agent_events.py
+++ b/src/ferryledge/leases/_agent_events.py
@@ -186,6 +186,15 @@
     #: End of the lease on the endpoint's clock.
     lease_until_ms: int
     token: int
+    #: Seconds after which an answer counts as missing.
+    answer_s: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class ListRuns:
+    """Ask the endpoint at once what it runs, beside the usual renewals."""
+
+    renewal: "Renewal"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -224,6 +233,7 @@
     | DialEntries
     | StartRun
     | StopRun
+    | ListRuns
     | RememberEndpoint
 )
 
--- a/src/ferryledge/leases/tests/world.py
+++ b/src/ferryledge/leases/tests/world.py
@@ -235,6 +235,8 @@
                 self._order(name, action)
             case leases.StopRun():
                 self._order(name, action)
+            case leases.ListRuns(renewal):
+                self._list_runs(name, renewal)
             case leases.AnswerJob(token, outcome):
                 self._note_answer(token, outcome)
             case leases.RememberEndpoint(seen):
@@ -366,7 +368,24 @@
             silent = leases.StartAnswered(
                 order.key, leases.StartResult.SILENT, order.incarnation
             )
-            self.at(0.06, lambda: self.post(agent, silent))
+            self.at(order.answer_s, lambda: self.post(agent, silent))
+
+    def _list_runs(self, agent: str, renewal: leases.Renewal) -> None:
+        endpoint = self.endpoints[agent]
+        life = self.nodes[agent].life
+        sent_at = self.now
+
+        def carry_out() -> None:
+            if not endpoint.up or self.rng.random() < self.late_orders:
+                return
+            event = endpoint.renew(self.now, sent_at, renewal)
+            self.at(CALL_S, lambda: answer(event))
+
+        def answer(event: typing.Any) -> None:
+            if self.nodes[agent].life == life:
+                self.post(agent, event)
+
+        self.at(CALL_S, carry_out)
 
     def _renew_loop(self, agent: str, life: int) -> None:
         node = self.nodes[agent]
--- a/src/ferryledge/platform/_endpoint.py
+++ b/src/ferryledge/platform/_endpoint.py
@@ -83,7 +83,7 @@
     """Orders and renewals by the endpoint's protocol.
 
     :param address: ``host:port`` of the endpoint
-    :param order_s: seconds until an order counts as unanswered
+    :param order_s: seconds until a stop counts as unanswered
     """
 
     def __init__(self, address: str, order_s: float) -> None:
@@ -108,7 +108,7 @@
         }
         try:
             response = await self._call(
-                "/run-start", fields, order.incarnation, self._order_s
+                "/run-start", fields, order.incarnation, order.answer_s
             )
         except net.ConnectError:
             return _started(order, leases.StartResult.DOWN, 0)
@@ -133,10 +133,21 @@
             return leases.StopAnswered(order.key, False)
         return leases.StopAnswered(order.key, response.status == 200)
 
+    async def list_runs(
+        self, renewal: leases.Renewal
+    ) -> leases.LeaseRenewed | leases.LeaseNotRenewed:
+        """Renew the lease beside the call that waits for ends."""
+        return await self._hold(renewal, self._orders)
+
     async def renew(
         self, renewal: leases.Renewal
     ) -> leases.LeaseRenewed | leases.LeaseNotRenewed:
         """Renew the lease; tells what runs and what has ended."""
+        return await self._hold(renewal, self._renewals)
+
+    async def _hold(
+        self, renewal: leases.Renewal, caller: net.HttpCaller
+    ) -> leases.LeaseRenewed | leases.LeaseNotRenewed:
         fields: dict[str, object] = {
             "FencingToken": renewal.token,
             "AckedUpto": renewal.acknowledged,
@@ -149,7 +160,7 @@
         wait_s = renewal.wait_ms / 1000.0 + _RENEW_SLACK_S
         try:
             response = await self._call(
-                "/hold", fields, renewal.incarnation, wait_s, renewing=True
+                "/hold", fields, renewal.incarnation, wait_s, caller
             )
         except net.ConnectError:
             return _not_renewed(renewal, leases.CallFault.DOWN)
@@ -174,13 +185,12 @@
         fields: dict[str, object],
         incarnation: str,
         answer_s: float,
-        renewing: bool = False,
+        caller: net.HttpCaller | None = None,
     ) -> net.CallResponse:
         headers = []
         if incarnation:
             headers.append(("expect-instance", incarnation))
-        caller = self._renewals if renewing else self._orders
-        return await caller.call(
+        return await (caller or self._orders).call(
             "POST",
             path,
             msgspec.json.encode(fields),
--- a/src/ferryledge/platform/tests/test_calls.py
+++ b/src/ferryledge/platform/tests/test_calls.py
@@ -104,7 +104,7 @@
     async def use(port: int) -> None:
         calls = platform.EndpointCalls(f"127.0.0.1:{port}", 5.0)
         until = server.model.clock_ms(anyio.current_time()) + 900
-        order = leases.StartRun(key, "x", "e-1", until, 7)
+        order = leases.StartRun(key, "x", "e-1", until, 7, 0.5)
         started = await calls.start(order)
         assert started.result is leases.StartResult.STARTED
         renewal = leases.Renewal("e-1", until, 7, 0, 0)
@@ -126,9 +126,9 @@
         calls = platform.EndpointCalls(f"127.0.0.1:{port}", 5.0)
         until = server.model.clock_ms(anyio.current_time()) + 900
         cases = (
-            (leases.StartRun(key, "x", "e-2", until, 7), "replaced"),
-            (leases.StartRun(key, "x", "e-1", 1, 7), "late"),
-            (leases.StartRun(key, "x", "e-1", until, 6), "fenced"),
+            (leases.StartRun(key, "x", "e-2", until, 7, 0.5), "replaced"),
+            (leases.StartRun(key, "x", "e-1", 1, 7, 0.5), "late"),
+            (leases.StartRun(key, "x", "e-1", until, 6, 0.5), "fenced"),
         )
         for order, word in cases:
             answer = await calls.start(order)
@@ -144,7 +144,9 @@
 def test_endpoint_that_is_down_has_started_nothing() -> None:
     async def main() -> None:
         calls = platform.EndpointCalls("127.0.0.1:9", 5.0)
-        order = leases.StartRun(leases.RunKey("j", 0, 0, 1), "x", "", 1, 1)
+        order = leases.StartRun(
+            leases.RunKey("j", 0, 0, 1), "x", "", 1, 1, 0.5
+        )
         answer = await calls.start(order)
         assert answer.result is leases.StartResult.DOWN
 
