Late heartbeats join the fault matrix and the mutations

The matrix replaces an endpoint and then delivers a heartbeat of the one before, at each step of a job. Taken out alone, the rule that the endpoint itself decides which incarnation it is makes a task run twice.

--- a/src/ferryledge/leases/tests/faults.py
+++ b/src/ferryledge/leases/tests/faults.py
@@ -56,6 +56,13 @@
     world.heartbeat(agent, 1000)
 
 
+def _late_heartbeat(world: worlds.World, agent: str) -> None:
+    """Replace an endpoint, then deliver a heartbeat held up before that."""
+    old = world.endpoints[agent].incarnation
+    world.crash_endpoint(agent, 0.2)
+    world.at(0.4, lambda: world.heartbeat_of(agent, old, 10**6))
+
+
 FAULTS: dict[str, Strike] = {
     "orders lost or late": _lost_orders,
     "agent killed": _agent(lambda w, a: w.kill(a)),
@@ -63,6 +70,7 @@
     "agent paused": _agent(lambda w, a: w.pause(a, 0.5)),
     "agent paused for long": _agent(lambda w, a: w.pause(a, 3.0)),
     "endpoint crashed": _agent(lambda w, a: w.crash_endpoint(a)),
+    "endpoint replaced, then a late heartbeat": _agent(_late_heartbeat),
     "endpoint gone": _agent(lambda w, a: w.crash_endpoint(a, None)),
     "endpoint draining": _agent(_drain),
     "endpoint stands still": _slow,
--- a/src/ferryledge/leases/tests/test_mutations.py
+++ b/src/ferryledge/leases/tests/test_mutations.py
@@ -9,7 +9,9 @@
 
 import pytest
 
+from ferryledge import leases
 from ferryledge.leases import _agent
+from ferryledge.leases import _endpoint
 from ferryledge.leases import _owners
 from ferryledge.leases import _timing
 from ferryledge.leases.tests import faults
@@ -43,6 +45,19 @@
     return world
 
 
+def _late_heartbeat_during_a_run() -> worlds.World:
+    world = worlds.World(seed=5)
+    world.run(2.0)
+    old = world.endpoints["agent-0"].incarnation
+    world.crash_endpoint("agent-0", 0.2)
+    world.run(2.0)
+    world.submit("entry-0", _JOB, count=20, work_s=0.5)
+    world.run(0.1)
+    world.heartbeat_of("agent-0", old, 10**6)
+    world.run(4.0)
+    return world
+
+
 def _agent_back_while_its_entry_is_gone() -> worlds.World:
     world = worlds.World(seed=5, agents=1)
     world.run(2.0)
@@ -66,6 +81,15 @@
     scenario: abc.Callable[[], worlds.World]
 
 
+def _believe(
+    link: _endpoint.EndpointLink, seen: leases.EndpointSeen, now: float
+) -> bool:
+    """Take any other incarnation for a successor."""
+    if link.incarnation == seen.incarnation:
+        return False
+    return link._take(seen, now)
+
+
 def _nothing(*_: typing.Any) -> None:
     """Stand in for a mechanism that is taken out."""
 
@@ -90,6 +114,12 @@
         _always,
         _entry_gone_and_its_job_repeated,
     ),
+    "any heartbeat is the endpoint's": Mutation(
+        _endpoint.EndpointLink,
+        "see",
+        _believe,
+        _late_heartbeat_during_a_run,
+    ),
     "what runs is not adopted": Mutation(
         _agent.LeaseAgent,
         "_adopt",
--- a/src/ferryledge/leases/tests/world.py
+++ b/src/ferryledge/leases/tests/world.py
@@ -435,9 +435,13 @@
 
     def heartbeat(self, agent: str, number: int) -> None:
         """Let an endpoint report to its agent."""
+        self.heartbeat_of(agent, self.endpoints[agent].incarnation, number)
+
+    def heartbeat_of(self, agent: str, incarnation: str, number: int) -> None:
+        """Let a heartbeat of any incarnation of an endpoint arrive."""
         endpoint = self.endpoints[agent]
         seen = leases.EndpointSeen(
-            endpoint.incarnation,
+            incarnation,
             "desk",
             "127.0.0.1:1",
             endpoint.capacity,
