Give the agent's stops a module of their own

Ordering, repeating and confirming stops, and stopping what an entry no longer answers for, are one job with its own state; they move to leases/_stopping.py unchanged. Tests as before.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -5,8 +5,6 @@
 whose grant has run out.
 """
 
-import dataclasses
-
 from ferryledge.leases import _agent_events
 from ferryledge.leases import _agent_notes
 from ferryledge.leases import _answer_times
@@ -18,6 +16,7 @@
 from ferryledge.leases import _reports
 from ferryledge.leases import _runs
 from ferryledge.leases import _speed
+from ferryledge.leases import _stopping
 from ferryledge.leases import _timing
 from ferryledge import wire
 
@@ -25,8 +24,6 @@
 _RUN_MARGIN = 2.0
 #: Steps in which the time left is told, in seconds.
 _TIME_STEP_S = 0.5
-#: Seconds after which a disconnected entry without runs is forgotten.
-_FORGET_S = 10.0
 
 _RELEASES = {
     _agent_events.StartResult.FENCED: wire.NotStarted.REJECTED,
@@ -72,8 +69,14 @@
         self._drain_until = float("inf")
         self._speed = _speed.EndpointSpeed()
         self._answer_times = _answer_times.AnswerTimes(self._timing.order_s)
-        #: When the endpoint is asked beside the renewals what it runs.
-        self._list_at = float("inf")
+        self._stopping = _stopping.Stopping(
+            self._runs,
+            self._link,
+            self._owners,
+            self._timing,
+            self._notes,
+            self._act,
+        )
         self._reports = _reports.Reports(
             name, self._owners, self._runs, self._send
         )
@@ -154,7 +157,7 @@
                 self._on_start_answered(now, event)
             case _agent_events.StopAnswered(key, confirmed):
                 if confirmed:
-                    self._on_stop_confirmed(now, key)
+                    self._stopping.confirmed(now, key)
 
     def _on_seen(self, now: float, seen: _agent_events.EndpointSeen) -> None:
         known = self._link.seen
@@ -176,7 +179,7 @@
         if seen is None or seen is self._kept:
             return
         if self._kept is None or not seen.describes_as(self._kept):
-            self._actions.append(_agent_events.RememberEndpoint(seen))
+            self._act(_agent_events.RememberEndpoint(seen))
         self._kept = seen
 
     def _forget_endpoint(self) -> None:
@@ -188,9 +191,7 @@
         """Return the actions that are due."""
         self._now = now
         self._check_endpoint(now)
-        self._check_grants(now)
-        self._repeat_stops(now)
-        self._list_runs(now)
+        self._stopping.tick(now, self._unclaimed_since)
         if self._link.synced:
             self._reports.tell_held()
         self._ask(now)
@@ -203,32 +204,17 @@
     def wake_at(self) -> float:
         """Return when to tick at the latest."""
         asks = [one.next_ask_at for one in self._owners.connected()]
-        stops = [
-            row.stop_sent_at + self._timing.order_s
-            for row in self._runs
-            if row.stop_sent_at is not None and row.stop_confirmed_at is None
-        ]
-        grants = [
-            owner.granted_at + self._timing.grant_s
-            for owner in self._owners
-            if self._has_unstopped(owner.incarnation)
-        ]
-        return min(
-            [*asks, *stops, *grants, self._reports.due_at, self._list_at]
-        )
-
-    def _has_unstopped(self, owner: str) -> bool:
-        return self._runs.has_owner(owner) and any(
-            row.state is not _runs.RunState.STOPPING
-            for row in self._runs.of_owner(owner)
-        )
+        return min([*asks, self._stopping.due_at(), self._reports.due_at])
 
     def renewal(self, now: float) -> _agent_events.Renewal:
         """Return what the next call for a renewal is to say."""
         return self._link.renewal(now)
 
+    def _act(self, action: _agent_events.AgentAction) -> None:
+        self._actions.append(action)
+
     def _send(self, owner: _owners.Owner, message: wire.Message) -> None:
-        self._actions.append(_agent_events.SendMessage(owner.name, message))
+        self._act(_agent_events.SendMessage(owner.name, message))
 
     # Messages.
 
@@ -244,7 +230,7 @@
                 self._on_order(now, owner, message)
             case wire.StopRuns(job, runs):
                 for run in runs:
-                    self._stop(now, _runs.RunKey.of(job, run), owner)
+                    self._stopping.stop(now, _runs.RunKey.of(job, run), owner)
             case wire.ClaimRuns(runs):
                 self._on_claim(owner, runs)
             case wire.RoomWanted(start_by_s):
@@ -254,7 +240,7 @@
             case wire.GrantLease(number):
                 self._owners.granted(owner, number)
             case wire.EntryList(entries):
-                self._actions.append(_agent_events.DialEntries(entries))
+                self._act(_agent_events.DialEntries(entries))
             case _:
                 return
 
@@ -336,7 +322,7 @@
         if order.expected_s > 0.0:
             row.pace = _speed.RunPace(order.job, order.expected_s, now)
         self._runs.add(row)
-        self._actions.append(
+        self._act(
             _agent_events.StartRun(
                 key,
                 order.spec,
@@ -359,54 +345,6 @@
             row.need = held.need
             self._runs.add(row)
 
-    # Stopping.
-
-    def _stop(
-        self,
-        now: float,
-        key: _runs.RunKey,
-        owner: _owners.Owner | None = None,
-        release: wire.NotStarted | None = None,
-    ) -> None:
-        row = self._runs.find(key)
-        if row is None or row.state is _runs.RunState.STOPPING:
-            return
-        if owner is not None and row.owner != owner.incarnation:
-            return
-        row.state = _runs.RunState.STOPPING
-        row.release = release
-        self._send_stop(now, row)
-
-    def _send_stop(self, now: float, row: _runs.RunRow) -> None:
-        row.stop_sent_at = now
-        self._actions.append(
-            _agent_events.StopRun(
-                row.key, self._link.incarnation, self._link.token
-            )
-        )
-
-    def _repeat_stops(self, now: float) -> None:
-        for row in self._runs:
-            if row.stop_sent_at is None or row.stop_confirmed_at is not None:
-                continue
-            if now - row.stop_sent_at >= self._timing.order_s:
-                self._send_stop(now, row)
-
-    def _check_grants(self, now: float) -> None:
-        """Stop what no entry answers for any more."""
-        for owner in self._owners:
-            if self._owners.has_grant(owner, now):
-                continue
-            for row in self._runs.of_owner(owner.incarnation):
-                if row.state is not _runs.RunState.STOPPING:
-                    self._notes.grant_ran_out(now, owner, row)
-                self._stop(now, row.key)
-            if not owner.connected and now - owner.granted_at > _FORGET_S:
-                self._owners.forget(owner.incarnation)
-        if now - self._unclaimed_since > self._timing.grant_s:
-            for row in self._runs.of_owner(""):
-                self._stop(now, row.key)
-
     def _check_endpoint(self, now: float) -> None:
         known = self._link.seen
         if self._link.give_way(now):
@@ -423,23 +361,6 @@
 
     # What the endpoint says.
 
-    def _on_stop_confirmed(self, now: float, key: _runs.RunKey) -> None:
-        row = self._runs.find(key)
-        if row is None:
-            return
-        row.stop_confirmed_at = now
-        if row.release is not None:
-            # Its task waits to be ordered elsewhere: don't wait for the
-            # renewal that is on its way.
-            self._list_at = min(self._list_at, now + self._timing.stop_s)
-
-    def _list_runs(self, now: float) -> None:
-        if now < self._list_at:
-            return
-        self._list_at = float("inf")
-        renewal = dataclasses.replace(self._link.renewal(now), wait_ms=0)
-        self._actions.append(_agent_events.ListRuns(renewal))
-
     def _on_start_answered(
         self, now: float, event: _agent_events.StartAnswered
     ) -> None:
@@ -457,7 +378,9 @@
                     row.state = _runs.RunState.RUNNING
             case _agent_events.StartResult.SILENT:
                 self._notes.unanswered(row)
-                self._stop(now, row.key, release=wire.NotStarted.NO_ANSWER)
+                self._stopping.stop(
+                    now, row.key, release=wire.NotStarted.NO_ANSWER
+                )
             case _:
                 if event.result is _agent_events.StartResult.FENCED:
                     self._link.raise_token(event.clock_ms, now)
@@ -574,7 +497,7 @@
         for owner in self._owners.connected():
             if self._owners.is_silent(owner, now):
                 self._owners.leave(owner.name, owner.incarnation)
-                self._actions.append(_agent_events.CloseStream(owner.name))
+                self._act(_agent_events.CloseStream(owner.name))
                 continue
             if now < owner.next_ask_at:
                 continue
--- /dev/null
+++ b/src/ferryledge/leases/_stopping.py
@@ -0,0 +1,148 @@
+"""Stops runs at the endpoint, and knows when to look again."""
+
+from collections import abc
+import dataclasses
+
+from ferryledge.leases import _agent_events
+from ferryledge.leases import _agent_notes
+from ferryledge.leases import _endpoint
+from ferryledge.leases import _owners
+from ferryledge.leases import _runs
+from ferryledge.leases import _timing
+from ferryledge import wire
+
+#: Seconds after which a disconnected entry without runs is forgotten.
+_FORGET_S = 10.0
+
+Act = abc.Callable[[_agent_events.AgentAction], None]
+
+
+class Stopping:
+    """Orders stops and repeats them until the endpoint confirms them.
+
+    :param runs: what the endpoint holds
+    :param link: the link to the endpoint
+    :param owners: the entries
+    :param timing: the lease rule
+    :param notes: what is decided
+    :param act: takes what is to be done
+    """
+
+    def __init__(
+        self,
+        runs: _runs.RunTable,
+        link: _endpoint.EndpointLink,
+        owners: _owners.OwnerTable,
+        timing: _timing.LeaseTiming,
+        notes: _agent_notes.AgentNotes,
+        act: Act,
+    ) -> None:
+        self._runs = runs
+        self._link = link
+        self._owners = owners
+        self._timing = timing
+        self._notes = notes
+        self._act = act
+        #: When the endpoint is asked beside the renewals what it runs.
+        self._list_at = float("inf")
+
+    def stop(
+        self,
+        now: float,
+        key: _runs.RunKey,
+        owner: _owners.Owner | None = None,
+        release: wire.NotStarted | None = None,
+    ) -> None:
+        """Stop a run; nothing happens if that was ordered before.
+
+        :param now: monotonic seconds
+        :param key: the run
+        :param owner: the entry that asks, which must own it; none if this
+            agent decides
+        :param release: what its entry is told should it never have started
+        """
+        row = self._runs.find(key)
+        if row is None or row.state is _runs.RunState.STOPPING:
+            return
+        if owner is not None and row.owner != owner.incarnation:
+            return
+        row.state = _runs.RunState.STOPPING
+        row.release = release
+        self._order(now, row)
+
+    def _order(self, now: float, row: _runs.RunRow) -> None:
+        row.stop_sent_at = now
+        self._act(
+            _agent_events.StopRun(
+                row.key, self._link.incarnation, self._link.token
+            )
+        )
+
+    def confirmed(self, now: float, key: _runs.RunKey) -> None:
+        """Note that the endpoint took a stop."""
+        row = self._runs.find(key)
+        if row is None:
+            return
+        row.stop_confirmed_at = now
+        if row.release is not None:
+            # Its task waits to be ordered elsewhere: don't wait for the
+            # renewal that is on its way.
+            self._list_at = min(self._list_at, now + self._timing.stop_s)
+
+    def tick(self, now: float, unclaimed_since: float) -> None:
+        """Order the stops that are due.
+
+        :param now: monotonic seconds
+        :param unclaimed_since: since when runs wait to be claimed
+        """
+        for owner in self._owners:
+            if not self._owners.has_grant(owner, now):
+                self._stop_without_grant(now, owner)
+        if now - unclaimed_since > self._timing.grant_s:
+            for row in self._runs.of_owner(""):
+                self.stop(now, row.key)
+        self._repeat(now)
+        self._list_runs(now)
+
+    def _stop_without_grant(self, now: float, owner: _owners.Owner) -> None:
+        """Stop what an entry does not answer for any more."""
+        for row in self._runs.of_owner(owner.incarnation):
+            if row.state is not _runs.RunState.STOPPING:
+                self._notes.grant_ran_out(now, owner, row)
+            self.stop(now, row.key)
+        if not owner.connected and now - owner.granted_at > _FORGET_S:
+            self._owners.forget(owner.incarnation)
+
+    def _repeat(self, now: float) -> None:
+        for row in self._runs:
+            if row.stop_sent_at is None or row.stop_confirmed_at is not None:
+                continue
+            if now - row.stop_sent_at >= self._timing.order_s:
+                self._order(now, row)
+
+    def _list_runs(self, now: float) -> None:
+        if now < self._list_at:
+            return
+        self._list_at = float("inf")
+        renewal = dataclasses.replace(self._link.renewal(now), wait_ms=0)
+        self._act(_agent_events.ListRuns(renewal))
+
+    def due_at(self) -> float:
+        """Return when to tick at the latest."""
+        stops = [
+            row.stop_sent_at + self._timing.order_s
+            for row in self._runs
+            if row.stop_sent_at is not None and row.stop_confirmed_at is None
+        ]
+        grants = [
+            owner.granted_at + self._timing.grant_s
+            for owner in self._owners
+            if self._has_unstopped(owner.incarnation)
+        ]
+        return min([*stops, *grants, self._list_at])
+
+    def _has_unstopped(self, owner: str) -> bool:
+        return self._runs.has_owner(owner) and any(
+            row.state is not _runs.RunState.STOPPING
+            for row in self._runs.of_owner(owner)
+        )
