--- a/src/ferryledge/hosted/_metrics.py
+++ b/src/ferryledge/hosted/_metrics.py
@@ -98,7 +98,9 @@
             "answer_seconds", "From a job's arrival to its answer"
         )
         self._slowdown = registry.histogram(
-            "slowdown_ratio", "An answer's time to its objective", _SLOWDOWN
+            "slowdown_ratio",
+            "An answer's time to its objective, by the job's expected size",
+            _SLOWDOWN,
         )
         self._first = registry.histogram(
             "first_order_seconds", "From a job's arrival to its first order"
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -9,6 +9,11 @@
 from ferryledge import wire
 
 
+#: The true size is known to the client alone: of the answers that are late
+#: by the expected size, most are in time.
+_LATE = ", late by its expected size"
+
+
 class EntryNotes(_notes.Notes):
     """What an entry decides about jobs, and believes of agents.
 
@@ -41,7 +46,7 @@
         tag = outcomes.tag_of(outcome)
         match outcome:
             case outcomes.Complete():
-                late = ", late" if now > job.objective_at else ""
+                late = _LATE if now > job.objective_at else ""
                 self._answer(now, job, tag, f"answered: complete{late}")
             case outcomes.Refused(reason, _, retry_after_s, detail):
                 self._answer(
