Adopt nothing by a list that is older than one taken in

Change: only a list of a newer clock of the endpoint adopts runs. The new test fails without it; all tests of leases pass.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -81,6 +81,8 @@
             name, self._owners, self._runs, self._send
         )
         self._unclaimed_since = now
+        #: The endpoint's clock as of the newest list of runs.
+        self._listed_clock_ms = 0
         #: What was kept of the endpoint last, for this agent's next start.
         self._kept: _agent_events.EndpointSeen | None = None
         self._now = now
@@ -185,6 +187,7 @@
     def _forget_endpoint(self) -> None:
         """Start anew: another incarnation runs nothing of before."""
         self._speed = _speed.EndpointSpeed()
+        self._listed_clock_ms = 0
         self._lose_all()
 
     def tick(self, now: float) -> list[_agent_events.AgentAction]:
@@ -412,8 +415,12 @@
             row.confirmed_at = row.confirmed_at or event.sent_at
             if row.pace is not None:
                 row.pace.sample(now, run.done)
-        for key in listed:
-            self._adopt(now, key)
+        if event.clock_ms > self._listed_clock_ms:
+            # An older list may come later, on another connection, and name
+            # runs whose end was taken in since.
+            self._listed_clock_ms = event.clock_ms
+            for key in listed:
+                self._adopt(now, key)
         self._speed.update(now, self._paces())
         self._link.synced = True
 
--- a/src/ferryledge/leases/tests/test_silent_orders.py
+++ b/src/ferryledge/leases/tests/test_silent_orders.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from ferryledge import leases
 from ferryledge.leases import _answer_times
 from ferryledge.leases.tests import world as worlds
 from ferryledge import outcomes
@@ -37,3 +38,24 @@
     world.run(1.0)
     assert isinstance(world.outcome(token), outcomes.Complete)
     assert not world.violations
+
+
+def test_older_list_that_comes_later_adopts_nothing() -> None:
+    """Two calls that list runs may overtake each other."""
+    world = worlds.World(seed=4, agents=1)
+    world.run(2.0)
+    world.submit("entry-0", "a" * 16, count=1, work_s=0.3)
+    world.run(0.1)
+    agent = world.nodes["agent-0"].core
+    (run,) = agent.runs
+    older = leases.LeaseRenewed(
+        world.now,
+        agent.link.incarnation,
+        world.endpoints["agent-0"].clock_ms(world.now),
+        (leases.ListedRun(run.key, 0.3),),
+        (),
+    )
+    world.run(0.4)
+    assert agent.idle
+    world.post("agent-0", older)
+    assert agent.idle
