--- a/src/ferryledge/capacity/_page.py
+++ b/src/ferryledge/capacity/_page.py
@@ -213,13 +213,13 @@
 team may use that part twice, for as long as they differ. Regions do not
 share quotas: regions that lose each other change nothing.
 
-**Under leases.** An agent asks each entry for the right to renew every
-0.3 s, since an entry must know within 0.45 s that an agent is gone: that is
-what the lines above that are not met consist of. It grows with agents times
-entries. To stay within 3 kB a second an entry may hold streams to
+**Under leases.** An agent asks four entries (`homes`) for the right to renew
+every 0.3 s, since they must know within 0.45 s that an agent is gone, and
+the others every 0.45 s. The lines above count all as homes. It grows with
+agents times entries. To stay within 3 kB a second an entry may hold streams to
 {int(3000 / (costs.leased.entry_bytes / costs.endpoints_per_region))} agents
-only; with more, an agent would ask those entries often that hold runs there,
-and the others seldom, as it does with its reports of room (`homes`).
+only; with more, an agent would keep streams to its homes, and to others
+while they hold runs there.
 
 **Where it breaks first.** One scheduler a pool: beyond {ten:,.0f} starts a
 second in jobs of ten, a pool must be smaller (`pool_size`). The memory
