--- a/src/ferryledge/leases/_admission.py
+++ b/src/ferryledge/leases/_admission.py
@@ -6,6 +6,7 @@
 from ferryledge.leases import _placing
 from ferryledge.leases import _pool
 from ferryledge.leases import _share
+from ferryledge.leases import _timing
 from ferryledge import limits
 from ferryledge import outcomes
 
@@ -13,8 +14,6 @@
 _PROMPT_SHARE = 0.25
 #: Share of the client's time after which an untried job is given up.
 _UNTRIED_SHARE = 0.4
-#: A job is taken if this many times its expected time is left.
-_RUN_MARGIN = 2.0
 #: Base and longest delay in seconds that a refused client is told.
 _RETRY_S = 0.5
 _LONGEST_RETRY_S = 5.0
@@ -51,7 +50,7 @@
 
     def admit(self, now: float, job: _jobs.Job) -> outcomes.Refused | None:
         """Return a refusal for a new job, or none."""
-        if now + job.expected_s * _RUN_MARGIN > self._ends_at:
+        if now + job.expected_s * _timing.RUN_MARGIN > self._ends_at:
             return self._refuse(
                 outcomes.Reason.DRAINING, "this entry ends before the job"
             )
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -20,8 +20,6 @@
 from ferryledge.leases import _timing
 from ferryledge import wire
 
-#: An order is taken if this many times its expected run time is left.
-_RUN_MARGIN = 2.0
 #: Steps in which the time left is told, in seconds.
 _TIME_STEP_S = 0.5
 
@@ -275,7 +273,7 @@
     def _refusal(
         self, now: float, owner: _owners.Owner, order: wire.OrderRuns
     ) -> wire.NotStarted | None:
-        if order.expected_s * _RUN_MARGIN > self._time_left(now):
+        if order.expected_s * _timing.RUN_MARGIN > self._time_left(now):
             return wire.NotStarted.LEAVING
         if order.endpoint != self._link.incarnation:
             return wire.NotStarted.ENDPOINT
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -410,7 +410,7 @@
         )
         ahead: dict[str, float] = {}
         entries = 1 + self._peers.entry_count
-        self._share.update(now, self._pool.all_cores(now), entries)
+        self._share.update(now, self._pool.capacity_cores(now), entries)
         for job in untried:
             service = job.request.job_class.service
             work = ahead.get(service, 0.0)
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -10,13 +10,12 @@
 
 from ferryledge.leases import _jobs
 from ferryledge.leases import _pool
+from ferryledge.leases import _timing
 from ferryledge import placement
 from ferryledge import wire
 
 #: Slowness differences below this share are taken as noise.
 _SLOWNESS_GRAIN = 0.1
-#: A run is ordered where this many times its expected time is left.
-_RUN_MARGIN = 2.0
 _WAITING = _jobs.TaskState.WAITING
 
 
@@ -165,7 +164,7 @@
         if step.label and step.label not in row.state.labels:
             return []
         left_s = row.state.remaining_s
-        if left_s and job.expected_s * _RUN_MARGIN > left_s:
+        if left_s and job.expected_s * _timing.RUN_MARGIN > left_s:
             return []
         free = row.free
         most = step.max_per_endpoint or len(tasks)
--- a/src/ferryledge/leases/_pool.py
+++ b/src/ferryledge/leases/_pool.py
@@ -206,18 +206,14 @@
             return False
         return now - self._usable_at < _HOPE_S
 
-    def all_cores(self, now: float) -> float:
-        """Return the cores of all endpoints that can be used."""
-        return sum(
-            row.state.capacity.cpu_millis / 1000.0
-            for row in self._rows.values()
-            if row.usable(now)
-        )
+    def capacity_cores(self, now: float, service: str | None = None) -> float:
+        """Return the cores of the endpoints that can be used.
 
-    def capacity_cores(self, now: float, service: str) -> float:
-        """Return the cores of the endpoints that can be used."""
+        :param now: monotonic seconds
+        :param service: theirs; none is any
+        """
         return sum(
             row.state.capacity.cpu_millis / 1000.0
             for row in self._rows.values()
-            if row.state.service == service and row.usable(now)
+            if service in (None, row.state.service) and row.usable(now)
         )
--- a/src/ferryledge/leases/_timing.py
+++ b/src/ferryledge/leases/_timing.py
@@ -12,6 +12,8 @@
 CLOCK_DRIFT = 0.02
 #: Share of the longest lease that an agent asks for: several renewals fit.
 _LEASE_SHARE = 0.65
+#: A run is started where this many times its expected time is left.
+RUN_MARGIN = 2.0
 #: Seconds added to a bound for timers that fire late.
 _MARGIN_S = 0.1
 
