Show that callers are not served while streams are silent

Cause: not mended yet. All streams between entries and agents going silent for good was never played with work under way: the test of silent streams had none, the soak has no such fault.

--- a/src/ferryledge/leases/tests/world.py
+++ b/src/ferryledge/leases/tests/world.py
@@ -76,6 +76,8 @@
         #: Share of orders that are carried out without an answer, late.
         self.late_orders = 0.0
         self.answers: dict[int, list[outcomes.JobOutcome]] = {}
+        #: When each job's client was answered first.
+        self.answered_at: dict[int, float] = {}
         self.jobs: dict[int, leases.LeasedJob] = {}
         self.alive_runs: dict[tuple[str, int, int], set[str]] = (
             collections.defaultdict(set)
@@ -246,6 +248,7 @@
 
     def _note_answer(self, token: int, outcome: outcomes.JobOutcome) -> None:
         self.answers[token].append(outcome)
+        self.answered_at.setdefault(token, self.now)
         if len(self.answers[token]) > 1:
             self.violations.append(f"token {token} answered again")
 
@@ -326,6 +329,11 @@
         if stream is not None:
             stream.silent = True
 
+    def silence_all_streams(self) -> None:
+        """Let nothing arrive on any stream that is open now."""
+        for key in list(self.streams):
+            self.silence_stream(*key)
+
     # Calls to endpoints.
 
     def _order(
