Open a new stream beside a silent one, before any right runs out

Cause: silence was noticed later than the rights that need the stream run out. Agents tried a new stream after 1.5 s; grants end 0.6 s after the last answered ask. Until then the agents had stopped every run. Reports of ends in flight were lost with their stream, so done tasks ran once more. The class: what a peer owes is not tracked, only when anything was heard last; and a report counts as told once it is written.

Change: an ask that is owed an answer (runs are there, an end was reported, or nothing was heard for 0.5 s) makes its stream suspect when the answer takes longer than answers usually do (0.03 to 0.3 s, learned). The agent then asks all others at once and opens a new stream beside the old one, which replaces it once greeted; an answer on the old one gives the new one up, so a slow peer or a full link costs a handshake and no message. A process that was late itself suspects nobody. Ends are kept until the answer to an ask sent after them confirms them, and told again on a new stream. Answer times begin with the first answer instead of the longest time.

The test that was known red passes, as do both mutations that take the mechanism out.

The soak silences all open streams now, too.

--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -166,6 +166,10 @@
                 self._mesh.send(peer, message)
             case leases.CloseStream(peer):
                 self._mesh.close(peer)
+            case leases.ReopenStream(peer):
+                self._group.start_soon(self._mesh.reopen, peer)
+            case leases.KeepStream(peer):
+                self._mesh.keep(peer)
             case leases.DialEntries(entries):
                 self._on_entries(entries)
             case leases.StartRun():
--- a/src/ferryledge/leases/__init__.py
+++ b/src/ferryledge/leases/__init__.py
@@ -39,6 +39,7 @@
 JobClass = _jobs.JobClass
 JobStep = _jobs.JobStep
 JobSubmitted = _entry_events.JobSubmitted
+KeepStream = _agent_events.KeepStream
 LeaseAgent = _agent.LeaseAgent
 LeaseEntry = _entry.LeaseEntry
 LeaseNotRenewed = _agent_events.LeaseNotRenewed
@@ -50,6 +51,7 @@
 ListedRun = _agent_events.ListedRun
 RememberEndpoint = _agent_events.RememberEndpoint
 Renewal = _agent_events.Renewal
+ReopenStream = _agent_events.ReopenStream
 RunKey = _runs.RunKey
 SendMessage = _agent_events.SendMessage
 StartAnswered = _agent_events.StartAnswered
@@ -84,6 +86,7 @@
     "JobClass",
     "JobStep",
     "JobSubmitted",
+    "KeepStream",
     "LeaseAgent",
     "LeaseEntry",
     "LeaseNotRenewed",
@@ -95,6 +98,7 @@
     "ListedRun",
     "RememberEndpoint",
     "Renewal",
+    "ReopenStream",
     "RunKey",
     "SendMessage",
     "StartAnswered",
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -17,6 +17,7 @@
 from ferryledge.leases import _runs
 from ferryledge.leases import _speed
 from ferryledge.leases import _stopping
+from ferryledge.leases import _stream_watch
 from ferryledge.leases import _timing
 from ferryledge import wire
 
@@ -78,6 +79,9 @@
         self._reports = _reports.Reports(
             name, self._owners, self._runs, self._send
         )
+        self._watch = _stream_watch.StreamWatch(
+            self._owners, self._notes, self._act
+        )
         self._unclaimed_since = now
         #: The endpoint's clock as of the newest list of runs.
         self._listed_clock_ms = 0
@@ -205,7 +209,10 @@
     def wake_at(self) -> float:
         """Return when to tick at the latest."""
         asks = [one.next_ask_at for one in self._owners.connected()]
-        return min([*asks, self._stopping.due_at(), self._reports.due_at])
+        others = [self._stopping.due_at(), self._reports.due_at]
+        due = min([*asks, *others, self._watch.due_at()])
+        self._watch.plan_look(due)
+        return due
 
     def renewal(self, now: float) -> _agent_events.Renewal:
         """Return what the next call for a renewal is to say."""
@@ -239,6 +246,7 @@
                 if start_by_s is not None:
                     owner.wanted_by = now + start_by_s
             case wire.GrantLease(number):
+                self._watch.answered(now, owner, number)
                 self._owners.granted(owner, number)
             case wire.EntryList(entries):
                 self._act(_agent_events.DialEntries(entries))
@@ -248,6 +256,7 @@
     def _on_order(
         self, now: float, owner: _owners.Owner, order: wire.OrderRuns
     ) -> None:
+        self._watch.answered(now, owner, order.ask_seen)
         self._owners.note_order(owner, order)
         refusal = self._refusal(now, owner, order)
         if refusal is not None:
@@ -485,7 +494,6 @@
         end = wire.RunsEnded(row.key.job, (wire.RunEnd(run, how, run_s),))
         if owner.connected and not owner.wants_held:
             self._send(owner, end)
-            return
         self._owners.keep(owner, end)
 
     def _release(
@@ -504,10 +512,16 @@
                 self._owners.leave(owner.name, owner.incarnation)
                 self._act(_agent_events.CloseStream(owner.name))
                 continue
-            if now < owner.next_ask_at:
-                continue
-            busy = self._runs.has_owner(owner.incarnation)
-            self._send(owner, self._owners.ask(owner, now, busy))
+            if now >= owner.next_ask_at:
+                self._ask_owner(now, owner)
+        for owner in self._watch.look(now):
+            self._ask_owner(now, owner, at_once=True)
+
+    def _ask_owner(
+        self, now: float, owner: _owners.Owner, at_once: bool = False
+    ) -> None:
+        busy = self._runs.has_owner(owner.incarnation)
+        self._send(owner, self._owners.ask(owner, now, busy, at_once))
 
     def _remaining_s(
         self, now: float, seen: _agent_events.EndpointSeen
--- a/src/ferryledge/leases/_agent_events.py
+++ b/src/ferryledge/leases/_agent_events.py
@@ -213,6 +213,23 @@
     peer: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class ReopenStream:
+    """Open a new stream beside a silent one, to replace it.
+
+    Nothing happens if one is being opened already.
+    """
+
+    peer: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class KeepStream:
+    """Give up the stream that is being opened: the old one answers."""
+
+    peer: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class DialEntries:
     """Keep streams to these entries open."""
@@ -230,6 +247,8 @@
 AgentAction = (
     SendMessage
     | CloseStream
+    | ReopenStream
+    | KeepStream
     | DialEntries
     | StartRun
     | StopRun
--- a/src/ferryledge/leases/_agent_notes.py
+++ b/src/ferryledge/leases/_agent_notes.py
@@ -62,6 +62,19 @@
             runs_here=held,
         )
 
+    def suspected(self, now: float, owner: _owners.Owner) -> None:
+        """A stream may be silent: a new one is opened beside it."""
+        self._meter.suspected()
+        self.add(
+            outcomes.Step.HEALTH,
+            "no answer: opening a new stream",
+            peer=owner.name,
+            urgent=True,
+            unanswered_s=round(now - owner.oldest_owed_at, 3),
+            limit_s=round(owner.answer_times.limit_s, 3),
+            unconfirmed_ends=len(owner.unconfirmed),
+        )
+
     def grant_ran_out(
         self, now: float, owner: _owners.Owner, row: _runs.RunRow
     ) -> None:
--- a/src/ferryledge/leases/_answer_times.py
+++ b/src/ferryledge/leases/_answer_times.py
@@ -1,30 +1,38 @@
-"""How long the endpoint usually takes to answer an order."""
+"""How long a peer usually takes to answer."""
 
 #: Weight of the newest answer in the averages.
 _DECAY = 0.05
 #: An answer later than so many mean deviations above the mean is missing.
 _DEVIATIONS = 6.0
+#: Deviations are taken to be this share of the longest time at first.
+_FIRST_DEVIATION_SHARE = 1.0 / 12.0
 #: Shortest time that is waited, in seconds: an agent that starts thirty
 #: runs at once is itself busy for about ten milliseconds.
 _SHORTEST_S = 0.02
 
 
 class AnswerTimes:
-    """Learns when an order without an answer is to be given up.
+    """Learns when an answer counts as missing.
 
-    :param longest_s: what is waited at the most, and at first
+    :param longest_s: what is waited at the most
+    :param shortest_s: what is waited at the least
     """
 
-    def __init__(self, longest_s: float) -> None:
+    def __init__(
+        self, longest_s: float, shortest_s: float = _SHORTEST_S
+    ) -> None:
         self._longest_s = longest_s
-        self._mean_s = longest_s
-        self._deviation_s = 0.0
+        self._shortest_s = shortest_s
+        self._mean_s: float | None = None
+        self._deviation_s = _FIRST_DEVIATION_SHARE * longest_s
 
     def note(self, took_s: float) -> None:
-        """Take in an order that was answered.
+        """Take in an answer.
 
-        :param took_s: seconds from the order to its answer
+        :param took_s: seconds from the call to its answer
         """
+        if self._mean_s is None:
+            self._mean_s = took_s
         off_s = took_s - self._mean_s
         self._mean_s += _DECAY * off_s
         self._deviation_s += _DECAY * (abs(off_s) - self._deviation_s)
@@ -32,5 +40,7 @@
     @property
     def limit_s(self) -> float:
         """Seconds after which an answer counts as missing."""
+        if self._mean_s is None:
+            return self._longest_s
         limit_s = self._mean_s + _DEVIATIONS * self._deviation_s
-        return min(self._longest_s, max(_SHORTEST_S, limit_s))
+        return min(self._longest_s, max(self._shortest_s, limit_s))
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -315,8 +315,8 @@
         self, now: float, row: _pool.AgentRow, message: wire.Message
     ) -> None:
         match message:
-            case wire.AskLease(number):
-                self._on_ask(now, row, number)
+            case wire.AskLease():
+                self._on_ask(now, row, message)
             case wire.EndpointState():
                 self._on_state(row, message)
             case wire.LateRuns(runs):
@@ -327,12 +327,14 @@
                 self._on_runs_message(now, row, message)
                 self._dirty = True
 
-    def _on_ask(self, now: float, row: _pool.AgentRow, number: int) -> None:
-        row.ask_seen = number
-        if self._pool.must_answer(row, now):
+    def _on_ask(
+        self, now: float, row: _pool.AgentRow, ask: wire.AskLease
+    ) -> None:
+        row.ask_seen = ask.number
+        if ask.wanted or self._pool.must_answer(row, now):
             row.granted_at = now
             row.answered_at = now
-            self._send(row.name, wire.GrantLease(number))
+            self._send(row.name, wire.GrantLease(ask.number))
 
     def _on_runs_message(
         self, now: float, row: _pool.AgentRow, message: wire.Message
--- a/src/ferryledge/leases/_meters.py
+++ b/src/ferryledge/leases/_meters.py
@@ -52,6 +52,9 @@
     def unanswered(self) -> None:
         """An order went without an answer."""
 
+    def suspected(self) -> None:
+        """A stream counts as silent; a new one is opened beside it."""
+
     def grant_ran_out(self) -> None:
         """A run is stopped for want of its entry's grant."""
 
--- a/src/ferryledge/leases/_owners.py
+++ b/src/ferryledge/leases/_owners.py
@@ -5,12 +5,23 @@
 import math
 import zlib
 
+from ferryledge.leases import _answer_times
 from ferryledge.leases import _timing
 from ferryledge import wire
 
-#: Ends kept for an entry whose stream is broken.
-_MAX_PENDING = 2000
+#: Ends kept until their entry confirms them.
+_MAX_UNCONFIRMED = 2000
+#: Bounds in seconds on how long an answer may take before a stream counts
+#: as silent. The longest leaves time for a new stream before a grant ends.
+_LONGEST_ANSWER_S = 0.3
+_SHORTEST_ANSWER_S = 0.03
+#: Seconds between asks at the least: reports within it are confirmed by the
+#: same answer.
+_CONFIRM_EVERY_S = 0.05
 _CRC_RANGE = 2.0**32
+#: Share of the time between asks that passes after one that a report
+#: brought forward, before the next regular one.
+_SOONEST_BEAT = 0.3
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,8 +50,35 @@
     wanted_by: float = float("inf")
     #: Whether it is still to hear what is held for it.
     wants_held: bool = True
-    #: Ends that it was not told yet.
-    pending: list[wire.RunsEnded] = dataclasses.field(default_factory=list)
+    #: Number of the last ask and when it was sent.
+    asked: int = 0
+    asked_at: float = float("-inf")
+    #: Asks whose answer is waited for, with when they were sent.
+    owed: dict[int, float] = dataclasses.field(default_factory=dict)
+    #: How long its answers take.
+    answer_times: _answer_times.AnswerTimes = dataclasses.field(
+        default_factory=lambda: _answer_times.AnswerTimes(
+            _LONGEST_ANSWER_S, _SHORTEST_ANSWER_S
+        )
+    )
+    #: Whether a new stream is being opened beside its silent one.
+    reopening: bool = False
+    #: When that may be tried again.
+    reopen_at: float = float("-inf")
+    #: Ends that it has not confirmed, each with the last ask before it.
+    unconfirmed: list[tuple[int, wire.RunsEnded]] = dataclasses.field(
+        default_factory=list
+    )
+
+    @property
+    def oldest_owed_at(self) -> float:
+        """When the oldest ask was sent whose answer is waited for."""
+        return min(self.owed.values(), default=float("inf"))
+
+    @property
+    def silent_at(self) -> float:
+        """When its stream counts as silent if no answer comes."""
+        return self.oldest_owed_at + self.answer_times.limit_s
 
 
 class OwnerTable:
@@ -87,6 +125,8 @@
         owner.wanted_by = float("inf")
         owner.told = None
         owner.next_ask_at = 0.0
+        owner.owed.clear()
+        owner.reopening = False
         return owner
 
     def leave(self, name: str, incarnation: str) -> None:
@@ -95,6 +135,7 @@
         if owner is not None and owner.name == name:
             owner.connected = False
             owner.asks.clear()
+            owner.owed.clear()
             self.changes += 1
 
     def note_order(self, owner: Owner, order: wire.OrderRuns) -> None:
@@ -125,22 +166,30 @@
         """Return whether a stream that should carry grants is silent."""
         return now - owner.heard_at > self._timing.redial_s
 
-    def ask(self, owner: Owner, now: float, busy: bool) -> wire.AskLease:
+    def ask(
+        self, owner: Owner, now: float, busy: bool, at_once: bool = False
+    ) -> wire.AskLease:
         """Return the next ask for a grant.
 
         :param busy: whether the entry has runs here
+        :param at_once: whether its answer is needed in any case
         """
         self._asked += 1
         oldest = now - self._timing.grant_s
         owner.asks = {n: at for n, at in owner.asks.items() if at > oldest}
         owner.asks[self._asked] = now
+        owner.asked = self._asked
+        owner.asked_at = now
+        quiet = now - owner.heard_at >= self._timing.idle_answer_every_s
+        if at_once or busy or quiet or owner.unconfirmed:
+            owner.owed[self._asked] = now
         every = self._timing.ask_every_s
         if not busy:
             every = self._timing.idle_ask_every_s
             if not owner.home:
                 every = self._timing.far_ask_every_s
         owner.next_ask_at = self._next_beat(now, every)
-        return wire.AskLease(self._asked)
+        return wire.AskLease(self._asked, self._asked in owner.owed)
 
     def _next_beat(self, now: float, every: float) -> float:
         """Return the next ask's time, the same for all entries.
@@ -148,11 +197,18 @@
         Asks that leave together cost one wake-up. Agents differ by a phase,
         so that an entry is not asked by all of them at once.
         """
-        beats = math.floor((now - self._phase * every) / every)
+        soonest = now + _SOONEST_BEAT * every
+        beats = math.floor((soonest - self._phase * every) / every)
         return (beats + 1 + self._phase) * every
 
     def granted(self, owner: Owner, number: int) -> None:
-        """Take in a grant; an unknown or older one changes nothing."""
+        """Take in a grant; an unknown or older one changes nothing.
+
+        It confirms what was sent before its ask: a stream keeps the order.
+        """
+        owner.unconfirmed = [
+            one for one in owner.unconfirmed if one[0] >= number
+        ]
         asked_at = owner.asks.pop(number, None)
         if asked_at is None:
             return
@@ -161,6 +217,17 @@
             del owner.asks[older]
 
     def keep(self, owner: Owner, message: wire.RunsEnded) -> None:
-        """Keep an end for an entry without a stream."""
-        if len(owner.pending) < _MAX_PENDING:
-            owner.pending.append(message)
+        """Keep an end until its entry confirms it.
+
+        The answer to the next ask does; it is asked for soon.
+        """
+        if len(owner.unconfirmed) < _MAX_UNCONFIRMED:
+            owner.unconfirmed.append((owner.asked, message))
+        due = owner.asked_at + _CONFIRM_EVERY_S
+        owner.next_ask_at = min(owner.next_ask_at, due)
+
+    def take_unconfirmed(self, owner: Owner) -> list[wire.RunsEnded]:
+        """Return the ends to send on a new stream."""
+        messages = [message for _, message in owner.unconfirmed]
+        owner.unconfirmed = [(owner.asked, one) for one in messages]
+        return messages
--- a/src/ferryledge/leases/_reports.py
+++ b/src/ferryledge/leases/_reports.py
@@ -51,9 +51,8 @@
             if not owner.wants_held:
                 continue
             owner.wants_held = False
-            for message in owner.pending:
+            for message in self._owners.take_unconfirmed(owner):
                 self._send(owner, message)
-            owner.pending.clear()
             rows = self._runs.of_owner(owner.incarnation)
             rows += self._runs.of_owner("")
             held = tuple(
--- /dev/null
+++ b/src/ferryledge/leases/_stream_watch.py
@@ -0,0 +1,101 @@
+"""Notices streams that went silent, by asks that are owed an answer.
+
+A new stream is opened beside a silent one and replaces it once both sides
+have greeted each other. If the old one answers first it was only slow, and
+the new one is given up: behind a full link or in a busy process the answer
+that is under way comes before a handshake of several round trips ends.
+"""
+
+from collections import abc
+
+from ferryledge.leases import _agent_events
+from ferryledge.leases import _agent_notes
+from ferryledge.leases import _owners
+
+#: Seconds between tries to open a new stream beside the same silent one.
+_RETRY_S = 0.3
+#: A look that comes so many seconds late shows that this process was paused
+#: or busy itself, and may have answers to read.
+_LATE_LOOK_S = 0.03
+
+Act = abc.Callable[[_agent_events.AgentAction], None]
+
+
+class StreamWatch:
+    """Looks for entries that owe an answer for longer than usual.
+
+    :param owners: the entries
+    :param notes: what is decided
+    :param act: takes what is to be done
+    """
+
+    def __init__(
+        self,
+        owners: _owners.OwnerTable,
+        notes: _agent_notes.AgentNotes,
+        act: Act,
+    ) -> None:
+        self._owners = owners
+        self._notes = notes
+        self._act = act
+        #: When this process is to look next at the latest.
+        self._look_at = float("inf")
+
+    def plan_look(self, at: float) -> None:
+        """Note when the process ticks next at the latest."""
+        self._look_at = at
+
+    def answered(self, now: float, owner: _owners.Owner, number: int) -> None:
+        """Take in that an entry has seen the ask with that number."""
+        owed = [one for one in owner.owed if one <= number]
+        if not owed:
+            return
+        owner.answer_times.note(now - owner.owed[owed[0]])
+        for one in owed:
+            del owner.owed[one]
+        if owner.reopening:
+            owner.reopening = False
+            self._act(_agent_events.KeepStream(owner.name))
+
+    def look(self, now: float) -> list[_owners.Owner]:
+        """Open new streams beside silent ones.
+
+        A fault of the network seldom strikes one stream alone.
+
+        :return: the entries to ask at once, since another is silent
+        """
+        owners = self._owners.connected()
+        if now - self._look_at > _LATE_LOOK_S:
+            for owner in owners:
+                owner.owed = dict.fromkeys(owner.owed, now)
+        silent = [owner for owner in owners if self._is_silent(now, owner)]
+        for owner in silent:
+            self._reopen(now, owner)
+        if not silent:
+            return []
+        since = min(owner.oldest_owed_at for owner in silent)
+        return [
+            owner
+            for owner in owners
+            if not owner.owed and owner.heard_at < since
+        ]
+
+    def due_at(self) -> float:
+        """Return when to look at the latest."""
+        return min(
+            (
+                max(owner.silent_at, owner.reopen_at)
+                for owner in self._owners.connected()
+            ),
+            default=float("inf"),
+        )
+
+    def _is_silent(self, now: float, owner: _owners.Owner) -> bool:
+        return now >= max(owner.silent_at, owner.reopen_at)
+
+    def _reopen(self, now: float, owner: _owners.Owner) -> None:
+        if not owner.reopening:
+            self._notes.suspected(now, owner)
+        owner.reopening = True
+        owner.reopen_at = now + _RETRY_S
+        self._act(_agent_events.ReopenStream(owner.name))
--- a/src/ferryledge/leases/tests/test_mutations.py
+++ b/src/ferryledge/leases/tests/test_mutations.py
@@ -13,9 +13,11 @@
 from ferryledge.leases import _agent
 from ferryledge.leases import _endpoint
 from ferryledge.leases import _owners
+from ferryledge.leases import _stream_watch
 from ferryledge.leases import _timing
 from ferryledge.leases.tests import faults
 from ferryledge.leases.tests import world as worlds
+from ferryledge import outcomes
 from ferryledge import wire
 
 _PLENTY = wire.Resources(10**9, 10**9, 10**9)
@@ -71,6 +73,27 @@
     return world
 
 
+def _silent_streams(work_s: float) -> worlds.World:
+    """Let streams go silent 0.4 s after the start of a task."""
+    world = worlds.World(seed=3, entries=1, agents=1)
+    world.run(2.0)
+    world.submit("entry-0", _JOB, count=1, work_s=work_s)
+    world.run(0.4)
+    world.silence_all_streams()
+    world.run(5.0)
+    if world.started[_JOB] > 1:
+        world.violations.append("started again although it was sound")
+    return world
+
+
+def _silent_streams_at_an_end() -> worlds.World:
+    return _silent_streams(work_s=0.4)
+
+
+def _silent_streams_during_a_run() -> worlds.World:
+    return _silent_streams(work_s=2.0)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Mutation:
     """A mechanism that is taken out, and where that shows."""
@@ -126,6 +149,18 @@
         _nothing,
         _agent_back_while_its_entry_is_gone,
     ),
+    "ends are told once": Mutation(
+        _owners.OwnerTable,
+        "take_unconfirmed",
+        lambda *_: [],
+        _silent_streams_at_an_end,
+    ),
+    "silent streams are not replaced in time": Mutation(
+        _stream_watch.StreamWatch,
+        "look",
+        lambda *_: [],
+        _silent_streams_during_a_run,
+    ),
 }
 
 
--- a/src/ferryledge/leases/tests/test_silent_streams.py
+++ b/src/ferryledge/leases/tests/test_silent_streams.py
@@ -54,9 +54,7 @@
 
     def in_time(self, from_s: float) -> float:
         """Return the share of a bucket's jobs that were in time."""
-        jobs = [
-            one for one in self.sent if 0 <= one.at - from_s < _BUCKET_S
-        ]
+        jobs = [one for one in self.sent if 0 <= one.at - from_s < _BUCKET_S]
         return sum(self._is_in_time(one) for one in jobs) / len(jobs)
 
     def _is_in_time(self, one: _Sent) -> bool:
--- a/src/ferryledge/leases/tests/world.py
+++ b/src/ferryledge/leases/tests/world.py
@@ -7,6 +7,7 @@
 import collections
 from collections import abc
 import dataclasses
+import functools
 import heapq
 import itertools
 import random
@@ -18,6 +19,8 @@
 from ferryledge import wire
 
 HOP_S = 0.0006
+#: A connection, and a proof of the key each way.
+HANDSHAKE_S = 5 * HOP_S
 CALL_S = 0.0005
 RENEW_TIMEOUT_S = 0.27
 HEARTBEAT_S = 1.5
@@ -28,7 +31,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Stream:
-    """One open stream between an agent and an entry."""
+    """One stream between an agent and an entry.
+
+    Each side uses it from the moment in which it has been greeted there.
+    """
 
     agent: str
     entry: str
@@ -68,7 +74,12 @@
         self.endpoints: dict[str, standin.LeasedEndpoint] = {}
         #: What each agent kept of its endpoint for its next start.
         self.remembered: dict[str, leases.EndpointSeen] = {}
+        #: The newest stream of each agent and entry.
         self.streams: dict[tuple[str, str], Stream] = {}
+        #: The stream that a process uses to a peer.
+        self.used: dict[tuple[str, str], Stream] = {}
+        #: New streams that are being opened beside old ones.
+        self.reopening: dict[tuple[str, str], Stream] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.held: dict[
             tuple[str, str], list[tuple[Stream, abc.Callable[[], None]]]
@@ -233,6 +244,10 @@
                 self._send(name, peer, wire.Received(name, message))
             case leases.CloseStream(peer):
                 self.break_stream(name, peer)
+            case leases.ReopenStream(peer):
+                self._reopen(name, peer)
+            case leases.KeepStream(peer):
+                self.reopening.pop((name, peer), None)
             case leases.StartRun():
                 self._order(name, action)
             case leases.StopRun():
@@ -258,10 +273,15 @@
         return (one, other) if one in self.agents else (other, one)
 
     def _send(self, source: str, target: str, event: typing.Any) -> None:
-        stream = self.streams.get(self._key(source, target))
+        stream = self.used.get((source, target))
         if stream is None or not stream.open:
             return
-        self._carry(stream, source, target, lambda: self.post(target, event))
+
+        def arrive() -> None:
+            if self.used.get((target, source)) is stream:
+                self.post(target, event)
+
+        self._carry(stream, source, target, arrive)
 
     def _carry(
         self,
@@ -277,7 +297,7 @@
                 return
             if way in self.cuts or self.held[way]:
                 self.held[way].append((stream, act))
-            elif self.streams.get(self._key(source, target)) is stream:
+            elif stream.open:
                 act()
 
         self.at(HOP_S, arrive)
@@ -298,15 +318,51 @@
         stream = self.streams.get((agent, entry))
         if stream is not None and stream.open:
             return
-        stream = self.streams[agent, entry] = Stream(agent, entry)
-        hellos = nodes[0].core.hello(), nodes[1].core.hello()
-        up = wire.PeerUp
-        self._carry(
-            stream, agent, entry, lambda: self.post(entry, up(hellos[0]))
-        )
-        self._carry(
-            stream, entry, agent, lambda: self.post(agent, up(hellos[1]))
-        )
+        self._greet(Stream(agent, entry))
+
+    def _greet(self, stream: Stream) -> None:
+        """Let both sides greet each other, and then use a stream."""
+        self.streams[stream.agent, stream.entry] = stream
+        for own, peer in (
+            (stream.agent, stream.entry),
+            (stream.entry, stream.agent),
+        ):
+            up = wire.PeerUp(self.nodes[peer].core.hello())
+            use = functools.partial(self._use, stream, own, peer, up)
+            self._carry(stream, peer, own, use)
+
+    def _use(
+        self, stream: Stream, own: str, peer: str, up: wire.PeerUp
+    ) -> None:
+        """Use a stream from now on; an older one is closed."""
+        old = self.used.get((own, peer))
+        self.used[own, peer] = stream
+        if old is not None and old.open:
+            old.open = False
+            self.post(own, wire.PeerDown(peer, up.hello.incarnation))
+        self.post(own, up)
+
+    def _reopen(self, agent: str, entry: str) -> None:
+        """Open a stream beside a silent one, as soon as both sides can."""
+        key = (agent, entry)
+        if key in self.reopening:
+            return
+        stream = self.reopening[key] = Stream(agent, entry)
+
+        def try_it() -> None:
+            if self.reopening.get(key) is not stream:
+                return
+            lives = [self.nodes[one] for one in key]
+            reached = key not in self.cuts and key[::-1] not in self.cuts
+            if not reached or not all(one.alive for one in lives):
+                del self.reopening[key]
+            elif any(one.paused for one in lives):
+                self.at(0.01, try_it)
+            else:
+                del self.reopening[key]
+                self._greet(stream)
+
+        self.at(HANDSHAKE_S, try_it)
 
     def break_stream(self, one: str, other: str) -> None:
         """Break the stream between two processes, for both."""
@@ -316,6 +372,7 @@
             return
         stream.open = False
         for name, peer in (key, key[::-1]):
+            self.used.pop((name, peer), None)
             incarnation = f"{peer}.{self.nodes[peer].life}"
             event = wire.PeerDown(peer, incarnation)
             unheard = (peer, name) in self.cuts or stream.silent
@@ -501,6 +558,8 @@
         for key in [key for key in self.streams if name in key]:
             other = key[1] if key[0] == name else key[0]
             self.streams.pop(key).open = False
+            self.used.pop(key, None)
+            self.used.pop(key[::-1], None)
             incarnation = f"{name}.{node.life}"
             if (name, other) not in self.cuts:
                 self.post(other, wire.PeerDown(name, incarnation))
@@ -547,7 +606,7 @@
             self.cuts.discard(way)
             held = self.held.pop(way, [])
             for stream, act in held:
-                if self.streams.get(self._key(*way)) is stream:
+                if stream.open:
                     act()
 
     def crash_endpoint(self, agent: str, down_s: float | None = 0.5) -> None:
--- a/src/ferryledge/net/_mesh.py
+++ b/src/ferryledge/net/_mesh.py
@@ -1,7 +1,8 @@
 """Streams between the system's processes.
 
 A stream opens with a mutual proof of the shared key, then a greeting from
-each side. Each peer has at most one stream; a newer one replaces it.
+each side. Each peer has at most one stream; a newer one replaces it once it
+has been greeted, so one may be opened beside a stream that seems silent.
 """
 
 from collections import abc
@@ -50,6 +51,8 @@
         self._ready = anyio.Event()
         self._scope = anyio.CancelScope()
         self.hello = hello
+        #: Set once the stream is no longer used.
+        self.left = anyio.Event()
 
     def send(self, data: bytes) -> None:
         """Queue bytes; breaks the stream if the peer is too slow."""
@@ -117,6 +120,9 @@
         self._post = post
         self._connections: dict[str, _Connection] = {}
         self._dialled: dict[str, anyio.CancelScope] = {}
+        self._addresses: dict[str, PeerAddress] = {}
+        #: Streams that are being opened beside silent ones.
+        self._reopening: dict[str, anyio.CancelScope] = {}
         self._handshakes = anyio.CapacityLimiter(_MAX_HANDSHAKES)
         self._messages_sent = 0
         self._bytes_sent = 0
@@ -209,13 +215,48 @@
         delay = _FIRST_REDIAL_S
         with anyio.CancelScope() as scope:
             self._dialled[address.name] = scope
+            self._addresses[address.name] = address
             # Once forgotten, an open stream stays but is not dialled anew.
             while self._dialled.get(address.name) is scope:
                 if await self._dial(address):
                     delay = _FIRST_REDIAL_S
+                await self._unconnected(address.name)
                 await anyio.sleep(delay * (1.0 + random.random()))
                 delay = min(_LONGEST_REDIAL_S, 2 * delay)
 
+    async def _unconnected(self, name: str) -> None:
+        """Wait until a peer has no stream."""
+        while name in self._connections:
+            await self._connections[name].left.wait()
+
+    async def reopen(self, name: str) -> None:
+        """Open a new stream beside one that seems silent, and serve it.
+
+        It replaces the old one once it is greeted. Nothing happens for a
+        peer that is not dialled, or while one is being opened already.
+        """
+        address = self._addresses.get(name)
+        if name not in self._dialled or name in self._reopening:
+            return
+        if address is None:
+            return
+        with anyio.CancelScope() as scope:
+            self._reopening[name] = scope
+            try:
+                await self._dial(address)
+            finally:
+                self._end_reopening(name, scope)
+
+    def keep(self, name: str) -> None:
+        """Give up the stream that is being opened beside another."""
+        scope = self._reopening.pop(name, None)
+        if scope is not None:
+            scope.cancel()
+
+    def _end_reopening(self, name: str, scope: anyio.CancelScope) -> None:
+        if self._reopening.get(name) is scope:
+            del self._reopening[name]
+
     def forget(self, name: str) -> None:
         """Stop dialling a peer; an open stream stays."""
         scope = self._dialled.pop(name, None)
@@ -298,6 +339,8 @@
             old.close()
             self._unregister(old)
         self._connections[name] = connection
+        # A greeted stream is not given up any more.
+        self._reopening.pop(name, None)
         loguru.logger.debug("stream open", step="join", peer=name)
         self._post(wire.PeerUp(connection.hello))
 
@@ -306,5 +349,6 @@
         if self._connections.get(hello.name) is not connection:
             return
         del self._connections[hello.name]
+        connection.left.set()
         loguru.logger.debug("stream closed", step="join", peer=hello.name)
         self._post(wire.PeerDown(hello.name, hello.incarnation))
--- a/src/ferryledge/soak/_plan.py
+++ b/src/ferryledge/soak/_plan.py
@@ -22,6 +22,7 @@
     PAUSE_AGENT = "pause_agent"
     DELAY = "delay"
     RESET = "reset"
+    SILENCE = "silence"
     CUT = "cut"
     CUT_ONE_WAY = "cut_one_way"
     STORE_SILENT = "store_silent"
--- a/src/ferryledge/soak/_proxy.py
+++ b/src/ferryledge/soak/_proxy.py
@@ -35,8 +35,15 @@
         self._target = target
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        #: Writers of connections that nothing passes on any more.
+        self._silent: set[asyncio.StreamWriter] = set()
         self.weather = Weather()
 
+    @property
+    def port(self) -> int:
+        """The port on which it listens."""
+        return int(self._server.sockets[0].getsockname()[1])
+
     async def start(self) -> None:
         """Begin to listen."""
         self._server = await asyncio.start_server(self._accept, *self._listen)
@@ -54,6 +61,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence(self) -> None:
+        """Let nothing pass on the open connections; new ones work."""
+        self._silent |= self._writers
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -80,6 +91,7 @@
         finally:
             for one in (writer, far_writer):
                 self._writers.discard(one)
+                self._silent.discard(one)
                 with contextlib.suppress(OSError):
                     one.close()
 
@@ -95,11 +107,24 @@
                 await asyncio.sleep(_POLL_S)
             if self.weather.delay_s:
                 await asyncio.sleep(self.weather.delay_s)
+            if writer in self._silent:
+                await self._swallow(reader, data)
             if not data:
                 raise _EndedError
             writer.write(data)
             await writer.drain()
 
+    async def _swallow(
+        self, reader: asyncio.StreamReader, data: bytes
+    ) -> None:
+        """Take what comes until the side that sends it is gone.
+
+        The other side does not learn of that: it sees neither end nor reset.
+        """
+        while data:
+            data = await reader.read(_READ_BYTES)
+        await asyncio.Event().wait()
+
     def _is_cut(self, forth: bool) -> bool:
         if forth:
             return self.weather.cut_forth
--- a/src/ferryledge/soak/_run.py
+++ b/src/ferryledge/soak/_run.py
@@ -300,6 +300,10 @@
             case _plan.FaultKind.RESET:
                 self.proxies[fault.pick % len(self.proxies)].reset()
                 return
+            case _plan.FaultKind.SILENCE:
+                for proxy in self.proxies:
+                    proxy.silence()
+                return
             case _plan.FaultKind.DELAY:
                 weather.delay_s = 0.05
             case _plan.FaultKind.CUT:
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -200,9 +200,16 @@
 
 
 class AskLease(_messages.Model, frozen=True, tag="ask-lease"):
-    """Ask an entry for the right to go on renewing its runs."""
+    """Ask an entry for the right to go on renewing its runs.
+
+    It also asks whether the stream still works, and whether what was sent
+    before it has arrived.
+    """
 
     number: int
+    #: Whether the answer is waited for; the receiver may leave others out
+    #: while it has no runs at the sender.
+    wanted: bool = False
 
 
 class GrantLease(_messages.Model, frozen=True, tag="grant-lease"):
