End silent connections of the soak's proxy with it

Cause: a connection that was silenced waited for ever, and was cancelled with the loop: eighteen lines of a callback's exception at the end of a soak that had found nothing.

Change: what waits for the end of a silent connection ends with the proxy.

--- a/src/ferryledge/leases/tests/test_mutations.py
+++ b/src/ferryledge/leases/tests/test_mutations.py
@@ -17,7 +17,6 @@
 from ferryledge.leases import _timing
 from ferryledge.leases.tests import faults
 from ferryledge.leases.tests import world as worlds
-from ferryledge import outcomes
 from ferryledge import wire
 
 _PLENTY = wire.Resources(10**9, 10**9, 10**9)
--- a/src/ferryledge/soak/_proxy.py
+++ b/src/ferryledge/soak/_proxy.py
@@ -37,6 +37,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         #: Writers of connections that nothing passes on any more.
         self._silent: set[asyncio.StreamWriter] = set()
+        self._closed = asyncio.Event()
         self.weather = Weather()
 
     @property
@@ -52,6 +53,7 @@
         """Stop listening and break all connections."""
         self._server.close()
         self.weather = Weather()
+        self._closed.set()
         self.reset()
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=_CLOSE_S)
@@ -123,7 +125,7 @@
         """
         while data:
             data = await reader.read(_READ_BYTES)
-        await asyncio.Event().wait()
+        await self._closed.wait()
 
     def _is_cut(self, forth: bool) -> bool:
         if forth:
