Show how an entry behind a full link collapses

Cause: not mended yet. What waits at a full link is taken for missing. The virtual world had links without bound; it now holds an entry's messages up by what its link carries.

The test has one entry, 15 agents and a link of 250 kB/s, offered 1.4 times what it carries.

--- /dev/null
+++ b/src/ferryledge/leases/tests/test_full_link.py
@@ -0,0 +1,56 @@
+"""An entry behind a narrow link serves what the link carries.
+
+Three entries stood behind links of 2 Mbit/s. Two of them were stopped in
+turn during a burst, and the third had to order for all. Its orders, each
+with the whole spec of its job, took more than the link: grants and orders
+waited, and agents turned down what came as too old:
+
+    order released (reason no_answer, grant_age_s 0.9)
+    stopped: its entry's grant ran out
+
+An entry took each of these for a silent agent, and repeated the orders over
+the same link. Of 343 jobs of four seconds 21 were in time although the
+endpoints had room, and service came back five seconds after the burst.
+"""
+
+import random
+
+import pytest
+
+from ferryledge.leases.tests import loads
+from ferryledge.leases.tests import world as worlds
+from ferryledge import outcomes
+
+_LINK_BYTES_PER_S = 250_000.0
+_LOAD = loads.Load(
+    share=0.75, tasks=2, spec_bytes=3_000, seconds=6.0, deadline_s=1.565
+)
+
+
+def _play(seed: int) -> loads.Played:
+    world = worlds.World(seed, 1, 15, link_bytes_per_s=_LINK_BYTES_PER_S)
+    return loads.play(world, _LOAD, random.Random(seed))
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_most_of_what_the_link_carries_is_served_in_time(seed: int) -> None:
+    played = _play(seed)
+    assert not played.world.violations
+    assert not played.count(outcomes.FailedMayHaveRun)
+    for second in range(6):
+        assert played.in_time(float(second), 1.0) > 0.6
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_no_run_is_stopped_for_want_of_a_grant(seed: int) -> None:
+    played = _play(seed)
+    starts = sum(played.world.started.values())
+    complete = played.count(outcomes.Complete)
+    assert starts == complete * _LOAD.tasks
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_refusals_are_prompt(seed: int) -> None:
+    played = _play(seed)
+    waits = played.waits(outcomes.Refused)
+    assert all(wait_s < 0.4 for wait_s in waits)
--- a/src/ferryledge/leases/tests/world.py
+++ b/src/ferryledge/leases/tests/world.py
@@ -10,6 +10,7 @@
 import functools
 import heapq
 import itertools
+import math
 import random
 import typing
 
@@ -21,6 +22,8 @@
 HOP_S = 0.0006
 #: A connection, and a proof of the key each way.
 HANDSHAKE_S = 5 * HOP_S
+#: What a message takes on a link beside its own bytes.
+HEADER_BYTES = 66
 CALL_S = 0.0005
 RENEW_TIMEOUT_S = 0.27
 HEARTBEAT_S = 1.5
@@ -62,10 +65,21 @@
     :param seed: of all randomness
     :param entries: how many
     :param agents: how many, each with its endpoint
+    :param link_bytes_per_s: what the link of each entry carries towards
+        agents; infinite is without bound
     """
 
-    def __init__(self, seed: int, entries: int = 2, agents: int = 3) -> None:
+    def __init__(
+        self,
+        seed: int,
+        entries: int = 2,
+        agents: int = 3,
+        link_bytes_per_s: float = math.inf,
+    ) -> None:
         self.now = 0.0
+        self.link_bytes_per_s = link_bytes_per_s
+        #: When the link of each entry has sent all that waits for it.
+        self.link_free_at: dict[str, float] = {}
         self.rng = random.Random(seed)
         self._heap: list[tuple[float, int, abc.Callable[[], None]]] = []
         self._count = itertools.count()
@@ -281,7 +295,18 @@
             if self.used.get((target, source)) is stream:
                 self.post(target, event)
 
-        self._carry(stream, source, target, arrive)
+        wait_s = self._link_s(source, event.message)
+        self._carry(stream, source, target, arrive, wait_s)
+
+    def _link_s(self, source: str, message: wire.Message) -> float:
+        """Return how long a message waits for the link of an entry."""
+        if math.isinf(self.link_bytes_per_s) or source in self.agents:
+            return 0.0
+        size = len(wire.encode(message)) + HEADER_BYTES
+        free_at = max(self.now, self.link_free_at.get(source, 0.0))
+        free_at += size / self.link_bytes_per_s
+        self.link_free_at[source] = free_at
+        return free_at - self.now
 
     def _carry(
         self,
@@ -289,6 +314,7 @@
         source: str,
         target: str,
         act: abc.Callable[[], None],
+        wait_s: float = 0.0,
     ) -> None:
         way = (source, target)
 
@@ -300,7 +326,7 @@
             elif stream.open:
                 act()
 
-        self.at(HOP_S, arrive)
+        self.at(wait_s + HOP_S, arrive)
 
     def _dial_loop(self, agent: str, entry: str) -> None:
         def loop() -> None:
@@ -529,6 +555,7 @@
         cpu: int = 1000,
         deadline_s: float = 5.0,
         steps: tuple[leases.JobStep, ...] = (),
+        spec: str = "spec",
     ) -> int:
         """Send a job to an entry.
 
@@ -537,7 +564,7 @@
         token = next(self._tokens)
         step = leases.JobStep(count, wire.Resources(cpu, 100, 0), work_s)
         job = leases.LeasedJob(
-            name, JOB_CLASS, "spec", steps or (step,), deadline_s
+            name, JOB_CLASS, spec, steps or (step,), deadline_s
         )
         self.jobs[token] = job
         self.work_s[name] = work_s
