--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -94,7 +94,7 @@
         self._draining = False
         self._next_sweep = 0.0
         self._dirty = False
-        self._wanting = _wanting.Wanting()
+        self._wanting = _wanting.Wanting(self._link)
         self._wanted_at = float("inf")
         #: When the own link has room for waiting orders.
         self._place_at = float("inf")
@@ -451,7 +451,7 @@
             self._place_at = self._link.free_at(now)
             return
         start_by = _wanting.most_urgent(now, left, self._share.gap_s)
-        self._wanted_at = self._wanting.due_at(start_by, self._link)
+        self._wanted_at = self._wanting.due_at(start_by)
 
     def _order_all(self, now: float, waiting: list[_jobs.Job]) -> None:
         """Order what has room, as far as the own link carries it.
--- a/src/ferryledge/leases/_wanting.py
+++ b/src/ferryledge/leases/_wanting.py
@@ -27,24 +27,24 @@
 class Wanting:
     """What agents were told last."""
 
+    #: The entry's own.
+    link: _own_link.OwnLink = dataclasses.field(
+        default_factory=_own_link.OwnLink
+    )
     told_by: float | None = None
     told_at: float = float("-inf")
     #: How many agents were told then.
     told: int = 0
 
-    def due_at(self, start_by: float | None, link: _own_link.OwnLink) -> float:
-        """Return when agents are to be told; never is infinite.
-
-        :param start_by: latest start that the most urgent job can bear
-        :param link: the entry's own
-        """
+    def due_at(self, start_by: float | None) -> float:
+        """Return when agents are to be told; never is infinite."""
         if start_by is None or self.told_by is None:
             same = start_by is self.told_by
         else:
             same = abs(start_by - self.told_by) < _GRAIN_S
         # Words took a fifth of a link of 2 Mbit/s that orders waited for.
         size = self.told * _own_link.PACKET_BYTES
-        link_s = size / (_LINK_SHARE * link.bytes_per_s)
+        link_s = size / (_LINK_SHARE * self.link.bytes_per_s)
         every_s = max(_EVERY_S, self.told / _WORDS_PER_S, link_s)
         return float("inf") if same else self.told_at + every_s
 
