Keep what an agent does in a tick off the number of entries

The watch for silent streams looked at all entries twice a tick and worked out each one's limit: 2.3 of 6.3 s of the agents' ticks. The list of connected entries was made anew five times a tick, and grants were looked up for entries without runs.

Change: entries that owe an answer are kept by themselves, and only they are looked at; the connected ones are listed when one comes or goes; the time of the next ask is kept; grants are checked where runs are; entries that are gone are forgotten from a list of their own.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -209,9 +209,12 @@
 
     def wake_at(self) -> float:
         """Return when to tick at the latest."""
-        asks = [one.next_ask_at for one in self._owners.connected()]
-        others = [self._stopping.due_at(), self._reports.due_at]
-        due = min([*asks, *others, self._watch.due_at()])
+        due = min(
+            self._owners.ask_due_at,
+            self._stopping.due_at(),
+            self._reports.due_at,
+            self._watch.due_at(),
+        )
         self._watch.plan_look(due)
         return due
 
@@ -478,7 +481,7 @@
         if not self._runs.has_owner(""):
             self._unclaimed_since = now
         self._runs.add(row)
-        for owner in self._owners.connected():
+        for owner in self._owners.connected:
             owner.wants_held = True
 
     # Telling entries.
@@ -515,16 +518,21 @@
             self._send(owner, wire.RunsReleased(job, tuple(runs), reason))
 
     def _ask(self, now: float) -> None:
-        for owner in self._owners.connected():
-            if self._owners.is_silent(owner, now):
-                self._owners.leave(owner.name, owner.incarnation)
-                self._act(_agent_events.CloseStream(owner.name))
-                continue
-            if now >= owner.next_ask_at:
-                self._ask_owner(now, owner)
+        if now >= self._owners.ask_due_at:
+            for owner in self._owners.connected:
+                if now >= owner.next_ask_at:
+                    self._ask_or_leave(now, owner)
+            self._owners.plan_asks()
         for owner in self._watch.look(now):
             self._ask_owner(now, owner, at_once=True)
 
+    def _ask_or_leave(self, now: float, owner: _owners.Owner) -> None:
+        if self._owners.is_silent(owner, now):
+            self._owners.leave(owner.name, owner.incarnation)
+            self._act(_agent_events.CloseStream(owner.name))
+            return
+        self._ask_owner(now, owner)
+
     def _ask_owner(
         self, now: float, owner: _owners.Owner, at_once: bool = False
     ) -> None:
--- a/src/ferryledge/leases/_owners.py
+++ b/src/ferryledge/leases/_owners.py
@@ -73,7 +73,7 @@
     @property
     def oldest_owed_at(self) -> float:
         """When the oldest ask was sent whose answer is waited for."""
-        return min(self.owed.values(), default=float("inf"))
+        return next(iter(self.owed.values()), float("inf"))
 
     @property
     def silent_at(self) -> float:
@@ -93,6 +93,12 @@
         self._phase = zlib.crc32(name.encode()) / _CRC_RANGE
         self._owners: dict[str, Owner] = {}
         self._current: dict[str, str] = {}
+        self._connected: tuple[Owner, ...] = ()
+        self._disconnected: tuple[Owner, ...] = ()
+        #: Those that owe an answer, by their incarnations.
+        self._owing: dict[str, Owner] = {}
+        #: When the next ask is due; it may be due to nobody by then.
+        self.ask_due_at = float("inf")
         self._asked = 0
         #: Rises with all that an entry is told anew for.
         self.changes = 0
@@ -108,9 +114,58 @@
         """Return the newest incarnation of an entry, or none."""
         return self._owners.get(self._current.get(name, ""))
 
-    def connected(self) -> list[Owner]:
-        """Return the entries with a stream."""
-        return [one for one in self._owners.values() if one.connected]
+    @property
+    def connected(self) -> tuple[Owner, ...]:
+        """The entries with a stream."""
+        return self._connected
+
+    @property
+    def disconnected(self) -> tuple[Owner, ...]:
+        """The entries without a stream that are not forgotten yet."""
+        return self._disconnected
+
+    @property
+    def owing(self) -> tuple[Owner, ...]:
+        """The entries that owe an answer."""
+        return tuple(self._owing.values())
+
+    def _sort(self) -> None:
+        """Sort the entries anew by whether they have a stream."""
+        owners = self._owners.values()
+        self._connected = tuple(one for one in owners if one.connected)
+        self._disconnected = tuple(one for one in owners if not one.connected)
+
+    def _bring_forward(self, owner: Owner, due: float) -> None:
+        """Let the next ask be due no later than that."""
+        owner.next_ask_at = min(owner.next_ask_at, due)
+        self.ask_due_at = min(self.ask_due_at, due)
+
+    def plan_asks(self) -> None:
+        """Work out anew when the next ask is due."""
+        self.ask_due_at = min(
+            (owner.next_ask_at for owner in self._connected),
+            default=float("inf"),
+        )
+
+    def _owe_nothing(self, owner: Owner) -> None:
+        owner.owed.clear()
+        owner.reopening = False
+        self._owing.pop(owner.incarnation, None)
+
+    def note_answer(self, now: float, owner: Owner, number: int) -> bool:
+        """Take in that an entry has seen the ask with that number.
+
+        :return: whether it owed an answer to that or to an older one
+        """
+        owed = [one for one in owner.owed if one <= number]
+        if not owed:
+            return False
+        owner.answer_times.note(now - owner.owed[owed[0]])
+        for one in owed:
+            del owner.owed[one]
+        if not owner.owed:
+            del self._owing[owner.incarnation]
+        return True
 
     def join(self, now: float, name: str, incarnation: str) -> Owner:
         """Note that an entry's stream is open."""
@@ -125,8 +180,9 @@
         owner.wanted_by = float("inf")
         owner.told = None
         owner.next_ask_at = 0.0
-        owner.owed.clear()
-        owner.reopening = False
+        self._owe_nothing(owner)
+        self._sort()
+        self.plan_asks()
         return owner
 
     def leave(self, name: str, incarnation: str) -> None:
@@ -135,7 +191,9 @@
         if owner is not None and owner.name == name:
             owner.connected = False
             owner.asks.clear()
-            owner.owed.clear()
+            self._owe_nothing(owner)
+            self._sort()
+            self.plan_asks()
             self.changes += 1
 
     def note_order(self, owner: Owner, order: wire.OrderRuns) -> None:
@@ -144,11 +202,12 @@
         self.changes += 1
         self.granted(owner, order.ask_seen)
         due = owner.granted_at + self._timing.idle_ask_every_s
-        owner.next_ask_at = min(owner.next_ask_at, due)
+        self._bring_forward(owner, due)
 
     def forget(self, incarnation: str) -> None:
         """Drop an incarnation that is not connected and has no runs."""
         owner = self._owners.pop(incarnation, None)
+        self._sort()
         if owner and self._current.get(owner.name) == incarnation:
             del self._current[owner.name]
 
@@ -183,6 +242,7 @@
         quiet = now - owner.heard_at >= self._timing.idle_answer_every_s
         if at_once or busy or quiet or owner.unconfirmed:
             owner.owed[self._asked] = now
+            self._owing[owner.incarnation] = owner
         every = self._timing.ask_every_s
         if not busy:
             every = self._timing.idle_ask_every_s
@@ -223,8 +283,8 @@
         """
         if len(owner.unconfirmed) < _MAX_UNCONFIRMED:
             owner.unconfirmed.append((owner.asked, message))
-        due = owner.asked_at + _CONFIRM_EVERY_S
-        owner.next_ask_at = min(owner.next_ask_at, due)
+        if owner.connected:
+            self._bring_forward(owner, owner.asked_at + _CONFIRM_EVERY_S)
 
     def take_unconfirmed(self, owner: Owner) -> list[wire.RunsEnded]:
         """Return the ends to send on a new stream."""
--- a/src/ferryledge/leases/_reports.py
+++ b/src/ferryledge/leases/_reports.py
@@ -47,7 +47,7 @@
 
     def tell_held(self) -> None:
         """Tell entries with a new stream what is held for them."""
-        for owner in self._owners.connected():
+        for owner in self._owners.connected:
             if not owner.wants_held:
                 continue
             owner.wants_held = False
@@ -68,7 +68,7 @@
         if now - self._late_told_at < _LATE_S:
             return
         self._late_told_at = now
-        for owner in self._owners.connected():
+        for owner in self._owners.connected:
             runs = tuple(
                 _late_run(now, row, row.pace, speed)
                 for row in self._runs.of_owner(owner.incarnation)
@@ -91,7 +91,7 @@
         self._changes = self._owners.changes
         self._turns.see(now, state.free)
         self.due_at = float("inf")
-        owners = self._owners.connected()
+        owners = self._owners.connected
         self._choose_homes(owners)
         wanted_by = {
             owner.name: owner.wanted_by for owner in owners if owner.home
@@ -103,7 +103,7 @@
                 shown_at = self._turns.shown_at(order.index(owner.name))
             self._tell_owner(now, owner, shown_at)
 
-    def _choose_homes(self, owners: list[_owners.Owner]) -> None:
+    def _choose_homes(self, owners: abc.Iterable[_owners.Owner]) -> None:
         names = tuple(sorted(owner.name for owner in owners))
         homes = _states.homes_of(self._name, names)
         for owner in owners:
--- a/src/ferryledge/leases/_runs.py
+++ b/src/ferryledge/leases/_runs.py
@@ -135,6 +135,10 @@
         rows = self._by_owner.get(owner)
         return list(rows.values()) if rows else []
 
+    def owners(self) -> list[str]:
+        """Return the entries that ordered any of the runs."""
+        return list(self._by_owner)
+
     def has_owner(self, owner: str) -> bool:
         """Return whether an entry ordered any of the runs."""
         return owner in self._by_owner
--- a/src/ferryledge/leases/_stopping.py
+++ b/src/ferryledge/leases/_stopping.py
@@ -95,9 +95,10 @@
         :param now: monotonic seconds
         :param unclaimed_since: since when runs wait to be claimed
         """
-        for owner in self._owners:
+        for owner in self._with_runs():
             if not self._owners.has_grant(owner, now):
                 self._stop_without_grant(now, owner)
+        self._forget_lost(now)
         if now - unclaimed_since > self._timing.grant_s:
             for row in self._runs.of_owner(""):
                 self.stop(now, row.key)
@@ -110,8 +111,17 @@
             if row.state is not _runs.RunState.STOPPING:
                 self._notes.grant_ran_out(now, owner, row)
             self.stop(now, row.key)
-        if not owner.connected and now - owner.granted_at > _FORGET_S:
-            self._owners.forget(owner.incarnation)
+
+    def _with_runs(self) -> list[_owners.Owner]:
+        """Return the entries that are known and have runs here."""
+        found = [self._owners.find(one) for one in self._runs.owners()]
+        return [owner for owner in found if owner is not None]
+
+    def _forget_lost(self, now: float) -> None:
+        """Forget entries that have been gone for long."""
+        for owner in self._owners.disconnected:
+            if now - owner.granted_at > _FORGET_S:
+                self._owners.forget(owner.incarnation)
 
     def _repeat(self, now: float) -> None:
         for row in self._runs:
@@ -136,13 +146,13 @@
         ]
         grants = [
             owner.granted_at + self._timing.grant_s
-            for owner in self._owners
+            for owner in self._with_runs()
             if self._has_unstopped(owner.incarnation)
         ]
         return min([*stops, *grants, self._list_at])
 
     def _has_unstopped(self, owner: str) -> bool:
-        return self._runs.has_owner(owner) and any(
+        return any(
             row.state is not _runs.RunState.STOPPING
             for row in self._runs.of_owner(owner)
         )
--- a/src/ferryledge/leases/_stream_watch.py
+++ b/src/ferryledge/leases/_stream_watch.py
@@ -47,12 +47,8 @@
 
     def answered(self, now: float, owner: _owners.Owner, number: int) -> None:
         """Take in that an entry has seen the ask with that number."""
-        owed = [one for one in owner.owed if one <= number]
-        if not owed:
+        if not self._owners.note_answer(now, owner, number):
             return
-        owner.answer_times.note(now - owner.owed[owed[0]])
-        for one in owed:
-            del owner.owed[one]
         if owner.reopening:
             owner.reopening = False
             self._act(_agent_events.KeepStream(owner.name))
@@ -64,11 +60,11 @@
 
         :return: the entries to ask at once, since another is silent
         """
-        owners = self._owners.connected()
+        owing = self._owners.owing
         if now - self._look_at > _LATE_LOOK_S:
-            for owner in owners:
+            for owner in owing:
                 owner.owed = dict.fromkeys(owner.owed, now)
-        silent = [owner for owner in owners if self._is_silent(now, owner)]
+        silent = [owner for owner in owing if now >= _due_at(owner)]
         for owner in silent:
             self._reopen(now, owner)
         if not silent:
@@ -76,22 +72,14 @@
         since = min(owner.oldest_owed_at for owner in silent)
         return [
             owner
-            for owner in owners
+            for owner in self._owners.connected
             if not owner.owed and owner.heard_at < since
         ]
 
     def due_at(self) -> float:
         """Return when to look at the latest."""
-        return min(
-            (
-                max(owner.silent_at, owner.reopen_at)
-                for owner in self._owners.connected()
-            ),
-            default=float("inf"),
-        )
-
-    def _is_silent(self, now: float, owner: _owners.Owner) -> bool:
-        return now >= max(owner.silent_at, owner.reopen_at)
+        owing = self._owners.owing
+        return min(map(_due_at, owing), default=float("inf"))
 
     def _reopen(self, now: float, owner: _owners.Owner) -> None:
         if not owner.reopening:
@@ -99,3 +87,8 @@
         owner.reopening = True
         owner.reopen_at = now + _RETRY_S
         self._act(_agent_events.ReopenStream(owner.name))
+
+
+def _due_at(owner: _owners.Owner) -> float:
+    """Return when a new stream to an entry is due."""
+    return max(owner.silent_at, owner.reopen_at)
