--- a/src/ferryledge/leases/tests/test_silence.py
+++ b/src/ferryledge/leases/tests/test_silence.py
@@ -64,3 +64,29 @@
         core.receive(step / 10, wire.Received("entry-1", wire.KeepAlive()))
         actions += core.tick(step / 10)
     assert not any(isinstance(one, leases.CloseStream) for one in actions)
+
+
+def test_agent_that_was_paused_itself_opens_no_streams() -> None:
+    world = worlds.World(seed=4, entries=2, agents=2)
+    world.run(2.0)
+    world.submit("entry-0", "a" * 16, 4, work_s=2.0)
+    world.run(0.1)
+    before = world.reopened
+    world.pause("agent-0", 0.35)
+    world.pause("agent-1", 0.35)
+    world.run(1.0)
+    assert world.reopened == before
+
+
+def test_entry_that_was_only_slow_keeps_its_stream() -> None:
+    world = worlds.World(seed=4, entries=1, agents=2)
+    world.run(2.0)
+    token = world.submit("entry-0", "a" * 16, 4, work_s=0.8)
+    world.run(0.1)
+    streams = dict(world.streams)
+    world.pause("entry-0", 0.3)
+    world.run(1.5)
+    assert world.reopened
+    assert world.streams == streams
+    assert isinstance(world.outcome(token), outcomes.Complete)
+    assert world.started["a" * 16] == 4
--- a/src/ferryledge/leases/tests/world.py
+++ b/src/ferryledge/leases/tests/world.py
@@ -93,6 +93,8 @@
         self.used: dict[tuple[str, str], Stream] = {}
         #: New streams that are being opened beside old ones.
         self.reopening: dict[tuple[str, str], Stream] = {}
+        #: How often that was tried.
+        self.reopened = 0
         self.cuts: set[tuple[str, str]] = set()
         self.held: dict[
             tuple[str, str], list[tuple[Stream, abc.Callable[[], None]]]
@@ -378,6 +380,7 @@
         key = (agent, entry)
         if key in self.reopening:
             return
+        self.reopened += 1
         stream = self.reopening[key] = Stream(agent, entry)
 
         def try_it() -> None:
