--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -163,6 +163,11 @@
             "Agents that take work",
             lambda: core.usable_agents(anyio.current_time()),
         )
+        gauge(
+            "link_wait_seconds",
+            "What is sent now waits so long at the machine's link",
+            lambda: core.link.wait_s(anyio.current_time()),
+        )
         gauge(
             "config_version",
             "Version of the configuration in force",
--- a/src/ferryledge/hosted/_metrics.py
+++ b/src/ferryledge/hosted/_metrics.py
@@ -167,6 +167,9 @@
         self._unanswered = registry.counter(
             "orders_unanswered", "Orders to the endpoint without an answer"
         )
+        self._suspected = registry.counter(
+            "streams_suspected", "Streams taken for silent"
+        )
         self._grants = registry.counter(
             "grants_run_out", "Runs stopped for want of a grant"
         )
@@ -187,6 +190,10 @@
         """Count an order without an answer."""
         self._unanswered.inc()
 
+    def suspected(self) -> None:
+        """Count a stream taken for silent."""
+        self._suspected.inc()
+
     def grant_ran_out(self) -> None:
         """Count a run stopped for want of a grant."""
         self._grants.inc()
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -115,6 +115,11 @@
         """The other entries."""
         return self._peers
 
+    @property
+    def link(self) -> _own_link.OwnLink:
+        """The link of this entry's machine."""
+        return self._link
+
     def take_notes(self) -> list[_notes.Note]:
         """Return what was decided since the last call, for the log."""
         return self._notes.take()
--- a/src/ferryledge/platform/tests/test_border.py
+++ b/src/ferryledge/platform/tests/test_border.py
@@ -33,6 +33,12 @@
     assert settings.stream_port == 7720
     assert settings.store.address == "10.0.0.9:80"
     assert settings.bounds.grace_s == 6
+    assert settings.link_bytes_per_s == float("inf")
+
+
+def test_link_is_read_in_bytes_a_second() -> None:
+    text = _settings() + "[Limits]\nLinkMbps = 2.0\n"
+    assert platform.parse_settings(text).link_bytes_per_s == 250_000.0
 
 
 def test_missing_setting_is_named() -> None:
