Give an entry's scheduling a module of its own

Change: review, placing, the words of urgency and their times are Scheduling; the entry answers what it refuses and sends what it says. The behaviour is the same.

--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -9,7 +9,6 @@
 import random
 
 from ferryledge import health
-from ferryledge.leases import _admission
 from ferryledge.leases import _entry_events
 from ferryledge.leases import _entry_notes
 from ferryledge.leases import _job_table
@@ -21,9 +20,8 @@
 from ferryledge.leases import _placing
 from ferryledge.leases import _pool
 from ferryledge.leases import _run_tracking
-from ferryledge.leases import _share
+from ferryledge.leases import _scheduling
 from ferryledge.leases import _timing
-from ferryledge.leases import _wanting
 from ferryledge import outcomes
 from ferryledge import placement
 from ferryledge import wire
@@ -73,13 +71,6 @@
         self._judge = health.HealthJudge()
         self._notes = _entry_notes.EntryNotes(meter or _meters.EntryMeter())
         self._peers = _peers.EntryPeers()
-        self._placing = _placing.Placing(
-            name, self._pool, self._run_times, far_factor
-        )
-        self._share = _share.Share(self._link)
-        self._admission = _admission.Admission(
-            name, self._pool, self._share, self._link, rng
-        )
         self._jobs = _job_table.JobTable()
         self._runs = _run_tracking.RunTracking(
             self._jobs,
@@ -90,14 +81,19 @@
             self._link,
             self._send,
         )
+        self._scheduling = _scheduling.Scheduling(
+            name,
+            self._jobs,
+            self._pool,
+            self._runs,
+            _placing.Placing(name, self._pool, self._run_times, far_factor),
+            self._link,
+            rng,
+        )
         self._actions: list[_entry_events.EntryAction] = []
         self._draining = False
         self._next_sweep = 0.0
         self._dirty = False
-        self._wanting = _wanting.Wanting(self._link)
-        self._wanted_at = float("inf")
-        #: When the own link has room for waiting orders.
-        self._place_at = float("inf")
         self._now = 0.0
 
     @property
@@ -180,7 +176,7 @@
                 self._peers.learn_config(version, data)
             case _entry_events.EntryDrain(until):
                 self._draining = True
-                self._admission.close(until)
+                self._scheduling.admission.close(until)
             case _entry_events.EntryStop():
                 self._answer_all(now)
 
@@ -189,11 +185,11 @@
         self._now = now
         if now >= self._next_sweep:
             self._sweep(now)
-        if self._dirty or now >= self._place_at:
+        if self._dirty or self._scheduling.is_link_free(now):
             self._dirty = False
-            self._place(now)
-        if now >= self._wanted_at:
-            self._tell_wanted(now)
+            self._scheduling.place(now)
+        for row, message in self._scheduling.tell_wanted(now):
+            self._send(row.name, message)
         for action in self._peers.take_actions():
             if isinstance(action, _entry_events.SendMessage):
                 self._send(action.peer, action.message)
@@ -205,7 +201,7 @@
 
     def wake_at(self) -> float:
         """Return when to tick at the latest."""
-        return min(self._next_sweep, self._wanted_at, self._place_at)
+        return min(self._next_sweep, self._scheduling.due_at)
 
     def _sweep_every_s(self) -> float:
         return _REVIEW_S if self._jobs.untried else _SWEEP_S
@@ -236,7 +232,7 @@
             _jobs.make_tasks(request),
             self._run_times.spread(request.job_class.name),
         )
-        refusal = self._admission.admit(now, job)
+        refusal = self._scheduling.admission.admit(now, job)
         if refusal is not None:
             self._finish(now, job, refusal)
             return
@@ -281,7 +277,7 @@
     def _answer_all(self, now: float) -> None:
         """Answer all open jobs: the process is about to end."""
         for job in self._jobs.open:
-            self._finish(now, job, self._admission.give_up(job))
+            self._finish(now, job, self._scheduling.admission.give_up(job))
 
     def _reply(self, tokens: list[int], outcome: outcomes.JobOutcome) -> None:
         for token in tokens:
@@ -425,59 +421,7 @@
         self._jobs.expire(now)
         for job in self._jobs.open:
             if now >= job.deadline_at - _GIVE_UP_S:
-                self._finish(now, job, self._admission.give_up(job))
-        self._review(now)
-
-    def _review(self, now: float) -> None:
-        """Refuse the jobs that wait in vain, in the order of their turns."""
-        untried = sorted(
-            self._jobs.untried,
-            key=lambda job: _placing.urgency(now, job, self._share.gap_s),
-        )
-        ahead: dict[str, float] = {}
+                self._finish(now, job, self._scheduling.admission.give_up(job))
         entries = 1 + self._peers.entry_count
-        self._share.update(now, self._pool.capacity_cores(now), entries)
-        for job in untried:
-            service = job.request.job_class.service
-            work = ahead.get(service, 0.0)
-            refusal = self._admission.review(now, job, work, entries)
-            if refusal is not None:
-                self._finish(now, job, refusal)
-                continue
-            ahead[service] = work + job.work
-
-    def _place(self, now: float) -> None:
-        waiting = self._jobs.waiting
-        self._order_all(now, waiting)
-        left = [job for job in waiting if job.waiting]
-        self._place_at = float("inf")
-        if left and not self._link.is_free(now):
-            # They wait for the link, not for room: agents need no word.
-            self._place_at = self._link.free_at(now)
-            return
-        start_by = _wanting.most_urgent(now, left, self._share.gap_s)
-        self._wanted_at = self._wanting.due_at(start_by)
-
-    def _order_all(self, now: float, waiting: list[_jobs.Job]) -> None:
-        """Order what has room, as far as the own link carries it.
-
-        What waits there for longer than a grant lasts is turned down and
-        repeated: without the bound 30 of 676 jobs were complete in a
-        simulation of 1.4 times what the link carries.
-        """
-        if not self._link.is_free(now):
-            return
-        gap_s = self._share.gap_s
-        for placed in self._placing.place(now, waiting, gap_s):
-            self._runs.order(now, placed.job, placed.row, placed.tasks)
-            self._share.note_started(now, placed.work, len(placed.tasks))
-            if not self._link.is_free(now):
-                return
-
-    def _tell_wanted(self, now: float) -> None:
-        """Tell agents how urgent the waiting jobs are."""
-        self._wanted_at = float("inf")
-        gap_s = self._share.gap_s
-        start_by = _wanting.most_urgent(now, self._jobs.waiting, gap_s)
-        for row, message in self._wanting.tell(now, start_by, self._pool):
-            self._send(row.name, message)
+        for job, refusal in self._scheduling.review(now, entries):
+            self._finish(now, job, refusal)
--- /dev/null
+++ b/src/ferryledge/leases/_scheduling.py
@@ -0,0 +1,131 @@
+"""Which waiting jobs get room and when, and which are refused."""
+
+from collections import abc
+import random
+
+from ferryledge.leases import _admission
+from ferryledge.leases import _job_table
+from ferryledge.leases import _jobs
+from ferryledge.leases import _own_link
+from ferryledge.leases import _placing
+from ferryledge.leases import _pool
+from ferryledge.leases import _run_tracking
+from ferryledge.leases import _share
+from ferryledge.leases import _wanting
+from ferryledge import outcomes
+from ferryledge import wire
+
+_NEVER = float("inf")
+
+Refusals = abc.Iterator[tuple[_jobs.Job, outcomes.Refused]]
+
+
+class Scheduling:
+    """Orders runs of waiting jobs, as far as pool and own link have room.
+
+    :param name: this entry
+    :param jobs: the jobs that are held
+    :param pool: the agents
+    :param runs: orders runs
+    :param placing: chooses endpoints
+    :param link: this entry's own
+    :param rng: spreads the delays that refused clients are told
+    """
+
+    def __init__(
+        self,
+        name: str,
+        jobs: _job_table.JobTable,
+        pool: _pool.Pool,
+        runs: _run_tracking.RunTracking,
+        placing: _placing.Placing,
+        link: _own_link.OwnLink,
+        rng: random.Random,
+    ) -> None:
+        self._jobs = jobs
+        self._pool = pool
+        self._runs = runs
+        self._placing = placing
+        self._link = link
+        self._share = _share.Share(link)
+        self._wanting = _wanting.Wanting(link)
+        #: When agents are to hear how urgent the waiting jobs are.
+        self._wanted_at = _NEVER
+        #: When the own link has room for waiting orders.
+        self._place_at = _NEVER
+        self.admission = _admission.Admission(
+            name, pool, self._share, link, rng
+        )
+
+    @property
+    def due_at(self) -> float:
+        """When to place or to tell agents at the latest."""
+        return min(self._wanted_at, self._place_at)
+
+    def review(self, now: float, entries: int) -> Refusals:
+        """Yield jobs that wait in vain, in the order of their turns.
+
+        Each is to be answered before the next is asked for.
+
+        :param now: monotonic seconds
+        :param entries: how many entries share the pool, with this one
+        """
+        gap_s = self._share.gap_s
+        untried = sorted(
+            self._jobs.untried,
+            key=lambda job: _placing.urgency(now, job, gap_s),
+        )
+        ahead: dict[str, float] = {}
+        self._share.update(now, self._pool.capacity_cores(now), entries)
+        for job in untried:
+            service = job.request.job_class.service
+            work = ahead.get(service, 0.0)
+            refusal = self.admission.review(now, job, work, entries)
+            if refusal is None:
+                ahead[service] = work + job.work
+            else:
+                yield job, refusal
+
+    def is_link_free(self, now: float) -> bool:
+        """Return whether orders waited for the link, which is free now."""
+        return now >= self._place_at
+
+    def place(self, now: float) -> None:
+        """Order what has room."""
+        waiting = self._jobs.waiting
+        self._order_all(now, waiting)
+        left = [job for job in waiting if job.waiting]
+        self._place_at = _NEVER
+        if left and not self._link.is_free(now):
+            # They wait for the link, not for room: agents need no word.
+            self._place_at = self._link.free_at(now)
+            return
+        start_by = _wanting.most_urgent(now, left, self._share.gap_s)
+        self._wanted_at = self._wanting.due_at(start_by)
+
+    def _order_all(self, now: float, waiting: list[_jobs.Job]) -> None:
+        """Order what has room, as far as the own link carries it.
+
+        What waits there for longer than a grant lasts is turned down and
+        repeated: without the bound 30 of 676 jobs were complete in a
+        simulation of 1.4 times what the link carries.
+        """
+        if not self._link.is_free(now):
+            return
+        gap_s = self._share.gap_s
+        for placed in self._placing.place(now, waiting, gap_s):
+            self._runs.order(now, placed.job, placed.row, placed.tasks)
+            self._share.note_started(now, placed.work, len(placed.tasks))
+            if not self._link.is_free(now):
+                return
+
+    def tell_wanted(
+        self, now: float
+    ) -> abc.Iterator[tuple[_pool.AgentRow, wire.RoomWanted]]:
+        """Yield agents to tell how urgent the waiting jobs are, and how."""
+        if now < self._wanted_at:
+            return
+        self._wanted_at = _NEVER
+        gap_s = self._share.gap_s
+        start_by = _wanting.most_urgent(now, self._jobs.waiting, gap_s)
+        yield from self._wanting.tell(now, start_by, self._pool)
