Give what an agent accepts a module of its own

Change: Acceptance holds room, time left and refusals; an order whose spec can't be unpacked is refused beside it. The mutation that takes the count of room out names the new place.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -5,6 +5,7 @@
 whose grant has run out.
 """
 
+from ferryledge.leases import _acceptance
 from ferryledge.leases import _agent_events
 from ferryledge.leases import _agent_notes
 from ferryledge.leases import _answer_times
@@ -21,9 +22,6 @@
 from ferryledge.leases import _timing
 from ferryledge import wire
 
-#: Steps in which the time left is told, in seconds.
-_TIME_STEP_S = 0.5
-
 _RELEASES = {
     _agent_events.StartResult.FENCED: wire.NotStarted.REJECTED,
     _agent_events.StartResult.RUN_NUMBER: wire.NotStarted.RUN_NUMBER,
@@ -65,7 +63,9 @@
         self._notes = _agent_notes.AgentNotes(meter or _meters.AgentMeter())
         self._owners = _owners.OwnerTable(self._timing, name)
         self._actions: list[_agent_events.AgentAction] = []
-        self._drain_until = float("inf")
+        self._acceptance = _acceptance.Acceptance(
+            self._link, self._runs, self._owners
+        )
         self._speed = _speed.EndpointSpeed()
         self._answer_times = _answer_times.AnswerTimes(self._timing.order_s)
         self._stopping = _stopping.Stopping(
@@ -120,7 +120,7 @@
             self._name,
             self._incarnation,
             self._hall,
-            leaving=self._drain_until < float("inf"),
+            leaving=self._acceptance.leaving,
             packed_texts=True,
         )
 
@@ -138,7 +138,7 @@
             case wire.Received(peer, message):
                 self._on_message(now, peer, message)
             case _agent_events.AgentDrain(until):
-                self._drain_until = until
+                self._acceptance.drain(until)
             case _:
                 self._on_endpoint_event(now, event)
 
@@ -262,66 +262,39 @@
     ) -> None:
         self._watch.answered(now, owner, order.ask_seen)
         self._owners.note_order(owner, order)
-        try:
-            spec = order.spec
-            if order.packed_spec:
-                spec = wire.unpack_text(order.packed_spec)
-            refusal = self._refusal(now, owner, order)
-        except wire.PackingError:
-            refusal = wire.NotStarted.REJECTED
+        spec = _spec_of(order)
+        refusal = self._acceptance.refusal(now, owner, order)
         if refusal is not None:
-            self._notes.released(now, owner, order, refusal)
-            self._release(owner, order.job, order.runs, refusal)
+            self._refuse(now, owner, order, refusal)
+            return
+        if spec is None:
+            self._refuse(now, owner, order, wire.NotStarted.REJECTED)
             return
         full = []
         for run in order.runs:
             key = _runs.RunKey.of(order.job, run)
             if self._runs.find(key) is not None:
                 continue
-            room = order.need.fits_in(self._free())
+            room = order.need.fits_in(self._acceptance.free)
             if not room or self._runs.has_task(key):
                 full.append(run)
                 continue
             self._start(now, owner, key, order, spec)
-        self._notes.taken(
-            owner, order, len(full), self._free(), len(self._runs)
-        )
+        free = self._acceptance.free
+        self._notes.taken(owner, order, len(full), free, len(self._runs))
         if full:
             self._release(owner, order.job, full, wire.NotStarted.FULL)
 
-    def _refusal(
-        self, now: float, owner: _owners.Owner, order: wire.OrderRuns
-    ) -> wire.NotStarted | None:
-        if order.expected_s * _timing.RUN_MARGIN > self._time_left(now):
-            return wire.NotStarted.LEAVING
-        if order.endpoint != self._link.incarnation:
-            return wire.NotStarted.ENDPOINT
-        if not self._accepts(now):
-            return wire.NotStarted.LEAVING
-        if not self._owners.has_grant(owner, now):
-            return wire.NotStarted.NO_ANSWER
-        return None
-
-    def _accepts(self, now: float) -> bool:
-        seen = self._link.seen
-        if seen is None or seen.draining or self._time_left(now) <= 0.0:
-            return False
-        if not self._link.synced or not self._link.is_fresh(now):
-            return False
-        return not self._runs.has_owner("")
-
-    def _time_left(self, now: float) -> float:
-        """Return the seconds until this process ends, in whole steps."""
-        if self._drain_until == float("inf"):
-            return self._drain_until
-        steps = int((self._drain_until - now) / _TIME_STEP_S)
-        return steps * _TIME_STEP_S
-
-    def _free(self) -> wire.Resources:
-        seen = self._link.seen
-        if seen is None:
-            return wire.Resources()
-        return seen.capacity.minus(self._runs.held)
+    def _refuse(
+        self,
+        now: float,
+        owner: _owners.Owner,
+        order: wire.OrderRuns,
+        reason: wire.NotStarted,
+    ) -> None:
+        """Turn an order down as a whole."""
+        self._notes.released(now, owner, order, reason)
+        self._release(owner, order.job, order.runs, reason)
 
     def _start(
         self,
@@ -539,15 +512,6 @@
         busy = self._runs.has_owner(owner.incarnation)
         self._send(owner, self._owners.ask(owner, now, busy, at_once))
 
-    def _remaining_s(
-        self, now: float, seen: _agent_events.EndpointSeen
-    ) -> float:
-        """Return the seconds that are left here; 0 is unlimited."""
-        left = self._time_left(now)
-        if left == float("inf"):
-            return seen.remaining_s
-        return min(left, seen.remaining_s or left)
-
     def _state(self) -> wire.EndpointState:
         """Return the endpoint's state, but for what is an entry's own."""
         seen = self._link.seen
@@ -558,9 +522,19 @@
             seen.service,
             seen.labels,
             seen.capacity,
-            self._free(),
-            self._accepts(self._now),
-            remaining_s=self._remaining_s(self._now, seen),
+            self._acceptance.free,
+            self._acceptance.is_open(self._now),
+            remaining_s=self._acceptance.remaining_s(self._now),
             slowness=self._speed.reported,
             home=False,
         )
+
+
+def _spec_of(order: wire.OrderRuns) -> str | None:
+    """Return what the endpoint is to run; none if it can't be unpacked."""
+    if not order.packed_spec:
+        return order.spec
+    try:
+        return wire.unpack_text(order.packed_spec)
+    except wire.PackingError:
+        return None
--- a/src/ferryledge/leases/tests/test_mutations.py
+++ b/src/ferryledge/leases/tests/test_mutations.py
@@ -10,6 +10,7 @@
 import pytest
 
 from ferryledge import leases
+from ferryledge.leases import _acceptance
 from ferryledge.leases import _agent
 from ferryledge.leases import _endpoint
 from ferryledge.leases import _owners
@@ -122,7 +123,10 @@
 
 MUTATIONS = {
     "room is not counted": Mutation(
-        _agent.LeaseAgent, "_free", lambda _: _PLENTY, _late_orders
+        _acceptance.Acceptance,
+        "free",
+        property(lambda _: _PLENTY),
+        _late_orders,
     ),
     "runs are over as soon as a stream breaks": Mutation(
         _timing.LeaseTiming,
