Let asks ride on the reports of ends, and orders answer them

Ruled out: fewer asks (0.1 s apart instead of 0.05: silence is noticed later), ticks 2 ms apart (no gain at agents).

Change: an end carries the number of its ask; an entry answers at the end of a tick, and an order of that tick to the same agent answers in its place. An agent looks at what is owed, at stops that are not confirmed and at unconfirmed ends only where there are any. The field is the last one of its message, and 0 is none.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -476,9 +476,9 @@
         if row.confirmed_at is not None:
             run_s = max(0.0, self._now - row.confirmed_at)
         end = wire.RunsEnded(row.key.job, (wire.RunEnd(run, how, run_s),))
-        if owner.connected and not owner.wants_held:
-            self._send(owner, end)
         self._owners.keep(owner, end)
+        if owner.connected and not owner.wants_held:
+            self._send(owner, self._owners.ask_with(owner, self._now, end))
 
     def _release(
         self,
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -91,6 +91,8 @@
             rng,
         )
         self._actions: list[_entry_events.EntryAction] = []
+        #: Agents whose last ask is to be answered.
+        self._asking: dict[str, _pool.AgentRow] = {}
         self._draining = False
         self._next_sweep = 0.0
         self._dirty = False
@@ -190,6 +192,7 @@
             self._scheduling.place(now)
         for row, message in self._scheduling.tell_wanted(now):
             self._send(row.name, message)
+        self._grant(now)
         for action in self._peers.take_actions():
             if isinstance(action, _entry_events.SendMessage):
                 self._send(action.peer, action.message)
@@ -352,9 +355,17 @@
     ) -> None:
         row.ask_seen = ask.number
         if ask.wanted or self._pool.must_answer(row, now):
-            row.granted_at = now
+            self._asking[row.name] = row
+
+    def _grant(self, now: float) -> None:
+        """Answer asks, but those that an order of this moment answers."""
+        for row in self._asking.values():
             row.answered_at = now
-            self._send(row.name, wire.GrantLease(ask.number))
+            if row.ask_answered != row.ask_seen:
+                row.ask_answered = row.ask_seen
+                row.granted_at = now
+                self._send(row.name, wire.GrantLease(row.ask_seen))
+        self._asking.clear()
 
     def _on_runs_message(
         self, now: float, row: _pool.AgentRow, message: wire.Message
@@ -363,9 +374,11 @@
             case wire.RunsReleased(name, runs, reason):
                 for run in runs:
                     self._runs.released(row, name, run, reason)
-            case wire.RunsEnded(name, ends):
+            case wire.RunsEnded(name, ends, ask):
                 for end in ends:
                     self._decide(now, self._runs.ended(now, row, name, end))
+                if ask:
+                    self._on_ask(now, row, wire.AskLease(ask, wanted=True))
             case wire.RunsHeld(runs):
                 for decided in self._runs.held(now, row, runs):
                     self._decide(now, decided)
--- a/src/ferryledge/leases/_owners.py
+++ b/src/ferryledge/leases/_owners.py
@@ -125,9 +125,9 @@
         return self._disconnected
 
     @property
-    def owing(self) -> tuple[Owner, ...]:
+    def owing(self) -> abc.Collection[Owner]:
         """The entries that owe an answer."""
-        return tuple(self._owing.values())
+        return self._owing.values()
 
     def _sort(self) -> None:
         """Sort the entries anew by whether they have a stream."""
@@ -157,6 +157,8 @@
 
         :return: whether it owed an answer to that or to an older one
         """
+        if not owner.owed:
+            return False
         owed = [one for one in owner.owed if one <= number]
         if not owed:
             return False
@@ -266,9 +268,10 @@
 
         It confirms what was sent before its ask: a stream keeps the order.
         """
-        owner.unconfirmed = [
-            one for one in owner.unconfirmed if one[0] >= number
-        ]
+        if owner.unconfirmed:
+            owner.unconfirmed = [
+                one for one in owner.unconfirmed if one[0] >= number
+            ]
         asked_at = owner.asks.pop(number, None)
         if asked_at is None:
             return
@@ -279,12 +282,25 @@
     def keep(self, owner: Owner, message: wire.RunsEnded) -> None:
         """Keep an end until its entry confirms it.
 
-        The answer to the next ask does; it is asked for soon.
+        The answer to an ask that is sent with it or later does.
         """
         if len(owner.unconfirmed) < _MAX_UNCONFIRMED:
             owner.unconfirmed.append((owner.asked, message))
-        if owner.connected:
-            self._bring_forward(owner, owner.asked_at + _CONFIRM_EVERY_S)
+
+    def ask_with(
+        self, owner: Owner, now: float, message: wire.RunsEnded
+    ) -> wire.RunsEnded:
+        """Return an end with an ask, or have one sent soon.
+
+        An ask of its own with each end took two messages more: 8% of what
+        agents and entries spent on a full pool.
+        """
+        due = owner.asked_at + _CONFIRM_EVERY_S
+        if now < due:
+            self._bring_forward(owner, due)
+            return message
+        ask = self.ask(owner, now, busy=True)
+        return wire.RunsEnded(message.job, message.ends, ask.number)
 
     def take_unconfirmed(self, owner: Owner) -> list[wire.RunsEnded]:
         """Return the ends to send on a new stream."""
--- a/src/ferryledge/leases/_pool.py
+++ b/src/ferryledge/leases/_pool.py
@@ -39,6 +39,8 @@
     granted_at: float = float("-inf")
     #: Number of its last ask for a grant.
     ask_seen: int = 0
+    #: Number of the last ask that was answered, by an order or otherwise.
+    ask_answered: int = 0
     #: When an ask was answered last.
     answered_at: float = float("-inf")
     #: Number of the last order.
@@ -127,6 +129,7 @@
         row.heard_at = now
         row.orders = 0
         row.ask_seen = 0
+        row.ask_answered = 0
         row.answered_at = float("-inf")
         row.in_flight.clear()
         return row
--- a/src/ferryledge/leases/_run_tracking.py
+++ b/src/ferryledge/leases/_run_tracking.py
@@ -89,6 +89,7 @@
             job.pack_spec() if packs else b"",
         )
         row.granted_at = now
+        row.ask_answered = row.ask_seen
         self._send(row.name, order)
         slowness = self._run_times.slowness(row.name)
         self._notes.ordered(now, job, row, tasks, slowness)
--- a/src/ferryledge/leases/_stopping.py
+++ b/src/ferryledge/leases/_stopping.py
@@ -45,6 +45,8 @@
         self._act = act
         #: When the endpoint is asked beside the renewals what it runs.
         self._list_at = float("inf")
+        #: Runs whose stop the endpoint has not confirmed; some may be over.
+        self._unconfirmed: dict[_runs.RunKey, _runs.RunRow] = {}
 
     def stop(
         self,
@@ -72,6 +74,7 @@
 
     def _order(self, now: float, row: _runs.RunRow) -> None:
         row.stop_sent_at = now
+        self._unconfirmed[row.key] = row
         self._act(
             _agent_events.StopRun(
                 row.key, self._link.incarnation, self._link.token
@@ -80,6 +83,7 @@
 
     def confirmed(self, now: float, key: _runs.RunKey) -> None:
         """Note that the endpoint took a stop."""
+        self._unconfirmed.pop(key, None)
         row = self._runs.find(key)
         if row is None:
             return
@@ -124,12 +128,18 @@
                 self._owners.forget(owner.incarnation)
 
     def _repeat(self, now: float) -> None:
-        for row in self._runs:
-            if row.stop_sent_at is None or row.stop_confirmed_at is not None:
-                continue
-            if now - row.stop_sent_at >= self._timing.order_s:
+        for key, row in list(self._unconfirmed.items()):
+            if self._runs.find(key) is not row:
+                del self._unconfirmed[key]
+            elif now >= self._repeat_at(row):
                 self._order(now, row)
 
+    def _repeat_at(self, row: _runs.RunRow) -> float:
+        """Return when an unconfirmed stop is to be sent again."""
+        if row.stop_sent_at is None:
+            return float("inf")
+        return row.stop_sent_at + self._timing.order_s
+
     def _list_runs(self, now: float) -> None:
         if now < self._list_at:
             return
@@ -139,11 +149,7 @@
 
     def due_at(self) -> float:
         """Return when to tick at the latest."""
-        stops = [
-            row.stop_sent_at + self._timing.order_s
-            for row in self._runs
-            if row.stop_sent_at is not None and row.stop_confirmed_at is None
-        ]
+        stops = [self._repeat_at(row) for row in self._unconfirmed.values()]
         grants = [
             owner.granted_at + self._timing.grant_s
             for owner in self._with_runs()
--- a/src/ferryledge/leases/_stream_watch.py
+++ b/src/ferryledge/leases/_stream_watch.py
@@ -61,6 +61,8 @@
         :return: the entries to ask at once, since another is silent
         """
         owing = self._owners.owing
+        if not owing:
+            return []
         if now - self._look_at > _LATE_LOOK_S:
             for owner in owing:
                 owner.owed = dict.fromkeys(owner.owed, now)
@@ -79,7 +81,7 @@
     def due_at(self) -> float:
         """Return when to look at the latest."""
         owing = self._owners.owing
-        return min(map(_due_at, owing), default=float("inf"))
+        return min(map(_due_at, owing)) if owing else float("inf")
 
     def _reopen(self, now: float, owner: _owners.Owner) -> None:
         if not owner.reopening:
--- a/src/ferryledge/net/_mesh.py
+++ b/src/ferryledge/net/_mesh.py
@@ -236,9 +236,9 @@
         peer that is not dialled, or while one is being opened already.
         """
         address = self._addresses.get(name)
-        if name not in self._dialled or name in self._reopening:
+        if address is None or name not in self._dialled:
             return
-        if address is None:
+        if name in self._reopening:
             return
         with anyio.CancelScope() as scope:
             self._reopening[name] = scope
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -117,6 +117,9 @@
 
     job: str
     ends: tuple[RunEnd, ...]
+    #: Number of an :class:`AskLease` that comes with it and wants an answer;
+    #: 0 is none.
+    ask: int = 0
 
 
 class StopRuns(_messages.Model, frozen=True, tag="stop-runs"):
