Test the asks that ride on ends

Cause: what answers them was held by the simulations only.

Change: an ask that came with an end is answered, an end without one is not, an order of the same tick answers in its place, and an end is told again, unchanged, until an answer confirms it.

--- /dev/null
+++ b/src/ferryledge/leases/tests/test_asks.py
@@ -0,0 +1,105 @@
+"""Asks that ride on ends, and what answers them."""
+
+import random
+
+import pytest
+
+from ferryledge import leases
+from ferryledge.leases.tests import world as worlds
+from ferryledge import wire
+
+_AGENT = "agent-0"
+_NEED = wire.Resources(4000, 100, 0)
+_ROOM = wire.Resources(4000, 8000, 0)
+
+
+def _job(name: str) -> leases.LeasedJob:
+    step = leases.JobStep(1, _NEED, 0.4)
+    return leases.LeasedJob(name, worlds.JOB_CLASS, "spec", (step,), 5.0)
+
+
+def _receive(
+    entry: leases.LeaseEntry, now: float, message: wire.Message
+) -> None:
+    entry.receive(now, wire.Received(_AGENT, message))
+
+
+def _sent(entry: leases.LeaseEntry, now: float) -> list[wire.Message]:
+    return [
+        action.message
+        for action in entry.tick(now)
+        if isinstance(action, leases.SendMessage)
+    ]
+
+
+def _state(free: wire.Resources, orders_seen: int) -> wire.EndpointState:
+    return wire.EndpointState(
+        "i-1", "desk", (), _ROOM, free, True, orders_seen
+    )
+
+
+@pytest.fixture
+def entry() -> leases.LeaseEntry:
+    """An entry with one run at its one agent, whose room that fills."""
+    entry = leases.LeaseEntry("entry-0", "0.1", "north", random.Random(1))
+    hello = wire.Hello(wire.Role.AGENT, _AGENT, "1.1", "north")
+    entry.receive(0.0, wire.PeerUp(hello))
+    _receive(entry, 0.0, wire.RunsHeld(()))
+    _receive(entry, 0.0, _state(_ROOM, 0))
+    entry.receive(0.1, leases.JobSubmitted(1, _job("a" * 16)))
+    assert any(isinstance(one, wire.OrderRuns) for one in _sent(entry, 0.1))
+    return entry
+
+
+def _end(ask: int) -> wire.RunsEnded:
+    run = wire.TaskRun(0, 0, 1)
+    end = wire.RunEnd(run, wire.HowEnded.DONE, 0.4)
+    return wire.RunsEnded("a" * 16, (end,), ask)
+
+
+def test_ask_that_came_with_an_end_is_answered(
+    entry: leases.LeaseEntry,
+) -> None:
+    _receive(entry, 0.5, _end(ask=7))
+    assert wire.GrantLease(7) in _sent(entry, 0.5)
+
+
+def test_end_without_an_ask_is_not_answered(entry: leases.LeaseEntry) -> None:
+    _receive(entry, 0.5, _end(ask=0))
+    sent = _sent(entry, 0.5)
+    assert not any(isinstance(one, wire.GrantLease) for one in sent)
+
+
+def test_order_of_the_same_tick_answers_in_its_place(
+    entry: leases.LeaseEntry,
+) -> None:
+    entry.receive(0.4, leases.JobSubmitted(2, _job("b" * 16)))
+    _sent(entry, 0.4)
+    _receive(entry, 0.5, _end(ask=7))
+    _receive(entry, 0.5, _state(_ROOM, 1))
+    sent = _sent(entry, 0.5)
+    orders = [one for one in sent if isinstance(one, wire.OrderRuns)]
+    assert [order.ask_seen for order in orders] == [7]
+    assert not any(isinstance(one, wire.GrantLease) for one in sent)
+
+
+def test_end_is_told_again_until_an_answer_confirms_it() -> None:
+    """Streams break right after an end was reported; it is told anew."""
+    world = worlds.World(seed=6, entries=1, agents=1)
+    world.run(2.0)
+    world.submit("entry-0", "a" * 16, 1, work_s=0.2)
+    told = []
+    send = world._send
+
+    def watch(source: str, target: str, event: wire.Received) -> None:
+        if isinstance(event.message, wire.RunsEnded):
+            told.append(event.message.ends)
+            if len(told) < 3:
+                world.at(0.0, lambda: world.break_stream(_AGENT, "entry-0"))
+        send(source, target, event)
+
+    world._send = watch  # type: ignore[method-assign]
+    world.run(3.0)
+    assert len(told) == 3
+    assert len(set(told)) == 1
+    assert world.started["a" * 16] == 1
