Wait cautiously for an endpoint's first answers; what the traces show

Cause: the lines that the regression tests quoted and the timeline of the incident were worked out, not read. Answer times that begin with the first answer are too trusting where a false alarm stops a run.

Streams stay trusting, since a false alarm costs a handshake. The tests' texts and the timeline quote what was logged.

--- a/src/ferryledge/leases/_owners.py
+++ b/src/ferryledge/leases/_owners.py
@@ -15,6 +15,9 @@
 #: as silent. The longest leaves time for a new stream before a grant ends.
 _LONGEST_ANSWER_S = 0.3
 _SHORTEST_ANSWER_S = 0.04
+#: What deviations of answers are taken to be at first, as a share of the
+#: longest time: a stream that is opened in vain costs a handshake.
+_FIRST_SHARE = 1.0 / 12.0
 #: Seconds between asks at the least: reports within it are confirmed by the
 #: same answer.
 _CONFIRM_EVERY_S = 0.05
@@ -58,7 +61,7 @@
     #: How long its answers take.
     answer_times: _answer_times.AnswerTimes = dataclasses.field(
         default_factory=lambda: _answer_times.AnswerTimes(
-            _LONGEST_ANSWER_S, _SHORTEST_ANSWER_S
+            _LONGEST_ANSWER_S, _SHORTEST_ANSWER_S, _FIRST_SHARE
         )
     )
     #: Whether a new stream is being opened beside its silent one.
--- a/src/ferryledge/leases/tests/test_full_link.py
+++ b/src/ferryledge/leases/tests/test_full_link.py
@@ -3,14 +3,16 @@
 Three entries stood behind links of 2 Mbit/s. Two of them were stopped in
 turn during a burst, and the third had to order for all. Its orders, each
 with the whole spec of its job, took more than the link: grants and orders
-waited, and agents turned down what came as too old:
+waited, and agents turned down what came as too old. The entry took that for
+silent agents and repeated the orders over the same link:
 
-    order released (reason no_answer, grant_age_s 0.9)
-    stopped: its entry's grant ran out
+    11.789  run ended without a result  run 6  how stopped  run_s 0.236
+    18.713  answered: failed, may have run  runs 53  reason deadline
+    21.643  not started  run 1  reason no_answer
 
-An entry took each of these for a silent agent, and repeated the orders over
-the same link. Of 343 jobs of four seconds 21 were in time although the
-endpoints had room, and service came back five seconds after the burst.
+There were 1,147 lines with that last reason. Of 343 jobs of four seconds 21
+were in time although the endpoints had room, and service came back five
+seconds after the burst.
 """
 
 import random
--- a/src/ferryledge/leases/tests/test_silent_streams.py
+++ b/src/ferryledge/leases/tests/test_silent_streams.py
@@ -1,19 +1,21 @@
 """Callers are served while all open streams go silent for good.
 
 All streams between entries and agents went silent at the same moment;
-nothing was reset, and new streams worked. An agent tried a new stream only
-after 1.5 s of silence, but its right to renew ended 0.6 s after the last
-answer, and the lease 0.65 s after that. So every run was stopped before a
-new stream was even tried, and its job failed:
-
-    stopped: its entry's grant ran out (grant_age_s 0.6)
-    runs taken for over: no grant for longer than any lease
-
-At load 0.6 with 15 agents 19 of the 45 jobs that were under way failed, and
-of the jobs of the half seconds around that moment 20%, 0%, 24% and 42% were
-answered in time. At load 0.85 with 70 agents 149 failed and service came
-back after 3.5 s. Ends that an agent reported into a silent stream were lost
-as well, so tasks that were done ran once more.
+nothing was reset, and new streams worked. An entry closed its side after
+0.7 s, an agent opened a new stream after 1.5 s of silence, and what is in
+doubt ends 0.6 s after the last answer. Ends that agents had reported into a
+silent stream were lost with it: the next list came without those runs, so
+their tasks ran once more, and jobs ran into their deadlines. Of a simulation
+with 3 entries, 15 agents and a load of 0.6, silent at 3.0 s:
+
+    3.58 to 3.78   45  agent silent: stream closed
+    3.62 to 3.86   45  agent connected
+    3.64 to 3.86  148  run ended without a result, how lost
+    4.13 to 4.53   20  answered: failed, may have run, reason deadline
+
+Of the jobs of the half seconds around that moment 20%, 0%, 24% and 42% were
+answered in time. Between real processes, whose agents see no close either,
+new streams came 1.2 to 1.7 s after the silence.
 """
 
 import random
