Bound an entry's share by its link on average, not by the last second

Cause: found when reading the change. What orders get through the own link was taken from the work and the bytes of the last half second. An entry that had been idle sends grants and reports still, so its link seemed to carry almost no work: a job that waited for room on a full pool would have been refused as if the link were the bound.

Ruled out: the bound only while a quarter of the link is in use (a change of the configuration fills a narrow link for a moment, just so).

Change: bytes and work of an order are averaged over orders, and what else was sent lately is taken off the link, down to a fifth of it.

Figures: after ten idle seconds on a link of 1,000 Mbit/s, 80 cores and four entries, cores that an entry counts on: 0.0003 before, 20 after (the test fails before).

--- a/src/ferryledge/leases/_own_link.py
+++ b/src/ferryledge/leases/_own_link.py
@@ -55,13 +55,13 @@
         :param now: monotonic seconds
         :param size: its bytes
         """
-        self._pass(now)
+        self._advance(now)
         self._queued += size + PACKET_BYTES
         self._lately += size + PACKET_BYTES
 
     def wait_s(self, now: float) -> float:
         """Return how long what is sent now waits at the link."""
-        self._pass(now)
+        self._advance(now)
         return self._queued / self._bytes_per_s
 
     def is_free(self, now: float) -> bool:
@@ -78,10 +78,10 @@
 
     def sent_lately(self, now: float) -> float:
         """Return the bytes that were sent in the span that is looked at."""
-        self._pass(now)
+        self._advance(now)
         return self._lately
 
-    def _pass(self, now: float) -> None:
+    def _advance(self, now: float) -> None:
         passed = now - self._at
         if passed <= 0.0:
             return
--- a/src/ferryledge/leases/_run_tracking.py
+++ b/src/ferryledge/leases/_run_tracking.py
@@ -63,8 +63,11 @@
         job: _jobs.Job,
         row: _pool.AgentRow,
         tasks: tuple[_jobs.Task, ...],
-    ) -> None:
-        """Order a run of each task, all of one step, at an agent."""
+    ) -> int:
+        """Order a run of each task, all of one step, at an agent.
+
+        :return: the bytes that the order takes on the link
+        """
         need = job.request.steps[tasks[0].step].need
         for task in tasks:
             job.set_state(task, _jobs.TaskState.BOUND)
@@ -98,6 +101,7 @@
         if not isinstance(self._judge.state(row.name), health.Healthy):
             self._judge.probe_sent(row.name)
             row.healthy = False
+        return _own_link.size_of(order) + _own_link.PACKET_BYTES
 
     def stop(self, job: _jobs.Job, tasks: list[_jobs.Task]) -> None:
         """Stop runs; each stays bound until it is known to be over."""
--- a/src/ferryledge/leases/_scheduling.py
+++ b/src/ferryledge/leases/_scheduling.py
@@ -114,8 +114,9 @@
             return
         gap_s = self._share.gap_s
         for placed in self._placing.place(now, waiting, gap_s):
-            self._runs.order(now, placed.job, placed.row, placed.tasks)
-            self._share.note_started(now, placed.work, len(placed.tasks))
+            size = self._runs.order(now, placed.job, placed.row, placed.tasks)
+            count = len(placed.tasks)
+            self._share.note_started(now, placed.work, count, size)
             if not self._link.is_free(now):
                 return
 
--- a/src/ferryledge/leases/_share.py
+++ b/src/ferryledge/leases/_share.py
@@ -7,6 +7,10 @@
 #: Seconds over which the work that was started is averaged: a few hundred
 #: starts at the users' load, and shorter than a burst.
 _SPAN_S = _own_link.SPAN_S
+#: Weight of the newest order in what orders usually take and bring.
+_DECAY = 0.05
+#: Share of the link that orders are taken to get whatever else is sent.
+_LEAST_LINK_SHARE = 0.2
 
 
 class Share:
@@ -24,20 +28,30 @@
         self._link = link or _own_link.OwnLink()
         self._started = 0.0
         self._tasks = 0.0
+        self._bytes = 0.0
         self._started_at = 0.0
+        #: Bytes and work of an order, on average.
+        self._order_bytes = 0.0
+        self._order_work = 0.0
         #: Seconds between two starts of waiting tasks, at this share.
         self.gap_s = 0.0
 
-    def note_started(self, now: float, work: float, tasks: int) -> None:
+    def note_started(
+        self, now: float, work: float, tasks: int, size: int = 0
+    ) -> None:
         """Take in that work was ordered.
 
         :param now: monotonic seconds
         :param work: core-seconds that it is expected to take
         :param tasks: how many
+        :param size: bytes of the order on the link
         """
         decay = self._decay(now)
         self._started = self._started * decay + work
         self._tasks = self._tasks * decay + tasks
+        self._bytes = self._bytes * decay + size
+        self._order_bytes += _DECAY * (size - self._order_bytes)
+        self._order_work += _DECAY * (work - self._order_work)
         self._started_at = now
 
     def cores(self, now: float, pool_cores: float, entries: int) -> float:
@@ -54,13 +68,16 @@
     def _link_cores(self, now: float) -> float:
         """Return the cores that orders over the own link can keep at work.
 
-        Orders share it with all else that is sent, as they did lately.
+        By what orders usually take of it, not by the last ones alone: an
+        entry that was idle would take a wide link for the bound.
         """
-        sent = self._link.sent_lately(now)
-        started = self._started * self._decay(now)
-        if sent <= 0.0 or started <= 0.0:
+        if self._order_bytes <= 0.0:
             return math.inf
-        return self._link.bytes_per_s * started / sent
+        orders = self._bytes * self._decay(now)
+        others = (self._link.sent_lately(now) - orders) / _SPAN_S
+        rate = self._link.bytes_per_s
+        left = max(_LEAST_LINK_SHARE * rate, rate - max(0.0, others))
+        return left * self._order_work / self._order_bytes
 
     def update(self, now: float, pool_cores: float, entries: int) -> None:
         """Work out the gap between starts anew."""
--- a/src/ferryledge/leases/tests/test_own_link.py
+++ b/src/ferryledge/leases/tests/test_own_link.py
@@ -55,12 +55,23 @@
     share = _share.Share(link)
     for tick in range(100):
         link.note_sent(tick / 100, 2_000 - _own_link.PACKET_BYTES)
-        share.note_started(tick / 100, 0.5, 1)
+        share.note_started(tick / 100, 0.5, 1, 2_000)
     # An order of 2,000 bytes keeps half a core-second of work going.
     cores = _USABLE / 2_000 * 0.5
     assert share.cores(1.0, 80.0, 1) == pytest.approx(cores, rel=0.02)
 
 
+def test_idle_entry_is_not_bounded_by_a_wide_link() -> None:
+    """Grants and reports go on while nothing is ordered for ten seconds."""
+    link = _own_link.OwnLink(125_000_000.0)
+    share = _share.Share(link)
+    for tick in range(100):
+        share.note_started(tick / 100, 0.5, 1, 2_000)
+    for tick in range(1100):
+        link.note_sent(tick / 100, 300)
+    assert share.cores(11.0, 80.0, 4) == 20.0
+
+
 def _specs_sent(world: worlds.World) -> list[wire.OrderRuns]:
     orders: list[wire.OrderRuns] = []
     send = world._send
