Unpack an order's spec only once the order is not refused

Ruled out: dropping the iterator of OwnerTable, which the product no longer uses: a test walks over the entries by it, so it stays.

Change: the refusal is looked at first. Which reason is told is the same.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -262,11 +262,11 @@
     ) -> None:
         self._watch.answered(now, owner, order.ask_seen)
         self._owners.note_order(owner, order)
-        spec = _spec_of(order)
         refusal = self._acceptance.refusal(now, owner, order)
         if refusal is not None:
             self._refuse(now, owner, order, refusal)
             return
+        spec = _spec_of(order)
         if spec is None:
             self._refuse(now, owner, order, wire.NotStarted.REJECTED)
             return
