Take entries for gone that no stream reached for 20 s; pages on dealing

Cause (found by reading): addresses of machines that were replaced stay known. Each takes the place of one that an agent serves: with twelve of sixteen gone, at most eight dialled, some agents would have been left with one or two streams, and would have dialled the others for ever.

Change: an entry without a stream for 20 s, while another has one, is not dialled or counted for 60 s, unless it invites the agent. Matrix rows for agents that leave an entry and for invited ones, and faults in series among 9 entries and 12 agents.

A bound needs a measure that tells the two apart.

--- a/src/ferryledge/capacity/_page.py
+++ b/src/ferryledge/capacity/_page.py
@@ -213,13 +213,15 @@
 team may use that part twice, for as long as they differ. Regions do not
 share quotas: regions that lose each other change nothing.
 
-**Under leases.** An agent asks four entries (`homes`) for the right to renew
-every 0.3 s, since they must know within 0.45 s that an agent is gone, and
-the others every 0.45 s. The lines above count all as homes. It grows with
-agents times entries. To stay within 3 kB a second an entry may hold streams to
+**Under leases.** An agent keeps streams to four entries, however many there
+are, and asks them for the right to renew every 0.3 s, since they must know
+within 0.45 s that an agent is gone. So an agent at rest costs the same in
+any region, and an entry's cost grows with four times the agents over the
+entries. The lines above are for regions of four entries, where each entry
+has all agents. To stay within 3 kB a second an entry may hold streams to
 {int(3000 / (costs.leased.entry_bytes / costs.endpoints_per_region))} agents
-only; with more, an agent would keep streams to its homes, and to others
-while they hold runs there.
+only; that takes two entries for each three agents, or asks that are as
+seldom as runs are.
 
 **Where it breaks first.** One scheduler a pool: beyond {ten:,.0f} starts a
 second in jobs of ten, a pool must be smaller (`pool_size`). The memory
--- a/src/ferryledge/leases/_dealing.py
+++ b/src/ferryledge/leases/_dealing.py
@@ -28,6 +28,11 @@
 _MOST = 2 * STREAMS
 #: Seconds without any entry after which all are dialled.
 _DESPERATE_S = 4.0
+#: Seconds without a stream after which an entry is taken for gone for good,
+#: and how long until it is tried again: addresses of machines that were
+#: replaced stay known, and would be dialled and counted for ever.
+_GONE_S = 20.0
+_TRY_AGAIN_S = 60.0
 #: Seconds for which an agent that was invited stays without runs.
 _GUEST_S = 10.0
 #: Seconds for which all chosen entries are connected before others are left.
@@ -57,6 +62,8 @@
     seen_at: float = 0.0
     #: Until when it is served on another entry's word.
     guest_until: float = -_NEVER
+    #: Until when it is taken for gone.
+    gone_until: float = -_NEVER
 
 
 class Dealing:
@@ -103,7 +110,9 @@
     def _invite(self, now: float, address: wire.EntryAddress) -> None:
         """Serve an entry that seeks agents, beside the others."""
         self.learn(now, (address,))
-        self._known[address.name].guest_until = now + _GUEST_S
+        known = self._known[address.name]
+        known.guest_until = now + _GUEST_S
+        known.gone_until = -_NEVER
         self.due_at = now
 
     def note_order(self, now: float, name: str) -> None:
@@ -117,6 +126,7 @@
         self._connected.add(name)
         if name in self._known:
             self._known[name].connected = True
+            self._known[name].gone_until = -_NEVER
         self.due_at = now
 
     def leave(self, now: float, name: str) -> None:
@@ -141,8 +151,9 @@
         """
         if now < self.due_at:
             return []
+        actions = self._give_up(now)
         chosen = self._chosen(now)
-        actions = self._dial(now, chosen)
+        actions += self._dial(now, chosen)
         actions += self._leave(now, chosen, is_busy)
         self.due_at = self._next_look(now, chosen)
         return actions
@@ -153,14 +164,33 @@
         missing = set(chosen) - self._connected
         if missing or set(self._used()) - set(chosen):
             return now + _LOOK_S
-        guests = [one.guest_until for one in self._known.values()]
-        return min((at for at in guests if at > now), default=_NEVER)
+        ends = [
+            at
+            for known in self._known.values()
+            for at in (known.guest_until, known.gone_until)
+        ]
+        return min((at for at in ends if at > now), default=_NEVER)
 
     def _used(self) -> list[str]:
         """Return the entries that are connected or dialled."""
         dialled = {n for n, known in self._known.items() if known.dialled}
         return sorted(self._connected | dialled)
 
+    def _give_up(self, now: float) -> list[Action]:
+        """Dial no more what can't be reached for long while others can."""
+        if not self._connected:
+            return []
+        gone = [
+            (name, known)
+            for name, known in self._known.items()
+            if known.dialled
+            and not known.connected
+            and now - known.seen_at > _GONE_S
+        ]
+        for _, known in gone:
+            known.gone_until = now + _TRY_AGAIN_S
+        return [self._close(name) for name, _ in gone]
+
     def _chosen(self, now: float) -> list[str]:
         """Return the best entries, and another for each that is lost."""
         most = _MOST
@@ -172,6 +202,8 @@
         for name in self._ranked:
             if found == STREAMS or len(chosen) == most:
                 break
+            if self._known[name].gone_until > now and not alone:
+                continue
             chosen.append(name)
             found += not self._is_lost(now, self._known[name], alone)
         return chosen + [
--- a/src/ferryledge/leases/tests/faults.py
+++ b/src/ferryledge/leases/tests/faults.py
@@ -6,6 +6,7 @@
 from ferryledge import leases
 from ferryledge.leases.tests import world as worlds
 from ferryledge import outcomes
+from ferryledge import wire
 
 #: A client repeats a job this long after its entry was lost.
 REPEAT_S = 1.3
@@ -63,7 +64,23 @@
     world.at(0.4, lambda: world.heartbeat_of(agent, old, 10**6))
 
 
+def _leave(world: worlds.World, agent: str) -> None:
+    """Let an agent close its stream to an entry for good, unannounced."""
+    world.dialled.discard((agent, "entry-0"))
+    world.break_stream(agent, "entry-0")
+
+
+def _invite(world: worlds.World) -> None:
+    """Let all agents serve an entry that few of them chose."""
+    address = world.addresses()[0]
+    for agent in world.agents:
+        event = wire.Received(world.entries[-1], wire.Invite(address))
+        world.post(agent, event)
+
+
 FAULTS: dict[str, Strike] = {
+    "agents leave an entry": _agent(_leave),
+    "agents are invited": _invite,
     "orders lost or late": _lost_orders,
     "agent killed": _agent(lambda w, a: w.kill(a)),
     "agent down for long": _agent(lambda w, a: w.kill(a, 2.5)),
--- a/src/ferryledge/leases/tests/test_dealing.py
+++ b/src/ferryledge/leases/tests/test_dealing.py
@@ -153,6 +153,31 @@
     assert len(agent.dialled) == len(_ENTRIES)
 
 
+def test_entries_that_are_gone_for_good_take_no_place(agent: _Agent) -> None:
+    """Machines that were replaced stay known; twelve of sixteen are gone."""
+    alive = {one.name for one in _ENTRIES[:4]}
+    agent.down = {one.name for one in _ENTRIES} - alive
+    for name in sorted(agent.streams - alive):
+        agent.close(name)
+    agent.run(60.0)
+    assert agent.streams == alive
+    dialled = []
+    for _ in range(100):
+        agent.run(1.0)
+        dialled.append(len(agent.dialled))
+    assert sum(dialled) / len(dialled) < 8.0
+
+
+def test_entry_that_is_back_after_long_is_served_again(agent: _Agent) -> None:
+    lost = min(agent.streams)
+    agent.down.add(lost)
+    agent.close(lost)
+    agent.run(40.0)
+    agent.down.clear()
+    agent.run(70.0)
+    assert lost in agent.streams
+
+
 def test_changed_address_is_dialled(agent: _Agent) -> None:
     name = min(agent.streams)
     moved = wire.EntryAddress(name, "10.0.9.9", 7000)
--- a/src/ferryledge/leases/tests/test_matrix.py
+++ b/src/ferryledge/leases/tests/test_matrix.py
@@ -47,6 +47,27 @@
     faults.check(world)
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_faults_in_series_among_more_entries_than_streams(seed: int) -> None:
+    """Agents change the entries that they serve while jobs run."""
+    rng = random.Random(seed)
+    world = worlds.World(seed, entries=9, agents=12, peers=True)
+    world.run(4.0)
+    names = list(faults.FAULTS)
+    for number in range(60):
+        entry = rng.choice(world.entries)
+        name = f"{seed:08x}{number:08x}"
+        work_s = rng.choice((0.1, 0.3, 0.9))
+        world.submit(entry, name, rng.randint(1, 6), work_s, deadline_s=4.0)
+        if rng.random() < 0.15:
+            faults.FAULTS[rng.choice(names)](world)
+        if rng.random() < 0.1:
+            world.kill(rng.choice(world.entries), 2.5)
+        world.run(rng.expovariate(8.0))
+    world.run(15.0)
+    faults.check(world)
+
+
 def test_jobs_survive_a_reset_of_all_streams() -> None:
     world = faults.play(faults.FAULTS["streams reset"], 0.08, 7)
     token = next(iter(world.jobs))
