Round timers up, so that no process spins until one is due

The native event loop counts milliseconds and rounds; a timer that went off up to half a millisecond early found nothing due, and was set again without a delay, until the millisecond had passed. Where time moves only while processes wait, that never ends; elsewhere it takes processor time with each timer.

Ruled out: a core that is always due (each returns a later time after its tick, virtual world).

Change: the driver rounds up to whole milliseconds, one at the least.

--- a/src/ferryledge/net/_driver.py
+++ b/src/ferryledge/net/_driver.py
@@ -2,11 +2,18 @@
 
 import asyncio
 from collections import abc
+import math
 import typing
 
 #: Ticks at least this often, in seconds.
 _LONGEST_SLEEP_S = 60.0
 _NEVER = float("inf")
+#: The native loop counts milliseconds and rounds. A timer that goes off in
+#: the millisecond before its time would be set anew without any delay until
+#: that has passed, and the process would spin.
+_GRAIN_S = 0.001
+#: What a whole number of grains may be off by for being a float.
+_ROUNDING = 1e-6
 
 
 EventT = typing.TypeVar("EventT", contravariant=True)
@@ -127,7 +134,9 @@
         if self._timer is not None:
             self._timer.cancel()
         self._timer_at = due
-        self._timer = loop.call_at(due, self._wake)
+        delay_s = max(_GRAIN_S, due - loop.time())
+        delay_s = math.ceil(delay_s / _GRAIN_S - _ROUNDING) * _GRAIN_S
+        self._timer = loop.call_later(delay_s, self._wake)
 
     def _wake(self) -> None:
         self._timer = None
--- a/src/ferryledge/net/tests/test_driver.py
+++ b/src/ferryledge/net/tests/test_driver.py
@@ -110,6 +110,39 @@
     anyio.run(_drive, core, post, backend_options=backend_options)
 
 
+@pytest.mark.parametrize("delay_s", [0.0004, 0.0014, 0.0107])
+def test_driver_does_not_spin_until_a_timer_is_due(
+    backend_options: dict[str, bool], delay_s: float
+) -> None:
+    """The native loop rounds times to milliseconds.
+
+    A timer went off up to half a millisecond early, found nothing due, and
+    was set again without a delay. On a machine whose clock moves only while
+    processes wait, that took all processor time for ever: a day that takes
+    three minutes had not ended after eight.
+    """
+    core = _Core()
+    looks: list[float] = []
+
+    def look() -> float:
+        looks.append(anyio.current_time())
+        done = core.ticks and core.ticks[-1] >= core.due[0]
+        return _NEVER if done else core.due[0]
+
+    core.wake_at = look  # type: ignore[method-assign]
+
+    async def post(driver: net.Driver[object, object]) -> None:
+        for _ in range(20):
+            core.due = [anyio.current_time() + delay_s]
+            driver.post("go")
+            await anyio.sleep(delay_s + 0.01)
+
+    core.due = [_NEVER]
+    anyio.run(_drive, core, post, backend_options=backend_options)
+    # After an event's tick, when the timer goes off, and after that tick.
+    assert len(looks) <= 1 + 3 * 20
+
+
 def test_error_of_the_core_ends_the_process(
     backend_options: dict[str, bool],
 ) -> None:
