Close what was told that it is left; queue for all agents' connections

Cause (found by reading the change): an entry that was told that an agent leaves, and is chosen again before its stream is closed, kept the stream and ordered nothing there for as long as it lasted. The listener of streams had the default queue of 100 connections; one that finds it full comes again after seconds, and a loss of power brings all agents at once. An agent that adopted a run, or whose endpoint turned slow, ticked only with its next ask, since renewals without ends counted as quiet.

Change: such a stream is closed when nothing runs there, and dialled anew; the queue holds 2,048; a renewal is quiet only if the endpoint stays open and of the same speed. Tests for the first; the others have the tests of the whole path.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -134,13 +134,18 @@
     def receive(self, now: float, event: _agent_events.AgentEvent) -> None:
         """Take in one event."""
         self._now = now
-        quiet = self._is_quiet(now, event)
+        was_open = self._acceptance.is_open(now)
+        speed = self._speed.reported
         self._take_in(now, event)
-        if self._actions or not quiet:
+        changed = (
+            was_open != self._acceptance.is_open(now)
+            or speed != self._speed.reported
+        )
+        if self._actions or changed or not self._is_quiet(event):
             self._tick_by = now
 
-    def _is_quiet(self, now: float, event: _agent_events.AgentEvent) -> bool:
-        """Return whether an event calls for nothing unless it brings actions.
+    def _is_quiet(self, event: _agent_events.AgentEvent) -> bool:
+        """Return whether an event needs no tick unless it changed something.
 
         Half of the ticks of an agent under load followed such an event.
         """
@@ -150,7 +155,7 @@
             case _agent_events.StartAnswered():
                 return event.result is _agent_events.StartResult.STARTED
             case _agent_events.LeaseRenewed(ended=()):
-                return self._acceptance.is_open(now)
+                return self._speed.reported < _speed.SLOW_FROM
             case _:
                 return False
 
--- a/src/ferryledge/leases/_dealing.py
+++ b/src/ferryledge/leases/_dealing.py
@@ -162,7 +162,8 @@
         if not chosen:
             return _NEVER
         missing = set(chosen) - self._connected
-        if missing or set(self._used()) - set(chosen):
+        left = set(self._used()) - set(chosen)
+        if missing or left or self._leaving:
             return now + _LOOK_S
         ends = [
             at
@@ -250,7 +251,9 @@
             return []
         actions: list[Action] = []
         for name in self._used():
-            if name in chosen:
+            # One that was told is closed also if it is chosen again since:
+            # it orders nothing more on that stream.
+            if name in chosen and name not in self._leaving:
                 continue
             if name not in self._leaving:
                 self._leaving[name] = now
--- a/src/ferryledge/leases/tests/test_dealing.py
+++ b/src/ferryledge/leases/tests/test_dealing.py
@@ -118,6 +118,23 @@
     assert len(agent.streams) == _dealing.STREAMS
 
 
+def test_entry_that_was_told_and_is_chosen_again_gets_a_new_stream(
+    agent: _Agent,
+) -> None:
+    """It takes the agent for one that leaves for as long as a stream lasts."""
+    guest = _other(agent)
+    agent.dealing.hear(agent.now, wire.Invite(guest))
+    while guest.name not in agent.told:
+        agent.run(0.1)
+    agent.dealing.hear(agent.now, wire.Invite(guest))
+    dropped = False
+    for _ in range(20):
+        agent.run(0.1)
+        dropped = dropped or guest.name not in agent.streams
+    assert dropped
+    assert guest.name in agent.streams
+
+
 def test_entry_with_runs_here_is_not_left(agent: _Agent) -> None:
     agent.dealing.hear(agent.now, wire.Invite(_other(agent)))
     agent.run(1.0)
--- a/src/ferryledge/net/_mesh.py
+++ b/src/ferryledge/net/_mesh.py
@@ -28,6 +28,9 @@
 #: Short: a peer that is back after seconds serves nobody until it is dialled.
 #: At 1,800 agents a peer that is down is tried some 3,000 times a second.
 _LONGEST_REDIAL_S = 0.4
+#: Connections that wait to be accepted: all agents may come at once after a
+#: loss of power, and one that finds the queue full comes again after seconds.
+_BACKLOG = 2048
 #: Strangers that may be in the handshake at once.
 _MAX_HANDSHAKES = 256
 
@@ -155,7 +158,7 @@
                 group.start_soon(self._accept, stream)
 
             server = await asyncio.get_running_loop().create_server(
-                lambda: _stream.Stream(accept), host, port
+                lambda: _stream.Stream(accept), host, port, backlog=_BACKLOG
             )
             async with server:
                 task_status.started(server.sockets[0].getsockname()[1])
