--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -9,6 +9,7 @@
 from ferryledge.leases import _agent_events
 from ferryledge.leases import _agent_notes
 from ferryledge.leases import _answer_times
+from ferryledge.leases import _asking
 from ferryledge.leases import _dealing
 from ferryledge.leases import _endpoint
 from ferryledge.leases import _listing
@@ -80,11 +81,14 @@
             self._act,
         )
         self._reports = _reports.Reports(
-            name, self._owners, self._runs, self._send
+            name, self._owners, self._runs, self._notes, self._send
         )
         self._watch = _stream_watch.StreamWatch(
             self._owners, self._notes, self._act
         )
+        self._asking = _asking.Asking(
+            self._owners, self._runs, self._watch, self._act
+        )
         self._unclaimed_since = now
         #: The endpoint's clock as of the newest list of runs.
         self._listed_clock_ms = 0
@@ -237,7 +241,7 @@
         if self._link.synced:
             self._reports.tell_held()
         self._actions += self._dealing.plan(now, self._is_busy)
-        self._ask(now)
+        self._asking.tick(now)
         self._reports.tell_late(now, self._speed)
         self._reports.tell_state(now, self._state())
         actions = self._actions
@@ -340,7 +344,9 @@
         free = self._acceptance.free
         self._notes.taken(owner, order, len(full), free, len(self._runs))
         if full:
-            self._release(owner, order.job, full, wire.NotStarted.FULL)
+            self._reports.tell_released(
+                owner, order.job, full, wire.NotStarted.FULL
+            )
 
     def _refuse(
         self,
@@ -351,7 +357,7 @@
     ) -> None:
         """Turn an order down as a whole."""
         self._notes.released(now, owner, order, reason)
-        self._release(owner, order.job, order.runs, reason)
+        self._reports.tell_released(owner, order.job, order.runs, reason)
 
     def _start(
         self,
@@ -408,7 +414,7 @@
 
     def _lose_all(self) -> None:
         for row in self._runs.clear():
-            self._report(row, wire.HowEnded.LOST)
+            self._reports.tell_end(self._now, row, wire.HowEnded.LOST)
 
     # What the endpoint says.
 
@@ -518,56 +524,7 @@
 
     def _end(self, row: _runs.RunRow, how: wire.HowEnded) -> None:
         self._runs.remove(row.key)
-        self._report(row, how)
-
-    def _report(self, row: _runs.RunRow, how: wire.HowEnded) -> None:
-        self._notes.over(self._now, row, how)
-        owner = self._owners.find(row.owner)
-        if owner is None:
-            return
-        run = row.key.task_run
-        if not row.may_run and row.release is not None:
-            self._release(owner, row.key.job, (run,), row.release)
-            return
-        run_s = 0.0
-        if row.confirmed_at is not None:
-            run_s = max(0.0, self._now - row.confirmed_at)
-        end = wire.RunsEnded(row.key.job, (wire.RunEnd(run, how, run_s),))
-        self._owners.keep(owner, end)
-        if owner.connected and not owner.wants_held:
-            self._send(owner, self._owners.ask_with(owner, self._now, end))
-
-    def _release(
-        self,
-        owner: _owners.Owner,
-        job: str,
-        runs: tuple[wire.TaskRun, ...] | list[wire.TaskRun],
-        reason: wire.NotStarted,
-    ) -> None:
-        if owner.connected:
-            self._send(owner, wire.RunsReleased(job, tuple(runs), reason))
-
-    def _ask(self, now: float) -> None:
-        if now >= self._owners.ask_due_at:
-            for owner in self._owners.connected:
-                if now >= owner.next_ask_at:
-                    self._ask_or_leave(now, owner)
-            self._owners.plan_asks()
-        for owner in self._watch.look(now):
-            self._ask_owner(now, owner, at_once=True)
-
-    def _ask_or_leave(self, now: float, owner: _owners.Owner) -> None:
-        if self._owners.is_silent(owner, now):
-            self._owners.leave(owner.name, owner.incarnation)
-            self._act(_agent_events.CloseStream(owner.name))
-            return
-        self._ask_owner(now, owner)
-
-    def _ask_owner(
-        self, now: float, owner: _owners.Owner, at_once: bool = False
-    ) -> None:
-        busy = self._runs.has_owner(owner.incarnation)
-        self._send(owner, self._owners.ask(owner, now, busy, at_once))
+        self._reports.tell_end(self._now, row, how)
 
     def _state(self) -> wire.EndpointState:
         """Return the endpoint's state, but for what is an entry's own."""
--- a/src/ferryledge/leases/_reports.py
+++ b/src/ferryledge/leases/_reports.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ferryledge.leases import _agent_notes
 from ferryledge.leases import _owners
 from ferryledge.leases import _runs
 from ferryledge.leases import _speed
@@ -22,6 +23,7 @@
     :param name: this agent
     :param owners: the entries
     :param runs: what the endpoint holds
+    :param notes: what is decided
     :param send: sends a message to an entry
     """
 
@@ -30,11 +32,13 @@
         name: str,
         owners: _owners.OwnerTable,
         runs: _runs.RunTable,
+        notes: _agent_notes.AgentNotes,
         send: Send,
     ) -> None:
         self._name = name
         self._owners = owners
         self._runs = runs
+        self._notes = notes
         self._send = send
         self._turns = _states.Turns()
         #: The state told last, kept as one object while it stays the same.
@@ -61,6 +65,40 @@
             )
             self._send(owner, wire.RunsHeld(held))
 
+    def tell_end(
+        self, now: float, row: _runs.RunRow, how: wire.HowEnded
+    ) -> None:
+        """Tell an entry that a run of its is over, or never began.
+
+        An end is kept until the entry confirms it.
+        """
+        self._notes.over(now, row, how)
+        owner = self._owners.find(row.owner)
+        if owner is None:
+            return
+        run = row.key.task_run
+        if not row.may_run and row.release is not None:
+            self.tell_released(owner, row.key.job, (run,), row.release)
+            return
+        run_s = 0.0
+        if row.confirmed_at is not None:
+            run_s = max(0.0, now - row.confirmed_at)
+        end = wire.RunsEnded(row.key.job, (wire.RunEnd(run, how, run_s),))
+        self._owners.keep(owner, end)
+        if owner.connected and not owner.wants_held:
+            self._send(owner, self._owners.ask_with(owner, now, end))
+
+    def tell_released(
+        self,
+        owner: _owners.Owner,
+        job: str,
+        runs: abc.Iterable[wire.TaskRun],
+        reason: wire.NotStarted,
+    ) -> None:
+        """Tell an entry which runs were not started."""
+        if owner.connected:
+            self._send(owner, wire.RunsReleased(job, tuple(runs), reason))
+
     def tell_late(self, now: float, speed: _speed.EndpointSpeed) -> None:
         """Tell entries of their runs on an endpoint that became slow."""
         if speed.reported < _speed.SLOW_FROM:
