Log which entries an agent serves and which agents an entry seeks

Agents change the entries that they serve, and entries seek and invite agents, without a line in the log: an operator could not tell why an entry has few agents.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -240,7 +240,9 @@
         self._stopping.tick(now, self._unclaimed_since)
         if self._link.synced:
             self._reports.tell_held()
-        self._actions += self._dealing.plan(now, self._is_busy)
+        for action in self._dealing.plan(now, self._is_busy):
+            self._notes.dealt(action, len(self._owners.connected))
+            self._act(action)
         self._asking.tick(now)
         self._reports.tell_late(now, self._speed)
         self._reports.tell_state(now, self._state())
--- a/src/ferryledge/leases/_agent_notes.py
+++ b/src/ferryledge/leases/_agent_notes.py
@@ -1,6 +1,7 @@
 """An agent's notes: what each says and which inputs it carries."""
 
 from ferryledge.leases import _agent_events
+from ferryledge.leases import _dealing
 from ferryledge.leases import _meters
 from ferryledge.leases import _notes
 from ferryledge.leases import _owners
@@ -21,6 +22,35 @@
         super().__init__()
         self._meter = meter
 
+    def dealt(self, action: _dealing.Action, connected: int) -> None:
+        """The entries that are served change.
+
+        :param action: what is done
+        :param connected: entries with a stream
+        """
+        match action:
+            case _agent_events.DialEntries(entries):
+                self._served("entries chosen", "", connected, entries)
+            case _agent_events.SendMessage(peer, _):
+                self._served("entry told that it is left", peer, connected)
+            case _agent_events.LeaveEntry(name):
+                self._served("entry left", name, connected)
+
+    def _served(
+        self,
+        message: str,
+        peer: str,
+        connected: int,
+        entries: tuple[wire.EntryAddress, ...] = (),
+    ) -> None:
+        self.add(
+            outcomes.Step.HEALTH,
+            message,
+            peer=peer,
+            connected=connected,
+            entries=[one.name for one in entries],
+        )
+
     def released(
         self,
         now: float,
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -78,7 +78,9 @@
         self._judge = health.HealthJudge()
         self._notes = _entry_notes.EntryNotes(meter or _meters.EntryMeter())
         self._peers = _peers.EntryPeers()
-        self._seeking = _seeking.Seeking(name, self._pool, self._peers)
+        self._seeking = _seeking.Seeking(
+            name, self._pool, self._peers, self._notes
+        )
         self._jobs = _job_table.JobTable()
         self._runs = _run_tracking.RunTracking(
             self._jobs,
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -39,6 +39,28 @@
             config=config,
         )
 
+    def sought(self, message: wire.SeekAgents, entries: int) -> None:
+        """Other entries are asked for agents."""
+        self.add(
+            outcomes.Step.HEALTH,
+            "agents sought",
+            service=message.service,
+            label=message.label,
+            cpu_millis=message.need.cpu_millis,
+            count=message.count,
+            known=len(message.known),
+            entries=entries,
+        )
+
+    def invited(self, message: wire.SeekAgents, agents: list[str]) -> None:
+        """Agents of this entry are to serve another one as well."""
+        self.add(
+            outcomes.Step.HEALTH,
+            "agents invited",
+            peer=message.entry.name,
+            agents=agents,
+        )
+
     def answered(
         self, now: float, job: _jobs.Job, outcome: outcomes.JobOutcome
     ) -> None:
--- a/src/ferryledge/leases/_seeking.py
+++ b/src/ferryledge/leases/_seeking.py
@@ -10,6 +10,7 @@
 import math
 
 from ferryledge.leases import _entry_events
+from ferryledge.leases import _entry_notes
 from ferryledge.leases import _jobs
 from ferryledge.leases import _peers
 from ferryledge.leases import _placing
@@ -49,14 +50,20 @@
     :param name: this entry
     :param pool: its agents
     :param peers: the other entries
+    :param notes: what is decided
     """
 
     def __init__(
-        self, name: str, pool: _pool.Pool, peers: _peers.EntryPeers
+        self,
+        name: str,
+        pool: _pool.Pool,
+        peers: _peers.EntryPeers,
+        notes: _entry_notes.EntryNotes,
     ) -> None:
         self._name = name
         self._pool = pool
         self._peers = peers
+        self._notes = notes
         self._started_at: float | None = None
         self._sought_at = float("-inf")
         #: When each need was sought that fitted nowhere.
@@ -130,6 +137,7 @@
         message = wire.SeekAgents(
             own, need.service, need.label, need.need, count, known
         )
+        self._notes.sought(message, len(entries))
         return [_entry_events.SendMessage(entry, message) for entry in entries]
 
     def invite(
@@ -145,8 +153,8 @@
             and sought.service in ("", row.state.service)
             and _placing.fits(row, step)
         ]
+        names = [row.name for row in found[: sought.count]]
+        if names:
+            self._notes.invited(sought, names)
         invitation = wire.Invite(sought.entry)
-        return [
-            _entry_events.SendMessage(row.name, invitation)
-            for row in found[: sought.count]
-        ]
+        return [_entry_events.SendMessage(name, invitation) for name in names]
