Search rarely for jobs that fit nowhere; close told streams in any case

Cause (found by reading): each need that fits at no known endpoint was sought at once at every entry. Jobs that can never be done, each with another need, and any job in the moment in which an entry has no agents, would have sent a message to each entry for each job. And a stream whose entry was told stayed, unused, for as long as a chosen entry was down.

Change: one search in 0.1 s for jobs, none while no agent of the entry's own is usable; told streams close when nothing runs there.

--- a/src/ferryledge/leases/_dealing.py
+++ b/src/ferryledge/leases/_dealing.py
@@ -240,29 +240,34 @@
     ) -> list[Action]:
         """Give up what is not chosen, once what is chosen is connected.
 
-        An entry is told first, and gives no orders from then on.
+        An entry is told first, and gives no orders from then on. So its
+        stream is closed also if it is chosen again, and dialled anew.
         """
+        closed = [
+            self._close(name)
+            for name, told_at in list(self._leaving.items())
+            if now - told_at >= _FAREWELL_S and not is_busy(name)
+        ]
+        if not self._is_settled(now, chosen):
+            return closed
+        left = [
+            name
+            for name in self._used()
+            if name not in chosen and name not in self._leaving
+        ]
+        self._leaving.update(dict.fromkeys(left, now))
+        goodbye = wire.Leaving()
+        told = [_agent_events.SendMessage(name, goodbye) for name in left]
+        return [*closed, *told]
+
+    def _is_settled(self, now: float, chosen: list[str]) -> bool:
+        """Return whether what is chosen has been connected for a while."""
         if not set(chosen) <= self._connected:
             self._settled_since = None
-            return []
+            return False
         if self._settled_since is None:
             self._settled_since = now
-        if now - self._settled_since < _SETTLE_S:
-            return []
-        actions: list[Action] = []
-        for name in self._used():
-            # One that was told is closed also if it is chosen again since:
-            # it orders nothing more on that stream.
-            if name in chosen and name not in self._leaving:
-                continue
-            if name not in self._leaving:
-                self._leaving[name] = now
-                goodbye = wire.Leaving()
-                actions.append(_agent_events.SendMessage(name, goodbye))
-            told_s = now - self._leaving[name]
-            if told_s >= _FAREWELL_S and not is_busy(name):
-                actions.append(self._close(name))
-        return actions
+        return now - self._settled_since >= _SETTLE_S
 
     def _close(self, name: str) -> Action:
         self._leaving.pop(name, None)
--- a/src/ferryledge/leases/_seeking.py
+++ b/src/ferryledge/leases/_seeking.py
@@ -29,6 +29,9 @@
 _ARRIVE_S = 0.25
 #: Seconds after a vain search for which the same need is taken for hopeless.
 _HOPELESS_S = 5.0
+#: Seconds between searches for jobs that fit nowhere: many may come that can
+#: never be done, each with another need, and a search asks every entry.
+_PAUSE_S = 0.1
 #: Agents that each entry is asked to invite for a job that fits nowhere.
 _FOR_A_JOB = 2
 #: Most needs that are remembered; the oldest one is forgotten.
@@ -66,6 +69,7 @@
         self._notes = notes
         self._started_at: float | None = None
         self._sought_at = float("-inf")
+        self._sought_for_a_job_at = float("-inf")
         #: When each need was sought that fitted nowhere.
         self._needs: dict[_Need, float] = {}
 
@@ -104,15 +108,18 @@
         entries = self._peers.entry_names()
         if not entries:
             return False, []
+        if not self._pool.is_usable(now):
+            return True, []  # Its own agents are still to come.
         hope = True
         messages: list[_entry_events.SendMessage] = []
         for need in self._unfit(job):
             sought_at = self._needs.get(need, float("-inf"))
-            if now - sought_at > _HOPELESS_S:
+            if now - sought_at <= _HOPELESS_S:
+                hope = hope and now - sought_at <= _ARRIVE_S
+            elif now - self._sought_for_a_job_at >= _PAUSE_S:
+                self._sought_for_a_job_at = now
                 self._note(need, now)
                 messages += self._ask(entries, need, _FOR_A_JOB)
-            else:
-                hope = hope and now - sought_at <= _ARRIVE_S
         return hope, messages
 
     def _unfit(self, job: _jobs.Job) -> abc.Iterator[_Need]:
--- a/src/ferryledge/leases/tests/test_dealing.py
+++ b/src/ferryledge/leases/tests/test_dealing.py
@@ -135,6 +135,21 @@
     assert guest.name in agent.streams
 
 
+def test_entry_that_was_told_is_closed_while_another_is_down(
+    agent: _Agent,
+) -> None:
+    guest = _other(agent)
+    chosen = set(agent.streams)
+    agent.dealing.hear(agent.now, wire.Invite(guest))
+    while guest.name not in agent.told:
+        agent.run(0.1)
+    lost = min(chosen)
+    agent.down.add(lost)
+    agent.close(lost)
+    agent.run(1.0)
+    assert guest.name not in agent.streams
+
+
 def test_entry_with_runs_here_is_not_left(agent: _Agent) -> None:
     agent.dealing.hear(agent.now, wire.Invite(_other(agent)))
     agent.run(1.0)
--- a/src/ferryledge/leases/tests/test_many_processes.py
+++ b/src/ferryledge/leases/tests/test_many_processes.py
@@ -160,6 +160,32 @@
     assert waits[1] == 0.0
 
 
+def test_jobs_that_fit_nowhere_cause_few_searches() -> None:
+    world = _world_with_rare_endpoint()
+    world.sent.clear()
+    for number in range(100):
+        world.submit("entry-0", f"{number:016x}", 1, cpu=9000 + number)
+        world.run(0.01)
+    peers = len(world.entries) - 1
+    assert world.sent[wire.SeekAgents] <= 11 * peers
+    world.run(1.0)
+    for token in world.answers:
+        assert isinstance(world.outcome(token), outcomes.Refused)
+
+
+def test_entry_without_agents_waits_for_its_own() -> None:
+    """After a loss of power no entry knows what fits where."""
+    world = worlds.World(5, entries=9, agents=18, peers=True)
+    world.run(_SETTLE_S)
+    for agent in world.agents:
+        world.kill(agent, 1.0)
+    world.run(0.8)
+    world.sent.clear()
+    world.submit("entry-0", "a" * 16)
+    world.run(0.1)
+    assert not world.sent[wire.SeekAgents]
+
+
 def test_entry_with_few_agents_is_given_more() -> None:
     """Of 6 agents each chooses 4 of 12 entries: some get none or one."""
     world = worlds.World(4, entries=12, agents=6, peers=True)
