Log and count heartbeats that an agent passes over

Cause: the timeline of starts while draining can't tell a heartbeat that was dropped from one that entries never heard of. Ruled out: nothing yet. Change: a warning with both numbers and a counter. Conclusion: the first hypothesis can now be told from the others.

--- a/src/ferryledge/hosted/_metrics.py
+++ b/src/ferryledge/hosted/_metrics.py
@@ -173,6 +173,9 @@
         self._grants = registry.counter(
             "grants_run_out", "Runs stopped for want of a grant"
         )
+        self._heartbeats = registry.counter(
+            "heartbeats_passed_over", "Heartbeats not believed, or not yet"
+        )
         self._renewals = registry.counter(
             "renewals", "Renewals of the lease (no fault) or not", ("fault",)
         )
@@ -194,6 +197,10 @@
         """Count a stream taken for silent."""
         self._suspected.inc()
 
+    def heartbeat_passed_over(self) -> None:
+        """Count a heartbeat that is not believed, or not yet."""
+        self._heartbeats.inc()
+
     def grant_ran_out(self) -> None:
         """Count a run stopped for want of a grant."""
         self._grants.inc()
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -209,6 +209,8 @@
         if self._link.see(seen, now):
             self._forget_endpoint()
         self._note_endpoint(known)
+        if self._link.seen is not seen:
+            self._notes.passed_over(self._link.seen, seen)
         if self._kept and self._kept.incarnation == self._link.incarnation:
             self._keep_endpoint()
 
--- a/src/ferryledge/leases/_agent_notes.py
+++ b/src/ferryledge/leases/_agent_notes.py
@@ -161,6 +161,28 @@
             draining=seen.draining,
         )
 
+    def passed_over(
+        self,
+        known: _agent_events.EndpointSeen | None,
+        event: _agent_events.EndpointSeen,
+    ) -> None:
+        """A heartbeat is not believed, or not yet.
+
+        :param known: the heartbeat that counts; none if there is none
+        :param event: the one that came
+        """
+        self._meter.heartbeat_passed_over()
+        self.add(
+            outcomes.Step.HEALTH,
+            "heartbeat passed over",
+            peer=event.incarnation,
+            urgent=True,
+            number=event.number,
+            draining=event.draining,
+            known=known.incarnation if known else "",
+            known_number=known.number if known else 0,
+        )
+
     def seen(
         self,
         known: _agent_events.EndpointSeen | None,
--- a/src/ferryledge/leases/_meters.py
+++ b/src/ferryledge/leases/_meters.py
@@ -58,6 +58,9 @@
     def grant_ran_out(self) -> None:
         """A run is stopped for want of its entry's grant."""
 
+    def heartbeat_passed_over(self) -> None:
+        """A heartbeat is not believed, or not yet."""
+
     def renewed(self, fault: str) -> None:
         """The lease was renewed, or not for a fault.
 
