--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -214,16 +214,18 @@
 
     async def _handle(self, request: net.Request) -> net.HttpResponse:
         match request.method, request.parts:
-            case "POST", ("instances", incarnation, "heartbeat"):
-                return self._heartbeat(incarnation, await request.body())
-            case "POST", ("instances", incarnation, "deregister"):
-                self._driver.post(leases.EndpointLeft(incarnation))
+            case "POST", ("instances", endpoint_id, "heartbeat"):
+                return self._heartbeat(endpoint_id, await request.body())
+            case "POST", ("instances", endpoint_id, "deregister"):
+                body = await request.body()
+                left = platform.parse_deregister(endpoint_id, body)
+                self._driver.post(left)
                 return net.HttpResponse.json(200, {})
         return net.HttpResponse.json(404, {"error": "no such page"})
 
-    def _heartbeat(self, incarnation: str, body: bytes) -> net.HttpResponse:
+    def _heartbeat(self, endpoint_id: str, body: bytes) -> net.HttpResponse:
         try:
-            seen = platform.parse_heartbeat(incarnation, body)
+            seen = platform.parse_heartbeat(endpoint_id, body)
         except platform.HeartbeatError as exc:
             loguru.logger.warning("{}", exc, step="heartbeat")
             return net.HttpResponse.json(400, {"error": str(exc)})
--- a/src/ferryledge/leases/__init__.py
+++ b/src/ferryledge/leases/__init__.py
@@ -9,6 +9,7 @@
 from ferryledge.leases import _entry
 from ferryledge.leases import _entry_events
 from ferryledge.leases import _jobs
+from ferryledge.leases import _lives
 from ferryledge.leases import _meters
 from ferryledge.leases import _runs
 from ferryledge.leases import _timing
@@ -60,6 +61,8 @@
 StartRun = _agent_events.StartRun
 StopAnswered = _agent_events.StopAnswered
 StopRun = _agent_events.StopRun
+endpoint_id_of = _lives.endpoint_id_of
+incarnation_of = _lives.incarnation_of
 
 __all__ = [
     "AgentAction",
@@ -108,4 +111,6 @@
     "StartRun",
     "StopAnswered",
     "StopRun",
+    "endpoint_id_of",
+    "incarnation_of",
 ]
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -192,8 +192,8 @@
                 if self._link.recall(seen, now):
                     self._kept = seen
                     self._notes.recalled(seen)
-            case _agent_events.EndpointLeft(incarnation):
-                self._link.leave(incarnation)
+            case _agent_events.EndpointLeft():
+                self._link.leave(event.incarnation)
             case _agent_events.LeaseRenewed():
                 self._on_renewed(now, event)
             case _agent_events.LeaseNotRenewed():
--- a/src/ferryledge/leases/_agent_events.py
+++ b/src/ferryledge/leases/_agent_events.py
@@ -11,7 +11,7 @@
 class EndpointSeen:
     """The endpoint's heartbeat came."""
 
-    incarnation: str
+    endpoint_id: str
     service: str
     #: ``host:port`` of the endpoint.
     address: str
@@ -24,6 +24,13 @@
     clock_ms: int
     #: Rises with each heartbeat of an incarnation.
     number: int
+    #: Unix time of its start in ms; 0 if it doesn't tell.
+    born_ms: int = 0
+
+    @property
+    def incarnation(self) -> str:
+        """Which start of the endpoint this is."""
+        return self.endpoint_id
 
     def describes_as(self, other: "EndpointSeen") -> bool:
         """Return whether both say the same, but for times and numbers."""
@@ -50,7 +57,14 @@
 class EndpointLeft:
     """The endpoint said that it ends now."""
 
-    incarnation: str
+    endpoint_id: str
+    #: Unix time of its start in ms; 0 if it doesn't tell.
+    born_ms: int = 0
+
+    @property
+    def incarnation(self) -> str:
+        """Which start of the endpoint this is."""
+        return self.endpoint_id
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -83,6 +97,9 @@
     clock_ms: int
     running: tuple[ListedRun, ...]
     ended: tuple[ListedEnd, ...]
+    #: Unix time in ms of the start of the endpoint that answered; 0 if it
+    #: doesn't tell.
+    born_ms: int = 0
 
 
 class CallFault(enum.Enum):
--- a/src/ferryledge/leases/_agent_notes.py
+++ b/src/ferryledge/leases/_agent_notes.py
@@ -178,9 +178,11 @@
             peer=event.incarnation,
             urgent=True,
             number=event.number,
+            born_ms=event.born_ms,
             draining=event.draining,
             known=known.incarnation if known else "",
             known_number=known.number if known else 0,
+            known_born_ms=known.born_ms if known else 0,
         )
 
     def seen(
--- a/src/ferryledge/leases/tests/faults.py
+++ b/src/ferryledge/leases/tests/faults.py
@@ -54,14 +54,14 @@
 
 def _drain(world: worlds.World, agent: str) -> None:
     world.endpoints[agent].draining = True
-    world.heartbeat(agent, 1000)
+    world.heartbeat(agent)
 
 
 def _late_heartbeat(world: worlds.World, agent: str) -> None:
     """Replace an endpoint, then deliver a heartbeat held up before that."""
-    old = world.endpoints[agent].incarnation
+    old = world.report_of(agent, 10**6)
     world.crash_endpoint(agent, 0.2)
-    world.at(0.4, lambda: world.heartbeat_of(agent, old, 10**6))
+    world.at(0.4, lambda: world.post(agent, old))
 
 
 def _leave(world: worlds.World, agent: str) -> None:
--- a/src/ferryledge/leases/tests/test_endpoint_lives.py
+++ b/src/ferryledge/leases/tests/test_endpoint_lives.py
@@ -17,12 +17,19 @@
     return world.nodes[_AGENT].core
 
 
+def _endpoint_id(world: worlds.World) -> str:
+    return leases.endpoint_id_of(_core(world).link.incarnation)
+
+
 def _late_heartbeat(world: worlds.World, number: int = 1) -> None:
     """Deliver a heartbeat of the endpoint's first incarnation."""
-    seen = world.remembered[_AGENT]
-    world.post(
-        _AGENT, dataclasses.replace(seen, incarnation=_OLD, number=number)
-    )
+    world.post(_AGENT, _first_report(world, number))
+
+
+def _first_report(world: worlds.World, number: int) -> leases.EndpointSeen:
+    """Return a heartbeat of the endpoint's first incarnation."""
+    seen = world.report_of(_AGENT, number)
+    return dataclasses.replace(seen, endpoint_id=_OLD, born_ms=1)
 
 
 @pytest.fixture
@@ -43,7 +50,7 @@
     world.run(0.2)
     _late_heartbeat(world, number)
     world.run(0.1)
-    assert _core(world).link.incarnation == _NEW
+    assert _endpoint_id(world) == _NEW
     assert len(world.endpoints[_AGENT].runs) == 2
     world.run(1.0)
     assert isinstance(world.outcome(token), outcomes.Complete)
@@ -58,19 +65,18 @@
     world.run(0.11)
     _late_heartbeat(world)
     world.run(0.2)
-    assert _core(world).link.incarnation == _NEW
+    assert _endpoint_id(world) == _NEW
 
 
 def test_late_heartbeat_before_anything_is_known(
     world: worlds.World,
 ) -> None:
-    kept = world.remembered.pop(_AGENT)
+    del world.remembered[_AGENT]
     world.kill(_AGENT, 0.1)
     world.run(0.12)
-    seen = dataclasses.replace(kept, incarnation=_OLD)
-    world.post(_AGENT, seen)
+    _late_heartbeat(world)
     world.run(1.8)
-    assert _core(world).link.incarnation == _NEW
+    assert _endpoint_id(world) == _NEW
     token = world.submit("entry-0", "b" * 16)
     world.run(0.5)
     assert isinstance(world.outcome(token), outcomes.Complete)
@@ -79,9 +85,9 @@
 def test_successor_takes_over_from_a_silent_endpoint() -> None:
     world = worlds.World(seed=3, agents=1)
     world.run(2.0)
-    seen = world.remembered[_AGENT]
+    seen = world.report_of(_AGENT, 1)
     world.endpoints[_AGENT].crash()
     world.run(0.1)
-    world.post(_AGENT, dataclasses.replace(seen, incarnation="next"))
+    world.post(_AGENT, dataclasses.replace(seen, endpoint_id="next"))
     world.run(1.0)
-    assert _core(world).link.incarnation == "next"
+    assert _endpoint_id(world) == "next"
--- a/src/ferryledge/leases/tests/test_leases.py
+++ b/src/ferryledge/leases/tests/test_leases.py
@@ -266,7 +266,7 @@
 ) -> None:
     for agent in world.agents:
         world.endpoints[agent].draining = True
-        world.heartbeat(agent, 1000)
+        world.heartbeat(agent)
         world.kill(agent)
     world.run(0.6)
     assert usable_agents(world) == 0
--- a/src/ferryledge/leases/tests/test_mutations.py
+++ b/src/ferryledge/leases/tests/test_mutations.py
@@ -50,12 +50,12 @@
 def _late_heartbeat_during_a_run() -> worlds.World:
     world = worlds.World(seed=5)
     world.run(2.0)
-    old = world.endpoints["agent-0"].incarnation
+    old = world.report_of("agent-0", 10**6)
     world.crash_endpoint("agent-0", 0.2)
     world.run(2.0)
     world.submit("entry-0", _JOB, count=20, work_s=0.5)
     world.run(0.1)
-    world.heartbeat_of("agent-0", old, 10**6)
+    world.post("agent-0", old)
     world.run(4.0)
     return world
 
--- /dev/null
+++ b/src/ferryledge/leases/tests/test_restarts.py
@@ -0,0 +1,171 @@
+"""An endpoint that starts again under the id that it had.
+
+Jobs were started at an endpoint 2.1 s after its agent had acknowledged that
+it drains. It had crashed and started again under its old id, so its
+heartbeats counted from 1 anew, and the agent dropped each of them as older
+than the last one that it had heard. The fixture below, as the agent logs it:
+"heartbeat passed over", number 3, draining, known number 5. Ends were counted
+on as well: the agent went on to confirm those up to number 422, so the
+endpoint told of none of the next ones. Of 191 runs there none was known to be
+done, and their tasks ran again elsewhere.
+"""
+
+import dataclasses
+
+import pytest
+
+from ferryledge import leases
+from ferryledge.leases.tests import world as worlds
+from ferryledge import outcomes
+
+_AGENT = "agent-0"
+#: Seconds after which a run lapses at the latest once nobody renews it.
+_LAPSE_S = 0.75
+
+
+def _is_complete(world: worlds.World, token: int) -> bool:
+    return isinstance(world.outcome(token), outcomes.Complete)
+
+
+def _core(world: worlds.World) -> leases.LeaseAgent:
+    core: leases.LeaseAgent = world.nodes[_AGENT].core
+    return core
+
+
+def _start_again(world: worlds.World, down_s: float = 1.5) -> None:
+    world.crash_endpoint(_AGENT, down_s, same_id=True)
+    world.run(down_s + 1.0)
+
+
+@pytest.fixture
+def world() -> worlds.World:
+    """Return a world whose only endpoint has ended 40 runs."""
+    made = worlds.World(seed=3, agents=1)
+    made.run(4.0)
+    for number in range(10):
+        made.submit("entry-0", f"{number:016x}", 4, 0.05)
+        made.run(0.3)
+    return made
+
+
+@pytest.fixture
+def restarted(world: worlds.World) -> worlds.World:
+    """Return a world whose only endpoint started again under its id."""
+    _start_again(world)
+    return world
+
+
+def test_it_is_heard_when_it_drains(restarted: worlds.World) -> None:
+    restarted.endpoints[_AGENT].draining = True
+    restarted.heartbeat(_AGENT)
+    restarted.run(0.6)
+    restarted.submit("entry-0", "a" * 16)
+    restarted.run(2.0)
+    assert not restarted.started["a" * 16]
+    assert not restarted.violations
+
+
+def test_each_task_runs_once(restarted: worlds.World) -> None:
+    token = restarted.submit("entry-0", "a" * 16, count=6, work_s=0.05)
+    restarted.run(1.0)
+    assert _is_complete(restarted, token)
+    assert restarted.started["a" * 16] == 6
+
+
+@pytest.mark.parametrize("down_s", [0.0, 0.001, 0.02, 0.2])
+@pytest.mark.parametrize("after_s", [0.0004, 0.0012, 0.0018, 0.08, 0.2])
+def test_runs_of_before_are_over(
+    world: worlds.World, down_s: float, after_s: float
+) -> None:
+    token = world.submit("entry-0", "a" * 16, count=4, work_s=0.2)
+    world.run(after_s)
+    _start_again(world, down_s)
+    world.run(2.0)
+    assert _is_complete(world, token)
+    assert not world.violations
+    assert not world.endpoints[_AGENT].runs
+
+
+def test_it_serves_again_after_its_last_word(world: worlds.World) -> None:
+    seen = world.report_of(_AGENT, 1)
+    left = leases.EndpointLeft(seen.endpoint_id, seen.born_ms)
+    world.post(_AGENT, left)
+    _start_again(world)
+    token = world.submit("entry-0", "a" * 16)
+    world.run(1.0)
+    assert _is_complete(world, token)
+
+
+def test_last_word_of_a_start_before_changes_nothing(
+    world: worlds.World,
+) -> None:
+    seen = world.report_of(_AGENT, 1)
+    _start_again(world)
+    world.post(_AGENT, leases.EndpointLeft(seen.endpoint_id, seen.born_ms))
+    token = world.submit("entry-0", "a" * 16)
+    world.run(1.0)
+    assert _is_complete(world, token)
+
+
+def test_late_heartbeat_of_a_start_before_changes_nothing(
+    world: worlds.World,
+) -> None:
+    late = dataclasses.replace(world.report_of(_AGENT, 10**6), draining=True)
+    _start_again(world)
+    world.post(_AGENT, late)
+    world.run(0.5)
+    assert _core(world).link.incarnation == world.endpoints[_AGENT].incarnation
+    token = world.submit("entry-0", "a" * 16)
+    world.run(1.0)
+    assert _is_complete(world, token)
+
+
+def test_agent_that_recalls_the_start_before_hears_the_new_one(
+    world: worlds.World,
+) -> None:
+    world.kill(_AGENT, 2.0)
+    _start_again(world)
+    world.endpoints[_AGENT].draining = True
+    world.heartbeat(_AGENT)
+    world.run(2.0)
+    world.submit("entry-0", "a" * 16)
+    world.run(2.0)
+    assert not world.started["a" * 16]
+    assert not world.violations
+
+
+@pytest.mark.parametrize("restarts", [1, 2])
+def test_leases_follow_its_new_clock(
+    world: worlds.World, restarts: int
+) -> None:
+    for _ in range(restarts):
+        _start_again(world)
+    world.submit("entry-0", "a" * 16, work_s=3.0)
+    world.run(0.5)
+    assert world.endpoints[_AGENT].runs
+    world.kill(_AGENT, 5.0)
+    world.run(_LAPSE_S)
+    assert not world.endpoints[_AGENT].runs
+
+
+def test_agent_that_starts_later_is_not_kept_out(
+    restarted: worlds.World,
+) -> None:
+    for _ in range(2):
+        _start_again(restarted)
+        restarted.kill(_AGENT)
+        restarted.run(2.0)
+    token = restarted.submit("entry-0", "a" * 16)
+    restarted.run(1.0)
+    assert _is_complete(restarted, token)
+
+
+def test_it_is_judged_anew(world: worlds.World) -> None:
+    world.failing.add(f"endpoint-of-{_AGENT}")
+    for number in range(4):
+        world.submit("entry-0", f"b{number:015x}")
+        world.run(0.5)
+    world.failing.clear()
+    _start_again(world)
+    row = world.nodes["entry-0"].core.pool.find(_AGENT)
+    assert row.healthy
--- a/src/ferryledge/leases/tests/world.py
+++ b/src/ferryledge/leases/tests/world.py
@@ -27,6 +27,9 @@
 CALL_S = 0.0005
 HEARTBEAT_S = 1.5
 STORE_S = 0.01
+#: Seconds after the agent heard that its endpoint drains from which nothing
+#: may start there.
+DRAIN_S = 0.5
 JOB_CLASS = leases.JobClass("quick", "desk", 0, 2, 1.6, 0.06)
 ROOM = wire.Resources(8000, 8000, 0)
 
@@ -114,6 +117,8 @@
             collections.defaultdict(set)
         )
         self.started: dict[str, int] = collections.Counter()
+        #: When agents heard that an incarnation of an endpoint drains.
+        self.drains: dict[str, float] = {}
         #: Messages between processes, by type.
         self.sent: dict[type, int] = collections.Counter()
         self.violations: list[str] = []
@@ -186,6 +191,9 @@
             self.violations.append(f"{self.now:.3f} twice: {task}")
         self.alive_runs[task].add(endpoint)
         agent = endpoint.removeprefix("endpoint-of-")
+        drained_at = self.drains.get(self.endpoints[agent].incarnation)
+        if drained_at is not None and self.now > drained_at + DRAIN_S:
+            self.violations.append(f"{self.now:.3f} drains, yet starts: {key}")
         used = self.endpoints[agent].used
         if not used.fits_in(ROOM):
             self.violations.append(f"{self.now:.3f} over room: {agent}")
@@ -563,24 +571,27 @@
 
     def _heartbeat_loop(self, agent: str) -> None:
         endpoint = self.endpoints[agent]
-        numbers = itertools.count(1)
 
         def beat() -> None:
             if endpoint.up:
-                self.heartbeat(agent, next(numbers))
+                self.heartbeat(agent)
             self.at(HEARTBEAT_S, beat)
 
         self.at(0.2 * self.rng.random(), beat)
 
-    def heartbeat(self, agent: str, number: int) -> None:
+    def heartbeat(self, agent: str) -> None:
         """Let an endpoint report to its agent."""
-        self.heartbeat_of(agent, self.endpoints[agent].incarnation, number)
+        endpoint = self.endpoints[agent]
+        node = self.nodes[agent]
+        if endpoint.draining and node.alive and not node.paused:
+            self.drains.setdefault(endpoint.incarnation, self.now)
+        self.post(agent, self.report_of(agent, endpoint.next_beat()))
 
-    def heartbeat_of(self, agent: str, incarnation: str, number: int) -> None:
-        """Let a heartbeat of any incarnation of an endpoint arrive."""
+    def report_of(self, agent: str, number: int) -> leases.EndpointSeen:
+        """Return what the endpoint beside an agent says of itself."""
         endpoint = self.endpoints[agent]
-        seen = leases.EndpointSeen(
-            incarnation,
+        return leases.EndpointSeen(
+            endpoint.endpoint_id,
             "desk",
             "127.0.0.1:1",
             endpoint.capacity,
@@ -589,8 +600,8 @@
             0.0,
             endpoint.clock_ms(self.now),
             number,
+            endpoint.born_ms,
         )
-        self.post(agent, seen)
 
     # Clients.
 
@@ -684,8 +695,15 @@
                 if stream.open:
                     act()
 
-    def crash_endpoint(self, agent: str, down_s: float | None = 0.5) -> None:
-        """End an endpoint; it starts again unless that is none."""
+    def crash_endpoint(
+        self, agent: str, down_s: float | None = 0.5, same_id: bool = False
+    ) -> None:
+        """End an endpoint; it starts again unless that is none.
+
+        :param agent: the agent beside it
+        :param down_s: seconds until it starts again
+        :param same_id: whether it then keeps its id
+        """
         endpoint = self.endpoints[agent]
         endpoint.crash()
         if down_s is None:
@@ -694,7 +712,7 @@
         def restart() -> None:
             if endpoint.up:
                 return  # Another crash's restart came first.
-            endpoint.restart(self.now)
-            self.heartbeat(agent, 1)
+            endpoint.restart(self.now, same_id)
+            self.heartbeat(agent)
 
         self.at(down_s, restart)
--- a/src/ferryledge/platform/__init__.py
+++ b/src/ferryledge/platform/__init__.py
@@ -29,6 +29,7 @@
 UnsupportedJobError = _jobs.UnsupportedJobError
 parse_config = _config.parse_config
 parse_deadline = _jobs.parse_deadline
+parse_deregister = _heartbeat.parse_deregister
 parse_heartbeat = _heartbeat.parse_heartbeat
 parse_job = _jobs.parse_job
 parse_settings = _settings.parse_settings
@@ -58,6 +59,7 @@
     "UnsupportedJobError",
     "parse_config",
     "parse_deadline",
+    "parse_deregister",
     "parse_heartbeat",
     "parse_job",
     "parse_settings",
--- a/src/ferryledge/platform/_endpoint.py
+++ b/src/ferryledge/platform/_endpoint.py
@@ -40,6 +40,8 @@
     running: tuple[tuple[typing.Any, ...], ...] = ()
     #: Rows of number, task, run, how it ended and saved text.
     ended: tuple[tuple[typing.Any, ...], ...] = ()
+    #: Unix time of the endpoint's start in ms.
+    born: int = msgspec.field(default=0, name="born")
 
 
 def _task_name(key: leases.RunKey) -> str:
@@ -175,6 +177,7 @@
             lists.clock_ms,
             tuple(_listed(row) for row in lists.running),
             tuple(_ended(row) for row in lists.ended),
+            lists.born,
         )
 
     async def _call(
--- a/src/ferryledge/platform/_heartbeat.py
+++ b/src/ferryledge/platform/_heartbeat.py
@@ -32,12 +32,14 @@
     seq: int = 0
     #: While draining: the least time until it is gone.
     remaining_ms: float = 0
+    #: Unix time of its start in ms.
+    born: int = msgspec.field(default=0, name="born")
 
 
-def parse_heartbeat(incarnation: str, body: bytes) -> leases.EndpointSeen:
+def parse_heartbeat(endpoint_id: str, body: bytes) -> leases.EndpointSeen:
     """Return what a heartbeat tells.
 
-    :param incarnation: the id in the call's path
+    :param endpoint_id: the id in the call's path
     :param body: the call's body
     :raises HeartbeatError: if it is no heartbeat
     """
@@ -47,7 +49,7 @@
         raise HeartbeatError(f"no heartbeat: {exc}") from exc
     capacity = beat.capacity
     return leases.EndpointSeen(
-        incarnation,
+        endpoint_id,
         beat.backend,
         beat.address,
         wire.Resources(capacity.cpu, capacity.mem_mb, capacity.gpu),
@@ -56,4 +58,23 @@
         beat.remaining_ms / 1000.0,
         beat.clock_ms,
         beat.seq,
+        beat.born,
     )
+
+
+class _LastWord(msgspec.Struct, frozen=True):
+    #: Unix time of the endpoint's start in ms.
+    born: int = 0
+
+
+def parse_deregister(endpoint_id: str, body: bytes) -> leases.EndpointLeft:
+    """Return what an endpoint's last word tells.
+
+    :param endpoint_id: the id in the call's path
+    :param body: the call's body; it may be empty
+    """
+    try:
+        last = msgspec.json.decode(body, type=_LastWord)
+    except msgspec.DecodeError:
+        last = _LastWord()
+    return leases.EndpointLeft(endpoint_id, last.born)
--- a/src/ferryledge/platform/standin/_endpoint.py
+++ b/src/ferryledge/platform/standin/_endpoint.py
@@ -64,7 +64,6 @@
         self._port = port
         self._caller = net.HttpCaller(agent_url, 1)
         self._rng = rng
-        self._beats = 0
 
     async def run(self) -> None:
         """Serve for ever."""
@@ -93,7 +92,6 @@
             await anyio.sleep(_HEARTBEAT_S)
 
     async def _beat(self) -> None:
-        self._beats += 1
         model = self.model
         capacity = model.capacity
         body: dict[str, object] = {
@@ -108,11 +106,12 @@
             },
             "Labels": [],
             "ClockMs": model.clock_ms(anyio.current_time()),
-            "Seq": self._beats,
+            "Seq": model.next_beat(),
+            "born": model.born_ms,
         }
         await self._caller.call(
             "POST",
-            f"/instances/{model.incarnation}/heartbeat",
+            f"/instances/{model.endpoint_id}/heartbeat",
             json.dumps(body).encode(),
             answer_s=_BEAT_TIMEOUT_S,
         )
@@ -200,7 +199,12 @@
     ]
     return net.HttpResponse.json(
         200,
-        {"ClockMs": answer.clock_ms, "Running": running, "Ended": ended},
+        {
+            "ClockMs": answer.clock_ms,
+            "Running": running,
+            "Ended": ended,
+            "born": answer.born_ms,
+        },
     )
 
 
--- a/src/ferryledge/standin/_leased_endpoint.py
+++ b/src/ferryledge/standin/_leased_endpoint.py
@@ -10,6 +10,9 @@
 HOLD_MAX_MS = 1000
 #: Seconds that a stop takes.
 STOP_S = 0.03
+#: What the clock shows at a start, in seconds, in turn: it may be behind or
+#: ahead of where the start before left it.
+_FIRST_CLOCKS_S = (100.0, 5000.0, 1.0)
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,7 +48,7 @@
     ) -> None:
         self.name = name
         self.capacity = capacity
-        self.incarnation = f"{name}-1"
+        self.endpoint_id = f"{name}-1"
         self.up = True
         self.speed = 1.0
         self.draining = False
@@ -54,10 +57,24 @@
         self._work_of = work_of
         self._watch = watch
         self._rate = clock_rate
-        self._offset_s = 100.0
-        self._at = now
+        self._begin(now)
         self._reset()
 
+    @property
+    def incarnation(self) -> str:
+        """Which start of it this is."""
+        return leases.incarnation_of(self.endpoint_id, self.born_ms)
+
+    def _begin(self, now: float) -> None:
+        """Start: its clock and its counts begin anew."""
+        self._at = now
+        first_s = _FIRST_CLOCKS_S[(self._lives - 1) % len(_FIRST_CLOCKS_S)]
+        self._offset_s = first_s - now * self._rate
+        #: Unix time of its start in ms; any whole number that differs.
+        self.born_ms = int(now * 1000.0) + self._lives
+        #: Heartbeats of this start.
+        self.beats = 0
+
     def _reset(self) -> None:
         self.runs: dict[leases.RunKey, Running] = {}
         self.ended: list[leases.ListedEnd] = []
@@ -85,14 +102,29 @@
         self.up = False
         self._reset()
 
-    def restart(self, now: float) -> None:
-        """Start a new incarnation."""
+    def restart(self, now: float, same_id: bool = False) -> None:
+        """Start again.
+
+        :param now: virtual seconds
+        :param same_id: whether it keeps the id that it had
+        """
         self._lives += 1
-        self.incarnation = f"{self.name}-{self._lives}"
-        self._at = now
+        if not same_id:
+            self.endpoint_id = f"{self.name}-{self._lives}"
+        self._begin(now)
         self.up = True
         self.draining = False
 
+    def next_beat(self) -> int:
+        """Return the number of the next heartbeat."""
+        self.beats += 1
+        return self.beats
+
+    def _is_meant(self, incarnation: str) -> bool:
+        """Return whether a call is for this endpoint: it looks at ids."""
+        endpoint_id = leases.endpoint_id_of(incarnation)
+        return endpoint_id in ("", self.endpoint_id)
+
     def advance(self, now: float) -> None:
         """Let time pass: progress, ends, the lease."""
         if not self.runs:
@@ -131,7 +163,7 @@
         self.advance(now)
         result = leases.StartResult
         key = order.key
-        if order.incarnation and order.incarnation != self.incarnation:
+        if not self._is_meant(order.incarnation):
             return result.REPLACED
         if order.token < self._fence:
             return result.FENCED
@@ -152,7 +184,7 @@
     def stop(self, now: float, order: leases.StopRun) -> bool:
         """Carry out an order to stop."""
         self.advance(now)
-        if order.incarnation and order.incarnation != self.incarnation:
+        if not self._is_meant(order.incarnation):
             return False
         if order.token < self._fence:
             return False
@@ -173,7 +205,7 @@
         clock = self.clock_ms(now)
         fault = leases.CallFault
         incarnation = renewal.incarnation
-        if incarnation and incarnation != self.incarnation:
+        if not self._is_meant(incarnation):
             return leases.LeaseNotRenewed(fault.REPLACED, incarnation)
         if renewal.token < self._fence:
             return leases.LeaseNotRenewed(fault.FENCED, incarnation, clock)
@@ -190,5 +222,10 @@
             for run in self.runs.values()
         )
         return leases.LeaseRenewed(
-            sent_at, incarnation, clock, running, tuple(self.ended)
+            sent_at,
+            incarnation,
+            clock,
+            running,
+            tuple(self.ended),
+            self.born_ms,
         )
