Tell the starts of an endpoint apart by when they began

Cause: an endpoint may start again under its id; what an agent kept of it went by the id alone. Its heartbeats were dropped as older, so one that said draining changed nothing; its ends were confirmed before they happened, so each task ran again; leases were reckoned on the old clock. Class: an identity that outlived what it named. Ruled out: entries that are not told, a recalled record. Change: an incarnation is the id with the time of the start, everywhere. The list of runs tells which start answers; runs that the start before did not list are stopped at the new one before their tasks run again. After a renewal that failed the next one confirms no end and, if the endpoint seemed gone, extends no lease and no order is taken. A fencing token that is refused is doubled, since it may be far above the clock. Tried first: resetting the token to the new clock; an agent that starts later is then fenced out for good by an older order's.

--- a/src/ferryledge/leases/_acceptance.py
+++ b/src/ferryledge/leases/_acceptance.py
@@ -71,6 +71,9 @@
             return False
         if not self._link.synced or not self._link.is_fresh(now):
             return False
+        if self._link.is_down:
+            # It may have started again by the time that an order arrives.
+            return False
         return not self._runs.has_owner("")
 
     def remaining_s(self, now: float) -> float:
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -200,14 +200,13 @@
                 self._on_not_renewed(now, event)
             case _agent_events.StartAnswered():
                 self._on_start_answered(now, event)
-            case _agent_events.StopAnswered(key, confirmed):
-                if confirmed:
+            case _agent_events.StopAnswered(key, incarnation, confirmed):
+                if confirmed and incarnation == self._link.incarnation:
                     self._stopping.confirmed(now, key)
 
     def _on_seen(self, now: float, seen: _agent_events.EndpointSeen) -> None:
         known = self._link.seen
-        if self._link.see(seen, now):
-            self._forget_endpoint()
+        self._follow(now, self._link.see(seen, now))
         self._note_endpoint(known)
         if self._link.seen is not seen:
             self._notes.passed_over(self._link.seen, seen)
@@ -229,11 +228,28 @@
             self._act(_agent_events.RememberEndpoint(seen))
         self._kept = seen
 
-    def _forget_endpoint(self) -> None:
-        """Start anew: another incarnation runs nothing of before."""
+    def _follow(self, now: float, change: _endpoint.Change) -> None:
+        """Start anew if the endpoint is another, which runs nothing yet."""
+        match change:
+            case _endpoint.Change.NONE:
+                return
+            case _endpoint.Change.REPLACED:
+                self._lose_all()
+            case _endpoint.Change.RESTARTED:
+                self._lose_listed(now)
         self._speed = _speed.EndpointSpeed()
         self._listed_clock_ms = 0
-        self._lose_all()
+
+    def _lose_listed(self, now: float) -> None:
+        """Take for lost what the start before is known to have had.
+
+        An order that it may not have had may still be carried out now.
+        """
+        for row in self._runs:
+            if row.listed:
+                self._end(row, wire.HowEnded.LOST)
+            else:
+                self._stopping.stop_anew(now, row)
 
     def tick(self, now: float) -> list[_agent_events.AgentAction]:
         """Return the actions that are due."""
@@ -409,8 +425,9 @@
 
     def _check_endpoint(self, now: float) -> None:
         known = self._link.seen
-        if self._link.give_way(now):
-            self._forget_endpoint()
+        change = self._link.give_way(now)
+        if change is not _endpoint.Change.NONE:
+            self._follow(now, change)
             self._note_endpoint(known)
         if not self._link.is_over(now):
             return
@@ -426,9 +443,11 @@
     def _on_start_answered(
         self, now: float, event: _agent_events.StartAnswered
     ) -> None:
+        if event.incarnation != self._link.incarnation:
+            return
         self._link.note_clock(event.clock_ms, now)
         row = self._runs.find(event.key)
-        if row is None or event.incarnation != self._link.incarnation:
+        if row is None:
             return
         match event.result:
             case _agent_events.StartResult.STARTED:
@@ -454,6 +473,9 @@
     ) -> None:
         if event.incarnation != self._link.incarnation:
             return
+        known = self._link.seen
+        self._follow(now, self._link.answered(event.born_ms, now))
+        self._note_endpoint(known)
         had_token = bool(self._link.token)
         self._link.note_clock(event.clock_ms, now)
         if not had_token:
@@ -471,6 +493,7 @@
                 if how is not None:
                     self._end(row, how)
                 continue
+            row.listed = True
             row.confirmed_at = row.confirmed_at or event.sent_at
             if row.pace is not None:
                 row.pace.sample(now, run.done)
@@ -487,13 +510,15 @@
         self, now: float, event: _agent_events.LeaseNotRenewed
     ) -> None:
         self._notes.renewed(event.fault)
+        if event.incarnation != self._link.incarnation:
+            return
+        self._link.failed(event.fault)
         match event.fault:
             case _agent_events.CallFault.FENCED:
                 self._link.raise_token(event.clock_ms, now)
             case _agent_events.CallFault.REPLACED:
-                if self._link.refute(event.incarnation, now):
-                    self._forget_endpoint()
-                    self._note_endpoint(None)
+                self._follow(now, self._link.refute(now))
+                self._note_endpoint(None)
             case _:
                 pass
 
@@ -519,6 +544,7 @@
             key, "", wire.Resources(), _runs.RunState.RUNNING, now
         )
         row.confirmed_at = now
+        row.listed = True
         if not self._runs.has_owner(""):
             self._unclaimed_since = now
         self._runs.add(row)
--- a/src/ferryledge/leases/_agent_events.py
+++ b/src/ferryledge/leases/_agent_events.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from ferryledge.leases import _lives
 from ferryledge.leases import _runs
 from ferryledge import wire
 
@@ -30,7 +31,7 @@
     @property
     def incarnation(self) -> str:
         """Which start of the endpoint this is."""
-        return self.endpoint_id
+        return _lives.incarnation_of(self.endpoint_id, self.born_ms)
 
     def describes_as(self, other: "EndpointSeen") -> bool:
         """Return whether both say the same, but for times and numbers."""
@@ -64,7 +65,7 @@
     @property
     def incarnation(self) -> str:
         """Which start of the endpoint this is."""
-        return self.endpoint_id
+        return _lives.incarnation_of(self.endpoint_id, self.born_ms)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -109,6 +110,8 @@
     SILENT = "silent"
     #: Nothing listens there: the endpoint is down.
     DOWN = "down"
+    #: The connection broke: the endpoint may have gone.
+    BROKEN = "broken"
     #: Another incarnation answered.
     REPLACED = "replaced"
     #: A higher fencing token has been used there.
@@ -160,6 +163,8 @@
     """The call for a stop came back."""
 
     key: _runs.RunKey
+    #: The endpoint's incarnation that was meant.
+    incarnation: str
     #: Whether the endpoint confirmed it.
     confirmed: bool
 
--- a/src/ferryledge/leases/_agent_notes.py
+++ b/src/ferryledge/leases/_agent_notes.py
@@ -176,7 +176,7 @@
             outcomes.Step.HEALTH,
             "heartbeat passed over",
             peer=event.incarnation,
-            urgent=True,
+            urgent=event.draining,
             number=event.number,
             born_ms=event.born_ms,
             draining=event.draining,
--- a/src/ferryledge/leases/_endpoint.py
+++ b/src/ferryledge/leases/_endpoint.py
@@ -1,7 +1,10 @@
 """What an agent knows of its endpoint: its clock, its lease, its health."""
 
+import enum
+
 from ferryledge.leases import _agent_events
 from ferryledge.leases import _answer_times
+from ferryledge.leases import _lives
 from ferryledge.leases import _timing
 
 #: Longest that a renewal's answer may wait for an end, in ms. Short enough
@@ -19,6 +22,19 @@
 _REPLACED_KEPT = 15
 
 
+_GONE = (_agent_events.CallFault.DOWN, _agent_events.CallFault.BROKEN)
+
+
+class Change(enum.Enum):
+    """Whether the endpoint is another incarnation than before."""
+
+    NONE = "none"
+    #: It has another id and refuses calls for the one before.
+    REPLACED = "replaced"
+    #: It started again under its id and takes calls for the start before.
+    RESTARTED = "restarted"
+
+
 class EndpointLink:
     """The state of the link between an agent and its endpoint.
 
@@ -28,7 +44,7 @@
 
     def __init__(self, timing: _timing.LeaseTiming, now: float) -> None:
         self._timing = timing
-        #: The endpoint's last heartbeat.
+        #: The last heartbeat of the incarnation that is known.
         self.seen: _agent_events.EndpointSeen | None = None
         #: Whether what runs there is known.
         self.synced = False
@@ -42,6 +58,12 @@
             _LONGEST_SLACK_S, _SHORTEST_SLACK_S
         )
         self._leased_at = now
+        #: Whether the last renewal brought no list, and whether the endpoint
+        #: seemed gone.
+        self._is_doubted = False
+        self._is_down = False
+        #: The incarnation that calls are meant for, and the last such.
+        self._incarnation = ""
         self._last = ""
         #: The incarnation that said its last word here.
         self._left = ""
@@ -55,7 +77,12 @@
     @property
     def incarnation(self) -> str:
         """The endpoint's incarnation; empty while none is known."""
-        return self.seen.incarnation if self.seen else ""
+        return self._incarnation
+
+    @property
+    def is_down(self) -> bool:
+        """Whether the endpoint seemed gone when it was called last."""
+        return self._is_down
 
     @property
     def token(self) -> int:
@@ -78,67 +105,100 @@
             self._token = clock_ms
 
     def raise_token(self, clock_ms: int, now: float) -> None:
-        """Take a higher token after another agent's was seen there."""
+        """Take a higher token after another agent's was seen there.
+
+        That may be far above the clock, if the endpoint started again while
+        the other agent went on: doubling gets above it in a few calls.
+        """
         self.note_clock(clock_ms, now)
-        self._token = max(self._token + 1, self.clock_ms(now))
+        self._token = max(2 * self._token, self.clock_ms(now))
 
-    def see(self, seen: _agent_events.EndpointSeen, now: float) -> bool:
+    def see(self, seen: _agent_events.EndpointSeen, now: float) -> Change:
         """Take in a heartbeat.
 
         One of another incarnation than the known one may be of its
         successor, or a late one of its predecessor. The endpoint tells
-        which: its next answer is the known one's, or refutes it.
+        which: its next answer is the known one's, or refutes it. Numbers
+        are compared within an incarnation alone, each counts from 1.
 
-        :return: whether the endpoint is another incarnation than before
+        :return: whether the endpoint is another than before
         """
-        known = self.seen
         if self._is_gone(seen.incarnation):
-            return False
-        if known is not None and known.incarnation == seen.incarnation:
-            if seen.number >= known.number:
-                self.seen = seen
-                self.note_clock(seen.clock_ms, now)
-            return False
-        if known is not None:
+            return Change.NONE
+        if not self._incarnation:
+            return self._take(seen, now)
+        if seen.incarnation != self._incarnation:
             self._propose(seen, now)
-            return False
-        return self._take(seen, now)
+        elif self.seen is None or seen.number >= self.seen.number:
+            self.seen = seen
+            self.note_clock(seen.clock_ms, now)
+        return Change.NONE
 
     def recall(self, seen: _agent_events.EndpointSeen, now: float) -> bool:
         """Take in what was kept; a heartbeat that came first goes before.
 
         :return: whether it was taken in
         """
-        if self.seen is not None:
-            if self.incarnation != seen.incarnation:
-                self._propose(seen, now)
-            return False
         if self._is_gone(seen.incarnation):
             return False
+        if self._incarnation:
+            if self._incarnation != seen.incarnation:
+                self._propose(seen, now)
+            return False
         self.seen = seen
-        self._last = seen.incarnation
+        self._incarnation = self._last = seen.incarnation
         return True
 
-    def refute(self, incarnation: str, now: float) -> bool:
-        """Note that the endpoint is no longer an incarnation.
+    def refute(self, now: float) -> Change:
+        """Note that another endpoint answered than the known one.
 
         :return: whether what is known here was true of that one
         """
-        if not incarnation or self.incarnation != incarnation:
-            return False
-        self._note_replaced(incarnation)
+        refuted = self._incarnation
+        if not refuted:
+            return Change.NONE
+        self._note_replaced(refuted)
+        self._incarnation = ""
         self.seen = None
-        if not self._take_candidate(now):
-            self._start_anew()
-        return True
+        candidate = self._candidate
+        self._candidate = None
+        if candidate is not None and not _share_id(
+            candidate.incarnation, refuted
+        ):
+            return self._take(candidate, now)
+        self._start_anew()
+        return Change.REPLACED
+
+    def answered(self, born_ms: int, now: float) -> Change:
+        """Note when the endpoint that listed what it runs was started.
 
-    def give_way(self, now: float) -> bool:
+        :param born_ms: Unix time in ms; 0 if it doesn't tell
+        :param now: monotonic seconds
+        """
+        if not self._incarnation or not born_ms:
+            return Change.NONE
+        endpoint_id = _lives.endpoint_id_of(self._incarnation)
+        answered_as = _lives.incarnation_of(endpoint_id, born_ms)
+        if answered_as == self._incarnation:
+            return Change.NONE
+        candidate = self._candidate
+        self._candidate = None
+        if candidate is not None and candidate.incarnation == answered_as:
+            return self._take(candidate, now)
+        self.seen = None
+        return self._succeed(answered_as)
+
+    def give_way(self, now: float) -> Change:
         """Let a successor take over from an incarnation that is silent.
 
         :return: whether it did
         """
         waited = now - self._candidate_at > self._timing.lease_s
-        return waited and self.is_dark(now) and self._take_candidate(now)
+        if self._candidate is None or not waited or not self.is_dark(now):
+            return Change.NONE
+        seen = self._candidate
+        self._candidate = None
+        return self._take(seen, now)
 
     def _is_gone(self, incarnation: str) -> bool:
         return incarnation in (self._left, *self._replaced)
@@ -147,27 +207,35 @@
         self._replaced = [*self._replaced[-_REPLACED_KEPT:], incarnation]
 
     def _propose(self, seen: _agent_events.EndpointSeen, now: float) -> None:
-        if self._candidate is None or (
-            self._candidate.incarnation != seen.incarnation
-        ):
+        known = self._candidate
+        if known is None or known.incarnation != seen.incarnation:
             self._candidate_at = now
+        elif seen.number < known.number:
+            return
         self._candidate = seen
 
-    def _take_candidate(self, now: float) -> bool:
-        seen = self._candidate
-        self._candidate = None
-        return seen is not None and self._take(seen, now)
-
-    def _take(self, seen: _agent_events.EndpointSeen, now: float) -> bool:
-        replaced = self._last not in ("", seen.incarnation)
-        if self.seen is not None:
-            self._note_replaced(self.incarnation)
+    def _take(self, seen: _agent_events.EndpointSeen, now: float) -> Change:
+        change = self._succeed(seen.incarnation)
         self.seen = seen
-        self._last = seen.incarnation
-        if replaced:
-            self._start_anew()
         self.note_clock(seen.clock_ms, now)
-        return replaced
+        return change
+
+    def _succeed(self, incarnation: str) -> Change:
+        """Let an incarnation take the place of the last one."""
+        last = self._last
+        if self._incarnation:
+            self._note_replaced(self._incarnation)
+        self._incarnation = self._last = incarnation
+        if last in ("", incarnation):
+            return Change.NONE
+        if not _share_id(last, incarnation):
+            self._start_anew()
+            return Change.REPLACED
+        # The agent's token goes on: an order of its may be there already.
+        token = self._token
+        self._start_anew()
+        self._token = token
+        return Change.RESTARTED
 
     def _start_anew(self) -> None:
         """Forget what was true of the incarnation before."""
@@ -182,9 +250,10 @@
 
         :return: whether it is the incarnation known here
         """
-        if self.incarnation != incarnation:
+        if self._incarnation != incarnation:
             return False
         self._left = incarnation
+        self._incarnation = ""
         self.seen = None
         return True
 
@@ -196,17 +265,26 @@
     def renewal(self, now: float) -> _agent_events.Renewal:
         """Return what the next renewal is to say."""
         lease_until_ms = 0
-        if self._token and self.synced and not self.is_dark(now):
+        is_sure = self.synced and not self._is_down
+        if self._token and is_sure and not self.is_dark(now):
             lease_until_ms = self.lease_until_ms(now)
+        # Another start may answer, with ends that bear the same numbers:
+        # confirmed unseen they would be lost, and their tasks run twice.
+        is_known = not self._is_doubted and self.is_fresh(now)
         return _agent_events.Renewal(
             self.incarnation,
             lease_until_ms,
             self._token,
-            self.acknowledged,
-            _WAIT_MS if self.synced else 0,
+            self.acknowledged if is_known else 0,
+            _WAIT_MS if self.synced and is_known else 0,
             self._answer_times.limit_s,
         )
 
+    def failed(self, fault: _agent_events.CallFault) -> None:
+        """Note that a renewal brought no list."""
+        self._is_doubted = True
+        self._is_down = fault in _GONE
+
     def renewed(self, sent_at: float, now: float) -> None:
         """Note that the endpoint took a renewal sent at that time."""
         beyond_s = now - sent_at - _WAIT_MS / 1000.0
@@ -214,6 +292,8 @@
             # One that came sooner brought an end, and tells nothing here.
             self._answer_times.note(beyond_s)
         self._renewed_at = max(self._renewed_at, sent_at)
+        self._is_doubted = False
+        self._is_down = False
         candidate = self._candidate
         if candidate is not None and sent_at > self._candidate_at:
             # The known incarnation answers still: the other came before it.
@@ -238,3 +318,8 @@
         lease_s = self._timing.lease_s * (1.0 + _timing.CLOCK_DRIFT)
         last = self._leased_at + lease_s + _MARGIN_S
         return self.is_dark(now) and now > last
+
+
+def _share_id(one: str, other: str) -> bool:
+    """Return whether two incarnations take the same calls."""
+    return _lives.endpoint_id_of(one) == _lives.endpoint_id_of(other)
--- a/src/ferryledge/leases/_runs.py
+++ b/src/ferryledge/leases/_runs.py
@@ -66,6 +66,8 @@
     stop_confirmed_at: float | None = None
     #: Why it is stopped, if it turns out that it never started.
     release: wire.NotStarted | None = None
+    #: Whether the endpoint listed it, since it started.
+    listed: bool = False
     #: Its progress; none if its expected time is unknown.
     pace: _speed.RunPace | None = None
 
--- a/src/ferryledge/leases/_stopping.py
+++ b/src/ferryledge/leases/_stopping.py
@@ -72,6 +72,17 @@
         row.release = release
         self._order(now, row)
 
+    def stop_anew(self, now: float, row: _runs.RunRow) -> None:
+        """Stop a run whose order an endpoint that started again may have.
+
+        What it confirmed before, and the clock of before, count no more.
+        """
+        row.state = _runs.RunState.STOPPING
+        row.release = row.release or wire.NotStarted.NO_ANSWER
+        row.expires_ms = 0
+        row.stop_confirmed_at = None
+        self._order(now, row)
+
     def _order(self, now: float, row: _runs.RunRow) -> None:
         row.stop_sent_at = now
         self._unconfirmed[row.key] = row
--- a/src/ferryledge/leases/tests/faults.py
+++ b/src/ferryledge/leases/tests/faults.py
@@ -57,11 +57,33 @@
     world.heartbeat(agent)
 
 
-def _late_heartbeat(world: worlds.World, agent: str) -> None:
+def _late_heartbeat(
+    same_id: bool,
+) -> abc.Callable[[worlds.World, str], None]:
     """Replace an endpoint, then deliver a heartbeat held up before that."""
-    old = world.report_of(agent, 10**6)
-    world.crash_endpoint(agent, 0.2)
-    world.at(0.4, lambda: world.post(agent, old))
+
+    def strike(world: worlds.World, agent: str) -> None:
+        old = world.report_of(agent, 10**6)
+        world.crash_endpoint(agent, 0.2, same_id)
+        world.at(0.4, lambda: world.post(agent, old))
+
+    return strike
+
+
+def _restart(down_s: float) -> abc.Callable[[worlds.World, str], None]:
+    """Start an endpoint again under its id."""
+    return lambda world, agent: world.crash_endpoint(agent, down_s, True)
+
+
+def _restart_and_drain(world: worlds.World, agent: str) -> None:
+    world.crash_endpoint(agent, 0.2, same_id=True)
+    world.at(0.3, lambda: _drain(world, agent))
+
+
+def _restart_both(world: worlds.World, agent: str) -> None:
+    """Start an endpoint again under its id while its agent is down."""
+    world.kill(agent, 0.6)
+    world.crash_endpoint(agent, 0.2, same_id=True)
 
 
 def _leave(world: worlds.World, agent: str) -> None:
@@ -87,7 +109,12 @@
     "agent paused": _agent(lambda w, a: w.pause(a, 0.5)),
     "agent paused for long": _agent(lambda w, a: w.pause(a, 3.0)),
     "endpoint crashed": _agent(lambda w, a: w.crash_endpoint(a)),
-    "endpoint replaced, then a late heartbeat": _agent(_late_heartbeat),
+    "endpoint replaced, then a late heartbeat": _agent(_late_heartbeat(False)),
+    "endpoint restarted": _agent(_restart(0.5)),
+    "endpoint restarted at once": _agent(_restart(0.0)),
+    "endpoint restarted, then a late heartbeat": _agent(_late_heartbeat(True)),
+    "endpoint restarted, then draining": _agent(_restart_and_drain),
+    "endpoint and agent restarted": _agent(_restart_both),
     "endpoint gone": _agent(lambda w, a: w.crash_endpoint(a, None)),
     "endpoint draining": _agent(_drain),
     "endpoint stands still": _slow,
--- a/src/ferryledge/leases/tests/test_mutations.py
+++ b/src/ferryledge/leases/tests/test_mutations.py
@@ -13,11 +13,13 @@
 from ferryledge.leases import _acceptance
 from ferryledge.leases import _agent
 from ferryledge.leases import _endpoint
+from ferryledge.leases import _lives
 from ferryledge.leases import _owners
 from ferryledge.leases import _stream_watch
 from ferryledge.leases import _timing
 from ferryledge.leases.tests import faults
 from ferryledge.leases.tests import world as worlds
+from ferryledge import outcomes
 from ferryledge import wire
 
 _PLENTY = wire.Resources(10**9, 10**9, 10**9)
@@ -94,6 +96,61 @@
     return _silent_streams(work_s=2.0)
 
 
+def _endpoint_restarted(down_s: float = 1.0) -> worlds.World:
+    """Return a world whose only endpoint started again under its id."""
+    world = worlds.World(seed=5, agents=1)
+    world.run(4.0)
+    for number in range(6):
+        world.submit("entry-0", f"{number:016x}", 4, 0.05)
+        world.run(0.3)
+    world.crash_endpoint("agent-0", down_s, same_id=True)
+    world.run(down_s + 1.0)
+    return world
+
+
+def _restarted_then_draining() -> worlds.World:
+    world = _endpoint_restarted()
+    world.endpoints["agent-0"].draining = True
+    world.heartbeat("agent-0")
+    world.run(0.6)
+    world.submit("entry-0", _JOB)
+    world.run(1.0)
+    return world
+
+
+def _jobs_after_a_restart() -> worlds.World:
+    world = _endpoint_restarted(down_s=0.2)
+    world.submit("entry-0", _JOB, count=4, work_s=0.05)
+    world.run(1.0)
+    if world.started[_JOB] != 4:
+        world.violations.append("started again although it was done")
+    return world
+
+
+def _restarted_under_an_order() -> worlds.World:
+    world = worlds.World(seed=5, agents=2)
+    world.run(2.0)
+    world.submit("entry-0", _JOB, count=4, work_s=0.5)
+    # The agent has taken the order; the endpoint gets it after its restart.
+    world.run(worlds.HOP_S + worlds.CALL_S / 2.0)
+    world.crash_endpoint("agent-0", 0.0, same_id=True)
+    world.run(3.0)
+    return world
+
+
+def _agent_after_an_endpoint_restarted() -> worlds.World:
+    world = _endpoint_restarted()
+    world.crash_endpoint("agent-0", 1.0, same_id=True)
+    world.run(2.0)
+    world.kill("agent-0")
+    world.run(2.0)
+    token = world.submit("entry-0", _JOB)
+    world.run(1.0)
+    if not isinstance(world.outcome(token), outcomes.Complete):
+        world.violations.append("not served")
+    return world
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Mutation:
     """A mechanism that is taken out, and where that shows."""
@@ -106,10 +163,10 @@
 
 def _believe(
     link: _endpoint.EndpointLink, seen: leases.EndpointSeen, now: float
-) -> bool:
+) -> _endpoint.Change:
     """Take any other incarnation for a successor."""
     if link.incarnation == seen.incarnation:
-        return False
+        return _endpoint.Change.NONE
     return link._take(seen, now)
 
 
@@ -121,6 +178,14 @@
     return True
 
 
+def _take_the_next_token(
+    link: _endpoint.EndpointLink, clock_ms: int, now: float
+) -> None:
+    """Raise the fencing token as if it were always below the clock."""
+    link.note_clock(clock_ms, now)
+    link._token = max(link._token + 1, link.clock_ms(now))
+
+
 MUTATIONS = {
     "room is not counted": Mutation(
         _acceptance.Acceptance,
@@ -146,6 +211,30 @@
         _believe,
         _late_heartbeat_during_a_run,
     ),
+    "starts are told apart by the id alone": Mutation(
+        _lives,
+        "incarnation_of",
+        lambda endpoint_id, _: endpoint_id,
+        _restarted_then_draining,
+    ),
+    "ends are confirmed to whoever answers": Mutation(
+        _endpoint.EndpointLink,
+        "failed",
+        _nothing,
+        _jobs_after_a_restart,
+    ),
+    "no order outlives the start that it was for": Mutation(
+        _agent.LeaseAgent,
+        "_lose_listed",
+        lambda agent, _: agent._lose_all(),
+        _restarted_under_an_order,
+    ),
+    "tokens are never above the clock": Mutation(
+        _endpoint.EndpointLink,
+        "raise_token",
+        _take_the_next_token,
+        _agent_after_an_endpoint_restarted,
+    ),
     "what runs is not adopted": Mutation(
         _agent.LeaseAgent,
         "_adopt",
--- a/src/ferryledge/leases/tests/world.py
+++ b/src/ferryledge/leases/tests/world.py
@@ -496,7 +496,7 @@
                 return
             if isinstance(order, leases.StopRun):
                 event: typing.Any = leases.StopAnswered(
-                    order.key, bool(result)
+                    order.key, order.incarnation, bool(result)
                 )
             else:
                 if down:
--- a/src/ferryledge/net/__init__.py
+++ b/src/ferryledge/net/__init__.py
@@ -15,6 +15,7 @@
 CallResponse = _http.CallResponse
 ConnectError = _http.ConnectError
 HttpCaller = _http.HttpCaller
+LateAnswerError = _http.LateAnswerError
 NoAnswerError = _http.NoAnswerError
 HttpResponse = _asgi.HttpResponse
 Mesh = _mesh.Mesh
@@ -35,6 +36,7 @@
     "Handler",
     "HttpCaller",
     "HttpResponse",
+    "LateAnswerError",
     "Mesh",
     "NoAnswerError",
     "PeerAddress",
--- a/src/ferryledge/platform/_endpoint.py
+++ b/src/ferryledge/platform/_endpoint.py
@@ -130,8 +130,9 @@
                 "/run-stop", fields, order.incarnation, self._order_s
             )
         except net.CallError:
-            return leases.StopAnswered(order.key, False)
-        return leases.StopAnswered(order.key, response.status == 200)
+            return leases.StopAnswered(order.key, order.incarnation, False)
+        confirmed = response.status == 200
+        return leases.StopAnswered(order.key, order.incarnation, confirmed)
 
     async def list_runs(
         self, renewal: leases.Renewal
@@ -164,8 +165,10 @@
             )
         except net.ConnectError:
             return _not_renewed(renewal, leases.CallFault.DOWN)
-        except net.CallError:
+        except net.LateAnswerError:
             return _not_renewed(renewal, leases.CallFault.SILENT)
+        except net.CallError:
+            return _not_renewed(renewal, leases.CallFault.BROKEN)
         if response.status != 200:
             answer = _decode(response.content)
             fault = _fault(response.status, answer)
@@ -190,7 +193,8 @@
     ) -> net.CallResponse:
         headers = []
         if incarnation:
-            headers.append(("expect-instance", incarnation))
+            endpoint_id = leases.endpoint_id_of(incarnation)
+            headers.append(("expect-instance", endpoint_id))
         return await (caller or self._orders).call(
             "POST",
             path,
--- a/src/ferryledge/standin/_leased_endpoint.py
+++ b/src/ferryledge/standin/_leased_endpoint.py
@@ -79,6 +79,7 @@
         self.runs: dict[leases.RunKey, Running] = {}
         self.ended: list[leases.ListedEnd] = []
         self._ends = 0
+        self._confirmed = 0
         self._fence = 0
         self._lease_ms = 0
         self._over: dict[tuple[str, int, int], int] = {}
@@ -212,8 +213,9 @@
         self._fence = renewal.token
         if renewal.lease_until_ms:
             self._extend(now, renewal.lease_until_ms)
+        self._confirmed = max(self._confirmed, renewal.acknowledged)
         self.ended = [
-            end for end in self.ended if end.number > renewal.acknowledged
+            end for end in self.ended if end.number > self._confirmed
         ]
         running = tuple(
             leases.ListedRun(
