Heartbeats and records of another writer name nobody

Cause: the border took heartbeats with fields missing, so that one might say that an endpoint has no room, and took any unknown state for ready; a record of the store could name another entry than its key, a host that is no address, or a port that does not exist, and unreadable bytes in a key ended the reading of entries. Ruled out: mistyped fields, which were refused before. Change: all fields of a heartbeat that the platform always sends are needed, whole numbers are not negative, the state is one of two; an entry's record bears its name, an address and a port. Conclusion: such input is logged and passed over.

--- a/src/ferryledge/hosted/_members.py
+++ b/src/ferryledge/hosted/_members.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import contextlib
+import ipaddress
 import typing
 
 import anyio
@@ -19,6 +20,7 @@
 RETRY_S = 0.5
 #: How long one call waits for news, in seconds.
 _WAIT_S = 10.0
+_LAST_PORT = 65535
 
 AnswerT = typing.TypeVar("AnswerT")
 Found = abc.Callable[[tuple[wire.EntryAddress, ...]], None]
@@ -53,14 +55,24 @@
         if not record.value:
             continue
         try:
-            address = msgspec.json.decode(record.value, type=wire.EntryAddress)
-        except msgspec.DecodeError as exc:
+            found.append(_decode_one(record))
+        except ValueError as exc:
             loguru.logger.warning("bad record: {}", exc, peer=record.key)
-            continue
-        found.append(address)
     return tuple(found)
 
 
+def _decode_one(record: platform.KeyedRecord) -> wire.EntryAddress:
+    """Return the entry that a record names.
+
+    :raises ValueError: if it names none, as another writer's may
+    """
+    address = msgspec.json.decode(record.value, type=wire.EntryAddress)
+    ipaddress.ip_address(address.host)
+    if address.name != record.key or not 0 < address.port <= _LAST_PORT:
+        raise ValueError("it names another entry, or no port")
+    return address
+
+
 async def read_once(store: platform.StoreClient, found: Found) -> None:
     """Read all entries' addresses, however long it takes."""
     page = await until_answered(lambda: store.newest(MEMBERS_TOPIC))
--- a/src/ferryledge/platform/_heartbeat.py
+++ b/src/ferryledge/platform/_heartbeat.py
@@ -1,5 +1,7 @@
 """Heartbeats that an endpoint sends to the agent beside it."""
 
+import typing
+
 import msgspec
 
 from ferryledge import leases
@@ -10,30 +12,41 @@
     """The body is no heartbeat."""
 
 
+_Count = typing.Annotated[int, msgspec.Meta(ge=0)]
+
+
 class _Capacity(msgspec.Struct, frozen=True, rename="pascal"):
     #: Thousandths of a core.
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Count
+    mem_mb: _Count
+    gpu: _Count
 
 
 class _Beat(msgspec.Struct, frozen=True, rename="pascal"):
+    """A heartbeat; one without any of these comes from another writer."""
+
     #: Name of the service that it runs tasks of.
     backend: str
     #: Where it takes calls, as ``host:port``.
     address: str
-    state: str
-    capacity: _Capacity = _Capacity()
+    zone: str
+    #: Of its software.
+    version: str
+    slots: _Count
+    state: typing.Literal["ready", "draining"]
+    #: How much longer it is slow from its start.
+    cold_ms: float
+    capacity: _Capacity
     #: Its kind and its rack.
-    labels: tuple[str, ...] = ()
+    labels: tuple[str, ...]
     #: Its steady clock.
-    clock_ms: int = 0
+    clock_ms: _Count
     #: Rises with each heartbeat.
-    seq: int = 0
+    seq: _Count
     #: While draining: the least time until it is gone.
     remaining_ms: float = 0
     #: Unix time of its start in ms.
-    born: int = msgspec.field(default=0, name="born")
+    born: _Count = msgspec.field(default=0, name="born")
 
 
 def parse_heartbeat(endpoint_id: str, body: bytes) -> leases.EndpointSeen:
@@ -64,7 +77,7 @@
 
 class _LastWord(msgspec.Struct, frozen=True):
     #: Unix time of the endpoint's start in ms.
-    born: int = 0
+    born: _Count = 0
 
 
 def parse_deregister(endpoint_id: str, body: bytes) -> leases.EndpointLeft:
--- a/src/ferryledge/platform/_store.py
+++ b/src/ferryledge/platform/_store.py
@@ -180,4 +180,5 @@
         at = start + length
         if raw:
             key_end = 1 + raw[0]
-            yield KeyedRecord(raw[1:key_end].decode(), raw[key_end:])
+            key = raw[1:key_end].decode(errors="replace")
+            yield KeyedRecord(key, raw[key_end:])
--- a/src/ferryledge/platform/standin/_endpoint.py
+++ b/src/ferryledge/platform/standin/_endpoint.py
@@ -97,7 +97,10 @@
         body: dict[str, object] = {
             "Backend": self._service,
             "Address": f"{self._host}:{self._port}",
+            "Zone": "north",
             "Version": "v1",
+            "Slots": 8,
+            "ColdMs": 0,
             "State": "draining" if model.draining else "ready",
             "Capacity": {
                 "Cpu": capacity.cpu_millis,
--- a/src/ferryledge/platform/tests/test_border.py
+++ b/src/ferryledge/platform/tests/test_border.py
@@ -150,18 +150,73 @@
     assert response.status == status
 
 
+_BEAT: dict[str, object] = {
+    "Backend": "desk", "Address": "a:1", "Zone": "north", "Version": "v1",
+    "Slots": 8, "State": "draining", "ColdMs": 0, "RemainingMs": 1500,
+    "Capacity": {"Cpu": 16000, "MemMb": 100, "Gpu": 0},
+    "Labels": ["a", "r1"], "ClockMs": 77, "Seq": 4, "born": 1_785_154_628_500,
+}  # fmt: skip
+_OPTIONAL = ("RemainingMs", "born")
+
+
+def _beat(**changes: object) -> bytes:
+    return json.dumps({**_BEAT, **changes}).encode()
+
+
 def test_heartbeat_is_decoded() -> None:
-    body = json.dumps(
-        {"Backend": "desk", "Address": "a:1", "State": "draining",
-         "RemainingMs": 1500, "Capacity": {"Cpu": 16000, "MemMb": 100},
-         "Labels": ["a", "r1"], "ClockMs": 77, "Seq": 4}
-    ).encode()  # fmt: skip
-    seen = platform.parse_heartbeat("i-1", body)
+    seen = platform.parse_heartbeat("i-1", _beat())
     assert seen.draining and seen.remaining_s == 1.5
     assert seen.capacity == wire.Resources(16000, 100, 0)
     assert (seen.clock_ms, seen.number) == (77, 4)
+    assert seen.incarnation == "i-1@1785154628500"
+
+
+def test_heartbeat_that_does_not_tell_its_start_goes_by_its_id() -> None:
+    beat = {name: _BEAT[name] for name in _BEAT if name not in _OPTIONAL}
+    seen = platform.parse_heartbeat("i-1", json.dumps(beat).encode())
+    assert seen.incarnation == "i-1"
+
+
+@pytest.mark.parametrize("field", [f for f in _BEAT if f not in _OPTIONAL])
+def test_heartbeat_without_a_field_names_no_endpoint(field: str) -> None:
+    beat = {name: _BEAT[name] for name in _BEAT if name != field}
+    with pytest.raises(platform.HeartbeatError, match=field):
+        platform.parse_heartbeat("i-1", json.dumps(beat).encode())
+
+
+@pytest.mark.parametrize("field", _BEAT)
+@pytest.mark.parametrize("value", [None, {"x": 1}, True])
+def test_heartbeat_with_a_wrong_type_names_no_endpoint(
+    field: str, value: object
+) -> None:
+    with pytest.raises(platform.HeartbeatError):
+        platform.parse_heartbeat("i-1", _beat(**{field: value}))
 
 
-def test_body_that_is_no_heartbeat_is_an_error() -> None:
+@pytest.mark.parametrize(
+    "changes",
+    [{"State": "paused"}, {"Seq": "4"}, {"Seq": -1}, {"born": -1},
+     {"born": "1785154628500"}, {"born": 1.5}, {"Labels": "a"},
+     {"Capacity": {"Cpu": 16000}}],
+)  # fmt: skip
+def test_heartbeat_of_another_writer_names_no_endpoint(
+    changes: dict[str, object],
+) -> None:
     with pytest.raises(platform.HeartbeatError):
-        platform.parse_heartbeat("i-1", b"{}")
+        platform.parse_heartbeat("i-1", _beat(**changes))
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b"[]", b"\xff\xfe", b"null"])
+def test_body_that_is_no_heartbeat_is_an_error(body: bytes) -> None:
+    with pytest.raises(platform.HeartbeatError):
+        platform.parse_heartbeat("i-1", body)
+
+
+@pytest.mark.parametrize(
+    ("body", "born_ms"),
+    [(b'{"born": 1785154628500}', 1_785_154_628_500), (b"{}", 0), (b"", 0),
+     (b'{"born": "x"}', 0), (b"\xff", 0)],
+)  # fmt: skip
+def test_last_word_tells_which_start_ends(body: bytes, born_ms: int) -> None:
+    left = platform.parse_deregister("i-1", body)
+    assert left.incarnation == leases.incarnation_of("i-1", born_ms)
--- a/src/ferryledge/platform/tests/test_calls.py
+++ b/src/ferryledge/platform/tests/test_calls.py
@@ -74,6 +74,20 @@
     _serve(gone, use)
 
 
+def test_records_with_unreadable_keys_are_read_over() -> None:
+    async def answer(request: net.Request) -> net.HttpResponse:
+        records = (b"\x02\xff\xfevalue", b"\x01kvalue")
+        framed = [len(one).to_bytes(4, "big") + one for one in records]
+        return net.HttpResponse(200, bytes(16) + b"".join(framed))
+
+    async def use(port: int) -> None:
+        store = platform.StoreClient(f"127.0.0.1:{port}")
+        page = await store.read("keyed.t", 0, 0.0)
+        assert page.records[1] == platform.KeyedRecord("k", b"value")
+
+    _serve(answer, use)
+
+
 def test_nobody_listens_at_the_store() -> None:
     async def main() -> None:
         store = platform.StoreClient("127.0.0.1:9")
