Soak restarts endpoints under their id and judges starts while draining

Cause: no soak brought an endpoint back under its id, and none looked whether a draining endpoint gets new runs.

--- a/src/ferryledge/platform/standin/_endpoint.py
+++ b/src/ferryledge/platform/standin/_endpoint.py
@@ -64,6 +64,19 @@
         self._port = port
         self._caller = net.HttpCaller(agent_url, 1)
         self._rng = rng
+        #: When its agent first answered a heartbeat of the present start
+        #: that said draining, with that start.
+        self._drain_heard: tuple[int, float] | None = None
+
+    @property
+    def draining_for_s(self) -> float:
+        """Seconds since its agent heard that it drains; 0 if it did not."""
+        if self._drain_heard is None or not self.model.draining:
+            return 0.0
+        born_ms, heard_at = self._drain_heard
+        if born_ms != self.model.born_ms:
+            return 0.0
+        return anyio.current_time() - heard_at
 
     async def run(self) -> None:
         """Serve for ever."""
@@ -112,12 +125,17 @@
             "Seq": model.next_beat(),
             "born": model.born_ms,
         }
-        await self._caller.call(
+        draining, born_ms = model.draining, model.born_ms
+        response = await self._caller.call(
             "POST",
             f"/instances/{model.endpoint_id}/heartbeat",
             json.dumps(body).encode(),
             answer_s=_BEAT_TIMEOUT_S,
         )
+        if not draining:
+            self._drain_heard = None
+        elif response.status == 200 and not self.draining_for_s:
+            self._drain_heard = (born_ms, anyio.current_time())
 
     async def handle(self, request: net.Request) -> net.HttpResponse:
         """Answer a call of the agent."""
--- a/src/ferryledge/soak/_judge.py
+++ b/src/ferryledge/soak/_judge.py
@@ -10,6 +10,9 @@
 #: Seconds after the load within which a job must be served; the platform
 #: asks for 12, the rest is for a busy machine.
 RECOVERY_S = 30.0
+#: Seconds from an agent's answer to a heartbeat that says draining, after
+#: which nothing may start at that endpoint.
+DRAIN_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +104,15 @@
         if not used.fits_in(capacity):
             self._find("room", f"{endpoint}: {used} of {capacity}")
 
+    def drain(self, endpoint: str, draining_for_s: float) -> None:
+        """Note a start at an endpoint.
+
+        :param endpoint: its name
+        :param draining_for_s: seconds since its agent heard that it drains
+        """
+        if draining_for_s > DRAIN_S:
+            self._find("drain", f"{endpoint}: since {draining_for_s:.3f} s")
+
     def close(self, recovered: bool) -> None:
         """Note what shows only once all is over.
 
--- a/src/ferryledge/soak/_plan.py
+++ b/src/ferryledge/soak/_plan.py
@@ -30,6 +30,7 @@
     STORE_SLOW = "store_slow"
     STORE_LOST = "store_lost"
     ENDPOINT_CRASH = "endpoint_crash"
+    ENDPOINT_RESTART = "endpoint_restart"
     ENDPOINT_SLOW = "endpoint_slow"
     ENDPOINT_STILL = "endpoint_still"
     ENDPOINT_DRAIN = "endpoint_drain"
--- a/src/ferryledge/soak/_run.py
+++ b/src/ferryledge/soak/_run.py
@@ -38,6 +38,8 @@
 _DEADLINE_S = 5.0
 #: A client repeats a job this long after its try broke off.
 _REPEAT_S = 1.3
+#: Share of a fault's time for which an endpoint that restarts is down.
+_RESTART_SHARE = 0.2
 #: Seconds between tries to be served after the faults.
 _TRY_S = 0.5
 _WARM_UP_S = 4.0
@@ -138,9 +140,11 @@
     def _watch(self, what: str, key: leases.RunKey, endpoint: str) -> None:
         self.judge.now = self._now()
         self.judge.watch(what, key, endpoint)
-        model = self.endpoints[int(endpoint.split("-")[1])].model
+        server = self.endpoints[int(endpoint.split("-")[1])]
+        model = server.model
         if what == "start":
             self.judge.room(endpoint, model.used, model.capacity)
+            self.judge.drain(endpoint, server.draining_for_s)
             return
         done = wire.HowEnded.DONE
         if any(end.key == key and end.how is done for end in model.ended):
@@ -341,6 +345,11 @@
                 await asyncio.sleep(fault.for_s)
                 model.restart(loop.time())
                 return
+            case _plan.FaultKind.ENDPOINT_RESTART if model.up:
+                model.crash()
+                await asyncio.sleep(fault.for_s * _RESTART_SHARE)
+                model.restart(loop.time(), same_id=True)
+                return
         await asyncio.sleep(fault.for_s)
         model.speed = 1.0
         model.draining = False
--- a/src/ferryledge/soak/tests/test_soak.py
+++ b/src/ferryledge/soak/tests/test_soak.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ferryledge import soak
+from ferryledge.soak import _judge
 from ferryledge.soak import _plan
 
 #: Seeds that failed once, with the cause.
@@ -33,3 +34,11 @@
     report = soak.play(plan, tmp_path)
     assert not report.findings
     assert report.succeeded
+
+
+def test_start_at_a_draining_endpoint_is_found() -> None:
+    judge = _judge.Judge()
+    judge.drain("endpoint-0", _judge.DRAIN_S)
+    assert not judge.findings
+    judge.drain("endpoint-0", _judge.DRAIN_S + 0.1)
+    assert [one.promise for one in judge.findings] == ["drain"]
