--- a/src/ferryledge/leases/_admission.py
+++ b/src/ferryledge/leases/_admission.py
@@ -72,14 +72,12 @@
 
     def _unfit(self, job: _jobs.Job) -> outcomes.Refused | None:
         """Return a refusal if some step fits nowhere."""
-        service = job.request.job_class.service
-        for step in job.request.steps:
-            if not _placing.fits_somewhere(self._pool, step, service):
-                return self._refuse(
-                    outcomes.Reason.IMPOSSIBLE,
-                    "no endpoint is large enough or has the label",
-                )
-        return None
+        if next(_placing.unfit_steps(self._pool, job), None) is None:
+            return None
+        return self._refuse(
+            outcomes.Reason.IMPOSSIBLE,
+            "no endpoint is large enough or has the label",
+        )
 
     def review(
         self, now: float, job: _jobs.Job, ahead: float
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -12,7 +12,7 @@
 from ferryledge.leases import _asking
 from ferryledge.leases import _dealing
 from ferryledge.leases import _endpoint
-from ferryledge.leases import _listing
+from ferryledge.leases import _endpoint_watch
 from ferryledge.leases import _meters
 from ferryledge.leases import _notes
 from ferryledge.leases import _owners
@@ -25,16 +25,6 @@
 from ferryledge import wire
 
 _NEVER = float("inf")
-_RELEASES = {
-    _agent_events.StartResult.FENCED: wire.NotStarted.REJECTED,
-    _agent_events.StartResult.RUN_NUMBER: wire.NotStarted.RUN_NUMBER,
-    _agent_events.StartResult.LATE: wire.NotStarted.NO_ANSWER,
-    _agent_events.StartResult.FULL: wire.NotStarted.FULL,
-    _agent_events.StartResult.REJECTED: wire.NotStarted.REJECTED,
-    _agent_events.StartResult.UNHEALTHY: wire.NotStarted.UNHEALTHY,
-    _agent_events.StartResult.REPLACED: wire.NotStarted.ENDPOINT,
-    _agent_events.StartResult.DOWN: wire.NotStarted.ENDPOINT,
-}
 
 
 class LeaseAgent:
@@ -70,7 +60,6 @@
         self._acceptance = _acceptance.Acceptance(
             self._link, self._runs, self._owners
         )
-        self._speed = _speed.EndpointSpeed()
         self._answer_times = _answer_times.AnswerTimes(self._timing.order_s)
         self._stopping = _stopping.Stopping(
             self._runs,
@@ -89,11 +78,18 @@
         self._asking = _asking.Asking(
             self._owners, self._runs, self._watch, self._act
         )
-        self._unclaimed_since = now
-        #: The endpoint's clock as of the newest list of runs.
-        self._listed_clock_ms = 0
-        #: What was kept of the endpoint last, for this agent's next start.
-        self._kept: _agent_events.EndpointSeen | None = None
+        self._endpoint = _endpoint_watch.EndpointWatch(
+            self._runs,
+            self._link,
+            self._owners,
+            self._stopping,
+            self._reports,
+            self._notes,
+            self._answer_times,
+            self._timing,
+            self._act,
+            now,
+        )
         self._now = now
         #: When to tick for what came since the last tick.
         self._tick_by = _NEVER
@@ -111,7 +107,7 @@
     @property
     def slowness(self) -> float:
         """How many times as long runs take at the endpoint."""
-        return self._speed.slowness
+        return self._endpoint.speed.slowness
 
     @property
     def idle(self) -> bool:
@@ -139,11 +135,11 @@
         """Take in one event."""
         self._now = now
         was_open = self._acceptance.is_open(now)
-        speed = self._speed.reported
+        speed = self._endpoint.speed.reported
         self._take_in(now, event)
         changed = (
             was_open != self._acceptance.is_open(now)
-            or speed != self._speed.reported
+            or speed != self._endpoint.speed.reported
         )
         if self._actions or changed or not self._is_quiet(event):
             self._tick_by = now
@@ -160,7 +156,7 @@
             case _agent_events.StartAnswered():
                 return event.result is _agent_events.StartResult.STARTED
             case _agent_events.LeaseRenewed(ended=()):
-                return self._speed.reported < _speed.SLOW_FROM
+                return self._endpoint.speed.reported < _speed.SLOW_FROM
             case _:
                 return False
 
@@ -180,90 +176,21 @@
             case _agent_events.AgentDrain(until):
                 self._acceptance.drain(until)
             case _:
-                self._on_endpoint_event(now, event)
-
-    def _on_endpoint_event(
-        self, now: float, event: _agent_events.AgentEvent
-    ) -> None:
-        match event:
-            case _agent_events.EndpointSeen():
-                self._on_seen(now, event)
-            case _agent_events.EndpointRecalled(seen):
-                if self._link.recall(seen, now):
-                    self._kept = seen
-                    self._notes.recalled(seen)
-            case _agent_events.EndpointLeft():
-                self._link.leave(event.incarnation)
-            case _agent_events.LeaseRenewed():
-                self._on_renewed(now, event)
-            case _agent_events.LeaseNotRenewed():
-                self._on_not_renewed(now, event)
-            case _agent_events.StartAnswered():
-                self._on_start_answered(now, event)
-            case _agent_events.StopAnswered(key, incarnation, confirmed):
-                if confirmed and incarnation == self._link.incarnation:
-                    self._stopping.confirmed(now, key)
-
-    def _on_seen(self, now: float, seen: _agent_events.EndpointSeen) -> None:
-        known = self._link.seen
-        self._follow(now, self._link.see(seen, now))
-        self._note_endpoint(known)
-        if self._link.seen is not seen:
-            self._notes.passed_over(self._link.seen, seen)
-        if self._kept and self._kept.incarnation == self._link.incarnation:
-            self._keep_endpoint()
-
-    def _note_endpoint(self, known: _agent_events.EndpointSeen | None) -> None:
-        """Log what the endpoint is now, if that changed."""
-        seen = self._link.seen
-        if seen is not None and seen is not known:
-            self._notes.seen(known, seen)
-
-    def _keep_endpoint(self) -> None:
-        """Keep what the endpoint is, now that it answered as that."""
-        seen = self._link.seen
-        if seen is None or seen is self._kept:
-            return
-        if self._kept is None or not seen.describes_as(self._kept):
-            self._act(_agent_events.RememberEndpoint(seen))
-        self._kept = seen
-
-    def _follow(self, now: float, change: _endpoint.Change) -> None:
-        """Start anew if the endpoint is another, which runs nothing yet."""
-        match change:
-            case _endpoint.Change.NONE:
-                return
-            case _endpoint.Change.REPLACED:
-                self._lose_all()
-            case _endpoint.Change.RESTARTED:
-                self._lose_listed(now)
-        self._speed = _speed.EndpointSpeed()
-        self._listed_clock_ms = 0
-
-    def _lose_listed(self, now: float) -> None:
-        """Take for lost what the start before is known to have had.
-
-        An order that it may not have had may still be carried out now.
-        """
-        for row in self._runs:
-            if row.listed:
-                self._end(row, wire.HowEnded.LOST)
-            else:
-                self._stopping.stop_anew(now, row)
+                self._endpoint.receive(now, event)
 
     def tick(self, now: float) -> list[_agent_events.AgentAction]:
         """Return the actions that are due."""
         self._now = now
         self._tick_by = _NEVER
-        self._check_endpoint(now)
-        self._stopping.tick(now, self._unclaimed_since)
+        self._endpoint.check(now)
+        self._stopping.tick(now, self._endpoint.unclaimed_since)
         if self._link.synced:
             self._reports.tell_held()
         for action in self._dealing.plan(now, self._is_busy):
             self._notes.dealt(action, len(self._owners.connected))
             self._act(action)
         self._asking.tick(now)
-        self._reports.tell_late(now, self._speed)
+        self._reports.tell_late(now, self._endpoint.speed)
         self._reports.tell_state(now, self._state())
         actions = self._actions
         self._actions = []
@@ -423,140 +350,8 @@
             row.need = held.need
             self._runs.add(row)
 
-    def _check_endpoint(self, now: float) -> None:
-        known = self._link.seen
-        change = self._link.give_way(now)
-        if change is not _endpoint.Change.NONE:
-            self._follow(now, change)
-            self._note_endpoint(known)
-        if not self._link.is_over(now):
-            return
-        self._link.synced = self._link.synced or not len(self._runs)
-        self._lose_all()
-
-    def _lose_all(self) -> None:
-        for row in self._runs.clear():
-            self._reports.tell_end(self._now, row, wire.HowEnded.LOST)
-
-    # What the endpoint says.
-
-    def _on_start_answered(
-        self, now: float, event: _agent_events.StartAnswered
-    ) -> None:
-        if event.incarnation != self._link.incarnation:
-            return
-        self._link.note_clock(event.clock_ms, now)
-        row = self._runs.find(event.key)
-        if row is None:
-            return
-        match event.result:
-            case _agent_events.StartResult.STARTED:
-                self._answer_times.note(now - row.ordered_at)
-                row.confirmed_at = now
-                if row.pace is not None:
-                    row.pace.start(now)
-                if row.state is _runs.RunState.ORDERED:
-                    row.state = _runs.RunState.RUNNING
-            case _agent_events.StartResult.SILENT:
-                self._notes.unanswered(row)
-                self._stopping.stop(
-                    now, row.key, release=wire.NotStarted.NO_ANSWER
-                )
-            case _:
-                if event.result is _agent_events.StartResult.FENCED:
-                    self._link.raise_token(event.clock_ms, now)
-                row.release = _RELEASES[event.result]
-                self._end(row, wire.HowEnded.STOPPED)
-
-    def _on_renewed(
-        self, now: float, event: _agent_events.LeaseRenewed
-    ) -> None:
-        if event.incarnation != self._link.incarnation:
-            return
-        known = self._link.seen
-        self._follow(now, self._link.answered(event.born_ms, now))
-        self._note_endpoint(known)
-        had_token = bool(self._link.token)
-        self._link.note_clock(event.clock_ms, now)
-        if not had_token:
-            return
-        self._link.renewed(event.sent_at, now)
-        self._keep_endpoint()
-        self._notes.renewed()
-        for end in event.ended:
-            self._on_listed_end(end)
-        listed = {run.key: run for run in event.running}
-        for row in self._runs:
-            run = listed.pop(row.key, None)
-            if run is None:
-                how = _listing.end_of(row, event, self._timing)
-                if how is not None:
-                    self._end(row, how)
-                continue
-            row.listed = True
-            row.confirmed_at = row.confirmed_at or event.sent_at
-            if row.pace is not None:
-                row.pace.sample(now, run.done)
-        if event.clock_ms > self._listed_clock_ms:
-            # An older list may come later, on another connection, and name
-            # runs whose end was taken in since.
-            self._listed_clock_ms = event.clock_ms
-            for key in listed:
-                self._adopt(now, key)
-        self._speed.update(now, self._paces())
-        self._link.synced = True
-
-    def _on_not_renewed(
-        self, now: float, event: _agent_events.LeaseNotRenewed
-    ) -> None:
-        self._notes.renewed(event.fault)
-        if event.incarnation != self._link.incarnation:
-            return
-        self._link.failed(event.fault)
-        match event.fault:
-            case _agent_events.CallFault.FENCED:
-                self._link.raise_token(event.clock_ms, now)
-            case _agent_events.CallFault.REPLACED:
-                self._follow(now, self._link.refute(now))
-                self._note_endpoint(None)
-            case _:
-                pass
-
-    def _paces(self) -> list[_speed.RunPace]:
-        return [
-            row.pace
-            for row in self._runs
-            if row.pace is not None and row.state is _runs.RunState.RUNNING
-        ]
-
-    def _on_listed_end(self, end: _agent_events.ListedEnd) -> None:
-        if end.number <= self._link.acknowledged:
-            return
-        self._link.acknowledged = end.number
-        row = self._runs.find(end.key)
-        if row is not None:
-            row.confirmed_at = row.confirmed_at or row.ordered_at
-            self._end(row, end.how)
-
-    def _adopt(self, now: float, key: _runs.RunKey) -> None:
-        """Keep a run that this incarnation of the agent did not order."""
-        row = _runs.RunRow(
-            key, "", wire.Resources(), _runs.RunState.RUNNING, now
-        )
-        row.confirmed_at = now
-        row.listed = True
-        if not self._runs.has_owner(""):
-            self._unclaimed_since = now
-        self._runs.add(row)
-        for owner in self._owners.connected:
-            owner.wants_held = True
-
     # Telling entries.
 
-    def _end(self, row: _runs.RunRow, how: wire.HowEnded) -> None:
-        self._runs.remove(row.key)
-        self._reports.tell_end(self._now, row, how)
-
     def _state(self) -> wire.EndpointState:
         """Return the endpoint's state, but for what is an entry's own."""
         seen = self._link.seen
@@ -570,7 +365,7 @@
             self._acceptance.free,
             self._acceptance.is_open(self._now),
             remaining_s=self._acceptance.remaining_s(self._now),
-            slowness=self._speed.reported,
+            slowness=self._endpoint.speed.reported,
             home=False,
             entries=max(1, len(self._owners.connected)),
         )
--- a/src/ferryledge/leases/_peers.py
+++ b/src/ferryledge/leases/_peers.py
@@ -42,11 +42,6 @@
         """The newest configuration's version; 0 is none."""
         return self._version
 
-    @property
-    def entry_count(self) -> int:
-        """How many other entries have a stream to this one."""
-        return len(self.entry_names())
-
     def address_of(self, name: str) -> wire.EntryAddress | None:
         """Return where an entry listens, or none."""
         return self._entries.get(name)
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -212,6 +212,16 @@
             task.avoid.clear()
 
 
+def unfit_steps(
+    pool: _pool.Pool, job: _jobs.Job
+) -> abc.Iterator[_jobs.JobStep]:
+    """Yield the steps of a job that no endpoint that is known could run."""
+    service = job.request.job_class.service
+    for step in job.request.steps:
+        if not fits_somewhere(pool, step, service):
+            yield step
+
+
 def fits_somewhere(
     pool: _pool.Pool, step: _jobs.JobStep, service: str
 ) -> bool:
--- a/src/ferryledge/leases/_seeking.py
+++ b/src/ferryledge/leases/_seeking.py
@@ -5,7 +5,6 @@
 agents of theirs to serve it as well.
 """
 
-from collections import abc
 import dataclasses
 import math
 
@@ -112,7 +111,9 @@
             return True, []  # Its own agents are still to come.
         hope = True
         messages: list[_entry_events.SendMessage] = []
-        for need in self._unfit(job):
+        service = job.request.job_class.service
+        for step in _placing.unfit_steps(self._pool, job):
+            need = _Need(service, step.label, step.need)
             sought_at = self._needs.get(need, float("-inf"))
             if now - sought_at <= _HOPELESS_S:
                 hope = hope and now - sought_at <= _ARRIVE_S
@@ -122,12 +123,6 @@
                 messages += self._ask(entries, need, _FOR_A_JOB)
         return hope, messages
 
-    def _unfit(self, job: _jobs.Job) -> abc.Iterator[_Need]:
-        service = job.request.job_class.service
-        for step in job.request.steps:
-            if not _placing.fits_somewhere(self._pool, step, service):
-                yield _Need(service, step.label, step.need)
-
     def _note(self, need: _Need, now: float) -> None:
         self._needs.pop(need, None)
         if len(self._needs) >= _MOST_NEEDS:
--- a/src/ferryledge/leases/tests/test_mutations.py
+++ b/src/ferryledge/leases/tests/test_mutations.py
@@ -11,8 +11,8 @@
 
 from ferryledge import leases
 from ferryledge.leases import _acceptance
-from ferryledge.leases import _agent
 from ferryledge.leases import _endpoint
+from ferryledge.leases import _endpoint_watch
 from ferryledge.leases import _lives
 from ferryledge.leases import _owners
 from ferryledge.leases import _stream_watch
@@ -224,9 +224,9 @@
         _jobs_after_a_restart,
     ),
     "no order outlives the start that it was for": Mutation(
-        _agent.LeaseAgent,
+        _endpoint_watch.EndpointWatch,
         "_lose_listed",
-        lambda agent, _: agent._lose_all(),
+        lambda watch, now: watch._lose_all(now),
         _restarted_under_an_order,
     ),
     "tokens are never above the clock": Mutation(
@@ -236,7 +236,7 @@
         _agent_after_an_endpoint_restarted,
     ),
     "what runs is not adopted": Mutation(
-        _agent.LeaseAgent,
+        _endpoint_watch.EndpointWatch,
         "_adopt",
         _nothing,
         _agent_back_while_its_entry_is_gone,
