Let packages import their public names when they are asked for

Cause: an agent imported an entry's decisions and an entry an agent's, at each start, since a package imports all that it exports. Ruled out: two packages, which would move every name that others use.

--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -12,6 +12,7 @@
 from ferryledge import logs
 from ferryledge import net
 from ferryledge import platform
+from ferryledge import wire
 
 _DRAIN_POLL_S = 0.02
 #: Seconds before the platform's kill at which this process ends.
@@ -134,7 +135,7 @@
             hosts = [platform.split_address(one)[0] for one in settings.seeds]
             self._dialler.dial_seeds(self._group, hosts, settings.stream_port)
 
-    def _on_found(self, entries: tuple[leases.EntryAddress, ...]) -> None:
+    def _on_found(self, entries: tuple[wire.EntryAddress, ...]) -> None:
         self._found = self._found or bool(entries)
         self._driver.post(leases.EntriesFound(entries))
 
--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -16,6 +16,7 @@
 from ferryledge import net
 from ferryledge import outcomes
 from ferryledge import platform
+from ferryledge import wire
 
 _DRAIN_POLL_S = 0.02
 #: Seconds after SIGTERM in which new connections may still come: the
@@ -92,7 +93,7 @@
         settings = self._settings
         stop = anyio.Event()
         release = anyio.Event()
-        own = leases.EntryAddress(
+        own = wire.EntryAddress(
             settings.node, settings.ip, settings.stream_port
         )
         async with anyio.create_task_group() as group:
@@ -200,13 +201,13 @@
                     pending.outcome = outcome
                     pending.ready.set()
 
-    def _dial(self, entries: tuple[leases.EntryAddress, ...]) -> None:
+    def _dial(self, entries: tuple[wire.EntryAddress, ...]) -> None:
         assert self._group is not None
         if any(one.name != self._settings.node for one in entries):
             self._dialler.forget_seeds()
         self._dialler.dial(self._group, entries)
 
-    def _on_entries(self, entries: tuple[leases.EntryAddress, ...]) -> None:
+    def _on_entries(self, entries: tuple[wire.EntryAddress, ...]) -> None:
         self._driver.post(leases.EntriesFound(entries))
 
     def _on_config(self, data: bytes) -> None:
--- a/src/ferryledge/leases/__init__.py
+++ b/src/ferryledge/leases/__init__.py
@@ -4,65 +4,132 @@
 each event, ``tick`` for the actions, ``wake_at`` for the next tick.
 """
 
-from ferryledge.leases import _agent
-from ferryledge.leases import _agent_events
-from ferryledge.leases import _entry
-from ferryledge.leases import _entry_events
-from ferryledge.leases import _jobs
-from ferryledge.leases import _lives
-from ferryledge.leases import _meters
-from ferryledge.leases import _runs
-from ferryledge.leases import _timing
-from ferryledge import wire
+import typing
 
-AgentAction = _agent_events.AgentAction
-AgentDrain = _agent_events.AgentDrain
-AgentMeter = _meters.AgentMeter
-AgentEvent = _agent_events.AgentEvent
-AnswerJob = _entry_events.AnswerJob
-ApplyConfig = _entry_events.ApplyConfig
-CallFault = _agent_events.CallFault
-ClientLeft = _entry_events.ClientLeft
-CloseStream = _agent_events.CloseStream
-ConfigRead = _entry_events.ConfigRead
-DialEntries = _agent_events.DialEntries
-EndpointLeft = _agent_events.EndpointLeft
-EndpointRecalled = _agent_events.EndpointRecalled
-EndpointSeen = _agent_events.EndpointSeen
-EntryAddress = wire.EntryAddress
-EntriesFound = _agent_events.EntriesFound
-EntryAction = _entry_events.EntryAction
-EntryDrain = _entry_events.EntryDrain
-EntryMeter = _meters.EntryMeter
-EntryEvent = _entry_events.EntryEvent
-EntryStop = _entry_events.EntryStop
-JobCancelled = _entry_events.JobCancelled
-JobClass = _jobs.JobClass
-JobStep = _jobs.JobStep
-JobSubmitted = _entry_events.JobSubmitted
-KeepStream = _agent_events.KeepStream
-LeaveEntry = _agent_events.LeaveEntry
-LeaseAgent = _agent.LeaseAgent
-LeaseEntry = _entry.LeaseEntry
-LeaseNotRenewed = _agent_events.LeaseNotRenewed
-LeaseRenewed = _agent_events.LeaseRenewed
-LeaseTiming = _timing.LeaseTiming
-LeasedJob = _jobs.LeasedJob
-ListRuns = _agent_events.ListRuns
-ListedEnd = _agent_events.ListedEnd
-ListedRun = _agent_events.ListedRun
-RememberEndpoint = _agent_events.RememberEndpoint
-Renewal = _agent_events.Renewal
-ReopenStream = _agent_events.ReopenStream
-RunKey = _runs.RunKey
-SendMessage = _agent_events.SendMessage
-StartAnswered = _agent_events.StartAnswered
-StartResult = _agent_events.StartResult
-StartRun = _agent_events.StartRun
-StopAnswered = _agent_events.StopAnswered
-StopRun = _agent_events.StopRun
-endpoint_id_of = _lives.endpoint_id_of
-incarnation_of = _lives.incarnation_of
+from ferryledge import _lazy
+
+if typing.TYPE_CHECKING:
+    from ferryledge.leases import _agent
+    from ferryledge.leases import _agent_events
+    from ferryledge.leases import _entry
+    from ferryledge.leases import _entry_events
+    from ferryledge.leases import _jobs
+    from ferryledge.leases import _lives
+    from ferryledge.leases import _meters
+    from ferryledge.leases import _runs
+    from ferryledge.leases import _timing
+
+    AgentAction = _agent_events.AgentAction
+    AgentDrain = _agent_events.AgentDrain
+    AgentMeter = _meters.AgentMeter
+    AgentEvent = _agent_events.AgentEvent
+    AnswerJob = _entry_events.AnswerJob
+    ApplyConfig = _entry_events.ApplyConfig
+    CallFault = _agent_events.CallFault
+    ClientLeft = _entry_events.ClientLeft
+    CloseStream = _agent_events.CloseStream
+    ConfigRead = _entry_events.ConfigRead
+    DialEntries = _agent_events.DialEntries
+    EndpointLeft = _agent_events.EndpointLeft
+    EndpointRecalled = _agent_events.EndpointRecalled
+    EndpointSeen = _agent_events.EndpointSeen
+    EntriesFound = _agent_events.EntriesFound
+    EntryAction = _entry_events.EntryAction
+    EntryDrain = _entry_events.EntryDrain
+    EntryMeter = _meters.EntryMeter
+    EntryEvent = _entry_events.EntryEvent
+    EntryStop = _entry_events.EntryStop
+    JobCancelled = _entry_events.JobCancelled
+    JobClass = _jobs.JobClass
+    JobStep = _jobs.JobStep
+    JobSubmitted = _entry_events.JobSubmitted
+    KeepStream = _agent_events.KeepStream
+    LeaveEntry = _agent_events.LeaveEntry
+    LeaseAgent = _agent.LeaseAgent
+    LeaseEntry = _entry.LeaseEntry
+    LeaseNotRenewed = _agent_events.LeaseNotRenewed
+    LeaseRenewed = _agent_events.LeaseRenewed
+    LeaseTiming = _timing.LeaseTiming
+    LeasedJob = _jobs.LeasedJob
+    ListRuns = _agent_events.ListRuns
+    ListedEnd = _agent_events.ListedEnd
+    ListedRun = _agent_events.ListedRun
+    RememberEndpoint = _agent_events.RememberEndpoint
+    Renewal = _agent_events.Renewal
+    ReopenStream = _agent_events.ReopenStream
+    RunKey = _runs.RunKey
+    SendMessage = _agent_events.SendMessage
+    StartAnswered = _agent_events.StartAnswered
+    StartResult = _agent_events.StartResult
+    StartRun = _agent_events.StartRun
+    StopAnswered = _agent_events.StopAnswered
+    StopRun = _agent_events.StopRun
+    endpoint_id_of = _lives.endpoint_id_of
+    incarnation_of = _lives.incarnation_of
+else:
+    # An agent needs nothing of an entry, nor an entry of an agent.
+    __getattr__ = _lazy.attach(
+        __name__,
+        {
+            "_agent": ("LeaseAgent",),
+            "_agent_events": (
+                "AgentAction",
+                "AgentDrain",
+                "AgentEvent",
+                "CallFault",
+                "CloseStream",
+                "DialEntries",
+                "EndpointLeft",
+                "EndpointRecalled",
+                "EndpointSeen",
+                "EntriesFound",
+                "KeepStream",
+                "LeaseNotRenewed",
+                "LeaseRenewed",
+                "LeaveEntry",
+                "ListRuns",
+                "ListedEnd",
+                "ListedRun",
+                "RememberEndpoint",
+                "Renewal",
+                "ReopenStream",
+                "SendMessage",
+                "StartAnswered",
+                "StartResult",
+                "StartRun",
+                "StopAnswered",
+                "StopRun",
+            ),
+            "_entry": ("LeaseEntry",),
+            "_entry_events": (
+                "AnswerJob",
+                "ApplyConfig",
+                "ClientLeft",
+                "ConfigRead",
+                "EntryAction",
+                "EntryDrain",
+                "EntryEvent",
+                "EntryStop",
+                "JobCancelled",
+                "JobSubmitted",
+            ),
+            "_jobs": (
+                "JobClass",
+                "JobStep",
+                "LeasedJob",
+            ),
+            "_lives": (
+                "endpoint_id_of",
+                "incarnation_of",
+            ),
+            "_meters": (
+                "AgentMeter",
+                "EntryMeter",
+            ),
+            "_runs": ("RunKey",),
+            "_timing": ("LeaseTiming",),
+        },
+    )
 
 __all__ = [
     "AgentAction",
@@ -81,7 +148,6 @@
     "EndpointSeen",
     "EntriesFound",
     "EntryAction",
-    "EntryAddress",
     "EntryDrain",
     "EntryEvent",
     "EntryMeter",
--- a/src/ferryledge/platform/__init__.py
+++ b/src/ferryledge/platform/__init__.py
@@ -4,41 +4,91 @@
 the project.
 """
 
-from ferryledge.platform import _config
-from ferryledge.platform import _endpoint
-from ferryledge.platform import _heartbeat
-from ferryledge.platform import _jobs
-from ferryledge.platform import _settings
-from ferryledge.platform import _store
+import typing
 
-CONFIG_KEY = _config.CONFIG_KEY
-CONFIG_TOPIC = _config.CONFIG_TOPIC
-ConfigError = _config.ConfigError
-Configuration = _config.Configuration
-EndpointCalls = _endpoint.EndpointCalls
-HeartbeatError = _heartbeat.HeartbeatError
-JobError = _jobs.JobError
-KeyedRecord = _store.KeyedRecord
-MalformedJobError = _jobs.MalformedJobError
-RecordsGoneError = _store.RecordsGoneError
-Route = _config.Route
-Settings = _settings.Settings
-SettingsError = _settings.SettingsError
-StoreClient = _store.StoreClient
-StoreError = _store.StoreError
-UnsupportedJobError = _jobs.UnsupportedJobError
-parse_config = _config.parse_config
-parse_deadline = _jobs.parse_deadline
-parse_deregister = _heartbeat.parse_deregister
-parse_heartbeat = _heartbeat.parse_heartbeat
-parse_job = _jobs.parse_job
-parse_settings = _settings.parse_settings
-read_settings = _settings.read_settings
-refusal = _jobs.refusal
-render_outcome = _jobs.render_outcome
-render_pending = _jobs.render_pending
-render_running = _jobs.render_running
-split_address = _settings.split_address
+from ferryledge import _lazy
+
+if typing.TYPE_CHECKING:
+    from ferryledge.platform import _config
+    from ferryledge.platform import _endpoint
+    from ferryledge.platform import _heartbeat
+    from ferryledge.platform import _jobs
+    from ferryledge.platform import _settings
+    from ferryledge.platform import _store
+
+    CONFIG_KEY = _config.CONFIG_KEY
+    CONFIG_TOPIC = _config.CONFIG_TOPIC
+    ConfigError = _config.ConfigError
+    Configuration = _config.Configuration
+    EndpointCalls = _endpoint.EndpointCalls
+    HeartbeatError = _heartbeat.HeartbeatError
+    JobError = _jobs.JobError
+    KeyedRecord = _store.KeyedRecord
+    MalformedJobError = _jobs.MalformedJobError
+    RecordsGoneError = _store.RecordsGoneError
+    Route = _config.Route
+    Settings = _settings.Settings
+    SettingsError = _settings.SettingsError
+    StoreClient = _store.StoreClient
+    StoreError = _store.StoreError
+    UnsupportedJobError = _jobs.UnsupportedJobError
+    parse_config = _config.parse_config
+    parse_deadline = _jobs.parse_deadline
+    parse_deregister = _heartbeat.parse_deregister
+    parse_heartbeat = _heartbeat.parse_heartbeat
+    parse_job = _jobs.parse_job
+    parse_settings = _settings.parse_settings
+    read_settings = _settings.read_settings
+    refusal = _jobs.refusal
+    render_outcome = _jobs.render_outcome
+    render_pending = _jobs.render_pending
+    render_running = _jobs.render_running
+    split_address = _settings.split_address
+else:
+    # An agent needs no jobs or configurations, an entry no endpoint.
+    __getattr__ = _lazy.attach(
+        __name__,
+        {
+            "_config": (
+                "CONFIG_KEY",
+                "CONFIG_TOPIC",
+                "ConfigError",
+                "Configuration",
+                "Route",
+                "parse_config",
+            ),
+            "_endpoint": ("EndpointCalls",),
+            "_heartbeat": (
+                "HeartbeatError",
+                "parse_deregister",
+                "parse_heartbeat",
+            ),
+            "_jobs": (
+                "JobError",
+                "MalformedJobError",
+                "UnsupportedJobError",
+                "parse_deadline",
+                "parse_job",
+                "refusal",
+                "render_outcome",
+                "render_pending",
+                "render_running",
+            ),
+            "_settings": (
+                "Settings",
+                "SettingsError",
+                "parse_settings",
+                "read_settings",
+                "split_address",
+            ),
+            "_store": (
+                "KeyedRecord",
+                "RecordsGoneError",
+                "StoreClient",
+                "StoreError",
+            ),
+        },
+    )
 
 __all__ = [
     "CONFIG_KEY",
