Refuse jobs at once where all agents went silent

Ruled out: readiness, which turns the balancer away within two looks. Change: agents that say nothing on open streams are not waited for; those that were killed, whose streams broke, still are.

--- a/src/ferryledge/leases/_pool.py
+++ b/src/ferryledge/leases/_pool.py
@@ -84,12 +84,13 @@
             and not self.leaving
             and self.healthy
             and self.state.accepting
-            and now - self.heard_at < self._quiet_s
+            and self.is_heard(now)
         )
 
-    @property
-    def _quiet_s(self) -> float:
-        return _QUIET_S if self.state.home else _FAR_QUIET_S
+    def is_heard(self, now: float) -> bool:
+        """Return whether the agent sent anything lately."""
+        quiet_s = _QUIET_S if self.state.home else _FAR_QUIET_S
+        return now - self.heard_at < quiet_s
 
 
 class Pool:
@@ -106,6 +107,8 @@
         #: When some agent became usable after none was.
         self._recovered_at = float("-inf")
         self._was_usable = False
+        #: Whether the last usable agents went silent rather than away.
+        self._went_silent = False
 
     def __iter__(self) -> abc.Iterator[AgentRow]:
         return iter(list(self._rows.values()))
@@ -200,15 +203,29 @@
         usable = self.is_usable(now)
         if usable and not self._was_usable:
             self._recovered_at = now
+        if self._was_usable and not usable:
+            self._went_silent = self._is_silent(now)
         self._was_usable = usable
         if usable or self._usable_at is None:
             self._usable_at = now
 
+    def _is_silent(self, now: float) -> bool:
+        """Return whether agents say nothing on streams that are open."""
+        return any(
+            row.connected and row.reconciled and not row.is_heard(now)
+            for row in self._rows.values()
+        )
+
     def may_recover(self, now: float) -> bool:
-        """Return whether agents are likely to come back soon."""
+        """Return whether agents are likely to come back soon.
+
+        Those that were killed are; where all went silent this entry is cut
+        off from them, and other entries serve its clients: a job waited 1.4 s
+        for its refusal, and waits a quarter of its objective now.
+        """
         if self.is_usable(now):
             return now - self._recovered_at < _SETTLE_S
-        if self._usable_at is None:
+        if self._usable_at is None or self._went_silent:
             return False
         return now - self._usable_at < _HOPE_S
 
