--- a/src/ferryledge/leases/_endpoint.py
+++ b/src/ferryledge/leases/_endpoint.py
@@ -20,8 +20,7 @@
 #: Replaced incarnations that are remembered beside the last one: a held-up
 #: heartbeat is some seconds old, and a restart takes longer than one.
 _REPLACED_KEPT = 15
-
-
+#: Faults after which another start may answer the next call.
 _GONE = (_agent_events.CallFault.DOWN, _agent_events.CallFault.BROKEN)
 
 
@@ -150,9 +149,9 @@
         return True
 
     def refute(self, now: float) -> Change:
-        """Note that another endpoint answered than the known one.
+        """Note that an endpoint with another id answered.
 
-        :return: whether what is known here was true of that one
+        :return: whether what is known here was true of the one before
         """
         refuted = self._incarnation
         if not refuted:
@@ -174,6 +173,7 @@
 
         :param born_ms: Unix time in ms; 0 if it doesn't tell
         :param now: monotonic seconds
+        :return: whether it started again since the last list
         """
         if not self._incarnation or not born_ms:
             return Change.NONE
