Let begun jobs and urgent queues go first, on a full pool

What begun jobs wait for was not counted as ahead of others, and a queue's priority was passed over. Change: a job's turn is its latest start, half a second sooner once it has begun and 0.2 s later a step of its queue's priority, within an entry and in what agents are told; the work that begun jobs wait for is ahead. The test of a begun job's urgency expected its latest start; it expects the lead now.

--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -1,7 +1,8 @@
 """Which waiting task goes where, and when.
 
 Jobs that can still meet their objective go first, in the order of their
-latest start. The others take what room is left.
+latest start, begun ones and urgent queues somewhat ahead of it. The others
+take what room is left.
 """
 
 from collections import abc
@@ -44,7 +45,7 @@
     :param job: the job
     :param gap_s: seconds between two starts while the pool is full
     """
-    return (job.is_late(now), job.begin_by(gap_s))
+    return (job.is_late(now), job.turn_at(gap_s))
 
 
 def _preference(name: str, row: _pool.AgentRow) -> int:
--- a/src/ferryledge/leases/_scheduling.py
+++ b/src/ferryledge/leases/_scheduling.py
@@ -74,7 +74,7 @@
             self._jobs.untried,
             key=lambda job: _placing.urgency(now, job, gap_s),
         )
-        ahead: dict[str, float] = {}
+        ahead = self._begun_work()
         pool_cores = self._pool.capacity_cores(now)
         self._share.update(now, pool_cores, self._pool.sharers(now))
         for job in untried:
@@ -86,6 +86,15 @@
             else:
                 yield job, refusal
 
+    def _begun_work(self) -> dict[str, float]:
+        """Return the core-seconds that begun jobs wait for, by service."""
+        work: dict[str, float] = {}
+        for job in self._jobs.waiting:
+            if job.offered_at is not None:
+                service = job.request.job_class.service
+                work[service] = work.get(service, 0.0) + job.waiting_work()
+        return work
+
     def is_link_free(self, now: float) -> bool:
         """Return whether orders waited for the link, which is free now."""
         return now >= self._place_at
--- a/src/ferryledge/leases/_wanting.py
+++ b/src/ferryledge/leases/_wanting.py
@@ -65,13 +65,13 @@
 def most_urgent(
     now: float, waiting: abc.Iterable[_jobs.Job], gap_s: float = 0.0
 ) -> float | None:
-    """Return the earliest latest start of the jobs that wait for room.
+    """Return the first turn of the jobs that wait for room.
 
     One that is late already yields to those that are not, unless some of
     its tasks run: they hold their room until the last one has ended.
     """
     jobs = list(waiting)
-    pressing = [job.begin_by(gap_s) for job in jobs if not job.is_late(now)]
+    pressing = [job.turn_at(gap_s) for job in jobs if not job.is_late(now)]
     if pressing:
         return min(pressing)
     return now + _LATE_S if jobs else None
--- a/src/ferryledge/leases/tests/test_order.py
+++ b/src/ferryledge/leases/tests/test_order.py
@@ -1,5 +1,7 @@
 """How long a job may wait for its start."""
 
+import dataclasses
+
 import pytest
 
 from ferryledge import leases
@@ -42,7 +44,28 @@
     begun, waiting = _job(0.0), _job(0.0)
     begun.offered_at = 10.1
     late = begun.start_by + 1.0
-    assert _wanting.most_urgent(late, [begun, waiting]) == begun.start_by
+    turn_at = begun.start_by - _jobs.BEGUN_LEAD_S
+    assert _wanting.most_urgent(late, [begun, waiting]) == turn_at
+
+
+def test_begun_job_goes_before_one_that_is_about_as_pressing() -> None:
+    begun, waiting = _job(0.0), _job(0.0)
+    begun.offered_at = 10.1
+    begun.arrived_at = waiting.arrived_at + 0.4
+    assert begun.turn_at(0.0) < waiting.turn_at(0.0)
+    begun.arrived_at = waiting.arrived_at + 0.6
+    assert begun.turn_at(0.0) > waiting.turn_at(0.0)
+
+
+def test_urgent_queue_goes_before_one_that_is_about_as_pressing() -> None:
+    urgent, other = _job(0.0), _job(0.0)
+    job_class = other.request.job_class
+    lower = dataclasses.replace(job_class, priority=job_class.priority + 1)
+    other.request = dataclasses.replace(other.request, job_class=lower)
+    urgent.arrived_at = other.arrived_at + 0.15
+    assert urgent.turn_at(0.0) < other.turn_at(0.0)
+    urgent.arrived_at = other.arrived_at + 0.25
+    assert urgent.turn_at(0.0) > other.turn_at(0.0)
 
 
 def test_late_job_yields_to_all_that_are_not() -> None:
--- a/src/ferryledge/leases/tests/world.py
+++ b/src/ferryledge/leases/tests/world.py
@@ -615,15 +615,18 @@
         deadline_s: float = 5.0,
         steps: tuple[leases.JobStep, ...] = (),
         spec: str = "spec",
+        estimate_s: float | None = None,
+        job_class: leases.JobClass = JOB_CLASS,
     ) -> int:
         """Send a job to an entry.
 
         :return: its token
         """
         token = next(self._tokens)
-        step = leases.JobStep(count, wire.Resources(cpu, 100, 0), work_s)
+        guess_s = work_s if estimate_s is None else estimate_s
+        step = leases.JobStep(count, wire.Resources(cpu, 100, 0), guess_s)
         job = leases.LeasedJob(
-            name, JOB_CLASS, spec, steps or (step,), deadline_s
+            name, job_class, spec, steps or (step,), deadline_s
         )
         self.jobs[token] = job
         self.work_s[name] = work_s
