Keep one reason for doubt of an endpoint, and one way to a successor

Cause: two flags told apart what the last renewal's fault tells alone, and three places took and cleared the proposed successor by hand. Change: the link keeps the fault; _pop_candidate serves all three. Conclusion: behaviour as before.

--- a/src/ferryledge/leases/_endpoint.py
+++ b/src/ferryledge/leases/_endpoint.py
@@ -57,10 +57,8 @@
             _LONGEST_SLACK_S, _SHORTEST_SLACK_S
         )
         self._leased_at = now
-        #: Whether the last renewal brought no list, and whether the endpoint
-        #: seemed gone.
-        self._is_doubted = False
-        self._is_down = False
+        #: Why the last renewal brought no list; none if it brought one.
+        self._fault: _agent_events.CallFault | None = None
         #: The incarnation that calls are meant for, and the last such.
         self._incarnation = ""
         self._last = ""
@@ -81,7 +79,7 @@
     @property
     def is_down(self) -> bool:
         """Whether the endpoint seemed gone when it was called last."""
-        return self._is_down
+        return self._fault in _GONE
 
     @property
     def token(self) -> int:
@@ -159,8 +157,7 @@
         self._note_replaced(refuted)
         self._incarnation = ""
         self.seen = None
-        candidate = self._candidate
-        self._candidate = None
+        candidate = self._pop_candidate()
         if candidate is not None and not _share_id(
             candidate.incarnation, refuted
         ):
@@ -181,8 +178,7 @@
         answered_as = _lives.incarnation_of(endpoint_id, born_ms)
         if answered_as == self._incarnation:
             return Change.NONE
-        candidate = self._candidate
-        self._candidate = None
+        candidate = self._pop_candidate()
         if candidate is not None and candidate.incarnation == answered_as:
             return self._take(candidate, now)
         self.seen = None
@@ -194,11 +190,10 @@
         :return: whether it did
         """
         waited = now - self._candidate_at > self._timing.lease_s
-        if self._candidate is None or not waited or not self.is_dark(now):
+        if not waited or not self.is_dark(now):
             return Change.NONE
-        seen = self._candidate
-        self._candidate = None
-        return self._take(seen, now)
+        seen = self._pop_candidate()
+        return Change.NONE if seen is None else self._take(seen, now)
 
     def _is_gone(self, incarnation: str) -> bool:
         return incarnation in (self._left, *self._replaced)
@@ -214,6 +209,12 @@
             return
         self._candidate = seen
 
+    def _pop_candidate(self) -> _agent_events.EndpointSeen | None:
+        """Return the proposed successor, if any, and forget it."""
+        candidate = self._candidate
+        self._candidate = None
+        return candidate
+
     def _take(self, seen: _agent_events.EndpointSeen, now: float) -> Change:
         change = self._succeed(seen.incarnation)
         self.seen = seen
@@ -266,12 +267,12 @@
     def renewal(self, now: float) -> _agent_events.Renewal:
         """Return what the next renewal is to say."""
         lease_until_ms = 0
-        is_sure = self.synced and not self._is_down
+        is_sure = self.synced and not self.is_down
         if self._token and is_sure and not self.is_dark(now):
             lease_until_ms = self.lease_until_ms(now)
         # Another start may answer, with ends that bear the same numbers:
         # confirmed unseen they would be lost, and their tasks run twice.
-        is_known = not self._is_doubted and self.is_fresh(now)
+        is_known = self._fault is None and self.is_fresh(now)
         return _agent_events.Renewal(
             self.incarnation,
             lease_until_ms,
@@ -283,8 +284,7 @@
 
     def failed(self, fault: _agent_events.CallFault) -> None:
         """Note that a renewal brought no list."""
-        self._is_doubted = True
-        self._is_down = fault in _GONE
+        self._fault = fault
 
     def renewed(self, sent_at: float, now: float) -> None:
         """Note that the endpoint took a renewal sent at that time."""
@@ -293,8 +293,7 @@
             # One that came sooner brought an end, and tells nothing here.
             self._answer_times.note(beyond_s)
         self._renewed_at = max(self._renewed_at, sent_at)
-        self._is_doubted = False
-        self._is_down = False
+        self._fault = None
         candidate = self._candidate
         if candidate is not None and sent_at > self._candidate_at:
             # The known incarnation answers still: the other came before it.
