--- a/src/ferryledge/agent/_command.py
+++ b/src/ferryledge/agent/_command.py
@@ -12,7 +12,7 @@
 
 
 @click.command(
-    epilog="Example: ferryledge-agent --name agent-1 --hall north "
+    epilog="Example: ferryledge-agent --name agent-1 --zone north "
     "--peer-port 7201 --endpoint-url http://127.0.0.1:8080 "
     "--peer-keys a-long-shared-secret"
 )
--- a/src/ferryledge/agent/_daemon.py
+++ b/src/ferryledge/agent/_daemon.py
@@ -33,7 +33,7 @@
         identity = core.Identity(
             settings.name,
             runtime.new_incarnation(),
-            settings.hall,
+            settings.zone,
             settings.region,
         )
         options = core.AgentOptions(
@@ -185,7 +185,7 @@
             "name": hello.name,
             "incarnation": hello.incarnation,
             "role": hello.role,
-            "hall": hello.hall,
+            "zone": hello.zone,
             "slots": hello.slots,
             "running": self._core.running,
             "started": self._started,
--- a/src/ferryledge/bench/_live.py
+++ b/src/ferryledge/bench/_live.py
@@ -15,7 +15,7 @@
 _CALLS = 200
 _ENTITIES: tuple[configlog.Entity, ...] = (
     configlog.Service("lookup"),
-    configlog.Team("team"),
+    configlog.Workspace("workspace"),
 )
 
 
@@ -43,7 +43,9 @@
 
 
 async def _through(urls: tuple[str, ...]) -> list[float]:
-    job = client.Job("team", "lookup", (client.Task({"sleep_ms": _SLEEP_MS}),))
+    job = client.Job(
+        "workspace", "lookup", (client.Task({"sleep_ms": _SLEEP_MS}),)
+    )
     times = []
     async with client.Client(urls) as caller:
         for _ in range(_CALLS):
--- a/src/ferryledge/bench/_product.py
+++ b/src/ferryledge/bench/_product.py
@@ -11,13 +11,13 @@
 from ferryledge import harness
 from ferryledge import outcomes
 
-_TEAM = "team"
+_WORKSPACE = "workspace"
 _SETTLE_S = 120.0
 
 
 def _entities(case: _cases.Case) -> tuple[configlog.Entity, ...]:
     services = tuple(configlog.Service(one.name) for one in _arrivals.SERVICES)
-    return (*services, configlog.Team(_TEAM))
+    return (*services, configlog.Workspace(_WORKSPACE))
 
 
 def new_world(
@@ -72,7 +72,7 @@
             tasks.append(core.TaskRequest(payload, declared))
         request = core.JobRequest(
             f"job-{arrival.number}",
-            _TEAM,
+            _WORKSPACE,
             arrival.service,
             tuple(tasks),
             repeatable=arrival.repeatable,
--- a/src/ferryledge/capacity/_leased.py
+++ b/src/ferryledge/capacity/_leased.py
@@ -45,13 +45,13 @@
 
 
 def _agent(entries: int) -> leases.LeaseAgent:
-    agent = leases.LeaseAgent("agent-1", "inc", "hall", 0.0)
+    agent = leases.LeaseAgent("agent-1", "inc", "zone", 0.0)
     agent.receive(0.0, _seen(0.0))
     for _ in range(2):
         agent.receive(0.0, _renewed(0.0))
     for number in range(entries):
         name = f"entry-{number}"
-        hello = wire.Hello(wire.Role.ENTRY, name, name, "hall")
+        hello = wire.Hello(wire.Role.ENTRY, name, name, "zone")
         agent.receive(0.0, wire.PeerUp(hello))
     return agent
 
@@ -114,11 +114,11 @@
 
 
 def _entry(agents: int) -> leases.LeaseEntry:
-    entry = leases.LeaseEntry("entry-1", "inc", "hall", random.Random(1))
+    entry = leases.LeaseEntry("entry-1", "inc", "zone", random.Random(1))
     entry.receive(0.0, leases.ConfigRead(1, b"{}"))
     for number in range(agents):
         name = f"agent-{number}"
-        hello = wire.Hello(wire.Role.AGENT, name, name, "hall")
+        hello = wire.Hello(wire.Role.AGENT, name, name, "zone")
         entry.receive(0.0, wire.PeerUp(hello))
         entry.receive(0.0, wire.Received(name, wire.RunsHeld(())))
         entry.receive(0.0, wire.Received(name, _state(0)))
--- a/src/ferryledge/capacity/_measure.py
+++ b/src/ferryledge/capacity/_measure.py
@@ -20,7 +20,7 @@
 _RESULT = b'{"stock": 14, "place": "C-12"}'
 _ENTITIES: tuple[configlog.Entity, ...] = (
     configlog.Service("service"),
-    configlog.Team("team"),
+    configlog.Workspace("workspace"),
 )
 _SLOTS = 32
 
@@ -31,14 +31,14 @@
 
 def _entry(endpoints: int) -> core.EntryCore:
     entry = core.EntryCore(
-        core.Identity("entry-1", "inc", "hall"),
+        core.Identity("entry-1", "inc", "zone"),
         core.EntryOptions(max_waiting_tasks=10**9, silence_s=1e9),
         random.Random(1),
     )
     entry.receive(0.0, core.ConfigChanged(_snapshot()))
     for number in range(endpoints):
         hello = wire.Hello(
-            wire.Role.AGENT, f"agent-{number}", "inc", "hall", _SLOTS, 64
+            wire.Role.AGENT, f"agent-{number}", "inc", "zone", _SLOTS, 64
         )
         entry.receive(0.0, core.PeerUp(hello))
     entry.tick(0.0)
@@ -47,7 +47,7 @@
 
 def _request(number: int, tasks: int) -> core.JobRequest:
     made = tuple(core.TaskRequest(_PAYLOAD) for _ in range(tasks))
-    return core.JobRequest(f"r-{number}", "team", "service", made)
+    return core.JobRequest(f"r-{number}", "workspace", "service", made)
 
 
 def _entry_with_jobs(jobs: int, tasks: int) -> core.EntryCore:
@@ -97,10 +97,10 @@
 
 def _agent() -> core.AgentCore:
     agent = core.AgentCore(
-        core.Identity("agent-1", "inc", "hall"),
+        core.Identity("agent-1", "inc", "zone"),
         core.AgentOptions(slots=_SLOTS),
     )
-    hello = wire.Hello(wire.Role.ENTRY, "entry-1", "owner", "hall")
+    hello = wire.Hello(wire.Role.ENTRY, "entry-1", "owner", "zone")
     agent.receive(0.0, core.PeerUp(hello))
     return agent
 
@@ -140,7 +140,7 @@
     """Return the bytes of a job's messages between processes."""
     place = wire.PlaceJob(
         "0123456789.1",
-        "team",
+        "workspace",
         "service",
         (wire.FrontTask(_PAYLOAD, 0.1),) * tasks,
         label="request-1",
@@ -171,12 +171,14 @@
     return float(sum(len(wire.encode(one)) for one in messages))
 
 
-def _teams(count: int) -> tuple[configlog.Entity, ...]:
-    return tuple(configlog.Team(f"team-{n}", 100) for n in range(count))
+def _workspaces(count: int) -> tuple[configlog.Entity, ...]:
+    return tuple(
+        configlog.Workspace(f"workspace-{n}", 100) for n in range(count)
+    )
 
 
 def _fold_changes(entities: int, changes: int) -> int:
-    snapshot = configlog.Snapshot(1, 1, _teams(entities))
+    snapshot = configlog.Snapshot(1, 1, _workspaces(entities))
     for number in range(changes):
         change = configlog.Change(
             f"change-{number}",
@@ -184,7 +186,7 @@
             "operator",
             "because",
             0.0,
-            (configlog.Team("team-0", number),),
+            (configlog.Workspace("workspace-0", number),),
         )
         decoded = configlog.decode_record(configlog.encode_record(change))
         snapshot, _ = configlog.fold(snapshot, decoded, snapshot.through)
@@ -192,7 +194,7 @@
 
 
 def _checkpoint_bytes(entities: int) -> float:
-    snapshot = configlog.Snapshot(1, 1, _teams(entities))
+    snapshot = configlog.Snapshot(1, 1, _workspaces(entities))
     record = configlog.Checkpoint(snapshot, "entry-1")
     return float(len(configlog.encode_record(record)))
 
--- a/src/ferryledge/capacity/_model.py
+++ b/src/ferryledge/capacity/_model.py
@@ -34,7 +34,7 @@
     regions: int
     #: Task starts a second at the peak, over all regions.
     starts_per_s: float
-    teams: int
+    workspaces: int
     changes_per_day: int
     #: Entries in a region; 0 works out how many are needed.
     entries: int = 0
@@ -160,10 +160,12 @@
         streams_per_agent=entries,
         appends_per_s=changes + checkpoints,
         checkpoint_kb=by_name["checkpoint_bytes_by_entities"].at(
-            deployment.teams + 60
+            deployment.workspaces + 60
         )
         / 1e3,
-        fold_cpu=by_name["fold_cpu_by_entities"].at(deployment.teams + 60),
+        fold_cpu=by_name["fold_cpu_by_entities"].at(
+            deployment.workspaces + 60
+        ),
         leased=_work_out_leased(by_name, endpoints, entries, starts),
     )
 
--- a/src/ferryledge/capacity/_page.py
+++ b/src/ferryledge/capacity/_page.py
@@ -137,8 +137,8 @@
         f"\n## At {deployment.name}\n\n"
         f"{deployment.workers:,} workers in {deployment.regions} region(s), "
         f"{deployment.starts_per_s:,.0f} task starts a second at the peak, "
-        f"{deployment.teams} teams, {deployment.changes_per_day:,} changes "
-        "a day. That is, a region: "
+        f"{deployment.workspaces} workspaces, "
+        f"{deployment.changes_per_day:,} changes a day. That is, a region: "
         f"{costs.endpoints_per_region:.0f} endpoints, {costs.pools} "
         f"pool(s), {costs.starts_per_region:,.0f} starts a second, "
         f"{costs.entries} entries, {costs.streams_per_entry} streams an "
@@ -210,7 +210,7 @@
 **Quotas meanwhile.** A quota holds for a region. Each pool enforces the part
 that its share of the region's endpoints gives it, rounded up, so the sum is
 over by one slot a pool at most. While two entries believe to hold a pool, a
-team may use that part twice, for as long as they differ. Regions do not
+workspace may use that part twice, for as long as they differ. Regions do not
 share quotas: regions that lose each other change nothing.
 
 **Under leases.** An agent keeps streams to four entries, however many there
--- a/src/ferryledge/cli/_command.py
+++ b/src/ferryledge/cli/_command.py
@@ -22,7 +22,7 @@
     First steps:
       ferryledge config check config.toml
       ferryledge config publish config.toml --author you --reason start
-      ferryledge submit --team shop --service stock-check '{"sku": 7}'
+      ferryledge submit --workspace shop --service stock-check '{"sku": 7}'
     """
 
 
--- a/src/ferryledge/cli/_config.py
+++ b/src/ferryledge/cli/_config.py
@@ -252,7 +252,7 @@
     for row in rows:
         lag = newest - row.version
         click.echo(
-            f"{row.role:<6} {row.name:<20} {row.hall:<12} "
+            f"{row.role:<6} {row.name:<20} {row.zone:<12} "
             f"version {row.version}  lag {lag}"
         )
     behind = [row.name for row in rows if row.version < newest]
--- a/src/ferryledge/cli/_explain.py
+++ b/src/ferryledge/cli/_explain.py
@@ -25,11 +25,11 @@
 
 
 async def _fetch_notes(
-    entries: tuple[str, ...], team: str, request_id: str
+    entries: tuple[str, ...], workspace: str, request_id: str
 ) -> list[typing.Any]:
     """Return the notes of all entries on a job, each with its entry."""
     found: list[typing.Any] = []
-    path = f"/v1/explain/{team}/{request_id}"
+    path = f"/v1/explain/{workspace}/{request_id}"
     for url in entries:
         found += [(url, one) for one in await _status.fetch(url, path)]
     submissions = {
@@ -47,7 +47,9 @@
 
 @click.command()
 @_options.optional_entry_option
-@click.option("--team", default="", help="The team that asked.")
+@click.option(
+    *_options.WORKSPACE, default="", help="The workspace that asked."
+)
 @click.option(
     "--logs",
     "files",
@@ -58,7 +60,7 @@
 @click.argument("request_id")
 def explain(
     entries: tuple[str, ...],
-    team: str,
+    workspace: str,
     files: tuple[typing.TextIO, ...],
     request_id: str,
 ) -> None:
@@ -72,12 +74,12 @@
     if files:
         _explain_from_logs(files, request_id)
         return
-    if not team or not entries:
-        raise _options.InputError("give --logs, or --entry and --team")
-    notes = _options.run(_fetch_notes, entries, team, request_id)
+    if not workspace or not entries:
+        raise _options.InputError("give --logs, or --entry and --workspace")
+    notes = _options.run(_fetch_notes, entries, workspace, request_id)
     if not notes:
         raise _options.CommandError(
-            f"no entry remembers {team}/{request_id}; only the last few "
+            f"no entry remembers {workspace}/{request_id}; only the last few "
             "hundred jobs are kept"
         )
     for url, note in notes:
--- a/src/ferryledge/cli/_file.py
+++ b/src/ferryledge/cli/_file.py
@@ -11,11 +11,14 @@
 from ferryledge import configlog
 from ferryledge import policy
 
+#: Earlier names, which files may go on using.
+_EARLIER_KINDS = {"team": "workspace"}
+_EARLIER_SETTINGS = {"halls": "zones"}
 _KINDS: dict[str, type[configlog.Entity]] = {
     "service": configlog.Service,
     "place": configlog.Place,
     "policy": configlog.Policy,
-    "team": configlog.Team,
+    "workspace": configlog.Workspace,
 }
 
 
@@ -28,7 +31,7 @@
     model = _KINDS[kind]
     fields = {field.name for field in dataclasses.fields(model)} - {"kind"}
     for name in table:
-        if name not in fields:
+        if _EARLIER_SETTINGS.get(name, name) not in fields:
             known = ", ".join(sorted(fields))
             raise _options.InputError(
                 f"{where}: no setting {name!r}; known: {known}"
@@ -56,11 +59,12 @@
     except (OSError, UnicodeError, tomllib.TOMLDecodeError) as exc:
         raise _options.InputError(f"{path}: {exc}") from exc
     entities = []
-    for kind, tables in document.items():
+    for written, tables in document.items():
+        kind = _EARLIER_KINDS.get(written, written)
         if kind not in _KINDS or not isinstance(tables, list):
             known = ", ".join(f"[[{name}]]" for name in _KINDS)
             raise _options.InputError(
-                f"{path}: {kind!r} is unknown; write {known}"
+                f"{path}: {written!r} is unknown; write {known}"
             )
         for number, table in enumerate(tables):
             entities.append(_parse_entity(kind, number, table))
--- a/src/ferryledge/cli/_jobs.py
+++ b/src/ferryledge/cli/_jobs.py
@@ -25,15 +25,17 @@
 
 
 async def _cancel(
-    entries: tuple[str, ...], team: str, request_id: str
+    entries: tuple[str, ...], workspace: str, request_id: str
 ) -> None:
     async with client.Client(entries) as caller:
-        await caller.cancel(team, request_id)
+        await caller.cancel(workspace, request_id)
 
 
 @click.command()
 @_options.entry_option
-@click.option("--team", required=True, help="The team that asks.")
+@click.option(
+    *_options.WORKSPACE, required=True, help="The workspace that asks."
+)
 @click.option("--service", required=True, help="The service to run.")
 @click.option("--request-id", default="", help="Your name for the job.")
 @click.option(
@@ -47,7 +49,7 @@
 @click.argument("payloads", nargs=-1, required=True)
 def submit(
     entries: tuple[str, ...],
-    team: str,
+    workspace: str,
     service: str,
     request_id: str,
     deadline_ms: float,
@@ -63,11 +65,11 @@
 
     \b
     Example:
-      ferryledge submit --team shop --service stock-check \\
+      ferryledge submit --workspace shop --service stock-check \\
           '{"sku": 7}' '{"sku": 9}'
     """
     job = client.Job(
-        team,
+        workspace,
         service,
         tuple(_parse(payload) for payload in payloads),
         request_id,
@@ -83,12 +85,14 @@
 
 @click.command()
 @_options.entry_option
-@click.option("--team", required=True, help="The team that asked.")
+@click.option(
+    *_options.WORKSPACE, required=True, help="The workspace that asked."
+)
 @click.argument("request_id")
-def cancel(entries: tuple[str, ...], team: str, request_id: str) -> None:
+def cancel(entries: tuple[str, ...], workspace: str, request_id: str) -> None:
     """Cancel a job by its REQUEST_ID, at whichever entry it is.
 
     The submission itself gets the outcome, which says whether it ran.
     """
-    _options.run(_cancel, entries, team, request_id)
+    _options.run(_cancel, entries, workspace, request_id)
     click.echo(f"cancellation of {request_id} sent")
--- a/src/ferryledge/cli/_options.py
+++ b/src/ferryledge/cli/_options.py
@@ -8,6 +8,8 @@
 
 #: Exit code when a request was refused or failed.
 EXIT_FAILED = 1
+#: The option that names a workspace; the second one is its earlier name.
+WORKSPACE = ("--workspace", "--team", "workspace")
 
 ResultT = typing.TypeVar("ResultT")
 
--- a/src/ferryledge/cli/_status.py
+++ b/src/ferryledge/cli/_status.py
@@ -18,10 +18,15 @@
 
     role: str
     name: str
-    hall: str
+    zone: str
     version: int
 
 
+def _zone(row: typing.Any) -> str:
+    """Return where a process runs; an earlier version calls it hall."""
+    return str(row["zone"] if "zone" in row else row["hall"])
+
+
 async def fetch(url: str, path: str) -> typing.Any:
     """Return the JSON text at an address.
 
@@ -57,7 +62,7 @@
         known = found.get(row["name"])
         if known is None or known.version < row["config_version"]:
             found[row["name"]] = ProcessVersion(
-                row["role"], row["name"], row["hall"], row["config_version"]
+                row["role"], row["name"], _zone(row), row["config_version"]
             )
     return sorted(found.values(), key=lambda one: (one.role, one.name))
 
@@ -76,7 +81,7 @@
 
 def _print(report: typing.Any) -> None:
     click.echo(
-        f"{report['name']} in {report['hall']}: "
+        f"{report['name']} in {_zone(report)}: "
         f"{'ready' if report['ready'] else 'not ready'}, "
         f"configuration {report['config_version']}, "
         f"{report['jobs_open']} jobs open, "
@@ -88,7 +93,7 @@
             mark for mark in ("leaving", "doubted", "ejected") if row[mark]
         ]
         click.echo(
-            f"  {row['name']:<20} {row['hall']:<12} "
+            f"  {row['name']:<20} {_zone(row):<12} "
             f"{row['bound']:>3} of {row['slots']} slots  "
             f"slowness {row['slowness']:.2f}  {' '.join(marks)}"
         )
--- a/src/ferryledge/cli/tests/test_files.py
+++ b/src/ferryledge/cli/tests/test_files.py
@@ -7,6 +7,7 @@
 import ferryledge
 from ferryledge.cli import _file
 from ferryledge.cli import _options
+from ferryledge import configlog
 from ferryledge import policy
 
 EXAMPLES = pathlib.Path(ferryledge.__file__).parents[2] / "docs" / "examples"
@@ -29,8 +30,8 @@
     assert counter.judge(late).detail == "too late to be of use"
     assert quotes.judge(policy.Facts(deadline_s=0.5)).urgency == 3
     assert quotes.judge(policy.Facts(tasks=300, load=0.95)).refused
-    assert not holds.allows(policy.Facts(hall="a", home="b", load=0.2))
-    assert holds.allows(policy.Facts(hall="a", home="b", load=0.9))
+    assert not holds.allows(policy.Facts(zone="a", home="b", load=0.2))
+    assert holds.allows(policy.Facts(zone="a", home="b", load=0.9))
 
 
 def test_gletscherpasss_policies():
@@ -43,7 +44,25 @@
     assert not lookups.judge(policy.Facts("gates", waiting=3000)).refused
     assert boarding.judge(policy.Facts("gates")).urgency == 8
     assert boarding.judge(policy.Facts("app", deadline_s=1.0)).urgency == 4
-    assert bags.allows(policy.Facts(hall="a", home="a"))
+    assert bags.allows(policy.Facts(zone="a", home="a"))
+
+
+def test_a_file_may_use_the_earlier_names(tmp_path):
+    path = tmp_path / "config.toml"
+    path.write_text(
+        "[[place]]\nname='west'\nhalls=['cork-1']\n[[team]]\nname='shop'"
+    )
+    assert _file.load(path) == (
+        configlog.Place("west", ("cork-1",)),
+        configlog.Workspace("shop"),
+    )
+
+
+def test_one_workspace_under_both_names_stands_twice(tmp_path):
+    path = tmp_path / "config.toml"
+    path.write_text("[[team]]\nname='a'\n[[workspace]]\nname='a'")
+    with pytest.raises(_options.InputError, match="stands twice"):
+        _file.load(path)
 
 
 @pytest.mark.parametrize(
@@ -54,8 +73,8 @@
         ("[[services]]\nname='a'", "'services' is unknown"),
         ("[[service]]\ntimeout_s=1", "name"),
         ("[[service]]\nname='a'\ntimeout_s=0", "timeout_s"),
-        ("[[team]]\nname='a'\nquota=3", "no setting 'quota'"),
-        ("[[team]]\nname='a'\n[[team]]\nname='a'", "stands twice"),
+        ("[[workspace]]\nname='a'\nquota=3", "no setting 'quota'"),
+        ("[[workspace]]\nname='a'\n[[workspace]]\nname='a'", "stands twice"),
         ("[[service]]\nname='a'\npolicy='p'", "does not exist"),
         ("[[policy]]\nname='p'\nurgency='x'", "unknown name 'x'"),
         ("[[policy]]\nname='p'\nurgency='1/tasks*0/load'", "urgency"),
--- a/src/ferryledge/client/_client.py
+++ b/src/ferryledge/client/_client.py
@@ -125,9 +125,9 @@
             await anyio.sleep(self._delay(reply))
         raise AssertionError("turns never end")
 
-    async def cancel(self, team: str, request_id: str) -> None:
+    async def cancel(self, workspace: str, request_id: str) -> None:
         """Cancel a job; its submission gets the outcome."""
-        path = f"/v1/jobs/{team}/{request_id}"
+        path = f"/v1/jobs/{workspace}/{request_id}"
         await self._caller(next(self._turns)).call("DELETE", path)
 
     def _take_spare(self) -> str:
--- a/src/ferryledge/client/_model.py
+++ b/src/ferryledge/client/_model.py
@@ -21,10 +21,10 @@
 class Job:
     """Tasks whose results are wanted all together."""
 
-    team: str
+    workspace: str
     service: str
     tasks: tuple[Task, ...]
-    #: Unique within the team; empty lets the client name it.
+    #: Unique within the workspace; empty lets the client name it.
     request_id: str = ""
     #: Milliseconds until the answer is of no use; 0 is never.
     deadline_ms: float = 0.0
--- a/src/ferryledge/configlog/__init__.py
+++ b/src/ferryledge/configlog/__init__.py
@@ -30,7 +30,7 @@
 Rejected = _fold.Rejected
 Service = _entities.Service
 Snapshot = _entities.Snapshot
-Team = _entities.Team
+Workspace = _entities.Workspace
 Verdict = _fold.Verdict
 change_between = _diff.change_between
 check_references = _fold.check_references
@@ -61,8 +61,8 @@
     "Rejected",
     "Service",
     "Snapshot",
-    "Team",
     "Verdict",
+    "Workspace",
     "change_between",
     "check_references",
     "decode_record",
--- a/src/ferryledge/configlog/_entities.py
+++ b/src/ferryledge/configlog/_entities.py
@@ -5,6 +5,8 @@
 
 import annotated_types
 
+from ferryledge.configlog import _earlier
+
 #: Accepted changes kept in a snapshot for the audit trail.
 HISTORY_KEPT = 256
 #: Format of the records that this program writes and understands.
@@ -38,10 +40,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Place:
-    """A named group of halls in which tasks may run."""
+    """A named group of zones in which tasks may run."""
 
     name: Name
-    halls: tuple[Name, ...]
+    zones: typing.Annotated[tuple[Name, ...], _earlier.ZONES]
     kind: typing.Literal["place"] = "place"
 
 
@@ -52,7 +54,7 @@
     name: Name
     #: How urgent a job is: a number, 1 is ordinary, larger goes earlier.
     urgency: Program = ""
-    #: Whether a job may run in a hall.
+    #: Whether a job may run in a zone.
     where: Program = ""
     #: Whether a job is refused.
     refuse: Program = ""
@@ -60,29 +62,34 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Team:
+class Workspace:
     """A group of clients with a quota."""
 
     name: Name
     #: Most slots in use at once in a region; 0 is no limit.
     quota_slots: Count = 0
-    #: Share of the slots under contention, against other teams.
+    #: Share of the slots under contention, against other workspaces.
     weight: Positive = 1.0
-    kind: typing.Literal["team"] = "team"
+    kind: typing.Annotated[typing.Literal["workspace"], *_earlier.KIND] = (
+        "workspace"
+    )
 
 
-Entity = Service | Place | Policy | Team
+Entity = Service | Place | Policy | Workspace
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntityKey:
     """Names one entity."""
 
-    kind: typing.Literal["service", "place", "policy", "team"]
+    kind: typing.Annotated[
+        typing.Literal["service", "place", "policy", "workspace"],
+        *_earlier.KIND,
+    ]
     name: Name
 
 
-def key_of(entity: Service | Place | Policy | Team) -> EntityKey:
+def key_of(entity: Service | Place | Policy | Workspace) -> EntityKey:
     """Return the entity's key."""
     return EntityKey(entity.kind, entity.name)
 
@@ -102,7 +109,7 @@
     #: When, in seconds of the operator's clock since 1970; for reading.
     at: float
     puts: typing.Annotated[
-        tuple[Service | Place | Policy | Team, ...],
+        tuple[Service | Place | Policy | Workspace, ...],
         annotated_types.MaxLen(MAX_ENTITIES),
     ] = ()
     deletes: typing.Annotated[
@@ -123,9 +130,9 @@
     reason: str
     at: float
     #: The entities that the change replaced or deleted.
-    before: tuple[Service | Place | Policy | Team, ...]
+    before: tuple[Service | Place | Policy | Workspace, ...]
     #: The entities that the change put.
-    after: tuple[Service | Place | Policy | Team, ...]
+    after: tuple[Service | Place | Policy | Workspace, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,7 +142,7 @@
     version: int = 0
     #: Offset of the first record that is not folded in.
     through: int = 0
-    entities: tuple[Service | Place | Policy | Team, ...] = ()
+    entities: tuple[Service | Place | Policy | Workspace, ...] = ()
     #: The last accepted changes, oldest first.
     history: tuple[AuditEntry, ...] = ()
 
--- a/src/ferryledge/configlog/_records.py
+++ b/src/ferryledge/configlog/_records.py
@@ -70,7 +70,7 @@
     record: _entities.Change | _entities.Checkpoint,
 ) -> bytes:
     """Return the record's bytes for the log."""
-    return _RECORDS.dump_json(record)
+    return _RECORDS.dump_json(record, by_alias=True)
 
 
 def decode_snapshot(data: bytes) -> _entities.Snapshot:
@@ -86,4 +86,4 @@
 
 def encode_snapshot(snapshot: _entities.Snapshot) -> bytes:
     """Return the snapshot as JSON text."""
-    return _SNAPSHOTS.dump_json(snapshot)
+    return _SNAPSHOTS.dump_json(snapshot, by_alias=True)
--- a/src/ferryledge/configlog/tests/test_fold.py
+++ b/src/ferryledge/configlog/tests/test_fold.py
@@ -10,7 +10,7 @@
 
 
 def change(name, base, **fields):
-    fields.setdefault("puts", (configlog.Team(name),))
+    fields.setdefault("puts", (configlog.Workspace(name),))
     return configlog.Change(name, base, "author", "why", 1.0, **fields)
 
 
@@ -51,8 +51,8 @@
 
 
 def test_the_audit_trail_shows_before_and_after():
-    old, new = configlog.Team("t", 1), configlog.Team("t", 2)
-    key = configlog.EntityKey("team", "t")
+    old, new = configlog.Workspace("t", 1), configlog.Workspace("t", 2)
+    key = configlog.EntityKey("workspace", "t")
     follower, _ = follow(
         [
             change("a", 0, puts=(old,)),
--- a/src/ferryledge/core/_admission.py
+++ b/src/ferryledge/core/_admission.py
@@ -44,16 +44,16 @@
             return self.refuse(
                 outcomes.Reason.POLICY, self._state.drain_s(), ruling.detail
             )
-        halls = self._state.rulebook.halls(
-            service, facts, message.places, self._state.table.halls
+        zones = self._state.rulebook.zones(
+            service, facts, message.places, self._state.table.zones
         )
-        refusal = self._impossible(service, halls)
+        refusal = self._impossible(service, zones)
         if refusal is not None:
             return refusal
         ideal = expected * _longest_factor(len(message.tasks))
         waiting = placement.WaitingJob(
             message.submission,
-            message.team,
+            message.workspace,
             expected,
             ideal,
             ruling.urgency,
@@ -70,7 +70,7 @@
             service,
             now,
             waiting,
-            halls,
+            zones,
             self._state.rulebook.version,
         )
         self._state.trace.note(
@@ -91,7 +91,7 @@
         self, message: wire.PlaceJob, expected: float, declared: float
     ) -> policy.Facts:
         return policy.Facts(
-            team=message.team,
+            workspace=message.workspace,
             service=message.service,
             tasks=len(message.tasks),
             expected_s=expected,
@@ -101,11 +101,11 @@
             repeatable=message.repeatable,
             waiting=self._state.queue.tasks,
             load=self._state.table.load,
-            home=self._state.identity.hall,
+            home=self._state.identity.zone,
         )
 
     def _impossible(
-        self, service: configlog.Service, halls: frozenset[str] | None
+        self, service: configlog.Service, zones: frozenset[str] | None
     ) -> outcomes.Refused | None:
         if not any(row.usable for row in self._state.table):
             return self.refuse(
@@ -114,14 +114,14 @@
                 "no endpoint is connected",
             )
         for row in self._state.table:
-            if halls is not None and row.hall not in halls:
+            if zones is not None and row.zone not in zones:
                 continue
             if not row.memory_mb or service.memory_mb <= row.memory_mb:
                 return None
         return self.refuse(
             outcomes.Reason.IMPOSSIBLE,
             0.0,
-            "no endpoint in the allowed halls is large enough",
+            "no endpoint in the allowed zones is large enough",
         )
 
     def _limit(
--- a/src/ferryledge/core/_agent.py
+++ b/src/ferryledge/core/_agent.py
@@ -89,7 +89,7 @@
             wire.Role.AGENT,
             self._identity.name,
             self._identity.incarnation,
-            self._identity.hall,
+            self._identity.zone,
             self._options.slots,
             self._options.connections,
             self._options.memory_mb,
--- a/src/ferryledge/core/_endpoints.py
+++ b/src/ferryledge/core/_endpoints.py
@@ -46,7 +46,7 @@
             placement.EndpointRow(
                 hello.name,
                 hello.incarnation,
-                hello.hall,
+                hello.zone,
                 hello.slots,
                 hello.connections,
                 hello.memory_mb,
--- a/src/ferryledge/core/_entry.py
+++ b/src/ferryledge/core/_entry.py
@@ -109,7 +109,7 @@
             wire.Role.ENTRY,
             self._identity.name,
             self._identity.incarnation,
-            self._identity.hall,
+            self._identity.zone,
             leaving=self._draining,
             config_version=self._rulebook.version,
         )
@@ -185,7 +185,7 @@
         direct: bool = True,
     ) -> None:
         peer = self._routing.choose_scheduler(job.request)
-        limited = self._rulebook.has_quota(job.request.team)
+        limited = self._rulebook.has_quota(job.request.workspace)
         direct = direct and not limited
         if direct and peer and self._routing.places_itself(peer, len(indices)):
             peer = None
@@ -211,14 +211,14 @@
         self._peers.send(now, peer.name, message)
 
     def _on_cancel(self, now: float, event: _events.ClientCancelled) -> None:
-        local = self._front.local_parts(event.team, event.request_id)
-        if self._front.cancel(now, event.team, event.request_id):
+        local = self._front.local_parts(event.workspace, event.request_id)
+        if self._front.cancel(now, event.workspace, event.request_id):
             for submission in local:
                 self._scheduler.cancel(now, "", submission)
             return
         if not event.forward:
             return
-        message = wire.CancelRequest(event.team, event.request_id)
+        message = wire.CancelRequest(event.workspace, event.request_id)
         for peer in self._peers.of_role(wire.Role.ENTRY):
             self._peers.send(now, peer.name, message)
 
@@ -352,9 +352,9 @@
                 self._front.on_answer(submission, name, answer)
             case wire.CancelJob(submission):
                 self._scheduler.cancel(now, name, submission)
-            case wire.CancelRequest(team, request_id):
+            case wire.CancelRequest(workspace, request_id):
                 event = _events.ClientCancelled(
-                    team, request_id, forward=False
+                    workspace, request_id, forward=False
                 )
                 self._on_cancel(now, event)
             case wire.AbandonJobs(through):
--- a/src/ferryledge/core/_events.py
+++ b/src/ferryledge/core/_events.py
@@ -24,7 +24,7 @@
 class ClientCancelled:
     """A client cancelled its job, or hung up."""
 
-    team: str
+    workspace: str
     request_id: str
     #: Pass the cancellation to the other entries if it is not here.
     forward: bool = True
--- a/src/ferryledge/core/_front.py
+++ b/src/ferryledge/core/_front.py
@@ -102,10 +102,10 @@
         self._tickets = collections.deque(kept)
 
     def find(
-        self, team: str, request_id: str
+        self, workspace: str, request_id: str
     ) -> _front_jobs.FrontJob | _requests.JobAnswer | None:
         """Return a job that runs, or an answer that is kept, or none."""
-        key = (team, request_id)
+        key = (workspace, request_id)
         return self._table.jobs.get(key) or self._answered.get(key)
 
     # Jobs.
@@ -122,13 +122,13 @@
         if refusal is not None:
             self._trace.note(
                 now,
-                f"{request.team}/{request.request_id}",
+                f"{request.workspace}/{request.request_id}",
                 _trace.Mechanism.FRONT,
                 f"{outcomes.tag_of(refusal)}: {refusal}",
             )
             self._reply(token, _requests.JobAnswer(refusal))
             return None
-        key = (request.team, request.request_id)
+        key = (request.workspace, request.request_id)
         digest = _front_jobs.digest_of(request)
         known = self._table.jobs.get(key)
         if known is not None:
@@ -155,9 +155,9 @@
             return self._refuse(
                 outcomes.Reason.UNKNOWN_SERVICE, 0.0, request.service
             )
-        if rulebook.team(request.team) is None:
+        if rulebook.workspace(request.workspace) is None:
             return self._refuse(
-                outcomes.Reason.UNKNOWN_TEAM, 0.0, request.team
+                outcomes.Reason.UNKNOWN_WORKSPACE, 0.0, request.workspace
             )
         for place in request.places:
             if rulebook.place(place) is None:
@@ -232,7 +232,7 @@
             left = max(0.001, job.arrived_at + left - now)
         return wire.PlaceJob(
             submission,
-            request.team,
+            request.workspace,
             request.service,
             tuple(
                 wire.FrontTask(
@@ -288,12 +288,12 @@
         )
         self._answer(job, _requests.JobAnswer(outcome, tags))
 
-    def cancel(self, now: float, team: str, request_id: str) -> bool:
+    def cancel(self, now: float, workspace: str, request_id: str) -> bool:
         """Cancel a client's job.
 
         :return: whether it is here
         """
-        job = self._table.jobs.get((team, request_id))
+        job = self._table.jobs.get((workspace, request_id))
         if job is None:
             return False
         for part in job.parts.values():
@@ -302,9 +302,9 @@
                 self._peers.send(now, part.scheduler, message)
         return True
 
-    def local_parts(self, team: str, request_id: str) -> list[str]:
+    def local_parts(self, workspace: str, request_id: str) -> list[str]:
         """Return a job's submissions that this entry schedules itself."""
-        job = self._table.jobs.get((team, request_id))
+        job = self._table.jobs.get((workspace, request_id))
         if job is None:
             return []
         return [
@@ -386,7 +386,7 @@
     def _answer(
         self, job: _front_jobs.FrontJob, answer: _requests.JobAnswer
     ) -> None:
-        key = (job.request.team, job.request.request_id)
+        key = (job.request.workspace, job.request.request_id)
         del self._table.jobs[key]
         for submission in job.parts:
             self._table.by_part.pop(submission, None)
--- a/src/ferryledge/core/_front_jobs.py
+++ b/src/ferryledge/core/_front_jobs.py
@@ -48,7 +48,7 @@
     @property
     def name(self) -> str:
         """The job's name in traces."""
-        return f"{self.request.team}/{self.request.request_id}"
+        return f"{self.request.workspace}/{self.request.request_id}"
 
     @property
     def deadline_at(self) -> float:
@@ -63,7 +63,7 @@
     """All jobs of an entry's clients, by name and by part."""
 
     def __init__(self) -> None:
-        #: By the job's team and its client's name for it.
+        #: By the job's workspace and its client's name for it.
         self.jobs: dict[tuple[str, str], FrontJob] = {}
         #: By the submissions of their parts.
         self.by_part: dict[str, FrontJob] = {}
@@ -89,7 +89,7 @@
 def digest_of(request: _requests.JobRequest) -> str:
     """Return a short digest of what a request asks for."""
     hasher = hashlib.blake2b(digest_size=12)
-    hasher.update(f"{request.team}|{request.service}".encode())
+    hasher.update(f"{request.workspace}|{request.service}".encode())
     for task in request.tasks:
         hasher.update(len(task.payload).to_bytes(8, "big"))
         hasher.update(task.payload)
--- a/src/ferryledge/core/_jobs.py
+++ b/src/ferryledge/core/_jobs.py
@@ -33,7 +33,7 @@
     service: configlog.Service
     arrived_at: float
     waiting: placement.WaitingJob
-    halls: frozenset[str] | None
+    zones: frozenset[str] | None
     config_version: int
     results: dict[int, bytes] = dataclasses.field(default_factory=dict)
     #: Sequence numbers of bound tasks, with their endpoints.
--- a/src/ferryledge/core/_options.py
+++ b/src/ferryledge/core/_options.py
@@ -12,8 +12,8 @@
     #: Differs each time the process starts.
     incarnation: str
     #: The availability zone.
-    hall: str
-    #: The halls of one region share a scheduler.
+    zone: str
+    #: The zones of one region share a scheduler.
     region: str = "main"
 
 
--- a/src/ferryledge/core/_placing.py
+++ b/src/ferryledge/core/_placing.py
@@ -41,7 +41,7 @@
     def _place_job(self, now: float, job: _jobs.Job) -> None:
         waiting = job.waiting
         while waiting.tasks:
-            room = self._state.quotas.room(waiting.team)
+            room = self._state.quotas.room(waiting.workspace)
             if room < 1:
                 return
             row = self._choose(now, job)
@@ -59,9 +59,9 @@
             job.waiting.expected_s,
             self._state.normal_slowness,
             _SLOW_SLOT_WAIT * self._state.queue.work_s / slots,
-            job.halls,
+            job.zones,
             job.service.memory_mb,
-            self._state.identity.hall,
+            self._state.identity.zone,
             self._state.favourites if not job.front else frozenset(),
             self._state.agent_sets.get(job.front),
         )
@@ -100,12 +100,12 @@
             )
             self._state.table.bind(binding)
             job.bound[binding.seq] = row.name
-        self._state.quotas.take(job.message.team, count)
+        self._state.quotas.take(job.message.workspace, count)
         self._state.trace.note(
             now,
             job.submission,
             _trace.Mechanism.PLACEMENT,
-            f"{count} tasks to {row.name} in {row.hall}, free {row.free} "
+            f"{count} tasks to {row.name} in {row.zone}, free {row.free} "
             f"of {row.slots} after, slowness "
             f"{self._state.run_times.slowness(row.name):.2f}",
         )
--- a/src/ferryledge/core/_pool_state.py
+++ b/src/ferryledge/core/_pool_state.py
@@ -66,7 +66,7 @@
         A front's tasks go only to agents that it can reach, so that it can
         take them back.
         """
-        if job.halls is not None and row.hall not in job.halls:
+        if job.zones is not None and row.zone not in job.zones:
             return False
         processes = self.agent_sets.get(job.front)
         return processes is None or row.process in processes
--- a/src/ferryledge/core/_requests.py
+++ b/src/ferryledge/core/_requests.py
@@ -19,9 +19,9 @@
 class JobRequest:
     """A job as a client sends it, already checked for its form."""
 
-    #: The client's own name for the request, unique within its team.
+    #: The client's own name for the request, unique within its workspace.
     request_id: str
-    team: str
+    workspace: str
     service: str
     tasks: tuple[TaskRequest, ...]
     #: Seconds until the client no longer needs the answer; 0 is none.
--- a/src/ferryledge/core/_rulebook.py
+++ b/src/ferryledge/core/_rulebook.py
@@ -19,7 +19,7 @@
         self._snapshot = snapshot
         self._services: dict[str, configlog.Service] = {}
         self._places: dict[str, configlog.Place] = {}
-        self._teams: dict[str, configlog.Team] = {}
+        self._workspaces: dict[str, configlog.Workspace] = {}
         self._rules: dict[str, policy.Rules] = {}
         self._failures: dict[str, int] = {}
         for entity in snapshot.entities:
@@ -28,8 +28,8 @@
                     self._services[entity.name] = entity
                 case configlog.Place():
                     self._places[entity.name] = entity
-                case configlog.Team():
-                    self._teams[entity.name] = entity
+                case configlog.Workspace():
+                    self._workspaces[entity.name] = entity
                 case configlog.Policy():
                     self._compile(entity)
 
@@ -52,27 +52,27 @@
         """Return a service, or none."""
         return self._services.get(name)
 
-    def team(self, name: str) -> configlog.Team | None:
-        """Return a team, or none."""
-        return self._teams.get(name)
+    def workspace(self, name: str) -> configlog.Workspace | None:
+        """Return a workspace, or none."""
+        return self._workspaces.get(name)
 
     def has_quota(self, name: str) -> bool:
-        """Return whether a team's slots are limited."""
-        team = self._teams.get(name)
-        return team is not None and team.quota_slots > 0
+        """Return whether a workspace's slots are limited."""
+        workspace = self._workspaces.get(name)
+        return workspace is not None and workspace.quota_slots > 0
 
     def weight(self, name: str) -> float:
-        """Return a team's weight under contention."""
-        team = self._teams.get(name)
-        return 1.0 if team is None else team.weight
+        """Return a workspace's weight under contention."""
+        workspace = self._workspaces.get(name)
+        return 1.0 if workspace is None else workspace.weight
 
     def place(self, name: str) -> configlog.Place | None:
         """Return a place, or none."""
         return self._places.get(name)
 
     def quotas(self) -> dict[str, int]:
-        """Return the quota of each team in slots; 0 is no limit."""
-        return {t.name: t.quota_slots for t in self._teams.values()}
+        """Return the quota of each workspace in slots; 0 is no limit."""
+        return {t.name: t.quota_slots for t in self._workspaces.values()}
 
     def judge(
         self, service: configlog.Service, facts: policy.Facts
@@ -86,30 +86,30 @@
             self._note_failure(service.policy)
         return ruling
 
-    def halls(
+    def zones(
         self,
         service: configlog.Service,
         facts: policy.Facts,
         places: tuple[str, ...],
         known: frozenset[str],
     ) -> frozenset[str] | None:
-        """Return the halls in which a job may run; none is anywhere.
+        """Return the zones in which a job may run; none is anywhere.
 
         :param service: the job's service
         :param facts: what its policy sees
         :param places: the places that the client asked for
-        :param known: the halls that have endpoints
+        :param known: the zones that have endpoints
         """
         wished = self._wished(places)
         rules = self._rules.get(service.policy)
-        if rules is None or not rules.limits_halls:
+        if rules is None or not rules.limits_zones:
             return wished
-        halls = known if wished is None else known & wished
+        zones = known if wished is None else known & wished
         try:
             return frozenset(
-                hall
-                for hall in halls
-                if rules.allows(dataclasses.replace(facts, hall=hall))
+                zone
+                for zone in zones
+                if rules.allows(dataclasses.replace(facts, zone=zone))
             )
         except policy.PolicyError:
             self._note_failure(service.policy)
@@ -118,12 +118,12 @@
     def _wished(self, places: tuple[str, ...]) -> frozenset[str] | None:
         if not places:
             return None
-        halls: set[str] = set()
+        zones: set[str] = set()
         for name in places:
             place = self._places.get(name)
             if place is not None:
-                halls.update(place.halls)
-        return frozenset(halls)
+                zones.update(place.zones)
+        return frozenset(zones)
 
     def _compile(self, entity: configlog.Policy) -> None:
         try:
--- a/src/ferryledge/core/_scheduler.py
+++ b/src/ferryledge/core/_scheduler.py
@@ -72,13 +72,13 @@
         self._seen: dict[str, ledger.SeenNumbers] = {}
         self._next_sweep = 0.0
 
-    def _handicap(self, team: str) -> float:
-        """Return how far a team's jobs are put back by its use of slots."""
+    def _handicap(self, workspace: str) -> float:
+        """Return how far its use of slots puts a workspace's jobs back."""
         rulebook = self._state.rulebook
-        active = self._state.quotas.active() | {team}
+        active = self._state.quotas.active() | {workspace}
         return limits.handicap(
-            self._state.quotas.used(team),
-            rulebook.weight(team),
+            self._state.quotas.used(workspace),
+            rulebook.weight(workspace),
             sum(rulebook.weight(name) for name in active),
             self._state.table.slots,
         )
--- a/src/ferryledge/core/_task_ends.py
+++ b/src/ferryledge/core/_task_ends.py
@@ -95,7 +95,7 @@
         if binding is not None:
             job = self._state.jobs.get(binding.submission)
             if job is not None:
-                self._state.quotas.give_back(job.message.team, 1)
+                self._state.quotas.give_back(job.message.workspace, 1)
         return binding
 
     def _learn(
--- a/src/ferryledge/core/_trace.py
+++ b/src/ferryledge/core/_trace.py
@@ -30,7 +30,7 @@
 
     #: Monotonic seconds of the process that took it.
     at: float
-    #: A job as ``team/request_id``, or a submission.
+    #: A job as ``workspace/request_id``, or a submission.
     job: str
     mechanism: Mechanism
     text: str
--- a/src/ferryledge/core/tests/test_entry.py
+++ b/src/ferryledge/core/tests/test_entry.py
@@ -13,12 +13,12 @@
     configlog.Service("s"),
     configlog.Service("big", memory_mb=900),
     configlog.Service("once", repeatable=False),
-    configlog.Policy("north-only", where="hall == 'north'"),
+    configlog.Policy("north-only", where="zone == 'north'"),
     configlog.Service("northern", policy="north-only"),
     configlog.Place("southern", ("south",)),
-    configlog.Team("t"),
-    configlog.Team("small", quota_slots=2),
-    configlog.Team("other"),
+    configlog.Workspace("t"),
+    configlog.Workspace("small", quota_slots=2),
+    configlog.Workspace("other"),
 )
 
 
@@ -42,20 +42,20 @@
     def configure(self):
         return self.do(core.ConfigChanged(configlog.Snapshot(1, 1, ENTITIES)))
 
-    def agent_up(self, name, hall="north", slots=2, memory_mb=1000):
+    def agent_up(self, name, zone="north", slots=2, memory_mb=1000):
         return self.do(
             core.PeerUp(
                 wire.Hello(
-                    wire.Role.AGENT, name, "a", hall, slots, 64, memory_mb
+                    wire.Role.AGENT, name, "a", zone, slots, 64, memory_mb
                 )
             )
         )
 
-    def submit(self, tasks=1, service="s", team="t", **fields):
+    def submit(self, tasks=1, service="s", workspace="t", **fields):
         self.token += 1
         made = (core.TaskRequest(b"1"),) * tasks
         request = core.JobRequest(
-            f"r{self.token}", team, service, made, **fields
+            f"r{self.token}", workspace, service, made, **fields
         )
         return self.do(core.ClientSubmitted(self.token, request))
 
@@ -104,7 +104,7 @@
     ("job", "reason"),
     [
         ({"service": "none"}, outcomes.Reason.UNKNOWN_SERVICE),
-        ({"team": "none"}, outcomes.Reason.UNKNOWN_TEAM),
+        ({"workspace": "none"}, outcomes.Reason.UNKNOWN_WORKSPACE),
         ({"service": "big"}, outcomes.Reason.IMPOSSIBLE),
         ({"places": ("none",)}, outcomes.Reason.IMPOSSIBLE),
         ({"places": ("southern",)}, outcomes.Reason.IMPOSSIBLE),
@@ -128,27 +128,27 @@
 
 
 def test_policies_and_places_say_where(driver):
-    driver.agent_up("agent-1", hall="south", slots=8)
-    driver.agent_up("agent-2", hall="north")
+    driver.agent_up("agent-1", zone="south", slots=8)
+    driver.agent_up("agent-2", zone="north")
     assert starts(driver.submit(service="northern"))[0][0] == "agent-2"
     placed = starts(driver.submit(places=("southern",)))
     assert placed[0][0] == "agent-1"
 
 
-def test_a_quota_holds_back_a_teams_tasks(driver):
+def test_a_quota_holds_back_a_workspaces_tasks(driver):
     driver.agent_up("agent-1", slots=8)
-    ((peer, start),) = starts(driver.submit(tasks=5, team="small"))
+    ((peer, start),) = starts(driver.submit(tasks=5, workspace="small"))
     assert len(start.indices) == 2
     ((_, more),) = starts(driver.end(peer, start))
     assert len(more.indices) == 2
 
 
-def test_a_team_over_its_share_waits_behind_the_others(driver):
+def test_a_workspace_over_its_share_waits_behind_the_others(driver):
     driver.agent_up("agent-1", slots=8)
-    driver.submit(tasks=1, team="other")
-    driver.submit(tasks=7, team="t")
-    driver.submit(tasks=2, team="t")
-    driver.submit(tasks=2, team="other")
+    driver.submit(tasks=1, workspace="other")
+    driver.submit(tasks=7, workspace="t")
+    driver.submit(tasks=2, workspace="t")
+    driver.submit(tasks=2, workspace="other")
     row = driver.entry.scheduler.table.find("agent-1")
     ends = [one for one in row.bound.values() if one.index == 0][1]
     ended = wire.FinishedTask(ends.seq, 0, True, b"1", 0.1)
--- a/src/ferryledge/demo/__main__.py
+++ b/src/ferryledge/demo/__main__.py
@@ -24,7 +24,7 @@
 class Kind:
     """A kind of job that the users submit."""
 
-    team: str
+    workspace: str
     service: str
     tasks: tuple[int, int]
     sleep_ms: tuple[float, float]
@@ -43,8 +43,8 @@
         configlog.Service(kind.service, 10.0, kind.repeatable)
         for kind in _KINDS
     ),
-    configlog.Team("spokewell"),
-    configlog.Team("gletscherpass"),
+    configlog.Workspace("spokewell"),
+    configlog.Workspace("gletscherpass"),
 )
 _POLICY: tuple[configlog.Entity, ...] = (
     configlog.Policy("counter", urgency="3 if tasks <= 4 else 1"),
@@ -68,7 +68,7 @@
         for index in range(rng.randint(*kind.tasks))
     )
     return client.Job(
-        kind.team,
+        kind.workspace,
         kind.service,
         tasks,
         request_id=f"job-{number}",
--- a/src/ferryledge/demo/_cluster.py
+++ b/src/ferryledge/demo/_cluster.py
@@ -23,7 +23,7 @@
     entries: int = 2
     agents: int = 3
     slots: int = 8
-    halls: tuple[str, ...] = ("north", "south", "west")
+    zones: tuple[str, ...] = ("north", "south", "west")
 
 
 class LocalCluster:
@@ -115,11 +115,11 @@
         name = f"agent-{number + 1}"
         endpoint = standin.StandinEndpoint(name, self.journal)
         url = await self._serve(group, endpoint.handle)
-        hall = self._hall(number)
+        zone = self._zone(number)
         process = agent.Agent(
             agent.AgentSettings(
                 name=name,
-                hall=hall,
+                zone=zone,
                 peer_keys=KEY,
                 endpoint_url=url,
                 slots=self._options.slots,
@@ -129,17 +129,17 @@
         self.endpoints.append(endpoint)
         self.endpoint_urls.append(url)
         self.agents.append(process)
-        self._list(name, runtime.VmRole.AGENT, process.peer_port, hall)
+        self._list(name, runtime.VmRole.AGENT, process.peer_port, zone)
 
     async def _start_entry(
         self, group: anyio_abc.TaskGroup, number: int
     ) -> None:
         name = f"entry-{number + 1}"
-        hall = self._hall(number)
+        zone = self._zone(number)
         process = entry.Entry(
             entry.EntrySettings(
                 name=name,
-                hall=hall,
+                zone=zone,
                 peer_keys=KEY,
                 platform_url=self.platform_url,
                 vms_poll_s=0.1,
@@ -147,7 +147,7 @@
         )
         await self._start(group, name, process)
         self.entries.append(process)
-        self._list(name, runtime.VmRole.ENTRY, process.peer_port, hall)
+        self._list(name, runtime.VmRole.ENTRY, process.peer_port, zone)
 
     async def _start(
         self,
@@ -163,16 +163,16 @@
         await group.start(run)
 
     def _list(
-        self, name: str, role: runtime.VmRole, port: int, hall: str
+        self, name: str, role: runtime.VmRole, port: int, zone: str
     ) -> None:
         self._vms.append(
             runtime.VmRecord(
-                name=name, role=role, host=_HOST, port=port, hall=hall
+                name=name, role=role, host=_HOST, port=port, zone=zone
             )
         )
 
-    def _hall(self, number: int) -> str:
-        return self._options.halls[number % len(self._options.halls)]
+    def _zone(self, number: int) -> str:
+        return self._options.zones[number % len(self._options.zones)]
 
     async def _until_ready(self) -> None:
         peers = self._options.entries - 1 + self._options.agents
--- a/src/ferryledge/entry/_command.py
+++ b/src/ferryledge/entry/_command.py
@@ -12,7 +12,7 @@
 
 
 @click.command(
-    epilog="Example: ferryledge-entry --name entry-1 --hall north "
+    epilog="Example: ferryledge-entry --name entry-1 --zone north "
     "--peer-port 7101 --http-port 7001 "
     "--platform-url http://127.0.0.1:7000 "
     "--peer-keys a-long-shared-secret"
--- a/src/ferryledge/entry/_daemon.py
+++ b/src/ferryledge/entry/_daemon.py
@@ -47,7 +47,7 @@
         identity = core.Identity(
             settings.name,
             runtime.new_incarnation(),
-            settings.hall,
+            settings.zone,
             settings.region,
         )
         self._core = core.EntryCore(
@@ -167,10 +167,10 @@
         match request.method, request.parts:
             case "POST", ("v1", "jobs"):
                 return await self._submit(request)
-            case "GET", ("v1", "jobs", team, request_id):
-                return self._look_up(team, request_id)
-            case "DELETE", ("v1", "jobs", team, request_id):
-                return self._cancel(team, request_id)
+            case "GET", ("v1", "jobs", workspace, request_id):
+                return self._look_up(workspace, request_id)
+            case "DELETE", ("v1", "jobs", workspace, request_id):
+                return self._cancel(workspace, request_id)
             case "GET", _:
                 return self._page(request)
         return runtime.HttpResponse.json(
@@ -190,8 +190,8 @@
                 status = _status.describe(self._core, self._mesh)
                 status["log_up"] = self._config.log_up
                 return runtime.HttpResponse.json(200, status)
-            case ("v1", "explain", team, request_id):
-                name = f"{team}/{request_id}"
+            case ("v1", "explain", workspace, request_id):
+                name = f"{workspace}/{request_id}"
                 return _watch.explain(self._core.trace, name)
             case ("v1", "trace", submission):
                 return _watch.explain(self._core.trace, submission)
@@ -250,7 +250,9 @@
         async def watch() -> None:
             await request.disconnected()
             self._driver.post(
-                core.ClientCancelled(job.team, job.request_id, forward=False)
+                core.ClientCancelled(
+                    job.workspace, job.request_id, forward=False
+                )
             )
 
         async with anyio.create_task_group() as group:
@@ -258,8 +260,10 @@
             await pending.ready.wait()
             group.cancel_scope.cancel()
 
-    def _look_up(self, team: str, request_id: str) -> runtime.HttpResponse:
-        found = self._core.front.find(team, request_id)
+    def _look_up(
+        self, workspace: str, request_id: str
+    ) -> runtime.HttpResponse:
+        found = self._core.front.find(workspace, request_id)
         match found:
             case core.JobAnswer():
                 return _models.render_answer(
@@ -276,8 +280,8 @@
         answer = core.JobAnswer(outcomes.InProgress(0.1))
         return _models.render_answer(request_id, answer, self._settings.name)
 
-    def _cancel(self, team: str, request_id: str) -> runtime.HttpResponse:
-        self._driver.post(core.ClientCancelled(team, request_id))
+    def _cancel(self, workspace: str, request_id: str) -> runtime.HttpResponse:
+        self._driver.post(core.ClientCancelled(workspace, request_id))
         return runtime.HttpResponse.json(
             202, {"request_id": request_id, "cancelling": True}
         )
--- a/src/ferryledge/entry/_models.py
+++ b/src/ferryledge/entry/_models.py
@@ -38,7 +38,10 @@
     model_config = pydantic.ConfigDict(extra="forbid")
 
     request_id: Label
-    team: Name
+    #: ``team`` is its earlier name.
+    workspace: Name = pydantic.Field(
+        validation_alias=pydantic.AliasChoices("workspace", "team")
+    )
     service: Name
     tasks: typing.Annotated[
         list[TaskModel], pydantic.Field(min_length=1, max_length=MAX_TASKS)
@@ -57,7 +60,7 @@
         """Return the job as the core sees it."""
         return core.JobRequest(
             self.request_id,
-            self.team,
+            self.workspace,
             self.service,
             tuple(
                 core.TaskRequest(
@@ -135,7 +138,7 @@
 #: The field of the body that a refusal is about.
 _FIELDS = {
     outcomes.Reason.UNKNOWN_SERVICE: "service",
-    outcomes.Reason.UNKNOWN_TEAM: "team",
+    outcomes.Reason.UNKNOWN_WORKSPACE: "workspace",
     outcomes.Reason.IMPOSSIBLE: "places",
     outcomes.Reason.TICKET_USED: "request_id",
 }
--- a/src/ferryledge/entry/_status.py
+++ b/src/ferryledge/entry/_status.py
@@ -90,7 +90,7 @@
         "name": hello.name,
         "incarnation": hello.incarnation,
         "role": hello.role,
-        "hall": hello.hall,
+        "zone": hello.zone,
         "ready": entry.ready,
         "leaving": entry.draining,
         "config_version": entry.rulebook.version,
@@ -104,7 +104,7 @@
         "endpoints": [
             {
                 "name": row.name,
-                "hall": row.hall,
+                "zone": row.zone,
                 "slots": row.slots,
                 "bound": len(row.bound),
                 "usable": row.usable,
@@ -122,7 +122,7 @@
                 "name": peer.name,
                 "incarnation": peer.incarnation,
                 "role": peer.hello.role,
-                "hall": peer.hello.hall,
+                "zone": peer.hello.zone,
                 "leaving": peer.leaving,
                 "config_version": peer.config_version,
                 "silent_s": round(now - peer.last_heard, 1),
--- a/src/ferryledge/entry/tests/test_models.py
+++ b/src/ferryledge/entry/tests/test_models.py
@@ -12,7 +12,7 @@
 
 GOOD = {
     "request_id": "r-1",
-    "team": "shop",
+    "workspace": "shop",
     "service": "quote",
     "tasks": [{"payload": {"sku": 7}}],
 }
@@ -28,6 +28,13 @@
     assert job.deadline_s == 0.5
 
 
+def test_a_body_may_use_the_earlier_name_of_the_workspace():
+    earlier = dict(GOOD)
+    earlier["team"] = earlier.pop("workspace")
+    data = json.dumps(earlier).encode()
+    assert _models.parse_job(data) == _models.parse_job(body())
+
+
 @pytest.mark.parametrize(
     ("data", "field"),
     [
@@ -41,7 +48,7 @@
         (body(request_id=""), "request_id"),
         (body(request_id="a/b"), "request_id"),
         (body(request_id="x" * 65), "request_id"),
-        (body(team=7), "team"),
+        (body(workspace=7), "workspace"),
         (body(deadline_ms=-1), "deadline_ms"),
         (body(deadline_ms="soon"), "deadline_ms"),
         (body(urgency=0), "urgency"),
--- a/src/ferryledge/harness/_world.py
+++ b/src/ferryledge/harness/_world.py
@@ -30,7 +30,7 @@
     entries: int = 3
     agents: int = 11
     slots: int = 8
-    halls: tuple[str, ...] = ("north", "south", "west")
+    zones: tuple[str, ...] = ("north", "south", "west")
     #: Seconds that a message takes one way.
     hop_s: float = 0.0005
     #: Seconds between a client and an entry one way.
@@ -142,12 +142,12 @@
         self._by_node[name] = []
         return node
 
-    def _hall(self, number: int) -> str:
-        return self.options.halls[number % len(self.options.halls)]
+    def _zone(self, number: int) -> str:
+        return self.options.zones[number % len(self.options.zones)]
 
     def _identity(self, name: str, number: int) -> core.Identity:
         incarnation = f"{self._rng.getrandbits(40):x}"
-        return core.Identity(name, incarnation, self._hall(number))
+        return core.Identity(name, incarnation, self._zone(number))
 
     def _new_agent(self, name: str, number: int) -> core.AgentCore:
         options = dataclasses.replace(
@@ -365,7 +365,7 @@
 
     def cancel(self, request: core.JobRequest, entry: str) -> None:
         """Cancel a job at an entry now."""
-        event = core.ClientCancelled(request.team, request.request_id)
+        event = core.ClientCancelled(request.workspace, request.request_id)
         self.clock.after(
             self.options.client_hop_s,
             lambda: self.nodes[entry].post(event),
--- a/src/ferryledge/hosted/__main__.py
+++ b/src/ferryledge/hosted/__main__.py
@@ -24,7 +24,7 @@
         click.echo(f"error: {exc}", err=True)
         sys.exit(EXIT_USAGE)
     logs.configure_logging("info", settings.node, logs.standard_output())
-    loguru.logger.info("started", step="start", hall=settings.zone)
+    loguru.logger.info("started", step="start", zone=settings.zone)
     # What was imported stays: collections need not look at it each time.
     gc.freeze()
     return settings
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -32,7 +32,7 @@
 
     :param name: this process
     :param incarnation: this start of the process
-    :param hall: its availability zone
+    :param zone: its availability zone
     :param now: monotonic seconds
     :param timing: the lease rule
     :param meter: counts its decisions; none is nowhere
@@ -42,14 +42,14 @@
         self,
         name: str,
         incarnation: str,
-        hall: str,
+        zone: str,
         now: float,
         timing: _timing.LeaseTiming | None = None,
         meter: _meters.AgentMeter | None = None,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
-        self._hall = hall
+        self._zone = zone
         self._timing = timing or _timing.LeaseTiming()
         self._link = _endpoint.EndpointLink(self._timing, now)
         self._runs = _runs.RunTable()
@@ -124,7 +124,7 @@
             wire.Role.AGENT,
             self._name,
             self._incarnation,
-            self._hall,
+            self._zone,
             leaving=self._acceptance.leaving,
             packed_texts=True,
         )
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -48,7 +48,7 @@
 
     :param name: this process
     :param incarnation: this start of the process
-    :param hall: its availability zone
+    :param zone: its availability zone
     :param rng: source of all randomness
     :param timing: the lease rule
     :param far_factor: how many times as long a task takes away from its data
@@ -61,7 +61,7 @@
         self,
         name: str,
         incarnation: str,
-        hall: str,
+        zone: str,
         rng: random.Random,
         timing: _timing.LeaseTiming | None = None,
         far_factor: float = 1.0,
@@ -70,7 +70,7 @@
     ) -> None:
         self._name = name
         self._incarnation = incarnation
-        self._hall = hall
+        self._zone = zone
         self._timing = timing or _timing.LeaseTiming()
         self._link = _own_link.OwnLink(link_bytes_per_s)
         self._pool = _pool.Pool(self._timing)
@@ -165,7 +165,7 @@
             wire.Role.ENTRY,
             self._name,
             self._incarnation,
-            self._hall,
+            self._zone,
             leaving=self._draining,
             config_version=self._peers.version,
         )
--- a/src/ferryledge/limits/_fairness.py
+++ b/src/ferryledge/limits/_fairness.py
@@ -1,6 +1,6 @@
-"""Fairness between teams while slots are short.
+"""Fairness between workspaces while slots are short.
 
-A team that uses more than its share of the slots has its new jobs weighed
+A workspace that uses more than its share of the slots has its new jobs weighed
 less, in proportion. Nothing is held back while slots are free.
 """
 
@@ -8,11 +8,11 @@
 def handicap(
     used: int, weight: float, total_weight: float, slots: int
 ) -> float:
-    """Return by how much a team's jobs are weighed less; 1 is not at all.
+    """Return by how much a workspace's jobs are weighed less; 1 is not at all.
 
-    :param used: slots that the team uses now
-    :param weight: the team's weight
-    :param total_weight: the weights of all teams that use slots
+    :param used: slots that the workspace uses now
+    :param weight: the workspace's weight
+    :param total_weight: the weights of all workspaces that use slots
     :param slots: slots of the pool
     """
     fair = slots * weight / total_weight if total_weight else slots
--- a/src/ferryledge/outcomes/_outcomes.py
+++ b/src/ferryledge/outcomes/_outcomes.py
@@ -51,7 +51,8 @@
     TICKET_USED = "ticket_used"
     TIMEOUT = "timeout"
     UNKNOWN_SERVICE = "unknown_service"
-    UNKNOWN_TEAM = "unknown_team"
+    #: Its value is what clients and earlier versions know it by.
+    UNKNOWN_WORKSPACE = "unknown_team"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/ferryledge/placement/_choice.py
+++ b/src/ferryledge/placement/_choice.py
@@ -20,10 +20,10 @@
     normal_slowness: float = 1.0
     #: Seconds that a task would wait for a normal endpoint instead.
     wait_s: float = 0.0
-    #: Halls in which it may run; none is anywhere.
-    halls: frozenset[str] | None = None
+    #: Zones in which it may run; none is anywhere.
+    zones: frozenset[str] | None = None
     memory_mb: int = 0
-    #: The hall of the scheduler, preferred among equals.
+    #: The zone of the scheduler, preferred among equals.
     home: str = ""
     #: Endpoints to use first.
     favourites: frozenset[str] = frozenset()
@@ -51,7 +51,7 @@
     best = None
     best_score = (False, False, 0, False)
     for row in rows:
-        if wish.halls is not None and row.hall not in wish.halls:
+        if wish.zones is not None and row.zone not in wish.zones:
             continue
         if wish.processes is not None and row.process not in wish.processes:
             continue
@@ -63,7 +63,7 @@
             continue
         normal = slowness <= NORMAL_SLOWNESS
         favourite = row.name in wish.favourites
-        score = (normal, favourite, room, row.hall == wish.home)
+        score = (normal, favourite, room, row.zone == wish.home)
         if best is None or score > best_score:
             best, best_score = row, score
     return best
--- a/src/ferryledge/placement/_tables.py
+++ b/src/ferryledge/placement/_tables.py
@@ -28,7 +28,7 @@
 
     name: str
     incarnation: str
-    hall: str
+    zone: str
     slots: int
     connections: int
     memory_mb: int
@@ -89,14 +89,14 @@
         self._bound = 0
         self._slots = 0
         self._foreign = 0
-        self._halls: frozenset[str] | None = None
+        self._zones: frozenset[str] | None = None
 
     @property
-    def halls(self) -> frozenset[str]:
-        """The halls that have endpoints."""
-        if self._halls is None:
-            self._halls = frozenset(row.hall for row in self)
-        return self._halls
+    def zones(self) -> frozenset[str]:
+        """The zones that have endpoints."""
+        if self._zones is None:
+            self._zones = frozenset(row.zone for row in self)
+        return self._zones
 
     @property
     def bound(self) -> int:
@@ -136,7 +136,7 @@
         """Remove an endpoint."""
         row = self._rows.pop(name, None)
         self._open.pop(name, None)
-        self._halls = None
+        self._zones = None
         if row is not None:
             self._bound -= len(row.bound)
             self._slots -= row.counted
--- a/src/ferryledge/placement/_waiting.py
+++ b/src/ferryledge/placement/_waiting.py
@@ -1,7 +1,7 @@
 """The jobs whose tasks wait for a slot, in the order to start them.
 
 The order counts a job's remaining work, since a job answers only when its
-last task does. Among teams the one that uses least of its share is ahead.
+last task does. Among workspaces the one that uses least of its share is ahead.
 No job is passed over for ever: past the age bound every few picks go to
 the job that came first.
 """
@@ -23,7 +23,7 @@
     """A job with tasks that are not bound yet."""
 
     submission: str
-    team: str
+    workspace: str
     #: Expected run time of one task in seconds.
     expected_s: float
     #: Expected time of the whole job on free endpoints, in seconds.
@@ -32,7 +32,7 @@
     arrived_at: float
     #: Indices of the tasks that wait.
     tasks: collections.deque[int]
-    #: The team's slots in use that count against its quota.
+    #: The workspace's slots in use that count against its quota.
     quota: int = 0
 
     @property
@@ -42,7 +42,7 @@
         return work * self.ideal_s / self.urgency
 
 
-#: A team's jobs as key, number of the entry, and submission.
+#: A workspace's jobs as key, number of the entry, and submission.
 _Heap = list[tuple[float, int, str]]
 
 
@@ -50,7 +50,7 @@
     """Waiting jobs of one pool.
 
     :param age_bound_s: seconds after which a job counts as aged
-    :param handicap: by how much a team's jobs are put back now; 1 is not
+    :param handicap: by how much a workspace's jobs are put back now; 1 is not
         at all
     """
 
@@ -173,34 +173,36 @@
     def _push(self, job: WaitingJob) -> None:
         number = next(self._counter)
         self._entries[job.submission] = number
-        heap = self._heaps.setdefault(job.team, [])
+        heap = self._heaps.setdefault(job.workspace, [])
         heapq.heappush(heap, (job.key, number, job.submission))
 
     def _pop(self) -> WaitingJob | None:
-        team = self._next_team()
-        if team is None:
+        workspace = self._next_workspace()
+        if workspace is None:
             return None
-        _, _, submission = heapq.heappop(self._heaps[team])
+        _, _, submission = heapq.heappop(self._heaps[workspace])
         return self._jobs[submission]
 
-    def _next_team(self) -> str | None:
-        """Return the team whose first job is ahead of the others'."""
-        for team in list(self._heaps):
-            self._drop_stale(team)
+    def _next_workspace(self) -> str | None:
+        """Return the workspace whose first job is ahead of the others'."""
+        for workspace in list(self._heaps):
+            self._drop_stale(workspace)
         if len(self._heaps) <= 1:
             return next(iter(self._heaps), None)
         return min(
             self._heaps,
-            key=lambda team: self._heaps[team][0][0] * self._handicap(team),
+            key=lambda workspace: (
+                self._heaps[workspace][0][0] * self._handicap(workspace)
+            ),
         )
 
-    def _drop_stale(self, team: str) -> None:
+    def _drop_stale(self, workspace: str) -> None:
         """Remove entries of jobs that are gone or stand elsewhere."""
-        heap = self._heaps[team]
+        heap = self._heaps[workspace]
         while heap and self._entries.get(heap[0][2]) != heap[0][1]:
             heapq.heappop(heap)
         if not heap:
-            del self._heaps[team]
+            del self._heaps[workspace]
 
     def _forget(self, submission: str) -> None:
         del self._jobs[submission]
--- a/src/ferryledge/platform/_settings.py
+++ b/src/ferryledge/platform/_settings.py
@@ -68,7 +68,7 @@
     node: str
     #: IP number that peers reach this process at.
     ip: str
-    #: The hall that the machine stands in.
+    #: The zone that the machine stands in.
     zone: str
     #: First and last port that is free for streams between processes.
     port_range: tuple[int, int]
--- a/src/ferryledge/policy/_program.py
+++ b/src/ferryledge/policy/_program.py
@@ -29,7 +29,7 @@
 class Facts:
     """What a program can see."""
 
-    team: str = ""
+    workspace: str = ""
     service: str = ""
     #: Tasks in the job.
     tasks: int = 1
@@ -46,13 +46,16 @@
     waiting: int = 0
     #: Share of the pool's slots in use, from 0 to 1.
     load: float = 0.0
-    #: The hall in question, in a ``where`` program.
-    hall: str = ""
-    #: The hall of the entry that took the job.
+    #: The zone in question, in a ``where`` program.
+    zone: str = ""
+    #: The zone of the entry that took the job.
     home: str = ""
 
 
-_NAMES = frozenset(field.name for field in dataclasses.fields(Facts))
+_FIELDS = frozenset(field.name for field in dataclasses.fields(Facts))
+#: Earlier names of facts, which programs may go on using.
+_EARLIER = {"team": "workspace", "hall": "zone"}
+_NAMES = _FIELDS | _EARLIER.keys()
 
 
 def _multiply(left: float, right: float) -> float:
@@ -128,7 +131,9 @@
 
         :raises PolicyError: if it fails
         """
-        names = {name: getattr(facts, name) for name in _NAMES}
+        names = {
+            name: getattr(facts, _EARLIER.get(name, name)) for name in _NAMES
+        }
         evaluator = simpleeval.EvalWithCompoundTypes(
             operators=_OPERATORS, functions=_FUNCTIONS, names=names
         )
--- a/src/ferryledge/policy/_ruling.py
+++ b/src/ferryledge/policy/_ruling.py
@@ -1,7 +1,7 @@
 """A policy's three programs, and what happens when one fails.
 
 A program that fails at run time counts as absent: the client's urgency
-stands, every hall is allowed, nothing is refused. The failure is part of
+stands, every zone is allowed, nothing is refused. The failure is part of
 the ruling, so that metrics, logs and explanations show it.
 """
 
@@ -27,7 +27,7 @@
 
     @property
     def where(self) -> str:
-        """Whether a job may run in a hall."""
+        """Whether a job may run in a zone."""
 
     @property
     def refuse(self) -> str:
@@ -88,7 +88,7 @@
         return Ruling(urgency, refused, detail, tuple(failures))
 
     def allows(self, facts: _program.Facts) -> bool:
-        """Return whether the job may run in ``facts.hall``.
+        """Return whether the job may run in ``facts.zone``.
 
         :raises ferryledge.policy.PolicyError: if the program fails
         """
@@ -100,7 +100,7 @@
         return bool(value)
 
     @property
-    def limits_halls(self) -> bool:
+    def limits_zones(self) -> bool:
         """Whether the policy says where tasks may run."""
         return self._where is not None
 
@@ -123,11 +123,13 @@
 
 #: Jobs on which a policy is tried before it is published.
 _SAMPLES = (
-    _program.Facts("team", "service", hall="hall", home="hall"),
+    _program.Facts("workspace", "service", zone="zone", home="zone"),
     _program.Facts(
-        "team", "service", 810, 5.0, 50.0, 1.0, 10.0, False, 10_000, 1.0
+        "workspace", "service", 810, 5.0, 50.0, 1.0, 10.0, False, 10_000, 1.0
+    ),
+    _program.Facts(
+        "workspace", "service", 1, 0.0, 0.0, 0.0, 1.0, True, 0, 0.0
     ),
-    _program.Facts("team", "service", 1, 0.0, 0.0, 0.0, 1.0, True, 0, 0.0),
 )
 
 
--- a/src/ferryledge/policy/tests/test_policy.py
+++ b/src/ferryledge/policy/tests/test_policy.py
@@ -17,8 +17,9 @@
     [
         ("3 if tasks <= 4 else 1", 3),
         ("min(10, 1 / expected_s)", 2.0),
-        ("hall == home", False),
-        ("hall in ('north', 'west')", True),
+        ("zone == home", False),
+        ("zone in ('north', 'west')", True),
+        ("hall == 'north' and team == 'shop'", True),
         ("load > 0.9 and not repeatable", False),
         ("'pool is full' if waiting > 5 else ''", "pool is full"),
         ("max(tasks, waiting) % 4", 3),
@@ -36,7 +37,7 @@
         ("tasks +", "not an expression"),
         ("color", "unknown name"),
         ("tasks.real", "Attribute is not allowed"),
-        ("[1 for x in hall]", "ListComp is not allowed"),
+        ("[1 for x in zone]", "ListComp is not allowed"),
         ("(lambda: 1)()", "only these may be called"),
         ("open('x')", "only these may be called"),
         ("2 ** 10", "Pow is not allowed"),
@@ -55,7 +56,7 @@
 
 @pytest.mark.parametrize(
     "text",
-    ["1 / (tasks - 4)", "'a' * tasks", "'%s' % tasks", "'a' + 1", "hall < 3"],
+    ["1 / (tasks - 4)", "'a' * tasks", "'%s' % tasks", "'a' + 1", "zone < 3"],
 )
 def test_a_program_that_fails_says_so(text):
     with pytest.raises(policy.PolicyError):
@@ -64,7 +65,7 @@
 
 def test_a_failing_policy_counts_as_absent_and_is_visible():
     rules = policy.Rules(
-        configlog.Policy("p", "1 / (tasks - 4)", "", "hall < 3")
+        configlog.Policy("p", "1 / (tasks - 4)", "", "zone < 3")
     )
     ruling = rules.judge(FACTS)
     assert (ruling.urgency, ruling.refused) == (FACTS.urgency, False)
@@ -89,7 +90,7 @@
     assert [one.program for one in found] == ["urgency"]
 
 
-NAMES = st.sampled_from(["tasks", "load", "hall", "repeatable", "1", "'a'"])
+NAMES = st.sampled_from(["tasks", "load", "zone", "repeatable", "1", "'a'"])
 OPERATORS = st.sampled_from(
     ["+", "-", "*", "/", "%", "//", "<", "==", "and", "or", "in", "if"]
 )
--- a/src/ferryledge/proofs/_workload.py
+++ b/src/ferryledge/proofs/_workload.py
@@ -20,7 +20,7 @@
 ENTITIES: tuple[configlog.Entity, ...] = (
     configlog.Service("lookup", timeout_s=6.0),
     configlog.Service("hold", timeout_s=6.0, repeatable=False),
-    configlog.Team("shop"),
+    configlog.Workspace("shop"),
 )
 
 
@@ -115,7 +115,7 @@
         name = f"change-{number}"
         reader = self._world.readers["entry-1"]
         base = reader.follower.snapshot.version
-        entities = (configlog.Team(f"team-{number}"),)
+        entities = (configlog.Workspace(f"workspace-{number}"),)
 
         def done(offset: int | None) -> None:
             self.published[name] = offset
--- a/src/ferryledge/proofs/tests/test_scenarios.py
+++ b/src/ferryledge/proofs/tests/test_scenarios.py
@@ -17,7 +17,7 @@
 ENTITIES = (
     configlog.Service("lookup", timeout_s=6.0),
     configlog.Service("hold", timeout_s=6.0, repeatable=False),
-    configlog.Team("shop"),
+    configlog.Workspace("shop"),
 )
 HOLD = b'"hold"'
 
@@ -218,13 +218,13 @@
 @pytest_bdd.when("two operators publish on the same version")
 def race(world):
     for name in ("a", "b"):
-        world.publish((configlog.Team(name),), name, 1)
+        world.publish((configlog.Workspace(name),), name, 1)
     world.run(5.0)
 
 
 def in_force(world, name):
     return [
-        world.nodes[entry].core.rulebook.team(name) is not None
+        world.nodes[entry].core.rulebook.workspace(name) is not None
         for entry in world.entry_names
     ]
 
@@ -248,7 +248,7 @@
 def after_an_hour(world):
     world.run(3600.0)
     world.log.down = False
-    world.publish((configlog.Team("late"),), "late", 1)
+    world.publish((configlog.Workspace("late"),), "late", 1)
 
 
 @pytest_bdd.then("it is in force in every entry within 10 seconds")
--- a/src/ferryledge/runtime/_platform.py
+++ b/src/ferryledge/runtime/_platform.py
@@ -55,7 +55,10 @@
     role: VmRole
     host: str
     port: int
-    hall: str
+    #: ``hall`` is its earlier name.
+    zone: str = pydantic.Field(
+        validation_alias=pydantic.AliasChoices("zone", "hall")
+    )
     region: str = "main"
     state: VmState = VmState.LIVE
 
--- a/src/ferryledge/runtime/_settings.py
+++ b/src/ferryledge/runtime/_settings.py
@@ -30,8 +30,9 @@
     name: Name = pydantic.Field(
         description="This VM's name in the platform's list."
     )
-    hall: Name = pydantic.Field(
-        description="The availability zone that this process runs in."
+    zone: Name = pydantic.Field(
+        validation_alias=pydantic.AliasChoices("zone", "hall"),
+        description="The availability zone that this process runs in.",
     )
     region: Name = pydantic.Field(
         default="main", description="The region; schedulers serve their own."
@@ -75,16 +76,25 @@
     help_text = field.description or ""
     if not field.is_required() and field.default is not None:
         help_text += f"  [default: {field.default}]"
+    names = _names(name, field)
     return click.option(
-        "--" + name.replace("_", "-"),
+        *("--" + one.replace("_", "-") for one in names),
         name,
-        envvar=ENV_PREFIX + name.upper(),
+        envvar=[ENV_PREFIX + one.upper() for one in names],
         show_envvar=True,
         help=help_text,
         metavar="VALUE",
     )
 
 
+def _names(name: str, field: pydantic.fields.FieldInfo) -> list[str]:
+    """Return a setting's name and its earlier ones."""
+    match field.validation_alias:
+        case pydantic.AliasChoices(choices=choices):
+            return [one for one in choices if isinstance(one, str)]
+    return [name]
+
+
 def settings_options(
     model: type[pydantic.BaseModel],
 ) -> abc.Callable[[typing.Any], typing.Any]:
--- a/src/ferryledge/runtime/tests/test_runtime.py
+++ b/src/ferryledge/runtime/tests/test_runtime.py
@@ -3,6 +3,8 @@
 import json
 
 import anyio
+import click
+from click import testing
 import loguru
 import pytest
 
@@ -49,6 +51,42 @@
     assert caught.value.status == status
 
 
+@pytest.mark.parametrize(
+    ("arguments", "variables"),
+    [
+        (["--zone", "north"], {}),
+        (["--hall", "north"], {}),
+        ([], {"FERRYLEDGE_ZONE": "north"}),
+        ([], {"FERRYLEDGE_HALL": "north"}),
+    ],
+)
+def test_a_zone_may_be_set_under_its_earlier_name(arguments, variables):
+    @click.command()
+    @runtime.settings_options(runtime.ProcessSettings)
+    def program(**values):
+        settings = runtime.load_settings(runtime.ProcessSettings, values)
+        click.echo(settings.zone)
+
+    given = ["--name", "a", "--peer-keys", "k" * 16, *arguments]
+    result = testing.CliRunner().invoke(program, given, env=variables)
+    assert result.output == "north\n"
+
+
+def test_a_missing_zone_is_asked_for_under_its_name(capsys):
+    given = {"name": "a", "peer_keys": "k" * 16}
+    with pytest.raises(SystemExit):
+        runtime.load_settings(runtime.ProcessSettings, given)
+    assert "--zone (FERRYLEDGE_ZONE) is missing" in capsys.readouterr().err
+
+
+def test_the_list_may_use_the_earlier_name_of_a_zone():
+    record = {"name": "a", "role": "entry", "host": "h", "port": 1}
+    read = runtime.VmRecord.model_validate
+    assert read({**record, "hall": "north"}) == read(
+        {**record, "zone": "north"}
+    )
+
+
 class Beat:
     """A core that wants to tick every ten seconds."""
 
--- a/src/ferryledge/tests/cluster.py
+++ b/src/ferryledge/tests/cluster.py
@@ -14,7 +14,7 @@
 
 KEYS = "test-key-test-key-test"
 HOST = "127.0.0.1"
-HALLS = ("north", "south", "west")
+ZONES = ("north", "south", "west")
 _BIN = pathlib.Path(sys.executable).parent
 #: Seconds until a start that neither ends nor gets ready is given up.
 _START_S = 120.0
@@ -128,7 +128,7 @@
                     "repeatable": False,
                     "timeout_s": 10.0,
                 },
-                {"kind": "team", "name": "shop"},
+                {"kind": "workspace", "name": "shop"},
             ],
         }
         call("POST", self.platform.url + "/v1/log/ferryledge", change)
@@ -214,10 +214,10 @@
         known = [vm for vm in self.vms if vm["name"] == name]
         peer_port = known[0]["port"] if known else free_ports(1)[0]
         (http_port,) = free_ports(1)
-        hall = HALLS[number % len(HALLS)]
+        zone = ZONES[number % len(ZONES)]
         settings |= {
             "name": name,
-            "hall": hall,
+            "zone": zone,
             "peer_port": peer_port,
             "http_port": http_port,
             "peer_keys": KEYS,
@@ -240,7 +240,7 @@
                     "role": program,
                     "host": HOST,
                     "port": peer_port,
-                    "hall": hall,
+                    "zone": zone,
                 }
             )
         return process
--- a/src/ferryledge/tests/test_operators.py
+++ b/src/ferryledge/tests/test_operators.py
@@ -19,14 +19,14 @@
 [[service]]
 name = "hold"
 repeatable = false
-[[team]]
+[[workspace]]
 name = "shop"
 [[policy]]
 name = "counter"
 urgency = "3 if tasks <= 4 else 1"
 refuse = "'too many tasks' if tasks > 50 else ''"
 """
-OTHER_TEAM = "[[team]]\nname = 'other'\n"
+OTHER_WORKSPACE = "[[workspace]]\nname = 'other'\n"
 
 
 @pytest.fixture(scope="module")
@@ -69,7 +69,7 @@
     assert (code, out.split(":")[0]) == (0, "version 2")
     code, out, _ = publish(processes)
     assert "nothing to change" in out
-    (processes.folder / "config.toml").write_text(CONFIG + OTHER_TEAM)
+    (processes.folder / "config.toml").write_text(CONFIG + OTHER_WORKSPACE)
     code, _, err = publish(processes, "--base", "1")
     assert code == 1
     assert "publish again" in err
@@ -90,7 +90,7 @@
     code, out, _ = ferryledge(
         "submit",
         *entries(processes),
-        "--team",
+        "--workspace",
         "shop",
         "--service",
         "lookup",
@@ -101,7 +101,7 @@
     assert code == 0
     assert json.loads(out)["results"][0]["echo"] == 7
     _, out, _ = ferryledge(
-        "explain", *entries(processes), "--team", "shop", "why"
+        "explain", *entries(processes), "--workspace", "shop", "why"
     )
     for mechanism in ("routing", "admission", "placement", "answer"):
         assert mechanism in out
@@ -134,7 +134,7 @@
 
 GOOD = {
     "request_id": "b-1",
-    "team": "shop",
+    "workspace": "shop",
     "service": "lookup",
     "tasks": [{"payload": {}}],
 }
@@ -144,7 +144,7 @@
     ("change", "status", "told"),
     [
         ({"service": "none"}, 422, '"field": "service"'),
-        ({"team": "none"}, 422, '"field": "team"'),
+        ({"workspace": "none"}, 422, '"field": "workspace"'),
         ({"places": ["none"]}, 422, '"field": "places"'),
         ({"tasks": [{}] * 811}, 400, "tasks"),
         ({"tasks": [{}] * 60}, 429, "too many tasks"),
@@ -190,15 +190,15 @@
 @pytest.mark.parametrize(
     ("program", "arguments", "told"),
     [
-        ("ferryledge-entry", ["--hall", "h"], "--name"),
+        ("ferryledge-entry", ["--zone", "h"], "--name"),
         (
             "ferryledge-agent",
-            ["--name", "a", "--hall", "h", "--slots", "0"],
+            ["--name", "a", "--zone", "h", "--slots", "0"],
             "--slots (FERRYLEDGE_SLOTS) is '0'",
         ),
         (
             "ferryledge-entry",
-            ["--name", "a", "--hall", "h", "--peer-keys", "short"],
+            ["--name", "a", "--zone", "h", "--peer-keys", "short"],
             "--peer-keys",
         ),
     ],
@@ -216,7 +216,7 @@
 
 
 def test_a_lost_answer_to_a_publication_is_found_by_its_id(processes):
-    text = CONFIG + "[[team]]\nname = 'lost-and-found'\n"
+    text = CONFIG + "[[workspace]]\nname = 'lost-and-found'\n"
     (processes.folder / "config.toml").write_text(text)
     processes.control(log_lose_answers=True)
     code, out, err = publish(processes)
--- a/src/ferryledge/wire/_messages.py
+++ b/src/ferryledge/wire/_messages.py
@@ -34,7 +34,7 @@
     name: str
     #: Differs each time the process starts.
     incarnation: str
-    hall: str
+    zone: str
     #: Tasks the endpoint can run at once; 0 for an entry.
     slots: int = 0
     #: Connections the endpoint accepts; 0 for an entry.
@@ -153,7 +153,7 @@
     """A job for the scheduler of a pool."""
 
     submission: str
-    team: str
+    workspace: str
     service: str
     tasks: tuple[FrontTask, ...]
     #: Seconds left until the caller no longer needs it; 0 is none.
@@ -222,7 +222,7 @@
 class CancelRequest(Model, frozen=True, tag="cancel-request"):
     """A client's cancellation that reached another entry."""
 
-    team: str
+    workspace: str
     request_id: str
 
 
