Judge in the soak whether what runs is adopted

Cause: the soak's judge did not know the promise that the successor of an agent keeps what runs at its endpoint.

Ruled out: judging each run that a successor finds. Beside other faults, on a machine that stalls, or where the job was answered or its task runs anew, a stop is right; such ends are left out.

Change: after a planned stop or a kill of an agent without another fault within 5 s, the runs at the first renewal that moves the lease's end are to end by themselves; the report counts them. `--only` and `--gap` play chosen faults further apart.

--- a/src/ferryledge/platform/standin/_endpoint.py
+++ b/src/ferryledge/platform/standin/_endpoint.py
@@ -59,6 +59,8 @@
         self.model = model
         #: Share of the orders that are carried out late, unanswered.
         self.late_orders = 0.0
+        #: Renewals so far that moved the lease's end.
+        self.renewals = 0
         self._service = service
         self._host = host
         self._port = port
@@ -186,6 +188,8 @@
             0,
         )
         answer = self.model.renew(now, now, renewal)
+        if renewal.lease_until_ms and isinstance(answer, leases.LeaseRenewed):
+            self.renewals += 1
         wait_until = now + fields.get("WaitMs", 0) / 1000.0
         while (
             isinstance(answer, leases.LeaseRenewed)
--- a/src/ferryledge/soak/__main__.py
+++ b/src/ferryledge/soak/__main__.py
@@ -17,8 +17,27 @@
 @click.option("--seconds", default=20.0, help="Length of the load.")
 @click.option("--entries", default=3, help="Entry processes.")
 @click.option("--agents", default=5, help="Agent processes.")
+@click.option(
+    "--only",
+    multiple=True,
+    type=click.Choice([kind.value for kind in _plan.FaultKind]),
+    help="Play faults of this kind; may be given several times.",
+)
+@click.option(
+    "--gap",
+    "mean_gap_s",
+    default=_plan.MEAN_GAP_S,
+    show_default=True,
+    help="Mean seconds between faults.",
+)
 def main(
-    seed: int, seeds: int, seconds: float, entries: int, agents: int
+    seed: int,
+    seeds: int,
+    seconds: float,
+    entries: int,
+    agents: int,
+    only: tuple[str, ...],
+    mean_gap_s: float,
 ) -> None:
     """Play seeded faults against the real programs.
 
@@ -26,28 +45,23 @@
     1 if a promise was broken; the logs are kept where the line says.
     """
     if seeds > 1:
-        sys.exit(_play_each(seed, seeds, seconds, entries, agents))
-    plan = _plan.make_plan(seed, seconds, entries, agents)
+        sys.exit(_play_each(seed, seeds))
+    kinds = tuple(_plan.FaultKind(one) for one in only)
+    plan = _plan.make_plan(seed, seconds, entries, agents, kinds, mean_gap_s)
     report = _run.play(plan)
     click.echo(json.dumps(dataclasses.asdict(report)))
     sys.exit(int(bool(report.findings)))
 
 
-def _play_each(
-    seed: int, seeds: int, seconds: float, entries: int, agents: int
-) -> int:
-    """Play each seed in a process of its own, one by one."""
+def _play_each(seed: int, seeds: int) -> int:
+    """Play each seed in a process of its own, one by one.
+
+    The other options are those of this command; of two, the last holds.
+    """
     worst = 0
     for number in range(seed, seed + seeds):
-        command = [sys.executable, "-m", "ferryledge.soak"]
-        options = {
-            "--seed": number,
-            "--seconds": seconds,
-            "--entries": entries,
-            "--agents": agents,
-        }
-        for name, value in options.items():
-            command += [name, str(value)]
+        command = [sys.executable, "-m", "ferryledge.soak", *sys.argv[1:]]
+        command += ["--seed", str(number), "--seeds", "1"]
         worst = max(worst, subprocess.run(command, check=False).returncode)
     return worst
 
--- a/src/ferryledge/soak/_judge.py
+++ b/src/ferryledge/soak/_judge.py
@@ -1,6 +1,7 @@
 """What must hold, judged by what endpoints and clients see."""
 
 import collections
+import collections.abc
 import dataclasses
 
 from ferryledge import leases
@@ -46,6 +47,12 @@
         self._alive: dict[tuple[str, int, int], set[str]] = (
             collections.defaultdict(set)
         )
+        #: Runs that an agent's successor found, in its first list.
+        self._found: set[leases.RunKey] = set()
+        #: The last run of each task that was started.
+        self._last_run: dict[tuple[str, int, int], int] = {}
+        #: Runs that went on to their end under a successor.
+        self.adopted = 0
 
     @property
     def jobs(self) -> int:
@@ -87,10 +94,37 @@
         if self._alive[task]:
             self._find("twice", f"{task} runs at {self._alive[task]} too")
         self._alive[task].add(endpoint)
+        self._last_run[task] = key.run
         refused = platform_standin.ClientState.REFUSED
         if len(job.answers) == job.tries and set(job.answers) == {refused}:
             self._find("refused", f"{key.job} was refused, yet starts")
 
+    def found(self, keys: collections.abc.Iterable[leases.RunKey]) -> None:
+        """Note what an agent's successor found at its endpoint."""
+        self._found.update(keys)
+
+    def forget_found(self) -> None:
+        """Judge no run that was found so far: something else struck."""
+        self._found.clear()
+
+    def ended(self, key: leases.RunKey, how: wire.HowEnded) -> None:
+        """Note how a run ended.
+
+        One that a successor found ends by itself, unless nobody waits for
+        its job any more or another run has taken its place.
+        """
+        if key not in self._found:
+            return
+        self._found.discard(key)
+        if how in (wire.HowEnded.DONE, wire.HowEnded.FAILED):
+            self.adopted += 1
+            return
+        job = self._jobs[key.job]
+        is_awaited = len(job.answers) < job.tries
+        task = (key.job, key.step, key.index)
+        if is_awaited and self._last_run.get(task) == key.run:
+            self._find("adopt", f"{key} was found, and then {how}")
+
     def done(self, key: leases.RunKey) -> None:
         """Note that a run has done its task's work."""
         job = self._jobs.get(key.job)
--- a/src/ferryledge/soak/_plan.py
+++ b/src/ferryledge/soak/_plan.py
@@ -7,7 +7,7 @@
 #: Seconds at the start and at the end without faults.
 _CALM_S = 2.0
 #: Mean seconds between faults; they last longer, so they overlap.
-_MEAN_GAP_S = 1.2
+MEAN_GAP_S = 1.2
 
 
 class FaultKind(enum.StrEnum):
@@ -63,7 +63,12 @@
 
 
 def make_plan(
-    seed: int, seconds: float = 20.0, entries: int = 3, agents: int = 5
+    seed: int,
+    seconds: float = 20.0,
+    entries: int = 3,
+    agents: int = 5,
+    only: tuple[FaultKind, ...] = (),
+    mean_gap_s: float = MEAN_GAP_S,
 ) -> Plan:
     """Return the plan of a seed.
 
@@ -71,14 +76,17 @@
     :param seconds: how long load is offered
     :param entries: number of entry processes
     :param agents: number of agent processes, each with an endpoint
+    :param only: kinds of faults; none is all
+    :param mean_gap_s: mean seconds between faults
     """
     rng = random.Random(seed)
     faults = []
     at = _CALM_S
+    kinds = only or tuple(FaultKind)
     while at < seconds - 2 * _CALM_S:
-        kind = rng.choice(list(FaultKind))
+        kind = rng.choice(kinds)
         faults.append(
             Fault(at, kind, rng.randrange(1000), rng.uniform(0.2, 3.5))
         )
-        at += rng.expovariate(1.0 / _MEAN_GAP_S)
+        at += rng.expovariate(1.0 / mean_gap_s)
     return Plan(seed, seconds, entries, agents, tuple(faults))
--- a/src/ferryledge/soak/_run.py
+++ b/src/ferryledge/soak/_run.py
@@ -14,6 +14,7 @@
 from ferryledge import leases
 from ferryledge import net
 from ferryledge.platform import standin as platform_standin
+from ferryledge.soak import _adoption
 from ferryledge.soak import _judge
 from ferryledge.soak import _plan
 from ferryledge.soak import _processes
@@ -54,6 +55,8 @@
     succeeded: int
     refused: int
     unknown: int
+    #: Runs that went on to their end under the successor of their agent.
+    adopted: int
     findings: tuple[_judge.Finding, ...]
     #: Where the logs and settings are; empty if nothing was found.
     logs: str
@@ -70,6 +73,7 @@
         self._plan = plan
         self._rng = random.Random(plan.seed + 1)
         self.judge = _judge.Judge()
+        self._adoption = _adoption.Adoption(self.judge)
         self._store = platform_standin.StoreServer()
         self._version = 1
         self._work_s: dict[str, float] = {}
@@ -146,9 +150,12 @@
             self.judge.room(endpoint, model.used, model.capacity)
             self.judge.drain(endpoint, server.draining_for_s)
             return
-        done = wire.HowEnded.DONE
-        if any(end.key == key and end.how is done for end in model.ended):
+        how = next((end.how for end in model.ended if end.key == key), None)
+        if how is None:
+            return
+        if how is wire.HowEnded.DONE:
             self.judge.done(key)
+        self.judge.ended(key, how)
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time() - self._started_at
@@ -186,7 +193,7 @@
         for proxy in self.proxies:
             await proxy.start()
         programs = [*self.entries, *self.agents]
-        running = [self._serve_store()]
+        running = [self._serve_store(), self._adoption.watch_machine()]
         running += [endpoint.run() for endpoint in self.endpoints]
         for program in programs:
             program.start()
@@ -290,14 +297,28 @@
         program = programs[fault.pick % len(programs)]
         match kind:
             case "kill":
+                lives = program.lives
                 program.signal(signal.SIGKILL)
+                await self._watch_successor(fault, program, lives)
             case "stop":
+                lives = program.lives
                 await program.stop()
+                await self._watch_successor(fault, program, lives)
             case "pause":
                 await program.pause(fault.for_s)
             case "reload":
                 program.signal(signal.SIGHUP)
 
+    async def _watch_successor(
+        self, fault: _plan.Fault, program: _processes.Program, lives: int
+    ) -> None:
+        if program not in self.agents:
+            return
+        if not _adoption.is_quiet(self._plan, fault):
+            return
+        server = self.endpoints[self.agents.index(program)]
+        await self._adoption.watch_successor(program, lives, server)
+
     async def _strike_proxy(self, fault: _plan.Fault) -> None:
         weather = self.proxies[fault.pick % len(self.proxies)].weather
         match fault.kind:
@@ -374,6 +395,7 @@
         judge.count(state.SUCCEEDED),
         judge.count(state.REFUSED),
         judge.count(state.UNKNOWN),
+        judge.adopted,
         tuple(judge.findings),
         str(folder),
     )
