Give the order of waiting jobs a module, and entries their rules

Cause: the order in which waiting jobs get room stood in three modules (job, placing, wanting), and no experiment could take a rule out without a patch.

Ruled out: a table of functions by name. A data class of switches shows in one place what an entry decides by, and the type checker reads it.

Change: leases/_turns.py holds the order, with the load that it answers and what is known to be weak; leases/_rules.py the switches (EntryRules), which an entry takes as an argument. All rules hold unless an experiment says otherwise.

--- a/src/ferryledge/leases/__init__.py
+++ b/src/ferryledge/leases/__init__.py
@@ -16,6 +16,7 @@
     from ferryledge.leases import _jobs
     from ferryledge.leases import _lives
     from ferryledge.leases import _meters
+    from ferryledge.leases import _rules
     from ferryledge.leases import _runs
     from ferryledge.leases import _timing
 
@@ -38,6 +39,7 @@
     EntryDrain = _entry_events.EntryDrain
     EntryMeter = _meters.EntryMeter
     EntryEvent = _entry_events.EntryEvent
+    EntryRules = _rules.EntryRules
     EntryStop = _entry_events.EntryStop
     JobCancelled = _entry_events.JobCancelled
     JobClass = _jobs.JobClass
@@ -126,6 +128,7 @@
                 "AgentMeter",
                 "EntryMeter",
             ),
+            "_rules": ("EntryRules",),
             "_runs": ("RunKey",),
             "_timing": ("LeaseTiming",),
         },
@@ -151,6 +154,7 @@
     "EntryDrain",
     "EntryEvent",
     "EntryMeter",
+    "EntryRules",
     "EntryStop",
     "JobCancelled",
     "JobClass",
--- a/src/ferryledge/leases/_admission.py
+++ b/src/ferryledge/leases/_admission.py
@@ -6,6 +6,7 @@
 from ferryledge.leases import _own_link
 from ferryledge.leases import _placing
 from ferryledge.leases import _pool
+from ferryledge.leases import _rules
 from ferryledge.leases import _share
 from ferryledge.leases import _timing
 from ferryledge import limits
@@ -28,6 +29,7 @@
     :param share: what this entry gets of their room
     :param link: this entry's own
     :param rng: spreads the delays that clients are told
+    :param rules: those that hold
     """
 
     def __init__(
@@ -37,8 +39,10 @@
         share: _share.Share,
         link: _own_link.OwnLink,
         rng: random.Random,
+        rules: _rules.EntryRules,
     ) -> None:
         self._name = name
+        self._rules = rules
         self._pool = pool
         self._share = share
         self._link = link
@@ -102,6 +106,8 @@
         unfit = self._unfit(job)
         if unfit is not None:
             return unfit
+        if not self._rules.prompt_refusals:
+            return None
         wait_s = self._wait_s(now, job, ahead)
         if now + wait_s > job.start_by:
             return self._refuse(
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -20,10 +20,12 @@
 from ferryledge.leases import _peers
 from ferryledge.leases import _placing
 from ferryledge.leases import _pool
+from ferryledge.leases import _rules
 from ferryledge.leases import _run_tracking
 from ferryledge.leases import _scheduling
 from ferryledge.leases import _seeking
 from ferryledge.leases import _timing
+from ferryledge.leases import _turns
 from ferryledge import outcomes
 from ferryledge import placement
 from ferryledge import wire
@@ -55,6 +57,7 @@
     :param meter: counts its decisions; none is nowhere
     :param link_bytes_per_s: what the link of its machine carries; infinite
         if that is unknown
+    :param rules: those that it decides by
     """
 
     def __init__(
@@ -67,8 +70,11 @@
         far_factor: float = 1.0,
         meter: _meters.EntryMeter | None = None,
         link_bytes_per_s: float = math.inf,
+        rules: _rules.EntryRules | None = None,
     ) -> None:
         self._name = name
+        self._rules = rules or _rules.EntryRules()
+        turns = _turns.Turns(self._rules)
         self._incarnation = incarnation
         self._zone = zone
         self._timing = timing or _timing.LeaseTiming()
@@ -96,9 +102,12 @@
             self._jobs,
             self._pool,
             self._runs,
-            _placing.Placing(name, self._pool, self._run_times, far_factor),
+            _placing.Placing(
+                name, self._pool, self._run_times, far_factor, turns
+            ),
             self._link,
             rng,
+            turns,
         )
         self._actions: list[_entry_events.EntryAction] = []
         #: Agents whose last ask is to be answered.
@@ -375,7 +384,8 @@
             case wire.EndpointState():
                 self._on_state(now, row, message)
             case wire.LateRuns(runs):
-                self._runs.late(now, runs)
+                if self._rules.moves:
+                    self._runs.late(now, runs)
                 self._tick_by = now
             case wire.Leaving():
                 row.leaving = True
--- a/src/ferryledge/leases/_jobs.py
+++ b/src/ferryledge/leases/_jobs.py
@@ -8,13 +8,6 @@
 
 #: A job is smaller than expected by this many deviations one time in ten.
 _LIKELY_DEVIATIONS = 1.28
-#: Seconds by which a job that has begun goes ahead of one that has not: its
-#: tasks hold room for nothing until the last of them has ended. More than
-#: most jobs may wait, so that on a full pool few are begun and those end.
-BEGUN_LEAD_S = 0.5
-#: Seconds that one step of a queue's priority counts as: what a quick job may
-#: wait. So operators' order decides between jobs that are about as pressing.
-PRIORITY_STEP_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -174,35 +167,16 @@
         wait_s = (job_class.stretch - 1.0) * least_s + job_class.target_s
         return self.arrived_at + wait_s
 
-    def begin_by(self, gap_s: float) -> float:
-        """Return when its next task should start.
-
-        Its last waiting task starts one gap later for each other one.
-
-        :param gap_s: seconds between two starts while the pool is full
-        """
-        return self.start_by - gap_s * self.waiting
-
-    def turn_at(self, gap_s: float) -> float:
-        """Return a time by which jobs are sorted: who gets room first.
-
-        :param gap_s: seconds between two starts while the pool is full
-        """
-        turn_at = self.begin_by(gap_s)
-        turn_at += PRIORITY_STEP_S * self.request.job_class.priority
-        if self.offered_at is not None:
-            turn_at -= BEGUN_LEAD_S
-        return turn_at
+    @property
+    def has_begun(self) -> bool:
+        """Whether a run of it was ordered."""
+        return self.offered_at is not None
 
     def waiting_work(self) -> float:
         """Return the core-seconds that its waiting tasks are to take."""
         tasks = sum(step.count for step in self.request.steps)
         return self.work * self.waiting / tasks
 
-    def is_late(self, now: float) -> bool:
-        """Return whether it has not begun and is unlikely to be in time."""
-        return self.offered_at is None and now > self.start_by
-
     @property
     def deadline_at(self) -> float:
         """When the client stops waiting."""
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -1,8 +1,8 @@
-"""Which waiting task goes where, and when.
+"""Which waiting task goes to which endpoint.
 
-Jobs that can still meet their objective go first, in the order of their
-latest start, begun ones and urgent queues somewhat ahead of it. The others
-take what room is left.
+It answers endpoints of unequal speed, data and labels: fast ones near the
+data come first, a slow one gets one run at a time, and no task goes back to
+where it failed while others are left.
 """
 
 from collections import abc
@@ -12,6 +12,7 @@
 from ferryledge.leases import _jobs
 from ferryledge.leases import _pool
 from ferryledge.leases import _timing
+from ferryledge.leases import _turns
 from ferryledge import placement
 from ferryledge import wire
 
@@ -36,18 +37,6 @@
         return self.job.expected_s * need.cpu_millis / 1e3 * len(self.tasks)
 
 
-def urgency(
-    now: float, job: _jobs.Job, gap_s: float = 0.0
-) -> tuple[bool, float]:
-    """Return a key that sorts jobs by who gets room first.
-
-    :param now: monotonic seconds
-    :param job: the job
-    :param gap_s: seconds between two starts while the pool is full
-    """
-    return (job.is_late(now), job.turn_at(gap_s))
-
-
 def _preference(name: str, row: _pool.AgentRow) -> int:
     """Return a rank that differs between entries, to spread their orders."""
     text = f"{name}|{row.name}".encode()
@@ -61,6 +50,7 @@
     :param pool: the agents
     :param run_times: what was learned of run times and speeds
     :param far_factor: how many times as long a task takes away from its data
+    :param turns: the order of waiting jobs
     """
 
     def __init__(
@@ -68,12 +58,14 @@
         name: str,
         pool: _pool.Pool,
         run_times: placement.RunTimes,
-        far_factor: float = 1.0,
+        far_factor: float,
+        turns: _turns.Turns,
     ) -> None:
         self._name = name
         self._pool = pool
         self._run_times = run_times
         self._far_factor = far_factor
+        self._turns = turns
         self._ranks: dict[str, int] = {}
 
     def place(
@@ -85,7 +77,7 @@
         :param jobs: those with waiting tasks
         :param gap_s: seconds between two starts while the pool is full
         """
-        waiting = sorted(jobs, key=lambda job: urgency(now, job, gap_s))
+        waiting = self._turns.sort(now, jobs, gap_s)
         if not waiting:
             return
         open_rows = [
@@ -108,7 +100,10 @@
                 rows = _with_room(rows, least)
 
     def _order(self, row: _pool.AgentRow) -> tuple[bool, int, int]:
-        slowness = max(self._run_times.slowness(row.name), row.state.slowness)
+        slowness = 0.0
+        if self._turns.rules.fast_first:
+            seen = self._run_times.slowness(row.name)
+            slowness = max(seen, row.state.slowness)
         rank = self._ranks.get(row.name)
         if rank is None:
             rank = self._ranks[row.name] = _preference(self._name, row)
--- /dev/null
+++ b/src/ferryledge/leases/_rules.py
@@ -0,0 +1,26 @@
+"""Which rules an entry decides by."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryRules:
+    """The rules of an entry's decisions; all hold, but in experiments.
+
+    An experiment takes one out to learn what callers gain by it.
+    """
+
+    #: Jobs go by their latest start; without it by their arrival.
+    latest_start_first: bool = True
+    #: A job that has begun goes ahead of one that has not.
+    begun_first: bool = True
+    #: Queues that operators put first go ahead.
+    priorities: bool = True
+    #: What can't be in time is refused while that is prompt.
+    prompt_refusals: bool = True
+    #: Agents hear how urgent the work is that waits for their room.
+    room_words: bool = True
+    #: Runs on a slow endpoint are started again elsewhere.
+    moves: bool = True
+    #: Endpoints that were faster lately come first.
+    fast_first: bool = True
--- a/src/ferryledge/leases/_scheduling.py
+++ b/src/ferryledge/leases/_scheduling.py
@@ -11,6 +11,7 @@
 from ferryledge.leases import _pool
 from ferryledge.leases import _run_tracking
 from ferryledge.leases import _share
+from ferryledge.leases import _turns
 from ferryledge.leases import _wanting
 from ferryledge import outcomes
 from ferryledge import wire
@@ -30,6 +31,7 @@
     :param placing: chooses endpoints
     :param link: this entry's own
     :param rng: spreads the delays that refused clients are told
+    :param turns: the order of waiting jobs
     """
 
     def __init__(
@@ -41,7 +43,9 @@
         placing: _placing.Placing,
         link: _own_link.OwnLink,
         rng: random.Random,
+        turns: _turns.Turns,
     ) -> None:
+        self._turns = turns
         self._jobs = jobs
         self._pool = pool
         self._runs = runs
@@ -54,7 +58,7 @@
         #: When the own link has room for waiting orders.
         self._place_at = _NEVER
         self.admission = _admission.Admission(
-            name, pool, self._share, link, rng
+            name, pool, self._share, link, rng, turns.rules
         )
 
     @property
@@ -69,11 +73,7 @@
 
         :param now: monotonic seconds
         """
-        gap_s = self._share.gap_s
-        untried = sorted(
-            self._jobs.untried,
-            key=lambda job: _placing.urgency(now, job, gap_s),
-        )
+        untried = self._turns.sort(now, self._jobs.untried, self._share.gap_s)
         ahead = self._begun_work()
         pool_cores = self._pool.capacity_cores(now)
         self._share.update(now, pool_cores, self._pool.sharers(now))
@@ -109,8 +109,9 @@
             # They wait for the link, not for room: agents need no word.
             self._place_at = self._link.free_at(now)
             return
-        start_by = _wanting.most_urgent(now, left, self._share.gap_s)
-        self._wanted_at = self._wanting.due_at(start_by)
+        if self._turns.rules.room_words:
+            turn_at = self._turns.first(now, left, self._share.gap_s)
+            self._wanted_at = self._wanting.due_at(turn_at)
 
     def _order_all(self, now: float, waiting: list[_jobs.Job]) -> None:
         """Order what has room, as far as the own link carries it.
@@ -136,6 +137,6 @@
         if now < self._wanted_at:
             return
         self._wanted_at = _NEVER
-        gap_s = self._share.gap_s
-        start_by = _wanting.most_urgent(now, self._jobs.waiting, gap_s)
-        yield from self._wanting.tell(now, start_by, self._pool)
+        waiting = self._jobs.waiting
+        turn_at = self._turns.first(now, waiting, self._share.gap_s)
+        yield from self._wanting.tell(now, turn_at, self._pool)
--- /dev/null
+++ b/src/ferryledge/leases/_turns.py
@@ -0,0 +1,95 @@
+"""The order in which waiting jobs get room.
+
+It answers a full pool: a burst of one kind, a wave, endpoints that left.
+Jobs that can still meet their objective go first, by the latest start that is
+likely to meet it; the others take what room is left. So a long job waits
+longer than a quick one, and both can be in time.
+
+Known to be weak: the order does not weigh what a job's answer is worth
+against the cores that it takes, since callers do not say so.
+"""
+
+from collections import abc
+
+from ferryledge.leases import _jobs
+from ferryledge.leases import _rules
+
+#: Seconds by which a job that has begun goes ahead of one that has not: its
+#: tasks hold room for nothing until the last of them has ended. More than
+#: most jobs may wait, so that on a full pool few are begun and those end.
+BEGUN_LEAD_S = 0.5
+#: Seconds that one step of a queue's priority counts as: what a quick job may
+#: wait. So operators' order decides between jobs that are about as pressing.
+PRIORITY_STEP_S = 0.2
+#: A late job counts as if it could wait this long, in seconds: behind all
+#: that can still meet their objective.
+_LATE_S = 30.0
+
+
+class Turns:
+    """Sorts waiting jobs.
+
+    :param rules: those that hold; none is all
+    """
+
+    def __init__(self, rules: _rules.EntryRules | None = None) -> None:
+        self.rules = rules or _rules.EntryRules()
+
+    def begin_by(self, job: _jobs.Job, gap_s: float) -> float:
+        """Return when a job's next task should start.
+
+        Its last waiting task starts one gap later for each other one.
+
+        :param job: the job
+        :param gap_s: seconds between two starts while the pool is full
+        """
+        return job.start_by - gap_s * job.waiting
+
+    def turn_at(self, job: _jobs.Job, gap_s: float) -> float:
+        """Return a time by which jobs are sorted: who gets room first.
+
+        :param job: the job
+        :param gap_s: seconds between two starts while the pool is full
+        """
+        turn_at = job.arrived_at
+        if self.rules.latest_start_first:
+            turn_at = self.begin_by(job, gap_s)
+        if self.rules.priorities:
+            turn_at += PRIORITY_STEP_S * job.request.job_class.priority
+        if self.rules.begun_first and job.has_begun:
+            turn_at -= BEGUN_LEAD_S
+        return turn_at
+
+    def is_late(self, now: float, job: _jobs.Job) -> bool:
+        """Return whether a job has not begun and is unlikely to be in time."""
+        return not job.has_begun and now > job.start_by
+
+    def key(
+        self, now: float, job: _jobs.Job, gap_s: float
+    ) -> tuple[bool, float]:
+        """Return a key that sorts jobs by who gets room first."""
+        return (self.is_late(now, job), self.turn_at(job, gap_s))
+
+    def sort(
+        self, now: float, jobs: abc.Iterable[_jobs.Job], gap_s: float
+    ) -> list[_jobs.Job]:
+        """Return jobs in the order in which they get room."""
+        return sorted(jobs, key=lambda job: self.key(now, job, gap_s))
+
+    def first(
+        self, now: float, jobs: abc.Iterable[_jobs.Job], gap_s: float
+    ) -> float | None:
+        """Return the first turn of jobs that wait; none if none does.
+
+        One that is late already yields to those that are not, unless some of
+        its tasks run: they hold their room until the last one has ended.
+        """
+        waiting = list(jobs)
+        pressing = [
+            self.turn_at(job, gap_s)
+            for job in waiting
+            if not self.is_late(now, job)
+        ]
+        if pressing:
+            return min(pressing)
+        return now + _LATE_S if waiting else None
--- a/src/ferryledge/leases/_wanting.py
+++ b/src/ferryledge/leases/_wanting.py
@@ -3,7 +3,6 @@
 from collections import abc
 import dataclasses
 
-from ferryledge.leases import _jobs
 from ferryledge.leases import _own_link
 from ferryledge.leases import _pool
 from ferryledge import wire
@@ -16,11 +15,8 @@
 _WORDS_PER_S = 1000.0
 #: Share of the own link that words may take.
 _LINK_SHARE = 0.1
-#: A latest start that moves by less than this changes nobody's turn.
+#: A turn that moves by less than this changes nothing.
 _GRAIN_S = 0.01
-#: A late job counts as if it could wait this long, in seconds: behind all
-#: that can still meet their objective.
-_LATE_S = 30.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,12 +32,12 @@
     #: How many agents were told then.
     told: int = 0
 
-    def due_at(self, start_by: float | None) -> float:
+    def due_at(self, turn_at: float | None) -> float:
         """Return when agents are to be told; never is infinite."""
-        if start_by is None or self.told_by is None:
-            same = start_by is self.told_by
+        if turn_at is None or self.told_by is None:
+            same = turn_at is self.told_by
         else:
-            same = abs(start_by - self.told_by) < _GRAIN_S
+            same = abs(turn_at - self.told_by) < _GRAIN_S
         # Words took a fifth of a link of 2 Mbit/s that orders waited for.
         size = self.told * _own_link.PACKET_BYTES
         link_s = size / (_LINK_SHARE * self.link.bytes_per_s)
@@ -49,29 +45,14 @@
         return float("inf") if same else self.told_at + every_s
 
     def tell(
-        self, now: float, start_by: float | None, pool: _pool.Pool
+        self, now: float, turn_at: float | None, pool: _pool.Pool
     ) -> abc.Iterator[tuple[_pool.AgentRow, wire.RoomWanted]]:
         """Yield each agent to tell, and what."""
-        self.told_by = start_by
+        self.told_by = turn_at
         self.told_at = now
         self.told = 0
-        start_by_s = None if start_by is None else start_by - now
+        start_by_s = None if turn_at is None else turn_at - now
         for row in pool:
             if row.connected and row.reconciled and row.state.home:
                 self.told += 1
                 yield row, wire.RoomWanted(start_by_s)
-
-
-def most_urgent(
-    now: float, waiting: abc.Iterable[_jobs.Job], gap_s: float = 0.0
-) -> float | None:
-    """Return the first turn of the jobs that wait for room.
-
-    One that is late already yields to those that are not, unless some of
-    its tasks run: they hold their room until the last one has ended.
-    """
-    jobs = list(waiting)
-    pressing = [job.turn_at(gap_s) for job in jobs if not job.is_late(now)]
-    if pressing:
-        return min(pressing)
-    return now + _LATE_S if jobs else None
--- a/src/ferryledge/leases/tests/test_order.py
+++ b/src/ferryledge/leases/tests/test_order.py
@@ -7,10 +7,12 @@
 from ferryledge import leases
 from ferryledge.leases import _jobs
 from ferryledge.leases import _share
+from ferryledge.leases import _turns
 from ferryledge.leases import _wanting
 from ferryledge import placement
 from ferryledge import wire
 
+TURNS = _turns.Turns()
 _CLASS = leases.JobClass("quick", "desk", stretch=1.6, target_s=0.06)
 
 
@@ -44,17 +46,17 @@
     begun, waiting = _job(0.0), _job(0.0)
     begun.offered_at = 10.1
     late = begun.start_by + 1.0
-    turn_at = begun.start_by - _jobs.BEGUN_LEAD_S
-    assert _wanting.most_urgent(late, [begun, waiting]) == turn_at
+    turn_at = begun.start_by - _turns.BEGUN_LEAD_S
+    assert TURNS.first(late, [begun, waiting], 0.0) == turn_at
 
 
 def test_begun_job_goes_before_one_that_is_about_as_pressing() -> None:
     begun, waiting = _job(0.0), _job(0.0)
     begun.offered_at = 10.1
     begun.arrived_at = waiting.arrived_at + 0.4
-    assert begun.turn_at(0.0) < waiting.turn_at(0.0)
+    assert TURNS.turn_at(begun, 0.0) < TURNS.turn_at(waiting, 0.0)
     begun.arrived_at = waiting.arrived_at + 0.6
-    assert begun.turn_at(0.0) > waiting.turn_at(0.0)
+    assert TURNS.turn_at(begun, 0.0) > TURNS.turn_at(waiting, 0.0)
 
 
 def test_urgent_queue_goes_before_one_that_is_about_as_pressing() -> None:
@@ -63,23 +65,23 @@
     lower = dataclasses.replace(job_class, priority=job_class.priority + 1)
     other.request = dataclasses.replace(other.request, job_class=lower)
     urgent.arrived_at = other.arrived_at + 0.15
-    assert urgent.turn_at(0.0) < other.turn_at(0.0)
+    assert TURNS.turn_at(urgent, 0.0) < TURNS.turn_at(other, 0.0)
     urgent.arrived_at = other.arrived_at + 0.25
-    assert urgent.turn_at(0.0) > other.turn_at(0.0)
+    assert TURNS.turn_at(urgent, 0.0) > TURNS.turn_at(other, 0.0)
 
 
 def test_late_job_yields_to_all_that_are_not() -> None:
     late, timely = _job(0.0), _job(0.0)
     timely.arrived_at = 11.0
-    assert _wanting.most_urgent(11.0, [late, timely]) == timely.start_by
-    assert _wanting.most_urgent(11.0, [late]) == pytest.approx(41.0)
+    assert TURNS.first(11.0, [late, timely], 0.0) == timely.start_by
+    assert TURNS.first(11.0, [late], 0.0) == pytest.approx(41.0)
 
 
 def test_wide_job_begins_sooner_than_one_task_of_its_size() -> None:
     job = _job(0.0)
-    assert job.begin_by(0.02) == pytest.approx(job.start_by - 0.04)
+    assert TURNS.begin_by(job, 0.02) == pytest.approx(job.start_by - 0.04)
     job.set_state(job.all_tasks[0], _jobs.TaskState.BOUND)
-    assert job.begin_by(0.02) == pytest.approx(job.start_by - 0.02)
+    assert TURNS.begin_by(job, 0.02) == pytest.approx(job.start_by - 0.02)
 
 
 def test_gap_between_starts_follows_share_and_size() -> None:
