--- a/src/ferryledge/leases/tests/faults.py
+++ b/src/ferryledge/leases/tests/faults.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from ferryledge import leases
-from ferryledge.leases.tests import world as worlds
+from ferryledge import loads as worlds
 from ferryledge import outcomes
 from ferryledge import wire
 
--- a/src/ferryledge/leases/tests/test_asks.py
+++ b/src/ferryledge/leases/tests/test_asks.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ferryledge import leases
-from ferryledge.leases.tests import world as worlds
+from ferryledge import loads as worlds
 from ferryledge import wire
 
 _AGENT = "agent-0"
--- a/src/ferryledge/leases/tests/test_cut_off.py
+++ b/src/ferryledge/leases/tests/test_cut_off.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from ferryledge.leases.tests import world as worlds
+from ferryledge import loads as worlds
 from ferryledge import outcomes
 
 #: Seconds from the cut in which an entry can't know of it: agents are asked
--- a/src/ferryledge/leases/tests/test_endpoint_lives.py
+++ b/src/ferryledge/leases/tests/test_endpoint_lives.py
@@ -4,7 +4,7 @@
 import pytest
 
 from ferryledge import leases
-from ferryledge.leases.tests import world as worlds
+from ferryledge import loads as worlds
 from ferryledge import outcomes
 
 _AGENT = "agent-0"
--- a/src/ferryledge/leases/tests/test_full_link.py
+++ b/src/ferryledge/leases/tests/test_full_link.py
@@ -20,7 +20,7 @@
 import pytest
 
 from ferryledge.leases.tests import loads
-from ferryledge.leases.tests import world as worlds
+from ferryledge import loads as worlds
 from ferryledge import outcomes
 
 _LINK_BYTES_PER_S = 250_000.0
--- a/src/ferryledge/leases/tests/test_leases.py
+++ b/src/ferryledge/leases/tests/test_leases.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ferryledge import leases
-from ferryledge.leases.tests import world as worlds
+from ferryledge import loads as worlds
 from ferryledge import outcomes
 from ferryledge import wire
 
--- a/src/ferryledge/leases/tests/test_many_processes.py
+++ b/src/ferryledge/leases/tests/test_many_processes.py
@@ -19,7 +19,7 @@
 import pytest
 
 from ferryledge import leases
-from ferryledge.leases.tests import world as worlds
+from ferryledge import loads as worlds
 from ferryledge import outcomes
 from ferryledge import wire
 
--- a/src/ferryledge/leases/tests/test_matrix.py
+++ b/src/ferryledge/leases/tests/test_matrix.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ferryledge.leases.tests import faults
-from ferryledge.leases.tests import world as worlds
+from ferryledge import loads as worlds
 from ferryledge import outcomes
 
 #: The last one started a task by an order that came after a restart.
--- a/src/ferryledge/leases/tests/test_mutations.py
+++ b/src/ferryledge/leases/tests/test_mutations.py
@@ -18,7 +18,7 @@
 from ferryledge.leases import _stream_watch
 from ferryledge.leases import _timing
 from ferryledge.leases.tests import faults
-from ferryledge.leases.tests import world as worlds
+from ferryledge import loads as worlds
 from ferryledge import outcomes
 from ferryledge import wire
 
--- a/src/ferryledge/leases/tests/test_overload.py
+++ b/src/ferryledge/leases/tests/test_overload.py
@@ -6,23 +6,42 @@
 them were late, and 40 to 53 in time.
 """
 
+import pathlib
+
 import pytest
 
-from ferryledge.leases.tests import loads
+import ferryledge
+from ferryledge import loads
+
+FILES = pathlib.Path(ferryledge.__file__).parents[2] / "bench" / "loads"
+LATE = loads.Became.LATE
+IN_TIME = loads.Became.IN_TIME
+
+
+def read(name: str) -> loads.Load:
+    return loads.read(FILES / f"{name}.toml")
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_what_is_begun_ends_in_time(seed: int) -> None:
-    played = loads.play_mix(seed, 1.3)
-    assert played.share("quick", "late") < 0.15
-    assert played.share("quick", "in time") > 0.55
-    assert played.share("plain", "in time") > 0.6
-    assert played.share("long", "in time") > 0.6
-    assert not played.world.violations
+    played = loads.play(read("overload"), seed)
+    assert played.share(LATE, "quick") < 0.15
+    assert played.share(IN_TIME, "quick") > 0.55
+    assert played.share(IN_TIME, "plain") > 0.6
+    assert played.share(IN_TIME, "long") > 0.6
+    assert not played.violations
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_a_pool_that_is_just_full_wastes_little(seed: int) -> None:
-    played = loads.play_mix(seed, 1.0)
-    assert played.share("quick", "late") < 0.1
-    assert played.share("quick", "in time") > 0.72
+    played = loads.play(read("full-pool"), seed)
+    assert played.share(LATE, "quick") < 0.1
+    assert played.share(IN_TIME, "quick") > 0.72
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_begun_jobs_first_is_what_brings_it(seed: int) -> None:
+    rules = loads.without("begun_first")
+    load = read("overload")
+    worth = loads.play(load, seed).worth
+    assert worth - loads.play(load, seed, rules).worth > 0.04
--- a/src/ferryledge/leases/tests/test_own_link.py
+++ b/src/ferryledge/leases/tests/test_own_link.py
@@ -8,7 +8,7 @@
 from ferryledge.leases import _own_link
 from ferryledge.leases import _share
 from ferryledge.leases.tests import loads
-from ferryledge.leases.tests import world as worlds
+from ferryledge import loads as worlds
 from ferryledge import wire
 
 _SIZE = 10_000 - _own_link.PACKET_BYTES
--- a/src/ferryledge/leases/tests/test_silent_orders.py
+++ b/src/ferryledge/leases/tests/test_silent_orders.py
@@ -4,7 +4,7 @@
 
 from ferryledge import leases
 from ferryledge.leases import _answer_times
-from ferryledge.leases.tests import world as worlds
+from ferryledge import loads as worlds
 from ferryledge import outcomes
 
 
--- a/src/ferryledge/leases/tests/test_silent_streams.py
+++ b/src/ferryledge/leases/tests/test_silent_streams.py
@@ -23,7 +23,7 @@
 import pytest
 
 from ferryledge.leases.tests import loads
-from ferryledge.leases.tests import world as worlds
+from ferryledge import loads as worlds
 from ferryledge import outcomes
 
 _SETTLE_S = 3.0
--- /dev/null
+++ b/src/ferryledge/loads/_play.py
@@ -0,0 +1,184 @@
+"""Plays a load in the virtual world."""
+
+import functools
+import math
+import random
+
+from ferryledge import leases
+from ferryledge.loads import _jobs
+from ferryledge.loads import _outcomes
+from ferryledge.loads import _patterns
+from ferryledge.loads import _trouble
+from ferryledge.loads import _world
+from ferryledge import outcomes
+
+#: Seconds before the load, in which processes find each other.
+_SETTLE_S = 3.0
+#: Seconds after it, in which the last jobs end.
+_REST_S = 7.0
+#: Seconds after which a client repeats a job whose entry was lost.
+_REPEAT_S = 1.3
+#: Seconds between looks at how many cores are at work.
+_LOOK_S = 0.02
+_BITS = 8.0
+_MEGA = 1e6
+
+
+def pool_cores(load: _patterns.Load) -> float:
+    """Return the cores of a load's whole pool."""
+    return load.agents * _world.ROOM.cpu_millis / 1000.0
+
+
+def play(
+    load: _patterns.Load, seed: int, rules: leases.EntryRules | None = None
+) -> _outcomes.Results:
+    """Return what becomes of a load's jobs.
+
+    :param load: the load
+    :param seed: of all randomness
+    :param rules: those that entries decide by; none is all
+    """
+    return _Player(load, seed, rules).play()
+
+
+class _Player:
+    def __init__(
+        self, load: _patterns.Load, seed: int, rules: leases.EntryRules | None
+    ) -> None:
+        self._load = load
+        self._rng = random.Random(seed)
+        rate = load.link_mbps * _MEGA / _BITS or math.inf
+        self._world = _world.World(
+            seed, len(load.entries), load.agents, rate, True, rules
+        )
+        self._jobs = _jobs.draw(load, seed, pool_cores(load))
+        #: The tokens of each job's tries.
+        self._tries: dict[str, list[int]] = {}
+        #: The entry of each job's last try, with the life it had then.
+        self._entry_of: dict[str, tuple[str, int]] = {}
+        self._trouble = _trouble.Trouble(self._world)
+        self._looks: list[float] = []
+        self._began_at = 0.0
+
+    def play(self) -> _outcomes.Results:
+        world = self._world
+        world.run(_SETTLE_S)
+        self._began_at = world.now
+        for job in self._jobs:
+            world.at(job.at, functools.partial(self._send, job))
+        for strike in self._load.strikes:
+            world.at(
+                strike.at, functools.partial(self._trouble.strike, strike)
+            )
+        self._look()
+        world.run(self._load.seconds + _REST_S)
+        return _outcomes.Results(
+            tuple(self._end_of(job) for job in self._jobs),
+            sum(self._looks) / len(self._looks),
+            tuple(world.violations),
+        )
+
+    # Clients.
+
+    def _send(self, job: _jobs.Job) -> None:
+        """Hand a job to an entry that takes it, if there is one."""
+        world = self._world
+        taking = [
+            (name, share)
+            for name, share in zip(
+                world.entries, self._load.entries, strict=True
+            )
+            if world.nodes[name].alive and name not in self._trouble.closing
+        ]
+        if taking:
+            name = _pick(taking, job.pick)
+            self._submit(job, name)
+        world.at(_REPEAT_S, functools.partial(self._repeat, job))
+
+    def _submit(self, job: _jobs.Job, name: str) -> None:
+        world = self._world
+        passed_s = world.now - self._began_at - job.at
+        job_class = leases.JobClass(
+            job.kind.name,
+            "desk",
+            job.kind.priority,
+            2,
+            job.kind.stretch,
+            job.kind.target_s,
+        )
+        token = world.submit(
+            name,
+            job.name,
+            job.tasks,
+            job.work_s,
+            job.kind.cpu_millis,
+            job.deadline_s - passed_s,
+            estimate_s=job.guess_s,
+            job_class=job_class,
+        )
+        self._tries.setdefault(job.name, []).append(token)
+        self._entry_of[job.name] = (name, world.nodes[name].life)
+
+    def _repeat(self, job: _jobs.Job) -> None:
+        """Send a job again whose entry is gone without an answer."""
+        world = self._world
+        if self._answer_to(job) is not None:
+            return
+        if world.now - self._began_at > job.at + job.deadline_s - _REPEAT_S:
+            return
+        held = self._entry_of.get(job.name)
+        if held is not None:
+            name, life = held
+            node = world.nodes[name]
+            if node.alive and node.life == life:
+                return
+        self._send(job)
+
+    def _answer_to(self, job: _jobs.Job) -> int | None:
+        """Return the token of the try that was answered."""
+        for token in self._tries.get(job.name, ()):
+            if self._world.outcome(token) is not None:
+                return token
+        return None
+
+    def _end_of(self, job: _jobs.Job) -> _outcomes.Ended:
+        became = _outcomes.Became
+        token = self._answer_to(job)
+        if token is None:
+            return _outcomes.Ended(job, became.FAILED)
+        took_s = self._world.answered_at[token] - self._began_at - job.at
+        match self._world.outcome(token):
+            case outcomes.Complete():
+                in_time = took_s <= job.objective_s
+                how = became.IN_TIME if in_time else became.LATE
+                return _outcomes.Ended(job, how, took_s)
+            case outcomes.Refused():
+                return _outcomes.Ended(job, became.REFUSED, took_s)
+        return _outcomes.Ended(job, became.FAILED, took_s)
+
+    # Cores.
+
+    def _look(self) -> None:
+        """Note how many cores are at work, while the load lasts."""
+        world = self._world
+        taking = [
+            one
+            for one in world.endpoints.values()
+            if one.up and not one.draining
+        ]
+        used = sum(one.used.cpu_millis for one in taking)
+        whole = sum(one.capacity.cpu_millis for one in taking)
+        if whole:
+            self._looks.append(used / whole)
+        if world.now - self._began_at < self._load.seconds:
+            world.at(_LOOK_S, self._look)
+
+
+def _pick(weighed: list[tuple[str, float]], pick: float) -> str:
+    """Return one of some names by its weight and a pick from 0 to 1."""
+    left = pick * sum(weight for _, weight in weighed)
+    for name, weight in weighed:
+        left -= weight
+        if left <= 0.0:
+            return name
+    return weighed[-1][0]
--- a/src/ferryledge/leases/tests/world.py
+++ b/src/ferryledge/loads/_world.py
@@ -70,6 +70,7 @@
     :param link_bytes_per_s: what the link of each entry carries towards
         agents; infinite is without bound
     :param peers: whether entries keep streams to each other
+    :param rules: those that entries decide by; none is all
     """
 
     def __init__(
@@ -79,8 +80,10 @@
         agents: int = 3,
         link_bytes_per_s: float = math.inf,
         peers: bool = False,
+        rules: leases.EntryRules | None = None,
     ) -> None:
         self.now = 0.0
+        self._rules = rules
         self.peers = peers
         self.link_bytes_per_s = link_bytes_per_s
         #: When the link of each entry has sent all that waits for it.
@@ -223,6 +226,7 @@
                 "north",
                 rng,
                 link_bytes_per_s=self.link_bytes_per_s,
+                rules=self._rules,
             )
             self.post(name, leases.ConfigRead(1, b"{}"))
         else:
