--- a/src/ferryledge/leases/_rules.py
+++ b/src/ferryledge/leases/_rules.py
@@ -19,7 +19,7 @@
     #: What can't be in time is refused while that is prompt.
     prompt_refusals: bool = True
     #: Agents hear how urgent the work is that waits for their room.
-    room_words: bool = True
+    urgency_reports: bool = True
     #: Runs on a slow endpoint are started again elsewhere.
     moves: bool = True
     #: Endpoints that were faster lately come first.
--- a/src/ferryledge/leases/_scheduling.py
+++ b/src/ferryledge/leases/_scheduling.py
@@ -109,7 +109,7 @@
             # They wait for the link, not for room: agents need no word.
             self._place_at = self._link.free_at(now)
             return
-        if self._turns.rules.room_words:
+        if self._turns.rules.urgency_reports:
             turn_at = self._turns.first(now, left, self._share.gap_s)
             self._wanted_at = self._wanting.due_at(turn_at)
 
--- a/src/ferryledge/leases/tests/test_overload.py
+++ b/src/ferryledge/leases/tests/test_overload.py
@@ -14,8 +14,8 @@
 from ferryledge import loads
 
 FILES = pathlib.Path(ferryledge.__file__).parents[2] / "bench" / "loads"
-LATE = loads.Became.LATE
-IN_TIME = loads.Became.IN_TIME
+LATE = loads.JobEnd.LATE
+IN_TIME = loads.JobEnd.IN_TIME
 
 
 def read(name: str) -> loads.Load:
@@ -56,11 +56,11 @@
     """
     load = read("lost-answers")
     played = [loads.play(load, seed) for seed in (1, 2, 3)]
-    became = [
-        one.became
+    ends = [
+        one.end
         for results in played
         for one in results.ended
         if 4.0 <= one.job.at < 9.0
     ]
-    assert became.count(IN_TIME) / len(became) > 0.3
+    assert ends.count(IN_TIME) / len(ends) > 0.3
     assert not any(results.violations for results in played)
--- a/src/ferryledge/loads/__init__.py
+++ b/src/ferryledge/loads/__init__.py
@@ -14,7 +14,7 @@
 from ferryledge.loads import _plots
 from ferryledge.loads import _world
 
-Became = _outcomes.Became
+JobEnd = _outcomes.JobEnd
 CALL_S = _world.CALL_S
 HOP_S = _world.HOP_S
 JOB_CLASS = _world.JOB_CLASS
@@ -45,7 +45,7 @@
     "HOP_S",
     "JOB_CLASS",
     "ROOM",
-    "Became",
+    "JobEnd",
     "Kind",
     "Load",
     "LoadError",
--- a/src/ferryledge/loads/__main__.py
+++ b/src/ferryledge/loads/__main__.py
@@ -66,9 +66,9 @@
         "in_time_by_kind": _rounded(played.by_kind()),
         "in_time_by_size": _rounded(played.by_size()),
         "in_time_by_half_second": [round(x, 2) for x in played.by_time()],
-        "late": round(played.share(loads.Became.LATE), 3),
-        "refused": round(played.share(loads.Became.REFUSED), 3),
-        "failed": round(played.share(loads.Became.FAILED), 3),
+        "late": round(played.share(loads.JobEnd.LATE), 3),
+        "refused": round(played.share(loads.JobEnd.REFUSED), 3),
+        "failed": round(played.share(loads.JobEnd.FAILED), 3),
         "refused_within_s": round(played.refusal_s(), 3),
         "cores_at_work": round(played.at_work, 3),
         "cores_wasted": round(played.wasted, 3),
@@ -124,8 +124,8 @@
             mean(one.worth for one in ideal),
             mean(min(one.by_kind().values()) for one in played),
             *(
-                mean(one.share(became) for one in played)
-                for became in list(loads.Became)[1:]
+                mean(one.share(end) for one in played)
+                for end in list(loads.JobEnd)[1:]
             ),
             mean(one.refusal_s() for one in played),
             mean(one.at_work for one in played),
--- a/src/ferryledge/loads/_trouble.py
+++ b/src/ferryledge/loads/_faults.py
@@ -12,8 +12,8 @@
 _BOOT_S = 0.4
 
 
-class Trouble:
-    """Strikes a world.
+class FaultInjector:
+    """Injects faults into a world.
 
     :param world: the world
     """
@@ -23,37 +23,37 @@
         #: Entries that are stopping: clients go to others.
         self.closing: set[str] = set()
 
-    def strike(self, strike: _patterns.Strike) -> None:
-        """Let something go wrong now."""
-        what = _patterns.StrikeKind
-        match strike.what:
+    def inject(self, fault: _patterns.Fault) -> None:
+        """Let a fault happen now."""
+        what = _patterns.FaultKind
+        match fault.what:
             case what.ENDPOINTS_DOWN | what.ENDPOINTS_LEAVE:
-                self._strike_endpoints(strike)
+                self._hit_endpoints(fault)
             case what.ENTRIES_DOWN | what.ENTRIES_STOP:
-                self._strike_entries(strike)
+                self._hit_entries(fault)
             case what.ANSWERS_LOST:
-                self._world.late_orders = strike.share
-                self._world.at(strike.for_s, self._end_loss)
+                self._world.late_orders = fault.share
+                self._world.at(fault.for_s, self._end_loss)
             case what.POWER:
-                self._cut_power(strike.for_s)
+                self._cut_power(fault.for_s)
 
-    def _strike_endpoints(self, strike: _patterns.Strike) -> None:
+    def _hit_endpoints(self, fault: _patterns.Fault) -> None:
         world = self._world
-        for agent in world.agents[: strike.count]:
-            if strike.what is _patterns.StrikeKind.ENDPOINTS_DOWN:
-                world.crash_endpoint(agent, strike.for_s)
+        for agent in world.agents[: fault.count]:
+            if fault.what is _patterns.FaultKind.ENDPOINTS_DOWN:
+                world.crash_endpoint(agent, fault.for_s)
             else:
                 world.endpoints[agent].draining = True
                 world.heartbeat(agent)
 
-    def _strike_entries(self, strike: _patterns.Strike) -> None:
+    def _hit_entries(self, fault: _patterns.Fault) -> None:
         world = self._world
-        for number, entry in enumerate(world.entries[: strike.count]):
-            if strike.what is _patterns.StrikeKind.ENTRIES_DOWN:
-                world.kill(entry, strike.for_s)
+        for number, entry in enumerate(world.entries[: fault.count]):
+            if fault.what is _patterns.FaultKind.ENTRIES_DOWN:
+                world.kill(entry, fault.for_s)
             else:
                 stop = functools.partial(self._drain, entry)
-                world.at(number * strike.for_s, stop)
+                world.at(number * fault.for_s, stop)
 
     def _drain(self, entry: str) -> None:
         """Stop an entry as planned."""
--- a/src/ferryledge/loads/_ideal.py
+++ b/src/ferryledge/loads/_ideal.py
@@ -37,13 +37,13 @@
             job = jobs[number]
             room = job.tasks * job.kind.cpu_millis / 1000.0
             if now > latest:
-                refused = _outcomes.Became.REFUSED
+                refused = _outcomes.JobEnd.REFUSED
                 ended.append(_outcomes.Ended(job, refused, now - job.at))
             elif room <= free:
                 free -= room
                 heapq.heappush(running, (now + job.work_s, room))
                 took_s = now + job.work_s - job.at
-                in_time = _outcomes.Became.IN_TIME
+                in_time = _outcomes.JobEnd.IN_TIME
                 ended.append(_outcomes.Ended(job, in_time, took_s))
             else:
                 break
--- a/src/ferryledge/loads/_outcomes.py
+++ b/src/ferryledge/loads/_outcomes.py
@@ -11,7 +11,7 @@
 ROW_S = 0.5
 
 
-class Became(enum.StrEnum):
+class JobEnd(enum.StrEnum):
     """How a job ended for its client."""
 
     IN_TIME = "in time"
@@ -22,10 +22,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ended:
-    """A job with what became of it."""
+    """A job with how it ended."""
 
     job: _jobs.Job
-    became: Became
+    end: JobEnd
     #: Seconds from its sending to its answer; none if there was none.
     took_s: float | None = None
 
@@ -49,29 +49,30 @@
 
     @property
     def wasted(self) -> float:
-        """Core-seconds of late and failed jobs, of those of all answered."""
-        spent = sum(one.job.core_s for one in self.ended if one.took_s)
-        good = sum(one.job.core_s for one in self._in_time())
-        refused = sum(
+        """Share of the work of late and failed jobs in that of all begun.
+
+        A job without an answer counts as not begun.
+        """
+        spent = sum(
             one.job.core_s
             for one in self.ended
-            if one.became is Became.REFUSED and one.took_s
+            if one.end is not JobEnd.REFUSED and one.took_s is not None
         )
-        spent -= refused
+        good = sum(one.job.core_s for one in self._in_time())
         return 1.0 - good / spent if spent else 0.0
 
-    def share(self, became: Became, kind: str = "") -> float:
-        """Return the share of a kind's jobs that became that.
+    def share(self, end: JobEnd, kind: str = "") -> float:
+        """Return the share of a kind's jobs that ended so.
 
-        :param became: what they became
+        :param end: how they ended
         :param kind: its name; empty is all kinds
         """
-        return _share(self._of(kind), became)
+        return _share(self._of(kind), end)
 
     def by_kind(self) -> dict[str, float]:
         """Return the share in time of each kind."""
         names = dict.fromkeys(one.job.kind.name for one in self.ended)
-        return {name: self.share(Became.IN_TIME, name) for name in names}
+        return {name: self.share(JobEnd.IN_TIME, name) for name in names}
 
     def by_size(self) -> dict[str, float]:
         """Return the share in time of the largest jobs, and of smaller ones.
@@ -83,7 +84,7 @@
             ranked = sorted(self._of(name), key=lambda one: -one.job.core_s)
             for place, one in enumerate(ranked):
                 groups[_size_of(place / len(ranked))].append(one)
-        return {name: _share(groups[name], Became.IN_TIME) for name in _SIZES}
+        return {name: _share(groups[name], JobEnd.IN_TIME) for name in _SIZES}
 
     def by_time(self) -> list[float]:
         """Return the share in time of the jobs of each row of time."""
@@ -91,7 +92,7 @@
         for one in self.ended:
             rows[int(one.job.at / ROW_S)].append(one)
         return [
-            _share(rows[number], Became.IN_TIME)
+            _share(rows[number], JobEnd.IN_TIME)
             for number in range(max(rows, default=-1) + 1)
         ]
 
@@ -100,7 +101,7 @@
         waits = sorted(
             one.took_s
             for one in self.ended
-            if one.became is Became.REFUSED and one.took_s is not None
+            if one.end is JobEnd.REFUSED and one.took_s is not None
         )
         return waits[int(share * (len(waits) - 1))] if waits else 0.0
 
@@ -108,7 +109,7 @@
         return [one for one in self.ended if kind in ("", one.job.kind.name)]
 
     def _in_time(self) -> list[Ended]:
-        return [one for one in self.ended if one.became is Became.IN_TIME]
+        return [one for one in self.ended if one.end is JobEnd.IN_TIME]
 
 
 _SIZES = ("largest tenth", "fifth below", "others")
@@ -125,7 +126,7 @@
     return one.job.kind.worth * _jobs.mean_core_s(one.job.kind)
 
 
-def _share(ended: abc.Sequence[Ended], became: Became) -> float:
+def _share(ended: abc.Sequence[Ended], end: JobEnd) -> float:
     if not ended:
         return 1.0
-    return sum(one.became is became for one in ended) / len(ended)
+    return sum(one.end is end for one in ended) / len(ended)
--- a/src/ferryledge/loads/_patterns.py
+++ b/src/ferryledge/loads/_patterns.py
@@ -49,7 +49,7 @@
     kinds: dict[str, Share] = dataclasses.field(default_factory=dict)
 
 
-class StrikeKind(enum.StrEnum):
+class FaultKind(enum.StrEnum):
     """What goes wrong."""
 
     #: Endpoints are gone, and come back.
@@ -67,13 +67,13 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Strike:
+class Fault:
     """Something that goes wrong."""
 
     #: Seconds from the start of the load.
     at: Seconds
-    what: StrikeKind
-    #: How many it strikes.
+    what: FaultKind
+    #: How many it hits.
     count: Count = 1
     #: Seconds that it lasts, or between two of a series.
     for_s: Seconds = 1.0
@@ -91,7 +91,7 @@
     seconds: Positive
     kinds: tuple[Kind, ...]
     phases: tuple[Phase, ...]
-    strikes: tuple[Strike, ...] = ()
+    faults: tuple[Fault, ...] = ()
     #: Share of the clients of each entry.
     entries: tuple[Share, ...] = (0.46, 0.33, 0.21)
     agents: Count = 6
--- a/src/ferryledge/loads/_play.py
+++ b/src/ferryledge/loads/_play.py
@@ -2,13 +2,12 @@
 
 import functools
 import math
-import random
 
 from ferryledge import leases
+from ferryledge.loads import _faults
 from ferryledge.loads import _jobs
 from ferryledge.loads import _outcomes
 from ferryledge.loads import _patterns
-from ferryledge.loads import _trouble
 from ferryledge.loads import _world
 from ferryledge import outcomes
 
@@ -18,6 +17,8 @@
 _REST_S = 7.0
 #: Seconds after which a client repeats a job whose entry was lost.
 _REPEAT_S = 1.3
+#: Runs of a task that may end as failed before its job fails.
+_ATTEMPTS = 2
 #: Seconds between looks at how many cores are at work.
 _LOOK_S = 0.02
 _BITS = 8.0
@@ -46,7 +47,6 @@
         self, load: _patterns.Load, seed: int, rules: leases.EntryRules | None
     ) -> None:
         self._load = load
-        self._rng = random.Random(seed)
         rate = load.link_mbps * _MEGA / _BITS or math.inf
         self._world = _world.World(
             seed, len(load.entries), load.agents, rate, True, rules
@@ -56,7 +56,7 @@
         self._tries: dict[str, list[int]] = {}
         #: The entry of each job's last try, with the life it had then.
         self._entry_of: dict[str, tuple[str, int]] = {}
-        self._trouble = _trouble.Trouble(self._world)
+        self._faults = _faults.FaultInjector(self._world)
         self._looks: list[float] = []
         self._began_at = 0.0
 
@@ -66,10 +66,8 @@
         self._began_at = world.now
         for job in self._jobs:
             world.at(job.at, functools.partial(self._send, job))
-        for strike in self._load.strikes:
-            world.at(
-                strike.at, functools.partial(self._trouble.strike, strike)
-            )
+        for fault in self._load.faults:
+            world.at(fault.at, functools.partial(self._faults.inject, fault))
         self._look()
         world.run(self._load.seconds + _REST_S)
         return _outcomes.Results(
@@ -88,7 +86,7 @@
             for name, share in zip(
                 world.entries, self._load.entries, strict=True
             )
-            if world.nodes[name].alive and name not in self._trouble.closing
+            if world.nodes[name].alive and name not in self._faults.closing
         ]
         if taking:
             name = _pick(taking, job.pick)
@@ -102,7 +100,7 @@
             job.kind.name,
             "desk",
             job.kind.priority,
-            2,
+            _ATTEMPTS,
             job.kind.stretch,
             job.kind.target_s,
         )
@@ -126,13 +124,18 @@
             return
         if world.now - self._began_at > job.at + job.deadline_s - _REPEAT_S:
             return
-        held = self._entry_of.get(job.name)
-        if held is not None:
-            name, life = held
-            node = world.nodes[name]
-            if node.alive and node.life == life:
-                return
-        self._send(job)
+        if self._is_held(job):
+            world.at(_REPEAT_S, functools.partial(self._repeat, job))
+        else:
+            self._send(job)
+
+    def _is_held(self, job: _jobs.Job) -> bool:
+        """Return whether the entry of a job's last try still runs."""
+        if job.name not in self._entry_of:
+            return False
+        name, life = self._entry_of[job.name]
+        node = self._world.nodes[name]
+        return node.alive and node.life == life
 
     def _answer_to(self, job: _jobs.Job) -> int | None:
         """Return the token of the try that was answered."""
@@ -142,19 +145,19 @@
         return None
 
     def _end_of(self, job: _jobs.Job) -> _outcomes.Ended:
-        became = _outcomes.Became
+        end = _outcomes.JobEnd
         token = self._answer_to(job)
         if token is None:
-            return _outcomes.Ended(job, became.FAILED)
+            return _outcomes.Ended(job, end.FAILED)
         took_s = self._world.answered_at[token] - self._began_at - job.at
         match self._world.outcome(token):
             case outcomes.Complete():
                 in_time = took_s <= job.objective_s
-                how = became.IN_TIME if in_time else became.LATE
+                how = end.IN_TIME if in_time else end.LATE
                 return _outcomes.Ended(job, how, took_s)
             case outcomes.Refused():
-                return _outcomes.Ended(job, became.REFUSED, took_s)
-        return _outcomes.Ended(job, became.FAILED, took_s)
+                return _outcomes.Ended(job, end.REFUSED, took_s)
+        return _outcomes.Ended(job, end.FAILED, took_s)
 
     # Cores.
 
--- a/src/ferryledge/loads/tests/test_loads.py
+++ b/src/ferryledge/loads/tests/test_loads.py
@@ -51,8 +51,8 @@
         (HEAD + PHASE + "kinds = { slow = 2.0 }\n" + KIND, "no kind 'slow'"),
         (HEAD + PHASE + KIND.replace("1.0", "0.0"), "a weight above 0"),
         (
-            HEAD + PHASE + '[[strikes]]\nat = 1.0\nwhat = "rain"\n' + KIND,
-            "strikes.0.what",
+            HEAD + PHASE + '[[faults]]\nat = 1.0\nwhat = "rain"\n' + KIND,
+            "faults.0.what",
         ),
     ],
 )
@@ -90,20 +90,20 @@
     # The slack is 0.18 s, and the pool has room for one of them.
     jobs = [make_job(0.0), make_job(0.1), make_job(0.11)]
     served = _ideal.serve(jobs, 10.0)
-    became = [one.became for one in served.ended]
-    assert became.count(loads.Became.IN_TIME) == 2
-    assert became.count(loads.Became.REFUSED) == 1
+    end = [one.end for one in served.ended]
+    assert end.count(loads.JobEnd.IN_TIME) == 2
+    assert end.count(loads.JobEnd.REFUSED) == 1
 
 
 def test_results_count_worth_and_waste() -> None:
-    became = loads.Became
+    end = loads.JobEnd
     job = make_job(0.0)
     results = loads.Results(
         (
-            _outcomes.Ended(job, became.IN_TIME, 0.2),
-            _outcomes.Ended(job, became.LATE, 0.9),
-            _outcomes.Ended(job, became.REFUSED, 0.05),
-            _outcomes.Ended(job, became.FAILED),
+            _outcomes.Ended(job, end.IN_TIME, 0.2),
+            _outcomes.Ended(job, end.LATE, 0.9),
+            _outcomes.Ended(job, end.REFUSED, 0.05),
+            _outcomes.Ended(job, end.FAILED),
         )
     )
     assert results.worth == 0.25
--- a/src/ferryledge/net/_http.py
+++ b/src/ferryledge/net/_http.py
@@ -131,10 +131,10 @@
             self._answer.set_exception(error)
 
 
-class _Place:
-    """A call's place among those that go on at once; given back once.
+class _Permit:
+    """Lets a call be one of those that go on at once; given back once.
 
-    :param limiter: counts the places
+    :param limiter: counts the permits
     """
 
     def __init__(self, limiter: anyio.CapacityLimiter) -> None:
@@ -143,7 +143,7 @@
         self._held = False
 
     async def take(self, most_s: float | None) -> None:
-        """Wait for a place.
+        """Wait for a permit.
 
         :param most_s: seconds after which it goes to the next call all the
             same; none is never
@@ -176,7 +176,7 @@
         connections that rest. They may be as silent, and each would cost a
         call's whole time; for calls of milliseconds that is cheaper than new
         connections.
-    :param place_s: seconds after which a call without an answer no longer
+    :param permit_s: seconds after which a call without an answer no longer
         counts among the most connections; none is never
     """
 
@@ -185,7 +185,7 @@
         url: str,
         connections: int,
         replace_idle: bool = False,
-        place_s: float | None = None,
+        permit_s: float | None = None,
     ) -> None:
         parts = parse.urlsplit(url)
         self._host = parts.hostname or ""
@@ -196,7 +196,7 @@
         self._idle: list[_Connection] = []
         self._replace_idle = replace_idle
         self._most_idle = connections
-        self._place_s = place_s
+        self._permit_s = permit_s
 
     async def close(self) -> None:
         """Close all connections that are not in use."""
@@ -226,12 +226,12 @@
             connection broke
         """
         request = self._head(method, path, content, headers) + content
-        place = _Place(self._limiter)
-        await place.take(self._place_s)
+        permit = _Permit(self._limiter)
+        await permit.take(self._permit_s)
         try:
             return await self._exchange(request, connect_s, answer_s)
         finally:
-            place.give_back()
+            permit.give_back()
 
     async def _exchange(
         self, request: bytes, connect_s: float, answer_s: float | None
--- a/src/ferryledge/net/tests/test_http.py
+++ b/src/ferryledge/net/tests/test_http.py
@@ -54,7 +54,7 @@
 
 
 def _run(
-    use: Use, replace_idle: bool = False, place_s: float | None = None
+    use: Use, replace_idle: bool = False, permit_s: float | None = None
 ) -> _Origin:
     origin = _Origin()
 
@@ -64,7 +64,7 @@
         async with listener, anyio.create_task_group() as group:
             group.start_soon(listener.serve, origin.serve)
             url = f"http://127.0.0.1:{port}"
-            caller = net.HttpCaller(url, 2, replace_idle, place_s)
+            caller = net.HttpCaller(url, 2, replace_idle, permit_s)
             await use(caller, origin)
             await caller.close()
             group.cancel_scope.cancel()
@@ -181,7 +181,7 @@
             assert answered.status == 200
             group.cancel_scope.cancel()
 
-    assert _run(use, place_s=0.005).connections == 5
+    assert _run(use, permit_s=0.005).connections == 5
 
 
 def test_no_more_connections_rest_than_may_be_busy() -> None:
@@ -191,7 +191,7 @@
                 for _ in range(6):
                     group.start_soon(caller.call, "GET", "/")
 
-    assert _run(use, place_s=10.0).connections == 2
+    assert _run(use, permit_s=10.0).connections == 2
 
 
 def test_headers_replace_the_usual_ones() -> None:
--- a/src/ferryledge/platform/_endpoint.py
+++ b/src/ferryledge/platform/_endpoint.py
@@ -13,7 +13,7 @@
 _ORDER_CONNECTIONS = 3
 #: Seconds after which an order that is still without an answer keeps no other
 #: waiting: with every second one lost, three connections carried 75 a second.
-_ORDER_PLACE_S = 0.005
+_ORDER_PERMIT_S = 0.005
 _CONNECT_S = 0.2
 
 _HOW = {
@@ -91,7 +91,7 @@
     def __init__(self, address: str) -> None:
         url = f"http://{address}"
         self._orders = net.HttpCaller(
-            url, _ORDER_CONNECTIONS, place_s=_ORDER_PLACE_S
+            url, _ORDER_CONNECTIONS, permit_s=_ORDER_PERMIT_S
         )
         self._renewals = net.HttpCaller(url, 1)
 
