Keep the earlier names of the configuration once

Cause: the log's records and operators' files each held the same two names.

Ruled out: reading files through the records' models alone: their errors name neither the place in the file nor what is known.

Change: the command line takes them from configlog.

Conclusion: behaviour is unchanged.

--- a/src/ferryledge/cli/_file.py
+++ b/src/ferryledge/cli/_file.py
@@ -11,9 +11,6 @@
 from ferryledge import configlog
 from ferryledge import policy
 
-#: Earlier names, which files may go on using.
-_EARLIER_KINDS = {"team": "workspace"}
-_EARLIER_SETTINGS = {"halls": "zones"}
 _KINDS: dict[str, type[configlog.Entity]] = {
     "service": configlog.Service,
     "place": configlog.Place,
@@ -31,7 +28,7 @@
     model = _KINDS[kind]
     fields = {field.name for field in dataclasses.fields(model)} - {"kind"}
     for name in table:
-        if _EARLIER_SETTINGS.get(name, name) not in fields:
+        if configlog.EARLIER_SETTINGS.get(name, name) not in fields:
             known = ", ".join(sorted(fields))
             raise _options.InputError(
                 f"{where}: no setting {name!r}; known: {known}"
@@ -60,7 +57,7 @@
         raise _options.InputError(f"{path}: {exc}") from exc
     entities = []
     for written, tables in document.items():
-        kind = _EARLIER_KINDS.get(written, written)
+        kind = configlog.EARLIER_KINDS.get(written, written)
         if kind not in _KINDS or not isinstance(tables, list):
             known = ", ".join(f"[[{name}]]" for name in _KINDS)
             raise _options.InputError(
--- a/src/ferryledge/configlog/__init__.py
+++ b/src/ferryledge/configlog/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from ferryledge.configlog import _diff
+from ferryledge.configlog import _earlier
 from ferryledge.configlog import _entities
 from ferryledge.configlog import _fold
 from ferryledge.configlog import _follower
@@ -15,6 +16,8 @@
 Change = _entities.Change
 Checkpoint = _entities.Checkpoint
 CheckpointPolicy = _follower.CheckpointPolicy
+EARLIER_KINDS = _earlier.KINDS
+EARLIER_SETTINGS = _earlier.SETTINGS
 FORMAT = _entities.FORMAT
 EMPTY = _entities.EMPTY
 Entity = _entities.Entity
@@ -41,6 +44,8 @@
 fold = _fold.fold
 
 __all__ = [
+    "EARLIER_KINDS",
+    "EARLIER_SETTINGS",
     "EMPTY",
     "FORMAT",
     "Accepted",
--- a/src/ferryledge/configlog/_earlier.py
+++ b/src/ferryledge/configlog/_earlier.py
@@ -1,4 +1,4 @@
-"""Earlier names of the configuration, which the log's records keep.
+"""Earlier names, which operators' files may use and records keep.
 
 Processes of two versions read one log while they are replaced, so the
 records are read under both names and written under the earlier ones.
