End what a test cluster started when its start fails

Cause: the test of a daemon that ends left its stand-in running, one a run.

Ruled out: ending it in that test alone; any failed start would leave some.

Change: the cluster stops all it started, and raises on.

--- a/src/ferryledge/tests/cluster.py
+++ b/src/ferryledge/tests/cluster.py
@@ -94,7 +94,11 @@
         for number in range(entries):
             self.start_entry(number)
         self.list_vms()
-        self.until_ready()
+        try:
+            self.until_ready()
+        except AssertionError:
+            self.stop()
+            raise
 
     @property
     def entries(self):
