--- a/src/ferryledge/configlog/_earlier.py
+++ b/src/ferryledge/configlog/_earlier.py
@@ -8,8 +8,10 @@
 
 #: Earlier kinds of entities, and what they are called now.
 KINDS = {"team": "workspace"}
+#: The availability zones of a place, now and earlier.
+_ZONES, _EARLIER_ZONES = "zones", "halls"
 #: Earlier settings of entities, and what they are called now.
-SETTINGS = {"halls": "zones"}
+SETTINGS = {_EARLIER_ZONES: _ZONES}
 _KIND_IN_RECORDS = {now: earlier for earlier, now in KINDS.items()}
 
 
@@ -28,6 +30,6 @@
 )
 #: How a record holds the availability zones of a place.
 ZONES = pydantic.Field(
-    validation_alias=pydantic.AliasChoices("zones", "halls"),
-    serialization_alias="halls",
+    validation_alias=pydantic.AliasChoices(_ZONES, _EARLIER_ZONES),
+    serialization_alias=_EARLIER_ZONES,
 )
--- a/src/ferryledge/leases/_scheduling.py
+++ b/src/ferryledge/leases/_scheduling.py
@@ -90,7 +90,7 @@
         """Return the core-seconds that begun jobs wait for, by service."""
         work: dict[str, float] = {}
         for job in self._jobs.waiting:
-            if job.offered_at is not None:
+            if job.has_begun:
                 service = job.request.job_class.service
                 work[service] = work.get(service, 0.0) + job.waiting_work()
         return work
--- a/src/ferryledge/loads/__main__.py
+++ b/src/ferryledge/loads/__main__.py
@@ -9,6 +9,11 @@
 
 from ferryledge import loads
 
+_NOT_IN_TIME = (
+    loads.JobEnd.LATE,
+    loads.JobEnd.REFUSED,
+    loads.JobEnd.FAILED,
+)
 _File = click.Path(dir_okay=False, path_type=pathlib.Path)
 
 
@@ -123,10 +128,7 @@
             mean(one.worth for one in played),
             mean(one.worth for one in ideal),
             mean(min(one.by_kind().values()) for one in played),
-            *(
-                mean(one.share(end) for one in played)
-                for end in list(loads.JobEnd)[1:]
-            ),
+            *(mean(one.share(end) for one in played) for end in _NOT_IN_TIME),
             mean(one.refusal_s() for one in played),
             mean(one.at_work for one in played),
             mean(one.wasted for one in played),
--- a/src/ferryledge/loads/_outcomes.py
+++ b/src/ferryledge/loads/_outcomes.py
@@ -71,8 +71,9 @@
 
     def by_kind(self) -> dict[str, float]:
         """Return the share in time of each kind."""
-        names = dict.fromkeys(one.job.kind.name for one in self.ended)
-        return {name: self.share(JobEnd.IN_TIME, name) for name in names}
+        return {
+            name: self.share(JobEnd.IN_TIME, name) for name in self._kinds()
+        }
 
     def by_size(self) -> dict[str, float]:
         """Return the share in time of the largest jobs, and of smaller ones.
@@ -80,7 +81,7 @@
         A size counts against those of its own kind.
         """
         groups = collections.defaultdict[str, list[Ended]](list)
-        for name in dict.fromkeys(one.job.kind.name for one in self.ended):
+        for name in self._kinds():
             ranked = sorted(self._of(name), key=lambda one: -one.job.core_s)
             for place, one in enumerate(ranked):
                 groups[_size_of(place / len(ranked))].append(one)
@@ -105,6 +106,10 @@
         )
         return waits[int(share * (len(waits) - 1))] if waits else 0.0
 
+    def _kinds(self) -> list[str]:
+        """Return the names of the kinds, in the order of their first jobs."""
+        return list(dict.fromkeys(one.job.kind.name for one in self.ended))
+
     def _of(self, kind: str) -> list[Ended]:
         return [one for one in self.ended if kind in ("", one.job.kind.name)]
 
--- a/src/ferryledge/loads/tests/test_loads.py
+++ b/src/ferryledge/loads/tests/test_loads.py
@@ -1,5 +1,6 @@
 """Loads are the same for the same seed, and files are checked."""
 
+import operator
 import pathlib
 
 from click import testing
@@ -31,7 +32,9 @@
     return loads.read(path)
 
 
-@pytest.mark.parametrize("path", sorted(FILES.glob("*.toml")), ids=str)
+@pytest.mark.parametrize(
+    "path", sorted(FILES.glob("*.toml")), ids=operator.attrgetter("stem")
+)
 def test_each_file_holds_a_load(path: pathlib.Path) -> None:
     load = loads.read(path)
     assert load.name == path.stem
--- a/src/ferryledge/platform/_endpoint.py
+++ b/src/ferryledge/platform/_endpoint.py
@@ -12,7 +12,7 @@
 #: Connections for orders; each new one is priced, so few are kept.
 _ORDER_CONNECTIONS = 3
 #: Seconds after which an order that is still without an answer keeps no other
-#: waiting: with every second one lost, three connections carried 75 a second.
+#: waiting: longer than answers take, shorter than a lost one is waited for.
 _ORDER_PERMIT_S = 0.005
 _CONNECT_S = 0.2
 
--- a/src/ferryledge/soak/_run.py
+++ b/src/ferryledge/soak/_run.py
@@ -295,13 +295,12 @@
         kind, _, role = fault.kind.value.partition("_")
         programs = self.entries if role == "entry" else self.agents
         program = programs[fault.pick % len(programs)]
+        lives = program.lives
         match kind:
             case "kill":
-                lives = program.lives
                 program.signal(signal.SIGKILL)
                 await self._watch_successor(fault, program, lives)
             case "stop":
-                lives = program.lives
                 await program.stop()
                 await self._watch_successor(fault, program, lives)
             case "pause":
