Start nothing in an availability zone that operators have cordoned

Cause: nothing read the operators' records of zones that are to be emptied.

Ruled out: each agent following the store by itself (65 agents with a call a second are dearer than all calls of today); a cordon within the configuration (another record, which may come at another time); the time of arrival or a counter of our own as its version: a state read from a store that is behind, or held up on a stream, would win. The end of the log up to which it was read orders all states, whoever tells them.

Change: an entry reads cordons with the configuration, before it, and hands them on to entries and agents. It orders nothing there, counts the zone's room as gone at once, refuses what runs nowhere else, and refuses at once while all zones are cordoned. The agent that would start a task decides as well, by the newest word, and corrects an entry that is behind. What runs ends in peace. A list of records that comes in pages is read on from the first page's end: what was written between two pages was missed before.

Rolling upgrades are safe: only processes that say in their greeting that they take this message are sent it.

--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -115,7 +115,9 @@
             self._dialler.dial_seeds(group, hosts, settings.stream_port)
             group.start_soon(_members.register, self._store, own)
             group.start_soon(_members.follow, self._store, self._on_entries)
-            follower = _config.ConfigFollower(self._store, self._on_config)
+            follower = _config.OperatorFollower(
+                self._store, self._on_config, self._on_cordons
+            )
             group.start_soon(follower.run)
             loguru.logger.info("entry ready", step="join")
             await drain.wait()
@@ -218,6 +220,9 @@
             return
         self._driver.post(leases.ConfigRead(version, data))
 
+    def _on_cordons(self, cordons: wire.CordonedZones) -> None:
+        self._driver.post(leases.CordonsRead(cordons))
+
     # HTTP.
 
     async def _handle(self, request: net.Request) -> net.HttpResponse:
--- /dev/null
+++ b/src/ferryledge/hosted/tests/test_operators.py
@@ -0,0 +1,77 @@
+"""What operators write reaches an entry, also while the store fails."""
+
+import anyio
+import pytest
+
+from ferryledge.hosted import _config
+from ferryledge import net
+from ferryledge import platform
+from ferryledge.platform import standin
+from ferryledge import wire
+
+_TOPIC = platform.CONFIG_TOPIC
+
+
+class _Heard:
+    """What a follower told, in its order."""
+
+    def __init__(self) -> None:
+        self.told: list[wire.CordonedZones | bytes] = []
+
+    @property
+    def zones(self) -> tuple[str, ...] | None:
+        """The zones that are cordoned by the last word."""
+        states = [
+            one for one in self.told if isinstance(one, wire.CordonedZones)
+        ]
+        return states[-1].zones if states else None
+
+
+async def _until(heard: _Heard, zones: tuple[str, ...]) -> None:
+    with anyio.fail_after(10.0):
+        while heard.zones != zones:
+            await anyio.sleep(0.01)
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+@pytest.mark.anyio
+async def test_cordons_are_followed() -> None:
+    store = standin.StoreServer()
+    store.put(_TOPIC, "config", b"{}")
+    store.put(_TOPIC, "evacuate/hall-a", b"{}")
+    heard = _Heard()
+    async with anyio.create_task_group() as group:
+        port = await group.start(
+            net.serve_http,
+            net.asgi_app(store.handle),
+            "127.0.0.1",
+            0,
+            anyio.Event(),
+        )
+        follower = _config.OperatorFollower(
+            platform.StoreClient(f"127.0.0.1:{port}"),
+            heard.told.append,
+            heard.told.append,
+        )
+        group.start_soon(follower.run)
+        await _until(heard, ("hall-a",))
+        # Nothing may be ordered by a configuration before that.
+        assert heard.told.index(b"{}") > 0
+        # Its value may come from a writer that nobody here knows.
+        store.put(_TOPIC, "evacuate/hall-b", b"\xff not JSON")
+        await _until(heard, ("hall-a", "hall-b"))
+        store.put(_TOPIC, "evacuate/hall-a", b"")
+        await _until(heard, ("hall-b",))
+        store.put(_TOPIC, "evacuate/hall-b", b"")
+        await _until(heard, ())
+        group.cancel_scope.cancel()
+    versions = [
+        one.version
+        for one in heard.told
+        if isinstance(one, wire.CordonedZones)
+    ]
+    assert versions == sorted(set(versions))
--- a/src/ferryledge/leases/__init__.py
+++ b/src/ferryledge/leases/__init__.py
@@ -30,6 +30,7 @@
     ClientLeft = _entry_events.ClientLeft
     CloseStream = _agent_events.CloseStream
     ConfigRead = _entry_events.ConfigRead
+    CordonsRead = _entry_events.CordonsRead
     DialEntries = _agent_events.DialEntries
     EndpointLeft = _agent_events.EndpointLeft
     EndpointRecalled = _agent_events.EndpointRecalled
@@ -108,6 +109,7 @@
                 "ApplyConfig",
                 "ClientLeft",
                 "ConfigRead",
+                "CordonsRead",
                 "EntryAction",
                 "EntryDrain",
                 "EntryEvent",
@@ -145,6 +147,7 @@
     "ClientLeft",
     "CloseStream",
     "ConfigRead",
+    "CordonsRead",
     "DialEntries",
     "EndpointLeft",
     "EndpointRecalled",
--- a/src/ferryledge/leases/_acceptance.py
+++ b/src/ferryledge/leases/_acceptance.py
@@ -1,5 +1,6 @@
 """Whether an agent takes new runs, and how much room it has for them."""
 
+from ferryledge.leases import _cordons
 from ferryledge.leases import _endpoint
 from ferryledge.leases import _owners
 from ferryledge.leases import _runs
@@ -17,6 +18,8 @@
     :param link: the link to the endpoint
     :param runs: what the endpoint holds
     :param owners: the entries
+    :param cordons: the availability zones that take no new work
+    :param zone: its own
     """
 
     def __init__(
@@ -24,10 +27,14 @@
         link: _endpoint.EndpointLink,
         runs: _runs.RunTable,
         owners: _owners.OwnerTable,
+        cordons: _cordons.Cordons,
+        zone: str,
     ) -> None:
         self._link = link
         self._runs = runs
         self._owners = owners
+        self._cordons = cordons
+        self._zone = zone
         self._drain_until = _NEVER
 
     @property
@@ -58,6 +65,9 @@
             return wire.NotStarted.LEAVING
         if order.endpoint != self._link.incarnation:
             return wire.NotStarted.ENDPOINT
+        if self._cordons.covers(self._zone):
+            # Its entry may be cut off from all that could tell it.
+            return wire.NotStarted.CORDONED
         if not self.is_open(now):
             return wire.NotStarted.LEAVING
         if not self._owners.has_grant(owner, now):
@@ -69,6 +79,8 @@
         seen = self._link.seen
         if seen is None or seen.draining or self._time_left(now) <= 0.0:
             return False
+        if self._cordons.covers(self._zone):
+            return False
         if not self._link.synced or not self._link.is_fresh(now):
             return False
         if self._link.is_down:
--- a/src/ferryledge/leases/_admission.py
+++ b/src/ferryledge/leases/_admission.py
@@ -69,6 +69,11 @@
             return self._refuse(
                 outcomes.Reason.DRAINING, "this entry ends before the job"
             )
+        if self._pool.all_cordoned and not hope:
+            return self._refuse(
+                outcomes.Reason.CAPACITY,
+                "every availability zone in reach is cordoned",
+            )
         service = job.request.job_class.service
         if hope or not self._pool.capacity_cores(now, service):
             return None
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -10,6 +10,7 @@
 from ferryledge.leases import _agent_notes
 from ferryledge.leases import _answer_times
 from ferryledge.leases import _asking
+from ferryledge.leases import _cordons
 from ferryledge.leases import _dealing
 from ferryledge.leases import _endpoint
 from ferryledge.leases import _endpoint_watch
@@ -57,8 +58,9 @@
         self._owners = _owners.OwnerTable(self._timing, name)
         self._dealing = _dealing.Dealing(name)
         self._actions: list[_agent_events.AgentAction] = []
+        self._cordons = _cordons.Cordons()
         self._acceptance = _acceptance.Acceptance(
-            self._link, self._runs, self._owners
+            self._link, self._runs, self._owners, self._cordons, zone
         )
         self._answer_times = _answer_times.AnswerTimes(self._timing.order_s)
         self._stopping = _stopping.Stopping(
@@ -127,6 +129,7 @@
             self._zone,
             leaving=self._acceptance.leaving,
             packed_texts=True,
+            cordons=True,
         )
 
     # Driving.
@@ -250,17 +253,28 @@
             case wire.ClaimRuns(runs):
                 self._on_claim(owner, runs)
             case wire.RoomWanted(start_by_s):
-                owner.wanted_by = float("inf")
-                if start_by_s is not None:
-                    owner.wanted_by = now + start_by_s
+                owner.wanted_by = now + (
+                    _NEVER if start_by_s is None else start_by_s
+                )
             case wire.GrantLease(number):
                 self._watch.answered(now, owner, number)
                 self._owners.granted(owner, number)
+            case wire.CordonedZones():
+                self._on_cordons(owner, message)
             case wire.EntryList() | wire.Invite():
                 self._dealing.hear(now, message)
             case _:
                 return
 
+    def _on_cordons(
+        self, owner: _owners.Owner, state: wire.CordonedZones
+    ) -> None:
+        """Take in which zones are cordoned, or correct the entry."""
+        if self._cordons.is_behind(state):
+            self._send(owner, self._cordons.state)
+        if self._cordons.learn(state):
+            self._notes.cordoned(state, self._cordons.covers(self._zone))
+
     def _on_order(
         self, now: float, owner: _owners.Owner, order: wire.OrderRuns
     ) -> None:
--- a/src/ferryledge/leases/_agent_notes.py
+++ b/src/ferryledge/leases/_agent_notes.py
@@ -51,6 +51,20 @@
             entries=[one.name for one in entries],
         )
 
+    def cordoned(self, state: wire.CordonedZones, own: bool) -> None:
+        """Other zones take no new work than before.
+
+        :param state: which
+        :param own: whether this process is in one of them
+        """
+        self.add(
+            outcomes.Step.HEALTH,
+            "cordoned zones changed",
+            zones=list(state.zones),
+            own=own,
+            log_end=state.version,
+        )
+
     def released(
         self,
         now: float,
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -10,6 +10,7 @@
 
 from ferryledge import health
 from ferryledge.leases import _agent_events
+from ferryledge.leases import _cordons
 from ferryledge.leases import _entry_events
 from ferryledge.leases import _entry_notes
 from ferryledge.leases import _job_table
@@ -79,11 +80,12 @@
         self._zone = zone
         self._timing = timing or _timing.LeaseTiming()
         self._link = _own_link.OwnLink(link_bytes_per_s)
-        self._pool = _pool.Pool(self._timing)
+        self._cordons = _cordons.Cordons()
+        self._pool = _pool.Pool(self._timing, self._cordons)
         self._run_times = placement.RunTimes()
         self._judge = health.HealthJudge()
         self._notes = _entry_notes.EntryNotes(meter or _meters.EntryMeter())
-        self._peers = _peers.EntryPeers()
+        self._peers = _peers.EntryPeers(self._cordons)
         self._seeking = _seeking.Seeking(
             name, self._pool, self._peers, self._notes
         )
@@ -177,6 +179,7 @@
             self._zone,
             leaving=self._draining,
             config_version=self._peers.version,
+            cordons=True,
         )
 
     # Driving.
@@ -196,17 +199,25 @@
                 self._client_left(now, token, name)
             case _entry_events.JobCancelled(name):
                 self._cancel(now, name)
-            case _agent_events.EntriesFound(entries):
-                self._peers.learn_entries(entries)
-            case _entry_events.ConfigRead(version, data):
-                self._peers.learn_config(version, data)
             case _entry_events.EntryDrain(until):
                 self._draining = True
                 self._scheduling.admission.close(until)
             case _entry_events.EntryStop():
                 self._answer_all(now)
+            case _:
+                self._learn(event)
         self._tick_by = now
 
+    def _learn(self, event: _entry_events.EntryEvent) -> None:
+        """Take in what the store told."""
+        match event:
+            case _agent_events.EntriesFound(entries):
+                self._peers.learn_entries(entries)
+            case _entry_events.ConfigRead(version, data):
+                self._peers.learn_config(version, data)
+            case _entry_events.CordonsRead(state):
+                self._apply_cordons(self._peers.learn_cordons(state))
+
     def tick(self, now: float) -> list[_entry_events.EntryAction]:
         """Return the actions that are due."""
         self._now = now
@@ -355,10 +366,21 @@
                 self._peers.leave(name)
                 self._pool.leave(name, incarnation)
 
+    def _apply_cordons(self, changed: bool) -> None:
+        """Order nothing in cordoned zones, and again in others."""
+        if not changed:
+            return
+        self._pool.apply_cordons()
+        self._notes.cordoned(self._cordons.state)
+        self._dirty = True
+
     def _on_message(
         self, now: float, peer: str, message: wire.Message
     ) -> None:
         self._peers.heard(now, peer)
+        if isinstance(message, wire.CordonedZones):
+            self._apply_cordons(self._peers.hear_cordons(peer, message))
+            self._tick_by = now
         row = self._pool.find(peer)
         if row is not None:
             row.heard_at = now
--- a/src/ferryledge/leases/_entry_events.py
+++ b/src/ferryledge/leases/_entry_events.py
@@ -34,6 +34,12 @@
     data: bytes
 
 
+class CordonsRead(wire.Event, frozen=True):
+    """The operators' cordons were read; the newest state counts."""
+
+    cordons: wire.CordonedZones
+
+
 class EntryDrain(wire.Event, frozen=True):
     """The entry is to stop: it takes only jobs that end before that."""
 
@@ -52,6 +58,7 @@
     | JobCancelled
     | _agent_events.EntriesFound
     | ConfigRead
+    | CordonsRead
     | EntryDrain
     | EntryStop
 )
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -39,6 +39,15 @@
             config=config,
         )
 
+    def cordoned(self, state: wire.CordonedZones) -> None:
+        """Other zones take no new work than before."""
+        self.add(
+            outcomes.Step.HEALTH,
+            "cordoned zones changed",
+            zones=list(state.zones),
+            log_end=state.version,
+        )
+
     def sought(self, message: wire.SeekAgents, entries: int) -> None:
         """Other entries are asked for agents."""
         self.add(
--- a/src/ferryledge/leases/_peers.py
+++ b/src/ferryledge/leases/_peers.py
@@ -1,8 +1,9 @@
-"""The other entries: their addresses and the newest configuration."""
+"""The other processes, and what they are told of operators' changes."""
 
 import dataclasses
 
 from ferryledge.leases import _agent_events
+from ferryledge.leases import _cordons
 from ferryledge.leases import _entry_events
 from ferryledge import wire
 
@@ -20,17 +21,22 @@
 
     role: wire.Role
     heard_at: float
+    #: Whether it takes word of cordoned zones.
+    cordons: bool = False
     told_at: float = float("-inf")
 
 
 class EntryPeers:
-    """Hands addresses and configurations on between entries and agents.
+    """Hands addresses, configurations and cordons on between processes.
 
     The store may turn this process away while it serves others: what any
     entry reads, all learn.
+
+    :param cordons: the cordoned availability zones
     """
 
-    def __init__(self) -> None:
+    def __init__(self, cordons: _cordons.Cordons) -> None:
+        self._cordons = cordons
         self._entries: dict[str, wire.EntryAddress] = {}
         self._peers: dict[str, _Peer] = {}
         self._version = 0
@@ -54,8 +60,11 @@
 
     def join(self, now: float, hello: wire.Hello) -> None:
         """Tell a new peer what is known."""
-        self._peers[hello.name] = _Peer(hello.role, now)
+        self._peers[hello.name] = _Peer(hello.role, now, hello.cordons)
         self._send(hello.name, self._list())
+        # Before the configuration, which lets an entry take jobs.
+        if self._cordons.state.version:
+            self._tell_cordons(hello.name)
         if self._version and hello.role is wire.Role.ENTRY:
             self._send(hello.name, self._reply())
 
@@ -87,6 +96,30 @@
         for name in self.entry_names():
             self._send(name, self._reply())
 
+    def learn_cordons(self, state: wire.CordonedZones) -> bool:
+        """Take in which zones are cordoned, and hand that on.
+
+        :return: whether other zones are cordoned than before
+        """
+        if not self._cordons.learn(state):
+            return False
+        for name in self._peers:
+            self._tell_cordons(name)
+        return True
+
+    def hear_cordons(self, name: str, state: wire.CordonedZones) -> bool:
+        """Take in what a peer says of cordoned zones, or correct it.
+
+        :return: whether other zones are cordoned than before
+        """
+        if self._cordons.is_behind(state):
+            self._tell_cordons(name)
+        return self.learn_cordons(state)
+
+    def _tell_cordons(self, name: str) -> None:
+        if self._peers[name].cordons:
+            self._send(name, self._cordons.state)
+
     def heard(self, now: float, name: str) -> None:
         """Note that a message came from a peer."""
         peer = self._peers.get(name)
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -223,11 +223,13 @@
 ) -> bool:
     """Return whether some endpoint that is known could run a task.
 
-    An endpoint whose capacity is unknown speaks neither way.
+    An endpoint whose capacity is unknown speaks neither way, and one in a
+    cordoned availability zone takes nothing.
     """
     nothing = wire.Resources()
     return any(
         row.state.service == service
+        and not row.cordoned
         and row.state.capacity != nothing
         and fits(row, step)
         for row in pool
--- a/src/ferryledge/leases/_pool.py
+++ b/src/ferryledge/leases/_pool.py
@@ -3,6 +3,7 @@
 from collections import abc
 import dataclasses
 
+from ferryledge.leases import _cordons
 from ferryledge.leases import _speed
 from ferryledge.leases import _timing
 from ferryledge import wire
@@ -27,6 +28,8 @@
 
     name: str
     incarnation: str
+    #: Its availability zone.
+    zone: str = ""
     connected: bool = True
     leaving: bool = False
     #: Whether it takes packed texts.
@@ -55,6 +58,8 @@
     )
     #: Whether its endpoint takes work by the judge of health.
     healthy: bool = True
+    #: Whether its zone takes no new work.
+    cordoned: bool = False
     #: When a run was last tried on it while it was slow.
     tried_at: float = float("-inf")
 
@@ -82,6 +87,7 @@
             self.connected
             and self.reconciled
             and not self.leaving
+            and not self.cordoned
             and self.healthy
             and self.state.accepting
             and self.is_heard(now)
@@ -97,10 +103,14 @@
     """All agents that an entry knows.
 
     :param timing: the lease rule
+    :param cordons: the availability zones that take no new work
     """
 
-    def __init__(self, timing: _timing.LeaseTiming) -> None:
+    def __init__(
+        self, timing: _timing.LeaseTiming, cordons: _cordons.Cordons
+    ) -> None:
         self._timing = timing
+        self._cordons = cordons
         self._rows: dict[str, AgentRow] = {}
         #: When some agent was usable, last.
         self._usable_at: float | None = None
@@ -124,6 +134,8 @@
             row = AgentRow(hello.name, hello.incarnation)
             self._rows[hello.name] = row
         row.incarnation = hello.incarnation
+        row.zone = hello.zone
+        row.cordoned = self._cordons.covers(hello.zone)
         row.connected = True
         row.leaving = hello.leaving
         row.packed_texts = hello.packed_texts
@@ -194,6 +206,17 @@
         for row in self._rows.values():
             row.heard_at = now
 
+    def apply_cordons(self) -> None:
+        """Take in that other zones are cordoned than before."""
+        for row in self._rows.values():
+            row.cordoned = self._cordons.covers(row.zone)
+
+    @property
+    def all_cordoned(self) -> bool:
+        """Whether no agent that is known may get new work."""
+        rows = self._rows.values()
+        return bool(rows) and all(row.cordoned for row in rows)
+
     def is_usable(self, now: float) -> bool:
         """Return whether some endpoint takes work."""
         return any(row.usable(now) for row in self._rows.values())
@@ -225,6 +248,8 @@
         """
         if self.is_usable(now):
             return now - self._recovered_at < _SETTLE_S
+        if self.all_cordoned:
+            return False
         if self._usable_at is None or self._went_silent:
             return False
         return now - self._usable_at < _HOPE_S
--- a/src/ferryledge/leases/_seeking.py
+++ b/src/ferryledge/leases/_seeking.py
@@ -108,7 +108,8 @@
         if not entries:
             return False, []
         if not self._pool.is_usable(now):
-            return True, []  # Its own agents are still to come.
+            # Its own agents are still to come, or its zones taken back.
+            return not self._pool.all_cordoned, []
         hope = True
         messages: list[_entry_events.SendMessage] = []
         service = job.request.job_class.service
--- a/src/ferryledge/leases/tests/faults.py
+++ b/src/ferryledge/leases/tests/faults.py
@@ -100,7 +100,18 @@
         world.post(agent, event)
 
 
+def _cordon(*zones: str) -> Strike:
+    """Cordon zones for a second."""
+
+    def strike(world: worlds.World) -> None:
+        world.set_cordons(*zones)
+        world.at(1.0, world.set_cordons)
+
+    return strike
+
+
 FAULTS: dict[str, Strike] = {
+    "zone cordoned": _cordon("north"),
     "agents leave an entry": _agent(_leave),
     "agents are invited": _invite,
     "orders lost or late": _lost_orders,
@@ -143,6 +154,27 @@
 }
 
 
+def play_stale_entry() -> worlds.World:
+    """Let an entry order on that can't hear of a cordoned zone.
+
+    It is cut off from the store and from all entries, but not from agents.
+    """
+    world = worlds.World(
+        seed=4, entries=3, agents=4, peers=True, zones=("north", "south")
+    )
+    world.run(3.0)
+    world.storeless.add("entry-0")
+    for other in ("entry-1", "entry-2"):
+        world.cut("entry-0", other, 10.0)
+    world.set_cordons("north")
+    world.run(worlds.CORDON_S)
+    for number in range(12):
+        world.submit("entry-0", f"{number:016x}", count=4, work_s=0.1)
+        world.run(0.1)
+    world.run(3.0)
+    return world
+
+
 @dataclasses.dataclass(slots=True)
 class Repeat:
     """A job that is sent again at another entry after its first is lost."""
--- a/src/ferryledge/leases/tests/test_mutations.py
+++ b/src/ferryledge/leases/tests/test_mutations.py
@@ -11,6 +11,7 @@
 
 from ferryledge import leases
 from ferryledge.leases import _acceptance
+from ferryledge.leases import _cordons
 from ferryledge.leases import _endpoint
 from ferryledge.leases import _endpoint_watch
 from ferryledge.leases import _lives
@@ -151,6 +152,21 @@
     return world
 
 
+def _late_word_of_a_cordon() -> worlds.World:
+    """Let all hear of a cordon after the word that it was taken back."""
+    world = worlds.World(seed=4, entries=1, agents=2)
+    world.run(2.0)
+    late = world.cordons
+    world.set_cordons("north")
+    world.run(worlds.CORDON_S)
+    world.post("entry-0", leases.CordonsRead(late))
+    for name in world.agents:
+        world.post(name, wire.Received("entry-0", late))
+    world.submit("entry-0", _JOB)
+    world.run(1.0)
+    return world
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Mutation:
     """A mechanism that is taken out, and where that shows."""
@@ -186,7 +202,30 @@
     link._token = max(link._token + 1, link.clock_ms(now))
 
 
+_TAKE_PARTS = _acceptance.Acceptance.__init__
+
+
+def _without_cordons(
+    acceptance: _acceptance.Acceptance, *parts: typing.Any
+) -> None:
+    """Let an agent accept work as if no zone were ever cordoned."""
+    link, runs, owners, _, zone = parts
+    _TAKE_PARTS(acceptance, link, runs, owners, _cordons.Cordons(), zone)
+
+
 MUTATIONS = {
+    "agents leave cordons to entries": Mutation(
+        _acceptance.Acceptance,
+        "__init__",
+        _without_cordons,
+        faults.play_stale_entry,
+    ),
+    "the last word of a cordon counts": Mutation(
+        _cordons,
+        "_is_newer",
+        _always,
+        _late_word_of_a_cordon,
+    ),
     "room is not counted": Mutation(
         _acceptance.Acceptance,
         "free",
--- a/src/ferryledge/loads/__init__.py
+++ b/src/ferryledge/loads/__init__.py
@@ -16,11 +16,13 @@
 
 JobEnd = _outcomes.JobEnd
 CALL_S = _world.CALL_S
+CORDON_S = _world.CORDON_S
 HOP_S = _world.HOP_S
 JOB_CLASS = _world.JOB_CLASS
 Kind = _patterns.Kind
 Load = _patterns.Load
 LoadError = _files.LoadError
+OPERATORS_S = _world.OPERATORS_S
 ROOM = _world.ROOM
 Results = _outcomes.Results
 World = _world.World
@@ -42,8 +44,10 @@
 
 __all__ = [
     "CALL_S",
+    "CORDON_S",
     "HOP_S",
     "JOB_CLASS",
+    "OPERATORS_S",
     "ROOM",
     "JobEnd",
     "Kind",
--- a/src/ferryledge/loads/_world.py
+++ b/src/ferryledge/loads/_world.py
@@ -32,6 +32,10 @@
 DRAIN_S = 0.5
 JOB_CLASS = leases.JobClass("quick", "desk", 0, 2, 1.6, 0.06)
 ROOM = wire.Resources(8000, 8000, 0)
+#: Seconds between an entry's looks at what operators wrote.
+OPERATORS_S = 1.0
+#: Seconds after a zone was cordoned from which nothing may start there.
+CORDON_S = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,6 +75,7 @@
         agents; infinite is without bound
     :param peers: whether entries keep streams to each other
     :param rules: those that entries decide by; none is all
+    :param zones: availability zones, over which agents are spread in turn
     """
 
     def __init__(
@@ -81,8 +86,19 @@
         link_bytes_per_s: float = math.inf,
         peers: bool = False,
         rules: leases.EntryRules | None = None,
+        zones: tuple[str, ...] = ("north",),
     ) -> None:
         self.now = 0.0
+        #: The zone of each agent.
+        self.zone_of = {
+            f"agent-{n}": zones[n % len(zones)] for n in range(agents)
+        }
+        #: What operators have the log say of cordoned zones.
+        self.cordons = wire.CordonedZones(1)
+        #: When each zone that is cordoned was.
+        self.cordoned_at: dict[str, float] = {}
+        #: Entries that the store turns away.
+        self.storeless: set[str] = set()
         self._rules = rules
         self.peers = peers
         self.link_bytes_per_s = link_bytes_per_s
@@ -197,6 +213,9 @@
         drained_at = self.drains.get(self.endpoints[agent].incarnation)
         if drained_at is not None and self.now > drained_at + DRAIN_S:
             self.violations.append(f"{self.now:.3f} drains, yet starts: {key}")
+        cordoned_at = self.cordoned_at.get(self.zone_of[agent], math.inf)
+        if self.now > cordoned_at + CORDON_S:
+            self.violations.append(f"{self.now:.3f} cordoned: {key}")
         used = self.endpoints[agent].used
         if not used.fits_in(ROOM):
             self.violations.append(f"{self.now:.3f} over room: {agent}")
@@ -228,11 +247,31 @@
                 link_bytes_per_s=self.link_bytes_per_s,
                 rules=self._rules,
             )
+            self.at(STORE_S, lambda: self._read_operators(name, node.life))
             self.post(name, leases.ConfigRead(1, b"{}"))
         else:
-            node.core = leases.LeaseAgent(name, incarnation, "north", self.now)
+            node.core = leases.LeaseAgent(
+                name, incarnation, self.zone_of[name], self.now
+            )
             self.at(STORE_S, lambda: self._recall(name, node.life))
 
+    def _read_operators(self, name: str, life: int) -> None:
+        """Let an entry follow the operators' log unless turned away."""
+        if self.nodes[name].life != life:
+            return
+        if name not in self.storeless:
+            self.post(name, leases.CordonsRead(self.cordons))
+        again = functools.partial(self._read_operators, name, life)
+        self.at(OPERATORS_S * self.rng.uniform(0.5, 1.0), again)
+
+    def set_cordons(self, *zones: str) -> None:
+        """Let operators cordon these zones and take back all others."""
+        version = self.cordons.version + 1
+        self.cordons = wire.CordonedZones(version, tuple(sorted(zones)))
+        self.cordoned_at = {
+            zone: self.cordoned_at.get(zone, self.now) for zone in zones
+        }
+
     def _recall(self, name: str, life: int) -> None:
         seen = self.remembered.get(name)
         if seen is not None and self.nodes[name].life == life:
--- a/src/ferryledge/platform/__init__.py
+++ b/src/ferryledge/platform/__init__.py
@@ -23,6 +23,7 @@
     EndpointCalls = _endpoint.EndpointCalls
     HeartbeatError = _heartbeat.HeartbeatError
     JobError = _jobs.JobError
+    KeyedPage = _store.KeyedPage
     KeyedRecord = _store.KeyedRecord
     MalformedJobError = _jobs.MalformedJobError
     RecordsGoneError = _store.RecordsGoneError
@@ -32,6 +33,7 @@
     StoreClient = _store.StoreClient
     StoreError = _store.StoreError
     UnsupportedJobError = _jobs.UnsupportedJobError
+    cordoned_zone = _config.cordoned_zone
     parse_config = _config.parse_config
     parse_deadline = _jobs.parse_deadline
     parse_deregister = _heartbeat.parse_deregister
@@ -55,6 +57,7 @@
                 "ConfigError",
                 "Configuration",
                 "Route",
+                "cordoned_zone",
                 "parse_config",
             ),
             "_endpoint": ("EndpointCalls",),
@@ -82,6 +85,7 @@
                 "split_address",
             ),
             "_store": (
+                "KeyedPage",
                 "KeyedRecord",
                 "RecordsGoneError",
                 "StoreClient",
@@ -98,6 +102,7 @@
     "EndpointCalls",
     "HeartbeatError",
     "JobError",
+    "KeyedPage",
     "KeyedRecord",
     "MalformedJobError",
     "RecordsGoneError",
@@ -107,6 +112,7 @@
     "StoreClient",
     "StoreError",
     "UnsupportedJobError",
+    "cordoned_zone",
     "parse_config",
     "parse_deadline",
     "parse_deregister",
--- a/src/ferryledge/platform/_config.py
+++ b/src/ferryledge/platform/_config.py
@@ -9,6 +9,8 @@
 #: Topic and key of the newest configuration.
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
+#: What leads the key of a record that cordons the zone it names.
+_CORDON_PREFIX = "evacuate/"
 
 
 class ConfigError(Exception):
@@ -38,6 +40,16 @@
     routes: tuple[_Route, ...] = ()
 
 
+def cordoned_zone(key: str) -> str | None:
+    """Return the zone that a record under a key cordons; none if none.
+
+    It does while it stands, whatever its value holds.
+    """
+    if not key.startswith(_CORDON_PREFIX):
+        return None
+    return key[len(_CORDON_PREFIX) :]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
     """A queue of jobs, as clients address it."""
--- a/src/ferryledge/platform/_store.py
+++ b/src/ferryledge/platform/_store.py
@@ -92,6 +92,7 @@
         """
         records: list[KeyedRecord] = []
         after = ""
+        end: int | None = None
         while True:
             path = f"/log-newest?Topic={topic}&part={partition}"
             if after:
@@ -102,8 +103,12 @@
                 KeyedRecord(item.key, base64.b64decode(item.value))
                 for item in page.items
             ]
+            if end is None:
+                # Later pages may be of a later log: what was written between
+                # them to a key that has passed is read from here on.
+                end = page.end
             if not page.more or not page.items:
-                return KeyedPage(tuple(records), page.end)
+                return KeyedPage(tuple(records), end)
             after = page.items[-1].key
 
     async def read(self, topic: str, offset: int, wait_s: float) -> KeyedPage:
--- a/src/ferryledge/platform/standin/_store.py
+++ b/src/ferryledge/platform/standin/_store.py
@@ -37,7 +37,7 @@
         self._grown = anyio.Event()
 
     def put(self, topic: str, key: str, value: bytes) -> None:
-        """Append a record, as the operator does."""
+        """Append a record, as the operator does; no value drops the key."""
         self._topics[topic].append((key, value))
         self._grown.set()
         self._grown = anyio.Event()
@@ -78,6 +78,7 @@
                 "Offset": 0,
             }
             for key, value in newest.items()
+            if value
         ]
         end = len(self._topics[topic])
         return net.HttpResponse.json(
--- a/src/ferryledge/platform/tests/test_border.py
+++ b/src/ferryledge/platform/tests/test_border.py
@@ -76,6 +76,14 @@
     assert config.find("b.example", "/q/7") is None
 
 
+@pytest.mark.parametrize(
+    ("key", "zone"),
+    [("evacuate/hall-a", "hall-a"), ("config", None), ("wave/1", None)],
+)
+def test_zone_is_cordoned_by_its_key(key: str, zone: str | None) -> None:
+    assert platform.cordoned_zone(key) == zone
+
+
 def test_unreadable_config_is_an_error() -> None:
     with pytest.raises(platform.ConfigError):
         platform.parse_config(b'{"Version": "x"}')
--- a/src/ferryledge/wire/__init__.py
+++ b/src/ferryledge/wire/__init__.py
@@ -55,6 +55,7 @@
 
 AskLease = _lease_messages.AskLease
 ClaimRuns = _lease_messages.ClaimRuns
+CordonedZones = _lease_messages.CordonedZones
 EndpointState = _lease_messages.EndpointState
 EntryAddress = _lease_messages.EntryAddress
 EntryList = _lease_messages.EntryList
@@ -94,6 +95,7 @@
     "ClaimRuns",
     "ConfigReply",
     "ConfigRequest",
+    "CordonedZones",
     "Decoder",
     "EndpointState",
     "EntryAddress",
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -73,6 +73,8 @@
 class NotStarted(enum.StrEnum):
     """Why an agent did not start a run."""
 
+    #: Its availability zone takes no new work.
+    CORDONED = "cordoned"
     ENDPOINT = "endpoint"
     FULL = "full"
     LEAVING = "leaving"
@@ -262,6 +264,15 @@
     entry: EntryAddress
 
 
+class CordonedZones(_messages.Model, frozen=True, tag="cordoned"):
+    """All availability zones that take no new work, as operators have it."""
+
+    #: End of the operators' log up to which this was read. The higher one
+    #: counts, whoever tells it.
+    version: int = 0
+    zones: tuple[str, ...] = ()
+
+
 LeaseMessage = (
     OrderRuns
     | RunsReleased
@@ -277,4 +288,5 @@
     | EntryList
     | SeekAgents
     | Invite
+    | CordonedZones
 )
--- a/src/ferryledge/wire/_messages.py
+++ b/src/ferryledge/wire/_messages.py
@@ -45,6 +45,8 @@
     config_version: int = 0
     #: Whether the sender takes packed texts.
     packed_texts: bool = False
+    #: Whether the sender takes word of cordoned zones.
+    cordons: bool = False
 
 
 class KeepAlive(Model, frozen=True, tag="alive"):
