Count the time for which a machine is suspended

Cause: the event loop's steady clock stands still while a machine is suspended, and every right is counted on it: an agent that wakes holds each grant that it had, by its own reckoning.

By clock: grants, silence, redials, stops, health and deadlines of jobs were on the loop's clock and are on one that counts suspensions now, at agents and entries. Leases are on the endpoint's own clock, as before. Time-outs of single calls and dials stay on the loop's clock: they bound a wait, and give nobody a right.

Ruled out: the time of day (it jumps); timers on the other clock (what they wait for is looked at when anything comes, and at most 0.1 s after waking).

What was shown, before: an order from before, read after 5 s, starts a run once the endpoint has answered, though its entry took it for over after 1.4 s. On the way the endpoint's clock mostly refuses it as late. Also a machine that is suspended with its endpoint: the endpoint's clock stood still, the agent reckoned it 5 s ahead, and kept that, so leases were longer than meant (1.0 s, where the endpoint cuts them, not 0.65).

Change: the driver's clock is the loop's and the suspensions. What is known of an endpoint's clock is replaced by its next answer if it is older than a lease.

--- a/src/ferryledge/entry/_daemon.py
+++ b/src/ferryledge/entry/_daemon.py
@@ -187,7 +187,9 @@
                     200 if ready else 503, {"ready": ready}
                 )
             case ("v1", "status"):
-                status = _status.describe(self._core, self._mesh)
+                status = _status.describe(
+                    self._core, self._mesh, self._driver.now()
+                )
                 status["log_up"] = self._config.log_up
                 return runtime.HttpResponse.json(200, status)
             case ("v1", "explain", workspace, request_id):
--- a/src/ferryledge/entry/_status.py
+++ b/src/ferryledge/entry/_status.py
@@ -2,7 +2,6 @@
 
 import typing
 
-import anyio
 
 from ferryledge import core
 from ferryledge import outcomes
@@ -81,11 +80,10 @@
 
 
 def describe(
-    entry: core.EntryCore, mesh: runtime.Mesh
+    entry: core.EntryCore, mesh: runtime.Mesh, now: float
 ) -> dict[str, typing.Any]:
     """Return an entry's status for its operators."""
     hello = entry.hello()
-    now = anyio.current_time()
     return {
         "name": hello.name,
         "incarnation": hello.incarnation,
--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -77,7 +77,9 @@
         )
         self._mesh = net.Mesh(self._keys, self._core.hello, self._driver.post)
         self._dialler = _members.Dialler(self._mesh)
-        self._calls = platform.EndpointCalls(settings.endpoint)
+        self._calls = platform.EndpointCalls(
+            settings.endpoint, self._driver.now
+        )
         stop = anyio.Event()
         async with anyio.create_task_group() as group:
             self._group = group
@@ -105,7 +107,7 @@
 
     async def _finish(self) -> None:
         grace_s = self._settings.bounds.grace_s - _KILL_MARGIN_S
-        until = anyio.current_time() + grace_s
+        until = self._driver.now() + grace_s
         self._driver.post(leases.AgentDrain(until))
         with anyio.move_on_after(grace_s):
             while not self._core.idle:
@@ -144,7 +146,7 @@
     async def _renew(self) -> None:
         """Renew the endpoint's lease for ever."""
         while True:
-            renewal = self._core.renewal(anyio.current_time())
+            renewal = self._core.renewal(self._driver.now())
             answer = await self._calls.renew(renewal)
             self._driver.post(answer)
             if isinstance(answer, leases.LeaseNotRenewed):
@@ -170,7 +172,7 @@
         )
 
     def _ticked(self) -> None:
-        self._log.write(anyio.current_time(), self._core.take_notes())
+        self._log.write(self._driver.now(), self._core.take_notes())
 
     def _perform(self, action: leases.AgentAction) -> None:
         assert self._group is not None
--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -142,7 +142,7 @@
         """
         self._draining = True
         grace_s = self._settings.bounds.grace_s - _KILL_MARGIN_S
-        until = anyio.current_time() + grace_s
+        until = self._driver.now() + grace_s
         self._driver.post(leases.EntryDrain(until))
         with anyio.move_on_after(grace_s):
             await anyio.sleep(_LINGER_S)
@@ -166,12 +166,12 @@
         gauge(
             "usable_agents",
             "Agents that take work",
-            lambda: core.usable_agents(anyio.current_time()),
+            lambda: core.usable_agents(self._driver.now()),
         )
         gauge(
             "link_wait_seconds",
             "What is sent now waits so long at the machine's link",
-            lambda: core.link.wait_s(anyio.current_time()),
+            lambda: core.link.wait_s(self._driver.now()),
         )
         gauge(
             "config_version",
@@ -180,7 +180,7 @@
         )
 
     def _ticked(self) -> None:
-        self._log.write(anyio.current_time(), self._core.take_notes())
+        self._log.write(self._driver.now(), self._core.take_notes())
 
     def _perform(self, action: leases.EntryAction) -> None:
         assert self._group is not None
@@ -253,7 +253,7 @@
         return net.HttpResponse.json(405, {"error": "no such call"})
 
     def _readiness(self) -> net.HttpResponse:
-        usable = self._core.is_usable(anyio.current_time())
+        usable = self._core.is_usable(self._driver.now())
         ready = self._config is not None and usable and not self._draining
         return net.HttpResponse.json(200 if ready else 503, {"ready": ready})
 
@@ -289,7 +289,7 @@
             return platform.refusal(outcomes.Reason.IMPOSSIBLE, 0.0, str(exc))
         outcome = await self._answer(request, job)
         response = platform.render_outcome(outcome)
-        if self._draining or not self._core.is_usable(anyio.current_time()):
+        if self._draining or not self._core.is_usable(self._driver.now()):
             # The client's next request should reach another entry.
             response = response.closing()
         return response
--- a/src/ferryledge/leases/_endpoint.py
+++ b/src/ferryledge/leases/_endpoint.py
@@ -95,7 +95,10 @@
         """Take in a reading of the endpoint's clock."""
         if clock_ms <= 0:
             return
-        if clock_ms > self.clock_ms(now) or not self._clock_ms:
+        # The machine may have been suspended with its endpoint: what is known
+        # of its clock is ahead then, and leases would be too long.
+        is_old = now - self._clock_at > self._timing.lease_s
+        if is_old or clock_ms > self.clock_ms(now) or not self._clock_ms:
             self._clock_ms = clock_ms
             self._clock_at = now
         if not self._token:
--- a/src/ferryledge/net/_driver.py
+++ b/src/ferryledge/net/_driver.py
@@ -5,6 +5,8 @@
 import math
 import typing
 
+from ferryledge.net import _suspension
+
 #: Ticks at least this often, in seconds.
 _LONGEST_SLEEP_S = 60.0
 _NEVER = float("inf")
@@ -49,6 +51,8 @@
     :param ticked: called after each tick
     :param tick_by: returns when the core wants to tick for the events since
         its last tick; none is at once for each
+    :param asleep_s: returns for how long the machine was suspended so far;
+        none measures it
     """
 
     def __init__(
@@ -57,11 +61,13 @@
         perform: abc.Callable[[ActionT], None],
         ticked: abc.Callable[[], None] = _nothing,
         tick_by: abc.Callable[[], float] | None = None,
+        asleep_s: abc.Callable[[], float] | None = None,
     ) -> None:
         self._core = driven
         self._perform = perform
         self._ticked = ticked
         self._tick_by = tick_by
+        self._asleep_s = asleep_s or _suspension.Suspension().asleep_s
         self._loop: asyncio.AbstractEventLoop | None = None
         #: Ends with what a tick raised.
         self._failed: asyncio.Future[None] | None = None
@@ -70,10 +76,18 @@
         #: When the timer goes off.
         self._timer_at = _NEVER
 
+    def now(self) -> float:
+        """Return the time that the core goes by, in seconds.
+
+        The loop's, and the machine's suspensions: what others granted this
+        process, and what it believes of them, grows old meanwhile.
+        """
+        loop = self._loop or asyncio.get_running_loop()
+        return loop.time() + self._asleep_s()
+
     def post(self, event: EventT) -> None:
         """Hand an event to the core; it ticks when it wants to."""
-        loop = self._loop or asyncio.get_running_loop()
-        now = loop.time()
+        now = self.now()
         self._core.receive(now, event)
         if self._tick_by is None:
             self._plan_tick()
@@ -111,7 +125,7 @@
         if self._loop is None or self._failed is None:
             return
         try:
-            for action in self._core.tick(self._loop.time()):
+            for action in self._core.tick(self.now()):
                 self._perform(action)
             self._ticked()
             self._plan_wake(self._loop)
@@ -124,7 +138,7 @@
             self._failed.set_exception(exc)
 
     def _plan_wake(self, loop: asyncio.AbstractEventLoop) -> None:
-        now = loop.time()
+        now = self.now()
         due = min(max(now, self._core.wake_at()), now + _LONGEST_SLEEP_S)
         if self._timer is None or not now < self._timer_at <= due:
             self._set_timer(loop, due)
@@ -134,7 +148,7 @@
         if self._timer is not None:
             self._timer.cancel()
         self._timer_at = due
-        delay_s = max(_GRAIN_S, due - loop.time())
+        delay_s = max(_GRAIN_S, due - self.now())
         delay_s = math.ceil(delay_s / _GRAIN_S - _ROUNDING) * _GRAIN_S
         self._timer = loop.call_later(delay_s, self._wake)
 
@@ -143,7 +157,7 @@
         self._timer_at = _NEVER
         if self._loop is None:
             return
-        now = self._loop.time()
+        now = self.now()
         due_for_events = self._tick_by is not None and self._tick_by() <= now
         if due_for_events or self._core.wake_at() <= now:
             self._tick()
--- a/src/ferryledge/net/tests/test_driver.py
+++ b/src/ferryledge/net/tests/test_driver.py
@@ -1,11 +1,13 @@
 """What drives a core, on both event loops."""
 
+import types
 import typing
 
 import anyio
 import pytest
 
 from ferryledge import net
+from ferryledge.net import _suspension
 from ferryledge.net.tests import paused_clock
 
 _NEVER = float("inf")
@@ -143,6 +145,54 @@
     assert len(looks) <= 1 + 3 * 20
 
 
+def test_time_for_which_the_machine_was_suspended_counts() -> None:
+    """The steady clock stands still, and grants of others run out."""
+    core = _Core()
+    slept = [0.0]
+
+    async def main() -> None:
+        driver: net.Driver[object, object] = net.Driver(
+            core, [].append, asleep_s=lambda: slept[0]
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(driver.run)
+            await anyio.sleep(1.0)
+            core.due = [driver.now() + 0.5]
+            driver.post("before")
+            await anyio.sleep(0.1)
+            slept[0] = 30.0
+            # A timer from before has as long to go as it had.
+            await anyio.sleep(0.5)
+            core.due = [driver.now() + 0.5]
+            driver.post("after")
+            await anyio.sleep(1.0)
+            group.cancel_scope.cancel()
+
+    paused_clock.run(main)
+    assert core.ticks[:2] == [1.0, pytest.approx(31.5)]
+    assert pytest.approx(32.1) in core.ticks
+
+
+def test_steady_clock_of_a_machine_that_is_awake_counts_alone() -> None:
+    suspension = _suspension.Suspension()
+    assert [suspension.asleep_s() for _ in range(1000)] == [0.0] * 1000
+
+
+def test_suspensions_add_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    boot = [100.0]
+    clock = types.SimpleNamespace(
+        clock_gettime=lambda _: boot[0], monotonic=lambda: 40.0
+    )
+    monkeypatch.setattr(_suspension, "time", clock)
+    suspension = _suspension.Suspension()
+    boot[0] += 0.001
+    assert suspension.asleep_s() == 0.0
+    boot[0] += 5.0
+    assert suspension.asleep_s() == pytest.approx(5.0, abs=0.01)
+    boot[0] += 30.0
+    assert suspension.asleep_s() == pytest.approx(35.0, abs=0.01)
+
+
 def test_error_of_the_core_ends_the_process(
     backend_options: dict[str, bool],
 ) -> None:
--- a/src/ferryledge/platform/_endpoint.py
+++ b/src/ferryledge/platform/_endpoint.py
@@ -1,5 +1,6 @@
 """Calls to the endpoint beside an agent."""
 
+from collections import abc
 import typing
 
 import anyio
@@ -86,9 +87,13 @@
     """Orders and renewals by the endpoint's protocol.
 
     :param address: ``host:port`` of the endpoint
+    :param now: the clock that the agent decides by
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, now: abc.Callable[[], float] = anyio.current_time
+    ) -> None:
+        self._now = now
         url = f"http://{address}"
         self._orders = net.HttpCaller(
             url, _ORDER_CONNECTIONS, permit_s=_ORDER_PERMIT_S
@@ -160,7 +165,7 @@
             fields["DeadlineMs"] = renewal.lease_until_ms
         if renewal.wait_ms:
             fields["WaitMs"] = renewal.wait_ms
-        sent_at = anyio.current_time()
+        sent_at = self._now()
         wait_s = renewal.wait_ms / 1000.0 + renewal.slack_s
         try:
             response = await self._call(
