Give up a task under which endpoints crash

Cause: ends as lost were bounded by nothing; only failed ones are.

Ruled out: a bound on lost ends alone (agents that are killed and endpoints that leave lose runs too); two crashes for whatever cause (a loss of power twice, or jobs that ran beside a deadly one, would be given up); telling the culprit by isolation of all suspects (after a loss of power all are).

Change: agents tell when an endpoint went away unannounced, and how many jobs lost runs by it. Jobs that ran there share the blame; crashes beside those of other endpoints that had nothing of the job carry none; an endpoint counts once. A task is given up at a blame of 1.5 or after four endpoints, and its job fails. Until then it goes to an endpoint where nothing runs, if there is one.

A mutation shows what happens without it.

Each entry counts for itself; a job that its client repeats at another entry is counted anew there, which three more starts allow for.

--- a/src/ferryledge/leases/_endpoint_watch.py
+++ b/src/ferryledge/leases/_endpoint_watch.py
@@ -65,6 +65,8 @@
         self.speed = _speed.EndpointSpeed()
         #: Since when runs wait to be claimed.
         self.unclaimed_since = now
+        #: Whether the endpoint announced its end.
+        self._announced = False
         #: The endpoint's clock as of the newest list of runs.
         self._listed_clock_ms = 0
         #: What was kept of the endpoint last, for this agent's next start.
@@ -80,7 +82,7 @@
                     self._kept = seen
                     self._notes.recalled(seen)
             case _agent_events.EndpointLeft():
-                self._link.leave(event.incarnation)
+                self._announced |= self._link.leave(event.incarnation)
             case _agent_events.LeaseRenewed():
                 self._on_renewed(now, event)
             case _agent_events.LeaseNotRenewed():
@@ -95,6 +97,8 @@
         known = self._link.seen
         self._follow(now, self._link.see(seen, now))
         self._note_endpoint(known)
+        if self._link.seen is not None:
+            self._announced = self._link.seen.draining
         if self._link.seen is not seen:
             self._notes.passed_over(self._link.seen, seen)
         if self._kept and self._kept.incarnation == self._link.incarnation:
@@ -132,9 +136,10 @@
 
         An order that it may not have had may still be carried out now.
         """
+        crashed_jobs = self._crashed_jobs()
         for row in self._runs:
             if row.listed:
-                self._end(now, row, wire.HowEnded.LOST)
+                self._end(now, row, wire.HowEnded.LOST, crashed_jobs)
             else:
                 self._stopping.stop_anew(now, row)
 
@@ -151,8 +156,16 @@
         self._lose_all(now)
 
     def _lose_all(self, now: float) -> None:
+        crashed_jobs = self._crashed_jobs()
         for row in self._runs.clear():
-            self._reports.tell_end(now, row, wire.HowEnded.LOST)
+            how = wire.HowEnded.LOST
+            self._reports.tell_end(now, row, how, crashed_jobs)
+
+    def _crashed_jobs(self) -> int:
+        """Return how many jobs lose runs; none if that was announced."""
+        if self._announced:
+            return 0
+        return len({row.key.job for row in self._runs})
 
     def _on_start_answered(
         self, now: float, event: _agent_events.StartAnswered
@@ -265,6 +278,12 @@
         for owner in self._owners.connected:
             owner.wants_held = True
 
-    def _end(self, now: float, row: _runs.RunRow, how: wire.HowEnded) -> None:
+    def _end(
+        self,
+        now: float,
+        row: _runs.RunRow,
+        how: wire.HowEnded,
+        crashed_jobs: int = 0,
+    ) -> None:
         self._runs.remove(row.key)
-        self._reports.tell_end(now, row, how)
+        self._reports.tell_end(now, row, how, crashed_jobs)
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -39,6 +39,17 @@
             config=config,
         )
 
+    def deadly(self, job: _jobs.Job, task: _jobs.Task) -> None:
+        """A task is given up, since endpoints crash under it."""
+        self.add(
+            outcomes.Step.RUN,
+            "task given up: endpoints crash under it",
+            job.name,
+            urgent=True,
+            task=task.index,
+            agents=[crash.agent for crash in task.crashes],
+        )
+
     def cordoned(self, state: wire.CordonedZones) -> None:
         """Other zones take no new work than before."""
         self.add(
--- a/src/ferryledge/leases/_jobs.py
+++ b/src/ferryledge/leases/_jobs.py
@@ -4,6 +4,7 @@
 import enum
 import math
 
+from ferryledge.leases import _crashes
 from ferryledge import wire
 
 #: A job is smaller than expected by this many deviations one time in ten.
@@ -80,6 +81,8 @@
     run: int = 0
     #: Runs that ended as failed.
     failures: int = 0
+    #: Endpoints that crashed while it ran there.
+    crashes: list[_crashes.Crash] = dataclasses.field(default_factory=list)
     #: The agent that holds its run; empty if none does.
     agent: str = ""
     ordered_at: float = 0.0
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -117,7 +117,12 @@
             by_step.setdefault(task.step, []).append(task)
         for number, tasks in by_step.items():
             step = job.request.steps[number]
-            for row in self._by_nearness(now, job, step, rows):
+            near = self._by_nearness(now, job, step, rows)
+            if any(task.crashes for task in tasks):
+                # If it takes this one down as well, nobody else is there to
+                # lose a run or to be blamed.
+                near = sorted(near, key=_is_in_use)
+            for row in near:
                 if not tasks:
                     break
                 chosen = self._choose(job, step, number, row, tasks)
@@ -182,6 +187,10 @@
         return chosen
 
 
+def _is_in_use(row: _pool.AgentRow) -> bool:
+    return row.free != row.state.capacity
+
+
 def _smallest_cpu(job: _jobs.Job) -> int:
     return min(step.need.cpu_millis for step in job.request.steps)
 
--- a/src/ferryledge/leases/_reports.py
+++ b/src/ferryledge/leases/_reports.py
@@ -66,11 +66,21 @@
             self._send(owner, wire.RunsHeld(held))
 
     def tell_end(
-        self, now: float, row: _runs.RunRow, how: wire.HowEnded
+        self,
+        now: float,
+        row: _runs.RunRow,
+        how: wire.HowEnded,
+        crashed_jobs: int = 0,
     ) -> None:
         """Tell an entry that a run of its is over, or never began.
 
         An end is kept until the entry confirms it.
+
+        :param now: monotonic seconds
+        :param row: the run
+        :param how: how it ended
+        :param crashed_jobs: jobs that lost runs when the endpoint went away
+            unannounced; 0 is any other end
         """
         self._notes.over(now, row, how)
         owner = self._owners.find(row.owner)
@@ -83,7 +93,8 @@
         run_s = 0.0
         if row.confirmed_at is not None:
             run_s = max(0.0, now - row.confirmed_at)
-        end = wire.RunsEnded(row.key.job, (wire.RunEnd(run, how, run_s),))
+        ends = (wire.RunEnd(run, how, run_s, crashed_jobs),)
+        end = wire.RunsEnded(row.key.job, ends)
         self._owners.keep(owner, end)
         if owner.connected and not owner.wants_held:
             self._send(owner, self._owners.ask_with(owner, now, end))
--- a/src/ferryledge/leases/_run_tracking.py
+++ b/src/ferryledge/leases/_run_tracking.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from ferryledge import health
+from ferryledge.leases import _crashes
 from ferryledge.leases import _entry_notes
 from ferryledge.leases import _job_table
 from ferryledge.leases import _jobs
@@ -56,6 +57,7 @@
         self._notes = notes
         self._link = link
         self._send = send
+        self._crashes = _crashes.CrashWatch()
 
     def order(
         self,
@@ -153,6 +155,12 @@
                 task.avoid.add(row.name)
                 self._judge_end(now, row, job, False)
                 decided = self._if_hopeless(job, task, row)
+            case wire.HowEnded.LOST if end.crashed_jobs:
+                task.avoid.add(row.name)
+                task.crashes.append(
+                    self._crashes.note(now, row.name, name, end.crashed_jobs)
+                )
+                decided = self._if_deadly(job, task, row)
             case _:
                 pass
         self._jobs.drop_if_over(job)
@@ -209,6 +217,17 @@
     ) -> Decided | None:
         if job.closed or task.failures < job.request.job_class.attempts:
             return None
+        return self._failed(job, row)
+
+    def _if_deadly(
+        self, job: _jobs.Job, task: _jobs.Task, row: _pool.AgentRow
+    ) -> Decided | None:
+        if job.closed or not self._crashes.is_deadly(job.name, task.crashes):
+            return None
+        self._notes.deadly(job, task)
+        return self._failed(job, row)
+
+    def _failed(self, job: _jobs.Job, row: _pool.AgentRow) -> Decided:
         origin = outcomes.Origin(outcomes.Step.RUN, row.name)
         reason = outcomes.Reason.TASK_FAILED
         return Decided(job, outcomes.FailedMayHaveRun(reason, origin))
--- a/src/ferryledge/leases/tests/faults.py
+++ b/src/ferryledge/leases/tests/faults.py
@@ -110,7 +110,14 @@
     return strike
 
 
+def _resize(world: worlds.World, agent: str) -> None:
+    """Shrink an endpoint to a quarter for a second."""
+    world.resize(agent, wire.Resources(2000, 8000, 0))
+    world.at(1.0, lambda: world.resize(agent, worlds.ROOM))
+
+
 FAULTS: dict[str, Strike] = {
+    "endpoint shrinks": _agent(_resize),
     "zone cordoned": _cordon("north"),
     "agents leave an entry": _agent(_leave),
     "agents are invited": _invite,
--- a/src/ferryledge/leases/tests/test_mutations.py
+++ b/src/ferryledge/leases/tests/test_mutations.py
@@ -12,6 +12,7 @@
 from ferryledge import leases
 from ferryledge.leases import _acceptance
 from ferryledge.leases import _cordons
+from ferryledge.leases import _crashes
 from ferryledge.leases import _endpoint
 from ferryledge.leases import _endpoint_watch
 from ferryledge.leases import _lives
@@ -167,6 +168,16 @@
     return world
 
 
+def _deadly_job() -> worlds.World:
+    """Let a task take down each endpoint that starts it."""
+    world = worlds.World(seed=6, entries=2, agents=6)
+    world.run(3.0)
+    world.crashing_jobs.add(_JOB)
+    world.submit("entry-0", _JOB, 1, work_s=1.0, deadline_s=30.0)
+    world.run(30.0)
+    return world
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Mutation:
     """A mechanism that is taken out, and where that shows."""
@@ -214,6 +225,12 @@
 
 
 MUTATIONS = {
+    "endpoints crash on under a task": Mutation(
+        _crashes.CrashWatch,
+        "is_deadly",
+        lambda *_: False,
+        _deadly_job,
+    ),
     "agents leave cordons to entries": Mutation(
         _acceptance.Acceptance,
         "__init__",
--- a/src/ferryledge/loads/__init__.py
+++ b/src/ferryledge/loads/__init__.py
@@ -22,6 +22,7 @@
 Kind = _patterns.Kind
 Load = _patterns.Load
 LoadError = _files.LoadError
+MOST_CRASHES = _world.MOST_CRASHES
 OPERATORS_S = _world.OPERATORS_S
 ROOM = _world.ROOM
 Results = _outcomes.Results
@@ -47,6 +48,7 @@
     "CORDON_S",
     "HOP_S",
     "JOB_CLASS",
+    "MOST_CRASHES",
     "OPERATORS_S",
     "ROOM",
     "JobEnd",
--- a/src/ferryledge/loads/_world.py
+++ b/src/ferryledge/loads/_world.py
@@ -32,6 +32,12 @@
 DRAIN_S = 0.5
 JOB_CLASS = leases.JobClass("quick", "desk", 0, 2, 1.6, 0.06)
 ROOM = wire.Resources(8000, 8000, 0)
+#: Endpoints that may crash under a task before it starts no more.
+MOST_CRASHES = 4
+#: Seconds from a task's start until it takes its endpoint down, and until
+#: that is back.
+CRASH_AFTER_S = 0.05
+CRASH_DOWN_S = 3.0
 #: Seconds between an entry's looks at what operators wrote.
 OPERATORS_S = 1.0
 #: Seconds after a zone was cordoned from which nothing may start there.
@@ -146,6 +152,12 @@
         #: Labels of the endpoints beside agents, where they have any.
         self.labels: dict[str, tuple[str, ...]] = {}
         self.failing_jobs: set[str] = set()
+        #: The room of each endpoint that its agent heard of last.
+        self.rooms: dict[str, wire.Resources] = {}
+        #: Jobs whose tasks crash the endpoints that start them.
+        self.crashing_jobs: set[str] = set()
+        #: Endpoints that crashed under each task.
+        self.crashed_under: dict[str, int] = collections.Counter()
         self.entries = [f"entry-{n}" for n in range(entries)]
         self.agents = [f"agent-{n}" for n in range(agents)]
         for name in self.agents:
@@ -210,6 +222,8 @@
             self.violations.append(f"{self.now:.3f} twice: {task}")
         self.alive_runs[task].add(endpoint)
         agent = endpoint.removeprefix("endpoint-of-")
+        if key.job in self.crashing_jobs:
+            self._crash_by(key, agent)
         drained_at = self.drains.get(self.endpoints[agent].incarnation)
         if drained_at is not None and self.now > drained_at + DRAIN_S:
             self.violations.append(f"{self.now:.3f} drains, yet starts: {key}")
@@ -217,9 +231,35 @@
         if self.now > cordoned_at + CORDON_S:
             self.violations.append(f"{self.now:.3f} cordoned: {key}")
         used = self.endpoints[agent].used
-        if not used.fits_in(ROOM):
+        if not any(map(used.fits_in, self._rooms_of(agent))):
             self.violations.append(f"{self.now:.3f} over room: {agent}")
 
+    def _rooms_of(self, agent: str) -> tuple[wire.Resources, ...]:
+        """Return the rooms that an endpoint may be filled to.
+
+        Its own, and until its agent hears that it shrank the one before.
+        """
+        heard = self.rooms.get(agent, ROOM)
+        return heard, self.endpoints[agent].capacity
+
+    def resize(self, agent: str, room: wire.Resources) -> None:
+        """Let an endpoint have another room from now on, and say so."""
+        self.endpoints[agent].capacity = room
+        self.heartbeat(agent)
+
+    def _crash_by(self, key: leases.RunKey, agent: str) -> None:
+        """Let a task take its endpoint down soon after its start."""
+        name = f"{key.job}.{key.step}.{key.index}"
+        if self.crashed_under[name] >= MOST_CRASHES:
+            self.violations.append(f"{self.now:.3f} crashes on: {name}")
+
+        def crash() -> None:
+            if self.endpoints[agent].up and key in self.endpoints[agent].runs:
+                self.crashed_under[name] += 1
+                self.crash_endpoint(agent, CRASH_DOWN_S)
+
+        self.at(CRASH_AFTER_S, crash)
+
     def _endpoint_loop(self) -> None:
         for endpoint in self.endpoints.values():
             endpoint.advance(self.now)
@@ -626,8 +666,11 @@
         """Let an endpoint report to its agent."""
         endpoint = self.endpoints[agent]
         node = self.nodes[agent]
-        if endpoint.draining and node.alive and not node.paused:
+        heard = node.alive and not node.paused
+        if endpoint.draining and heard:
             self.drains.setdefault(endpoint.incarnation, self.now)
+        if heard:
+            self.rooms[agent] = endpoint.capacity
         self.post(agent, self.report_of(agent, endpoint.next_beat()))
 
     def report_of(self, agent: str, number: int) -> leases.EndpointSeen:
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -112,6 +112,9 @@
     how: HowEnded
     #: Seconds that it ran.
     run_s: float
+    #: Jobs that lost runs there, if the endpoint went away unannounced; 0 is
+    #: any other end.
+    crashed_jobs: int = 0
 
 
 class RunsEnded(_messages.Model, frozen=True, tag="ended"):
