Place work on cold endpoints last, and learn nothing from them

Cause: what an endpoint says of how long it is still slow from its start was read and used nowhere. Work went there first as often as anywhere, the time it took was learned as the endpoint's speed, and one that was twice as slow got one run at a time, as a sick one does.

Change: an agent tells whether its endpoint is cold, by the last heartbeat. A cold one comes last, is not taken for slow, and its times are not learned. What is late there is still moved where that helps.

Tests: a cold one is chosen last of four (three of them failed before), serves what the others have no room for at 0.3 of its speed, and is learned nothing of (slowness 1.7 was learned before).

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -382,6 +382,7 @@
             slowness=self._endpoint.speed.reported,
             home=False,
             entries=max(1, len(self._owners.connected)),
+            cold=self._link.is_cold(self._now),
         )
 
 
--- a/src/ferryledge/leases/_agent_events.py
+++ b/src/ferryledge/leases/_agent_events.py
@@ -25,6 +25,8 @@
     number: int
     #: Unix time of its start in ms; 0 if it doesn't tell.
     born_ms: int = 0
+    #: Seconds for which it is still slow from its start.
+    cold_s: float = 0.0
 
     @property
     def incarnation(self) -> str:
--- a/src/ferryledge/leases/_endpoint.py
+++ b/src/ferryledge/leases/_endpoint.py
@@ -53,6 +53,8 @@
         self._clock_at = now
         self._token = 0
         self._renewed_at = float("-inf")
+        #: Until when it is slow from its start.
+        self._warm_at = float("-inf")
         self._answer_times = _answer_times.AnswerTimes(
             _LONGEST_SLACK_S, _SHORTEST_SLACK_S
         )
@@ -130,10 +132,14 @@
         if seen.incarnation != self._incarnation:
             self._propose(seen, now)
         elif self.seen is None or seen.number >= self.seen.number:
-            self.seen = seen
-            self.note_clock(seen.clock_ms, now)
+            self._note(seen, now)
         return Change.NONE
 
+    def _note(self, seen: _agent_events.EndpointSeen, now: float) -> None:
+        self.seen = seen
+        self._warm_at = now + seen.cold_s
+        self.note_clock(seen.clock_ms, now)
+
     def recall(self, seen: _agent_events.EndpointSeen, now: float) -> bool:
         """Take in what was kept; a heartbeat that came first goes before.
 
@@ -220,8 +226,7 @@
 
     def _take(self, seen: _agent_events.EndpointSeen, now: float) -> Change:
         change = self._succeed(seen.incarnation)
-        self.seen = seen
-        self.note_clock(seen.clock_ms, now)
+        self._note(seen, now)
         return change
 
     def _succeed(self, incarnation: str) -> Change:
@@ -249,6 +254,7 @@
         self._clock_ms = 0
         self._token = 0
         self._renewed_at = float("-inf")
+        self._warm_at = float("-inf")
 
     def leave(self, incarnation: str) -> bool:
         """Take in the endpoint's last word.
@@ -303,6 +309,10 @@
             self._note_replaced(candidate.incarnation)
             self._candidate = None
 
+    def is_cold(self, now: float) -> bool:
+        """Return whether the endpoint is still slow from its start."""
+        return now < self._warm_at
+
     def is_fresh(self, now: float) -> bool:
         """Return whether the endpoint answered lately."""
         lately = _FRESH_SHARE * self._timing.lease_s
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -1,8 +1,9 @@
 """Which waiting task goes to which endpoint.
 
 It answers endpoints of unequal speed, data and labels: fast ones near the
-data come first, a slow one gets one run at a time, and no task goes back to
-where it failed while others are left.
+data come first, those that started lately and are cold last, a slow one gets
+one run at a time, and no task goes back to where it failed while others are
+left.
 """
 
 from collections import abc
@@ -99,7 +100,7 @@
             if placed:
                 rows = _with_room(rows, least)
 
-    def _order(self, row: _pool.AgentRow) -> tuple[bool, int, int]:
+    def _order(self, row: _pool.AgentRow) -> tuple[bool, bool, int, int]:
         slowness = 0.0
         if self._turns.rules.fast_first:
             seen = self._run_times.slowness(row.name)
@@ -107,7 +108,8 @@
         rank = self._ranks.get(row.name)
         if rank is None:
             rank = self._ranks[row.name] = _preference(self._name, row)
-        return (not row.state.home, int(slowness / _SLOWNESS_GRAIN), rank)
+        steps = int(slowness / _SLOWNESS_GRAIN)
+        return (row.state.cold, not row.state.home, steps, rank)
 
     def _place_job(
         self, now: float, job: _jobs.Job, rows: list[_pool.AgentRow]
--- a/src/ferryledge/leases/_pool.py
+++ b/src/ferryledge/leases/_pool.py
@@ -73,8 +73,11 @@
 
     @property
     def slow(self) -> bool:
-        """Whether runs take far longer there than they should."""
-        return self.state.slowness >= _speed.SLOW_FROM
+        """Whether runs take far longer there than they should.
+
+        One that is cold does what it should.
+        """
+        return self.state.slowness >= _speed.SLOW_FROM and not self.state.cold
 
     def may_try(self, now: float) -> bool:
         """Return whether a slow endpoint may get one run, to see."""
--- a/src/ferryledge/leases/_run_tracking.py
+++ b/src/ferryledge/leases/_run_tracking.py
@@ -191,6 +191,8 @@
         end: wire.RunEnd,
     ) -> None:
         self._judge_end(now, row, job, True)
+        if row.state.cold:
+            return  # It will be faster than that.
         step = job.request.steps[task.step]
         self._run_times.learn(
             job.request.job_class.name, row.name, end.run_s, step.estimate_s
--- a/src/ferryledge/leases/_states.py
+++ b/src/ferryledge/leases/_states.py
@@ -92,6 +92,7 @@
         state.slowness,
         state.home,
         state.entries,
+        state.cold,
     )
 
 
--- a/src/ferryledge/loads/_world.py
+++ b/src/ferryledge/loads/_world.py
@@ -149,6 +149,8 @@
         self.violations: list[str] = []
         self.work_s: dict[str, float] = {}
         self.failing: set[str] = set()
+        #: Until when endpoints say that they are cold.
+        self.cold_until: dict[str, float] = {}
         #: Labels of the endpoints beside agents, where they have any.
         self.labels: dict[str, tuple[str, ...]] = {}
         self.failing_jobs: set[str] = set()
@@ -687,6 +689,7 @@
             endpoint.clock_ms(self.now),
             number,
             endpoint.born_ms,
+            max(0.0, self.cold_until.get(agent, 0.0) - self.now),
         )
 
     # Clients.
--- a/src/ferryledge/platform/_heartbeat.py
+++ b/src/ferryledge/platform/_heartbeat.py
@@ -72,6 +72,7 @@
         beat.clock_ms,
         beat.seq,
         beat.born,
+        max(0.0, beat.cold_ms / 1000.0),
     )
 
 
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -201,6 +201,8 @@
     home: bool = True
     #: How many entries share the endpoint.
     entries: int = 1
+    #: Whether it is slow as yet, having started lately.
+    cold: bool = False
 
 
 class RoomWanted(_messages.Model, frozen=True, tag="wanted"):
