Cordon availability zones in the product's own interface, too

Cause: operators of the product's own platform could not say that a zone takes no new work; the places of a policy are all or nothing for a client.

Change: a cordon is an entity of the configuration, so it is published, audited, raced for and rolled back as all others are: [[cordon]] in the file, 'ferryledge config cordon ZONE' and 'uncordon'. An entry binds nothing new in the zone, probes nothing there, refuses what may run nowhere else with a time to come back, and serves there again with the version that takes it back.

Not covered: a task of a job that can't be repeated and holds a ticket of an endpoint in the zone still runs there, as with an endpoint that leaves. Records with a cordon are understood from this version on: replace all processes before the first one is published.

Tests: three of an entry's decisions, one of the command line on processes.

--- a/src/ferryledge/cli/_config.py
+++ b/src/ferryledge/cli/_config.py
@@ -201,6 +201,57 @@
     click.echo(f"version {done.version}: {done.message}")
 
 
+async def _set_cordon(
+    platform_url: str, zone: str, author: str, reason: str, cordoned: bool
+) -> Publication:
+    """Publish the configuration with or without one cordon."""
+    snapshot = await _snapshot(platform_url)
+    cordon = configlog.Cordon(zone)
+    wanted = tuple(one for one in snapshot.entities if one != cordon)
+    if cordoned:
+        wanted = (*wanted, cordon)
+    return await publish_entities(
+        platform_url, wanted, author, reason, False, snapshot.version
+    )
+
+
+def _run_cordon(
+    platform_url: str, zone: str, author: str, reason: str, cordoned: bool
+) -> None:
+    try:
+        done = _options.run(
+            _set_cordon, platform_url, zone, author, reason, cordoned
+        )
+    except runtime.PlatformError as exc:
+        raise _options.CommandError(str(exc)) from exc
+    if not done.accepted:
+        raise _options.CommandError(f"not accepted: {done.message}")
+    click.echo(f"version {done.version}: {done.message}")
+
+
+@config.command()
+@_options.platform_option
+@click.option("--author", required=True, help="Who publishes.")
+@click.option("--reason", required=True, help="Why, for the audit trail.")
+@click.argument("zone")
+def cordon(platform_url: str, author: str, reason: str, zone: str) -> None:
+    """Let availability zone ZONE take no new work.
+
+    What runs there ends as usual.
+    """
+    _run_cordon(platform_url, zone, author, reason, True)
+
+
+@config.command()
+@_options.platform_option
+@click.option("--author", required=True, help="Who publishes.")
+@click.option("--reason", required=True, help="Why, for the audit trail.")
+@click.argument("zone")
+def uncordon(platform_url: str, author: str, reason: str, zone: str) -> None:
+    """Let availability zone ZONE take work again."""
+    _run_cordon(platform_url, zone, author, reason, False)
+
+
 @config.command()
 @_options.platform_option
 @click.option("--out", type=_PATH, help="Write the snapshot to a file.")
--- a/src/ferryledge/cli/_file.py
+++ b/src/ferryledge/cli/_file.py
@@ -16,6 +16,7 @@
     "place": configlog.Place,
     "policy": configlog.Policy,
     "workspace": configlog.Workspace,
+    "cordon": configlog.Cordon,
 }
 
 
--- a/src/ferryledge/configlog/__init__.py
+++ b/src/ferryledge/configlog/__init__.py
@@ -16,6 +16,7 @@
 Change = _entities.Change
 Checkpoint = _entities.Checkpoint
 CheckpointPolicy = _follower.CheckpointPolicy
+Cordon = _entities.Cordon
 EARLIER_KINDS = _earlier.KINDS
 EARLIER_SETTINGS = _earlier.SETTINGS
 FORMAT = _entities.FORMAT
@@ -53,6 +54,7 @@
     "Change",
     "Checkpoint",
     "CheckpointPolicy",
+    "Cordon",
     "Entity",
     "EntityKey",
     "Follower",
--- a/src/ferryledge/configlog/_entities.py
+++ b/src/ferryledge/configlog/_entities.py
@@ -75,7 +75,16 @@
     )
 
 
-Entity = Service | Place | Policy | Workspace
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cordon:
+    """An availability zone that takes no new work; what runs there ends."""
+
+    #: The zone.
+    name: Name
+    kind: typing.Literal["cordon"] = "cordon"
+
+
+Entity = Service | Place | Policy | Workspace | Cordon
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,13 +92,13 @@
     """Names one entity."""
 
     kind: typing.Annotated[
-        typing.Literal["service", "place", "policy", "workspace"],
+        typing.Literal["service", "place", "policy", "workspace", "cordon"],
         *_earlier.KIND,
     ]
     name: Name
 
 
-def key_of(entity: Service | Place | Policy | Workspace) -> EntityKey:
+def key_of(entity: Entity) -> EntityKey:
     """Return the entity's key."""
     return EntityKey(entity.kind, entity.name)
 
@@ -109,7 +118,7 @@
     #: When, in seconds of the operator's clock since 1970; for reading.
     at: float
     puts: typing.Annotated[
-        tuple[Service | Place | Policy | Workspace, ...],
+        tuple[Entity, ...],
         annotated_types.MaxLen(MAX_ENTITIES),
     ] = ()
     deletes: typing.Annotated[
@@ -130,9 +139,9 @@
     reason: str
     at: float
     #: The entities that the change replaced or deleted.
-    before: tuple[Service | Place | Policy | Workspace, ...]
+    before: tuple[Entity, ...]
     #: The entities that the change put.
-    after: tuple[Service | Place | Policy | Workspace, ...]
+    after: tuple[Entity, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,7 +151,7 @@
     version: int = 0
     #: Offset of the first record that is not folded in.
     through: int = 0
-    entities: tuple[Service | Place | Policy | Workspace, ...] = ()
+    entities: tuple[Entity, ...] = ()
     #: The last accepted changes, oldest first.
     history: tuple[AuditEntry, ...] = ()
 
--- a/src/ferryledge/core/_admission.py
+++ b/src/ferryledge/core/_admission.py
@@ -113,11 +113,21 @@
                 self._state.spread(0.5),
                 "no endpoint is connected",
             )
+        cordoned = False
         for row in self._state.table:
             if zones is not None and row.zone not in zones:
                 continue
-            if not row.memory_mb or service.memory_mb <= row.memory_mb:
+            if row.memory_mb and service.memory_mb > row.memory_mb:
+                continue
+            if not row.cordoned:
                 return None
+            cordoned = True
+        if cordoned:
+            return self.refuse(
+                outcomes.Reason.NO_ENDPOINT,
+                self._state.spread(0.5),
+                "the allowed availability zones are cordoned",
+            )
         return self.refuse(
             outcomes.Reason.IMPOSSIBLE,
             0.0,
--- a/src/ferryledge/core/_placing.py
+++ b/src/ferryledge/core/_placing.py
@@ -155,7 +155,9 @@
             return
         self._state.judge.probes_due(now)
         for row in self._state.table:
-            if not row.ejected or not row.connected or row.leaving:
+            if not row.ejected or not row.connected:
+                continue
+            if row.leaving or row.cordoned:
                 continue
             match self._state.judge.state(row.name):
                 case health.Healthy():
--- a/src/ferryledge/core/_rulebook.py
+++ b/src/ferryledge/core/_rulebook.py
@@ -21,6 +21,10 @@
         self._places: dict[str, configlog.Place] = {}
         self._workspaces: dict[str, configlog.Workspace] = {}
         self._rules: dict[str, policy.Rules] = {}
+        #: Availability zones that take no new work.
+        self.cordons = frozenset(
+            one.name for one in snapshot.of_kind("cordon")
+        )
         self._failures: dict[str, int] = {}
         for entity in snapshot.entities:
             match entity:
--- a/src/ferryledge/core/_scheduler.py
+++ b/src/ferryledge/core/_scheduler.py
@@ -116,6 +116,7 @@
     def configure(self, rulebook: _rulebook.Rulebook) -> None:
         """Put a newer configuration in force."""
         self._state.rulebook = rulebook
+        self._state.table.set_cordons(rulebook.cordons)
         self._state.quotas.set_quotas(rulebook.quotas())
 
     def place(self, now: float, front: str, message: wire.PlaceJob) -> None:
--- a/src/ferryledge/core/tests/test_entry.py
+++ b/src/ferryledge/core/tests/test_entry.py
@@ -135,6 +135,35 @@
     assert placed[0][0] == "agent-1"
 
 
+@pytest.fixture
+def cordoned(driver):
+    """Return a driver with an agent in a zone that is cordoned."""
+    driver.agent_up("agent-s", "south")
+    entities = (*ENTITIES, configlog.Cordon("south"))
+    driver.do(core.ConfigChanged(configlog.Snapshot(2, 2, entities)))
+    return driver
+
+
+def test_nothing_starts_in_a_cordoned_zone(cordoned):
+    cordoned.agent_up("agent-t", "south")
+    cordoned.agent_up("agent-n", "north")
+    placed = [one for _ in range(4) for one in starts(cordoned.submit())]
+    assert {agent for agent, _ in placed} == {"agent-n"}
+
+
+def test_a_job_for_a_cordoned_zone_alone_is_refused(cordoned):
+    cordoned.agent_up("agent-n", "north")
+    (outcome,) = answers(cordoned.submit(places=("southern",)))
+    assert outcome.reason is outcomes.Reason.NO_ENDPOINT
+    assert outcome.retry_after_s > 0.0
+
+
+def test_a_zone_that_is_taken_back_serves_at_once(cordoned):
+    cordoned.do(core.ConfigChanged(configlog.Snapshot(3, 3, ENTITIES)))
+    placed = starts(cordoned.submit(places=("southern",)))
+    assert [agent for agent, _ in placed] == ["agent-s"]
+
+
 def test_a_quota_holds_back_a_workspaces_tasks(driver):
     driver.agent_up("agent-1", slots=8)
     ((peer, start),) = starts(driver.submit(tasks=5, workspace="small"))
--- a/src/ferryledge/placement/_tables.py
+++ b/src/ferryledge/placement/_tables.py
@@ -36,6 +36,8 @@
     process: str = ""
     connected: bool = True
     leaving: bool = False
+    #: Whether its zone takes no new work.
+    cordoned: bool = False
     #: Whether this scheduler may use it: it is of its pools, or its own.
     mine: bool = True
     #: Whether it has gone silent or overdue with work outstanding.
@@ -69,7 +71,7 @@
     def usable(self) -> bool:
         """Whether new work may go there at all."""
         return (self.connected and self.mine) and not (
-            self.leaving or self.doubted or self.ejected
+            self.leaving or self.doubted or self.ejected or self.cordoned
         )
 
     def fits(self, memory_mb: int) -> int:
@@ -90,6 +92,7 @@
         self._slots = 0
         self._foreign = 0
         self._zones: frozenset[str] | None = None
+        self._cordons: frozenset[str] = frozenset()
 
     @property
     def zones(self) -> frozenset[str]:
@@ -130,8 +133,16 @@
         self.drop(row.name)
         self._rows[row.name] = row
         self._bound += len(row.bound)
+        row.cordoned = row.zone in self._cordons
         self.refresh(row)
 
+    def set_cordons(self, zones: frozenset[str]) -> None:
+        """Bind nothing new in these availability zones."""
+        self._cordons = zones
+        for row in self._rows.values():
+            row.cordoned = row.zone in zones
+            self.refresh(row)
+
     def drop(self, name: str) -> None:
         """Remove an endpoint."""
         row = self._rows.pop(name, None)
--- a/src/ferryledge/tests/test_operators.py
+++ b/src/ferryledge/tests/test_operators.py
@@ -86,6 +86,25 @@
     assert out.count("version 2  lag 0") == 4
 
 
+def test_zone_is_cordoned_and_taken_back(processes):
+    platform = ("--platform", processes.platform.url)
+    why = ("--author", "ann", "--reason", "power works")
+    code, out, err = ferryledge("config", "cordon", *platform, *why, "north")
+    assert (code, err) == (0, "")
+    assert "in force" in out
+    _, out, _ = ferryledge("config", "show", *platform)
+    assert {"name": "north", "kind": "cordon"} in json.loads(out)["entities"]
+    _, out, _ = ferryledge("config", "cordon", *platform, *why, "north")
+    assert "nothing to change" in out
+    code, _, _ = ferryledge("config", "uncordon", *platform, *why, "north")
+    assert code == 0
+    _, out, _ = ferryledge("config", "show", *platform)
+    assert "cordon" not in {one["kind"] for one in json.loads(out)["entities"]}
+    _, out, _ = ferryledge("config", "history", *platform)
+    assert "ann: power works [cordon north]" in out
+    assert "without cordon north" in out
+
+
 def test_submit_explain_and_status(processes):
     code, out, _ = ferryledge(
         "submit",
