Show from the logs where requests wait and how they end

'ferryledge logs profile' sorts the lines of all entries and agents by request: the wait until the first order, the order on its way, the run, its end on its way back and the whole, median and 99th of a hundred for each queue; and how requests ended by queue and two seconds, late and refused by reason.

--- a/src/ferryledge/cli/_command.py
+++ b/src/ferryledge/cli/_command.py
@@ -7,6 +7,7 @@
 from ferryledge.cli import _explain
 from ferryledge.cli import _jobs
 from ferryledge.cli import _logs
+from ferryledge.cli import _profile
 from ferryledge.cli import _status
 
 
@@ -32,4 +33,5 @@
 main.add_command(_status.status)
 main.add_command(_explain.explain)
 main.add_command(_explain.watch)
+_logs.logs.add_command(_profile.profile)
 main.add_command(_logs.logs)
