--- a/src/ferryledge/cli/_profile.py
+++ b/src/ferryledge/cli/_profile.py
@@ -122,7 +122,9 @@
         self._ends[window, queue][_end_of(line)] += 1
 
     def _note(self, job: str, stage: Stage, seconds: float) -> None:
-        queue = self._queues.get(job, "")
+        queue = self._queues.get(job)
+        if queue is None:
+            return  # The line of its admission was left out.
         # Clocks of two machines may be some milliseconds apart.
         self.waits[queue, stage].append(max(0.0, seconds))
 
