--- a/src/ferryledge/capacity/__init__.py
+++ b/src/ferryledge/capacity/__init__.py
@@ -8,6 +8,7 @@
 from ferryledge.capacity import _measure
 from ferryledge.capacity import _model
 from ferryledge.capacity import _page
+from ferryledge.capacity import _sweep
 
 Deployment = _model.Deployment
 Slope = _fit.Slope
@@ -16,6 +17,7 @@
 fit = _fit.fit
 measure_all = _measure.measure_all
 read_slope = _fit.read_slope
+read_swept = _sweep.read_swept
 render_page = _page.render_page
 work_out = _model.work_out
 
@@ -27,6 +29,7 @@
     "fit",
     "measure_all",
     "read_slope",
+    "read_swept",
     "render_page",
     "work_out",
 ]
--- a/src/ferryledge/capacity/__main__.py
+++ b/src/ferryledge/capacity/__main__.py
@@ -9,6 +9,7 @@
 from ferryledge import capacity
 
 _PAGE = pathlib.Path("docs/CAPACITY.md")
+_SWEEP = pathlib.Path("docs/sweep.jsonl")
 
 
 @click.group()
@@ -34,11 +35,20 @@
     show_default=True,
     help="The page.",
 )
-def page(file: pathlib.Path, out: pathlib.Path) -> None:
-    """Make the page of the slopes in FILE."""
+@click.option(
+    "--sweep",
+    default=_SWEEP,
+    type=click.Path(dir_okay=False, path_type=pathlib.Path),
+    show_default=True,
+    help="What the users' sweep showed.",
+)
+def page(file: pathlib.Path, out: pathlib.Path, sweep: pathlib.Path) -> None:
+    """Make the page of the slopes in FILE and of the sweep."""
     lines = file.read_text().splitlines()
     slopes = [capacity.read_slope(line) for line in lines]
-    out.write_text(capacity.render_page(slopes))
+    rows = sweep.read_text().splitlines()
+    swept = [capacity.read_swept(line) for line in rows]
+    out.write_text(capacity.render_page(slopes, swept))
 
 
 if __name__ == "__main__":
--- a/src/ferryledge/capacity/_page.py
+++ b/src/ferryledge/capacity/_page.py
@@ -4,6 +4,7 @@
 
 from ferryledge.capacity import _fit
 from ferryledge.capacity import _model
+from ferryledge.capacity import _sweep
 
 _CONTROL_CPU = 0.028
 _CONTROL_MB = 64.0
@@ -241,8 +242,10 @@
 POOL = _model.POOL_SIZE
 
 
-def render_page(slopes: abc.Sequence[_fit.Slope]) -> str:
-    """Return the page that follows from the slopes."""
+def render_page(
+    slopes: abc.Sequence[_fit.Slope], swept: abc.Sequence[_sweep.SweptLine]
+) -> str:
+    """Return the page that follows from the slopes and the sweep."""
     target = _model.work_out(_model.TARGET, slopes)
     today = _model.work_out(_model.TODAY, slopes)
     return (
@@ -261,6 +264,7 @@
         + _leased_section(target)
         + _size_section(today)
         + _leased_section(today)
+        + _sweep.render(swept, _model.TARGET.workers)
         + _answers(target)
         + "\n## Slopes\n\n"
         + _slope_table(slopes)
--- a/src/ferryledge/capacity/tests/test_page.py
+++ b/src/ferryledge/capacity/tests/test_page.py
@@ -13,9 +13,34 @@
     return [capacity.read_slope(line) for line in lines]
 
 
+def swept():
+    lines = (DOCS / "sweep.jsonl").read_text().splitlines()
+    return [capacity.read_swept(line) for line in lines]
+
+
+def test_a_swept_figure_is_carried_on_by_its_power():
+    text = (
+        '{"name": "x", "unit": "s", "sizes": [10, 100], "busiest": [2, 20], '
+        '"budget": 100, "mends": "less of it"}'
+    )
+    line = capacity.read_swept(text)
+    assert round(line.power, 9) == 1.0
+    assert round(line.at(1000), 6) == 200.0
+    page = capacity.render_page(slopes(), [line])
+    assert "- x: less of it." in page
+
+
+def test_a_swept_figure_that_falls_is_kept():
+    text = (
+        '{"name": "x", "unit": "", "sizes": [10, 100], "busiest": [8, 4], '
+        '"budget": 5, "mends": ""}'
+    )
+    assert capacity.read_swept(text).at(1000) == 4.0
+
+
 def test_the_page_is_that_of_the_committed_slopes():
     page = (DOCS / "CAPACITY.md").read_text()
-    assert page == capacity.render_page(slopes())
+    assert page == capacity.render_page(slopes(), swept())
 
 
 def test_a_fit():
