Tell of cordons that were taken back before a start; ask peers in turn

Found by reading. An entry that starts has no cordons, so that the log has none was no news to it, and it told nobody. Agents dial it before it has read the log; one that had heard of a cordon from an earlier start of the entries refused all orders for good once it was taken back while they were down (a test with three entries, which failed: nothing was served). The first state is told to all now.

Also: an entry without the store asked the same peer for the configuration each time, also where that heard nothing of it (asked in turn now); and word of a cordon from a peer whose stream had broken would have ended the process. Both with a test that failed before.

--- a/src/ferryledge/leases/_cordons.py
+++ b/src/ferryledge/leases/_cordons.py
@@ -28,13 +28,16 @@
     def learn(self, state: wire.CordonedZones) -> bool:
         """Take in a state; an older one changes nothing.
 
-        :return: whether other zones are cordoned than before
+        The first one is news in any case: others may know of a cordon that
+        was taken back before this process started.
+
+        :return: whether that is news
         """
         if not _is_newer(state, self._state):
             return False
-        changed = state.zones != self._state.zones
+        known = self._state
         self._state = state
-        return changed
+        return not known.version or state.zones != known.zones
 
     def is_behind(self, state: wire.CordonedZones) -> bool:
         """Return whether a state is older than this one, and differs."""
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -366,9 +366,9 @@
                 self._peers.leave(name)
                 self._pool.leave(name, incarnation)
 
-    def _apply_cordons(self, changed: bool) -> None:
+    def _apply_cordons(self, is_news: bool) -> None:
         """Order nothing in cordoned zones, and again in others."""
-        if not changed:
+        if not is_news:
             return
         self._pool.apply_cordons()
         self._notes.cordoned(self._cordons.state)
--- a/src/ferryledge/leases/_peers.py
+++ b/src/ferryledge/leases/_peers.py
@@ -29,6 +29,8 @@
     cordons: bool = False
     #: The newest configuration that it is known to have.
     version: int = 0
+    #: When it was asked for that last.
+    asked_at: float = float("-inf")
     told_at: float = float("-inf")
 
 
@@ -124,7 +126,9 @@
         :param now: monotonic seconds
         """
         newer = [
-            n for n, p in self._peers.items() if p.version > self._version
+            name
+            for name, peer in self._peers.items()
+            if peer.version > self._version
         ]
         if not newer:
             self._behind_since = None
@@ -132,12 +136,15 @@
             self._behind_since = now
         elif now - self._behind_since >= _READ_ALONE_S:
             self._behind_since = now
-            self._send(newer[0], wire.ConfigRequest())
+            # In turn: one may hear nothing of this entry.
+            name = min(newer, key=lambda one: self._peers[one].asked_at)
+            self._peers[name].asked_at = now
+            self._send(name, wire.ConfigRequest())
 
     def learn_cordons(self, state: wire.CordonedZones) -> bool:
         """Take in which zones are cordoned, and hand that on.
 
-        :return: whether other zones are cordoned than before
+        :return: whether that is news
         """
         if not self._cordons.learn(state):
             return False
@@ -148,14 +155,15 @@
     def hear_cordons(self, name: str, state: wire.CordonedZones) -> bool:
         """Take in what a peer says of cordoned zones, or correct it.
 
-        :return: whether other zones are cordoned than before
+        :return: whether that is news
         """
         if self._cordons.is_behind(state):
             self._tell_cordons(name)
         return self.learn_cordons(state)
 
     def _tell_cordons(self, name: str) -> None:
-        if self._peers[name].cordons:
+        peer = self._peers.get(name)
+        if peer is not None and peer.cordons:
             self._send(name, self._cordons.state)
 
     def heard(self, now: float, name: str) -> None:
--- a/src/ferryledge/leases/tests/test_configs.py
+++ b/src/ferryledge/leases/tests/test_configs.py
@@ -95,3 +95,20 @@
     core.receive(0.1, leases.ConfigRead(5, b"{}"))
     actions += _run(core, 0.1, 2.0)
     assert not _sent(actions, wire.ConfigRequest)
+
+
+def test_peers_are_asked_in_turn() -> None:
+    """One that does not answer may be cut off in one direction."""
+    core = _entry("entry-1")
+    for name in ("entry-0", "entry-2"):
+        core.receive(0.0, wire.PeerUp(_hello(name, 5)))
+    asked = _sent(_run(core, 0.0, _AIM_S), wire.ConfigRequest)
+    assert {peer for peer, _ in asked} == {"entry-0", "entry-2"}
+
+
+def test_word_of_cordons_after_a_stream_broke_is_taken_in() -> None:
+    core = _entry("entry-1")
+    core.receive(0.0, leases.CordonsRead(wire.CordonedZones(9, ("north",))))
+    late = wire.Received("entry-0", wire.CordonedZones(3))
+    core.receive(0.1, late)
+    assert not _sent(core.tick(0.1), wire.CordonedZones)
--- a/src/ferryledge/leases/tests/test_cordons.py
+++ b/src/ferryledge/leases/tests/test_cordons.py
@@ -30,6 +30,29 @@
     return made
 
 
+def test_entries_that_start_anew_tell_of_a_zone_that_was_taken_back(
+    world: worlds.World,
+) -> None:
+    """Agents dial an entry before it has read the operators' log.
+
+    That no zone is cordoned was no news to the entry, which had started
+    without any, so it told nobody; an agent that had heard of the cordon
+    before then refused all orders for good.
+    """
+    world.set_cordons("north", "south")
+    world.run(worlds.CORDON_S)
+    world.storeless.update(world.entries)
+    for name in world.entries:
+        world.kill(name)
+    world.set_cordons()
+    world.run(2.0)
+    world.storeless.clear()
+    world.run(worlds.OPERATORS_S + 0.5)
+    token = world.submit("entry-0", _JOB, count=4, work_s=0.1)
+    world.run(0.5)
+    assert _is_complete(world, token)
+
+
 def _started_in(world: worlds.World, zone: str) -> int:
     """Return how many tasks run in a zone now."""
     return sum(
