--- a/src/ferryledge/hosted/tests/test_operators.py
+++ b/src/ferryledge/hosted/tests/test_operators.py
@@ -75,3 +75,31 @@
         if isinstance(one, wire.CordonedZones)
     ]
     assert versions == sorted(set(versions))
+
+
+@pytest.mark.anyio
+async def test_what_is_written_between_two_pages_is_read() -> None:
+    """A list of records in pages is no snapshot: each has an end of its own.
+
+    A record that came after the first page, under a key that it had passed,
+    is on no page and before the last one's end.
+    """
+
+    async def handle(request: net.Request) -> net.HttpResponse:
+        first = not request.query("DependsOn", "")
+        key = "a" if first else "b"
+        item = {"TlsKey": key, "Value": "e30=", "Offset": 0}
+        return net.HttpResponse.json(
+            200,
+            {"items": [item], "MorePages": first, "End": 5 if first else 9},
+        )
+
+    async with anyio.create_task_group() as group:
+        port = await group.start(
+            net.serve_http, net.asgi_app(handle), "127.0.0.1", 0, anyio.Event()
+        )
+        store = platform.StoreClient(f"127.0.0.1:{port}")
+        page = await store.newest(_TOPIC)
+        group.cancel_scope.cancel()
+    assert [record.key for record in page.records] == ["a", "b"]
+    assert page.next_offset == 5
--- a/src/ferryledge/net/_suspension.py
+++ b/src/ferryledge/net/_suspension.py
@@ -31,4 +31,6 @@
     def _read(self) -> float:
         if _BOOT_CLOCK is None:
             return 0.0
+        # In this order a process that is paused in between measures less, and
+        # takes its pause for no suspension.
         return time.clock_gettime(_BOOT_CLOCK) - time.monotonic()
