Close the listeners of a server that is cancelled

Cause: a cancelled server did not close its sockets, so its address stayed in use until they were collected as garbage. The suite now plays two soaks in one process, which take the same addresses: in a run of all tests beside other work the second one ended in 'Address already in use' at the store and the three endpoints; alone it had passed twice.

Ruled out: another soak beside it (its ports go by the process id; another number); sockets in TIME_WAIT (the listeners are bound with SO_REUSEADDR).

Change: they are closed whatever ends the server. The test binds the address again with the collector off, and failed before.

--- a/src/ferryledge/net/_server.py
+++ b/src/ferryledge/net/_server.py
@@ -34,6 +34,11 @@
         await self.on_tick(0)
         await self._stop.wait()
 
+    def close_listeners(self) -> None:
+        """Listen no more; nothing happens the second time."""
+        for one in getattr(self, "servers", ()):
+            one.close()
+
     def release_connections(self) -> None:
         """Close unused connections, and others after their answer."""
         for connection in list(self.server_state.connections):
@@ -81,7 +86,12 @@
         group.start_soon(_report_start, server, bound, task_status)
         if release is not None:
             group.start_soon(_release, server, release)
-        await server.serve(sockets=[listener])
+        try:
+            await server.serve(sockets=[listener])
+        finally:
+            # A server that is cancelled leaves its sockets to the collector.
+            server.close_listeners()
+            listener.close()
         group.cancel_scope.cancel()
 
 
--- a/src/ferryledge/net/tests/test_server.py
+++ b/src/ferryledge/net/tests/test_server.py
@@ -1,6 +1,7 @@
 """Serving HTTP."""
 
 import asyncio
+import gc
 import typing
 
 import anyio
@@ -97,3 +98,30 @@
 
     anyio.run(main)
     assert len(timers) == 1  # Only the test's own.
+
+
+def test_address_is_free_once_a_server_is_cancelled() -> None:
+    """Its sockets stayed open until they were collected as garbage.
+
+    Two soaks in one process take the same addresses one after the other; the
+    second one ended in "Address already in use" now and then.
+    """
+
+    async def serve_once(port: int) -> int:
+        async with anyio.create_task_group() as group:
+            bound = await group.start(
+                net.serve_http,
+                net.asgi_app(_answer),
+                "127.0.0.1",
+                port,
+                anyio.Event(),
+            )
+            group.cancel_scope.cancel()
+        return int(bound)
+
+    gc.disable()
+    try:
+        port = anyio.run(serve_once, 0)
+        assert anyio.run(serve_once, port) == port
+    finally:
+        gc.enable()
