--- a/src/ferryledge/capacity/_page.py
+++ b/src/ferryledge/capacity/_page.py
@@ -205,8 +205,10 @@
 queue is bounded by `max_waiting_tasks`. Regions share nothing but the log,
 so regions that lose each other go on serving.
 
-**The herd afterwards.** Redials wait 0.05 s to 2 s with jitter, refusals
-ask for delays spread by a factor of two, clients retry from a budget.
+**The herd afterwards.** A peer whose process starts is dialled each 25 to 50
+ms, a dark one some three times a second, and one that refuses for good each
+0.4 to 0.8 s. Refusals ask for delays spread by a factor of two, clients retry
+from a budget.
 
 **Quotas meanwhile.** A quota holds for a region. Each pool enforces the part
 that its share of the region's endpoints gives it, rounded up, so the sum is
--- a/src/ferryledge/capacity/_sweep.py
+++ b/src/ferryledge/capacity/_sweep.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from ferryledge.capacity import _fit
+
 #: Figures that fall with the size are not taken to fall on.
 _LEAST_POWER = 0.0
 
@@ -30,14 +32,11 @@
     @property
     def power(self) -> float:
         """The power of the number of machines with which it grows."""
-        xs = [math.log(size) for size in self.sizes]
-        ys = [math.log(value) for value in self.busiest]
-        mean_x = sum(xs) / len(xs)
-        mean_y = sum(ys) / len(ys)
-        covariance = sum(
-            (x - mean_x) * (y - mean_y) for x, y in zip(xs, ys, strict=True)
-        )
-        return covariance / sum((x - mean_x) ** 2 for x in xs)
+        points = [
+            (math.log(size), math.log(value))
+            for size, value in zip(self.sizes, self.busiest, strict=True)
+        ]
+        return _fit.fit(self.name, self.unit, "machine", points).per_unit
 
     def at(self, size: int) -> float:
         """Return the figure at another size, by its power."""
--- a/src/ferryledge/cli/_config.py
+++ b/src/ferryledge/cli/_config.py
@@ -1,5 +1,6 @@
 """``ferryledge config``: check, publish, show, history, status."""
 
+from collections import abc
 import dataclasses
 import datetime
 import json
@@ -184,16 +185,18 @@
     The first of two racing operators wins; the other one is told.
     """
     entities = _file.load(file)
+    _carry_out(
+        publish_entities, platform_url, entities, author, reason, keep, base
+    )
+
+
+def _carry_out(
+    change: abc.Callable[..., abc.Awaitable[Publication]],
+    *arguments: object,
+) -> None:
+    """Publish a change and tell what became of it."""
     try:
-        done = _options.run(
-            publish_entities,
-            platform_url,
-            entities,
-            author,
-            reason,
-            keep,
-            base,
-        )
+        done = _options.run(change, *arguments)
     except runtime.PlatformError as exc:
         raise _options.CommandError(str(exc)) from exc
     if not done.accepted:
@@ -215,20 +218,6 @@
     )
 
 
-def _run_cordon(
-    platform_url: str, zone: str, author: str, reason: str, cordoned: bool
-) -> None:
-    try:
-        done = _options.run(
-            _set_cordon, platform_url, zone, author, reason, cordoned
-        )
-    except runtime.PlatformError as exc:
-        raise _options.CommandError(str(exc)) from exc
-    if not done.accepted:
-        raise _options.CommandError(f"not accepted: {done.message}")
-    click.echo(f"version {done.version}: {done.message}")
-
-
 @config.command()
 @_options.platform_option
 @click.option("--author", required=True, help="Who publishes.")
@@ -239,7 +228,7 @@
 
     What runs there ends as usual.
     """
-    _run_cordon(platform_url, zone, author, reason, True)
+    _carry_out(_set_cordon, platform_url, zone, author, reason, True)
 
 
 @config.command()
@@ -249,7 +238,7 @@
 @click.argument("zone")
 def uncordon(platform_url: str, author: str, reason: str, zone: str) -> None:
     """Let availability zone ZONE take work again."""
-    _run_cordon(platform_url, zone, author, reason, False)
+    _carry_out(_set_cordon, platform_url, zone, author, reason, False)
 
 
 @config.command()
