--- a/src/ferryledge/leases/_jobs.py
+++ b/src/ferryledge/leases/_jobs.py
@@ -26,6 +26,9 @@
     stretch: float = 1.0
     #: ... and this many seconds.
     target_s: float = 0.0
+    #: An answer is useful for this many times the objective. 1 is not beyond
+    #: it: what would be late is refused.
+    late_factor: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -156,6 +159,12 @@
         """When it should be answered, in monotonic seconds."""
         return self.arrived_at + self.objective_s
 
+    @property
+    def useful_until(self) -> float:
+        """Until when an answer is of use to the client, monotonic seconds."""
+        late_s = self.request.job_class.late_factor * self.objective_s
+        return min(self.arrived_at + late_s, self.deadline_at)
+
     @property
     def start_by(self) -> float:
         """The latest start that is likely to meet the objective.
