Soak: storms of configurations, crowded entries, flapping and failing endpoints

Ruled out: a simulator of its own for configurations; each one that operators write has one more queue than the one before, so what an entry knows shows what it has in force. Change: processes, clients, operators, workload and strikes are modules of their own. The judge learns that an entry never goes back to an older configuration within a life, that the newest comes into force everywhere once the faults are over, and that a job may fail whose task failed in all the runs that the configuration allows it.

--- /dev/null
+++ b/src/ferryledge/soak/_clients.py
@@ -0,0 +1,121 @@
+"""Clients that submit one job after another over open connections."""
+
+import asyncio
+from collections import abc
+import random
+
+from ferryledge import net
+from ferryledge.platform import standin as platform_standin
+from ferryledge.soak import _deployment
+from ferryledge.soak import _judge
+from ferryledge.soak import _plan
+from ferryledge.soak import _workload
+
+QUEUES = ("hold", "quote")
+#: Clients, each with one connection to each entry that it keeps open.
+CLIENTS = 8
+_JOBS_PER_S = 8.0
+_DEADLINE_S = 5.0
+#: A client repeats a job this long after its try broke off.
+_REPEAT_S = 1.3
+#: Seconds between tries to be served after the faults.
+_TRY_S = 0.5
+
+
+class Clients:
+    """All clients of a soak.
+
+    :param plan: how long they submit
+    :param workload: what the tasks of their jobs need and take
+    :param judge: hears of tries and answers
+    :param now: tells seconds from the start of the load
+    """
+
+    def __init__(
+        self,
+        plan: _plan.Plan,
+        workload: _workload.Workload,
+        judge: _judge.Judge,
+        now: abc.Callable[[], float],
+    ) -> None:
+        self._plan = plan
+        self._workload = workload
+        self._judge = judge
+        self._now = now
+        #: Whether the next job is to be a deadly one.
+        self.deadly_next = False
+        #: The entry that all turn to first for now; none is any.
+        self.crowded: int | None = None
+
+    async def submit_many(self, number: int) -> None:
+        """Submit one job after another while the load lasts."""
+        rng = random.Random(self._plan.seed * 100 + number)
+        callers = self._callers()
+        count = 0
+        while self._now() < self._plan.seconds:
+            count += 1
+            job = f"{self._plan.seed:06x}{number:02x}{count:08x}"
+            await self._submit(rng, callers, job)
+            await asyncio.sleep(rng.expovariate(_JOBS_PER_S))
+
+    async def is_served_again(self) -> bool:
+        """Return whether a job is served after the faults."""
+        rng = random.Random(self._plan.seed)
+        callers = self._callers()
+        until = self._now() + _judge.RECOVERY_S
+        succeeded = platform_standin.ClientState.SUCCEEDED
+        before = self._judge.count(succeeded)
+        count = 0
+        while self._now() < until:
+            count += 1
+            await self._submit(rng, callers, f"{count:016x}")
+            if self._judge.count(succeeded) > before:
+                return True
+            await asyncio.sleep(_TRY_S)
+        return False
+
+    def _callers(self) -> list[net.HttpCaller]:
+        return [entry_caller(n) for n in range(self._plan.entries)]
+
+    async def _submit(
+        self, rng: random.Random, callers: list[net.HttpCaller], job: str
+    ) -> None:
+        tasks = rng.randint(1, 6)
+        work_s = rng.choice((0.05, 0.2, 0.8))
+        cpu = rng.choice((800, 1600, 2300))
+        spec = self._workload.add(job, cpu, work_s)
+        if self.deadly_next:
+            self.deadly_next = False
+            self._judge.deadly(job)
+        for caller in self._turn_to(rng, callers):
+            self._judge.submitted(job, tasks)
+            answer = await platform_standin.submit(
+                caller,
+                rng.choice(QUEUES),
+                job,
+                spec,
+                tasks,
+                cpu,
+                int(work_s * 1000 * rng.uniform(0.6, 1.5)),
+                _DEADLINE_S,
+            )
+            self._judge.now = self._now()
+            self._judge.answered(job, answer.state)
+            if answer.state is not platform_standin.ClientState.UNKNOWN:
+                return
+            await asyncio.sleep(_REPEAT_S)
+
+    def _turn_to(
+        self, rng: random.Random, callers: list[net.HttpCaller]
+    ) -> list[net.HttpCaller]:
+        """Return the entries to try, in order."""
+        chosen = rng.sample(callers, min(2, len(callers)))
+        if self.crowded is not None:
+            chosen[0] = callers[self.crowded]
+        return chosen
+
+
+def entry_caller(number: int) -> net.HttpCaller:
+    """Return a caller of an entry, as clients are."""
+    host = _deployment.entry_host(number)
+    return net.HttpCaller(f"http://{host}:{_deployment.FRONTEND_PORT}", 4)
--- a/src/ferryledge/soak/_plan.py
+++ b/src/ferryledge/soak/_plan.py
@@ -34,8 +34,12 @@
     ENDPOINT_SLOW = "endpoint_slow"
     ENDPOINT_STILL = "endpoint_still"
     ENDPOINT_DRAIN = "endpoint_drain"
+    ENDPOINT_FLAP = "endpoint_flap"
+    ENDPOINT_FAIL = "endpoint_fail"
     LATE_ORDERS = "late_orders"
     CONFIG = "config"
+    CONFIG_STORM = "config_storm"
+    CROWDED_ENTRY = "crowded_entry"
     CORDON = "cordon"
     DEADLY_JOB = "deadly_job"
 
--- a/src/ferryledge/soak/tests/test_soak.py
+++ b/src/ferryledge/soak/tests/test_soak.py
@@ -11,6 +11,7 @@
 from ferryledge.soak import _adoption
 from ferryledge.soak import _judge
 from ferryledge.soak import _plan
+from ferryledge.soak import _processes
 from ferryledge import wire
 
 _KIND = _plan.FaultKind
@@ -100,6 +101,54 @@
 KEY = leases.RunKey("a" * 16, 0, 0, 1)
 
 
+@pytest.mark.parametrize(("failures", "found"), [(2, ["failed"]), (3, [])])
+def test_job_whose_task_failed_in_all_its_runs_may_fail(
+    failures: int, found: list[str]
+) -> None:
+    judge = _judge.Judge()
+    judge.submitted(KEY.job, 1)
+    for run in range(failures):
+        key = dataclasses.replace(KEY, run=run + 1)
+        judge.ended(key, wire.HowEnded.FAILED)
+    judge.answered(KEY.job, platform_standin.ClientState.FAILED)
+    assert [one.promise for one in judge.findings] == found
+
+
+@pytest.fixture
+def entry(tmp_path: pathlib.Path) -> _processes.Program:
+    program = _processes.Program("entry-0", "entry", "", tmp_path)
+    program.lives = 1
+    return program
+
+
+def test_configuration_that_goes_back_is_found(
+    entry: _processes.Program,
+) -> None:
+    judge = _judge.Judge()
+    judge.config(entry, 2, False)
+    judge.config(entry, 2, True)
+    judge.config(entry, 3, False)
+    assert not judge.findings
+    judge.config(entry, 2, False)
+    assert [one.promise for one in judge.findings] == ["config"]
+
+
+def test_configuration_of_a_new_life_may_come_late(
+    entry: _processes.Program,
+) -> None:
+    judge = _judge.Judge()
+    judge.config(entry, 2, True)
+    entry.lives += 1
+    judge.config(entry, 2, False)
+    assert not judge.findings
+
+
+def test_configuration_that_never_comes_into_force_is_found() -> None:
+    judge = _judge.Judge()
+    judge.close(recovered=True, in_force=False)
+    assert [one.promise for one in judge.findings] == ["config"]
+
+
 def found_run() -> _judge.Judge:
     """Return a judge of a run that a successor found."""
     judge = _judge.Judge()
