Forecast who is in time, late or in vain; late answers wait

Cause: once 0.25 of its objective has passed, an untried job was refused if this moment's queue would make it late. On a wave whose crest is above the room for some seconds 0.8% of the jobs were refused, although the load falls right after it and an answer somewhat late is of use to most clients. By the latest start alone jobs of all kinds become late at the same moment.

Change: a job's class says for how long an answer is of use (3 objectives on the platform, by its rules). A forecast tells when a job has room: from the work ahead, what comes and goes ahead (learned rates, drifting back to the usual ones), this entry's share, what is free now, and its own link. Where a job would be late, the largest one that can wait is put behind all that can be in time (Moore's rule). What would be of no use is refused at the first look. Jobs whose class takes no late answers are treated as before. Scheduling.forecast() tells the prospect of any job.

--- a/src/ferryledge/leases/_admission.py
+++ b/src/ferryledge/leases/_admission.py
@@ -2,6 +2,7 @@
 
 import random
 
+from ferryledge.leases import _forecast
 from ferryledge.leases import _jobs
 from ferryledge.leases import _own_link
 from ferryledge.leases import _placing
@@ -121,6 +122,29 @@
             )
         return None
 
+    def judge(
+        self, now: float, job: _jobs.Job, told: _forecast.Forecast
+    ) -> outcomes.Refused | None:
+        """Return a refusal for a job whose answer would be of no use.
+
+        :param now: monotonic seconds
+        :param job: a job that may be late and for which nothing was ordered
+        :param told: what is forecast of it
+        """
+        if self._pool.may_recover(now):
+            return None
+        unfit = self._unfit(job)
+        if unfit is not None:
+            return unfit
+        if told.prospect is not _forecast.Prospect.IN_VAIN:
+            return None
+        left_s = max(0.0, job.useful_until - now)
+        return self._refuse(
+            outcomes.Reason.CAPACITY,
+            f"room is forecast in {told.room_in_s:.2f} s, and an answer is "
+            f"of use for {left_s:.2f} s",
+        )
+
     def _wait_s(self, now: float, job: _jobs.Job, ahead: float) -> float:
         """Return how long it takes until the last task of a job has room."""
         service = job.request.job_class.service
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -288,6 +288,7 @@
             return
         self._notes.admitted(job, len(self._jobs), self._peers.version)
         self._jobs.add(job)
+        self._scheduling.note_arrival(now, job)
         self._next_sweep = min(self._next_sweep, now + _REVIEW_S)
         self._dirty = True
 
--- a/src/ferryledge/leases/_jobs.py
+++ b/src/ferryledge/leases/_jobs.py
@@ -5,6 +5,7 @@
 import math
 
 from ferryledge.leases import _crashes
+from ferryledge.leases import _forecast
 from ferryledge import wire
 
 #: A job is smaller than expected by this many deviations one time in ten.
@@ -116,6 +117,9 @@
     spread: float = 0.0
     #: When its first run was ordered; none yet if nothing was.
     offered_at: float | None = None
+    #: What was forecast of it last, while nothing was ordered for it; none
+    #: if it was not looked at, or is refused where it would be late.
+    forecast: _forecast.Forecast | None = None
     #: Whether it was answered, or nobody waits for it any more.
     closed: bool = False
     #: Its spec, packed; empty until that is needed.
@@ -179,6 +183,28 @@
         wait_s = (job_class.stretch - 1.0) * least_s + job_class.target_s
         return self.arrived_at + wait_s
 
+    @property
+    def may_be_late(self) -> bool:
+        """Whether an answer beyond the objective is of use."""
+        return self.request.job_class.late_factor > 1.0
+
+    @property
+    def is_put_back(self) -> bool:
+        """Whether it waits behind all jobs that can be in time."""
+        if self.forecast is None:
+            return False
+        return self.forecast.prospect is not _forecast.Prospect.IN_TIME
+
+    @property
+    def need(self) -> _forecast.Need:
+        """What a forecast has to know of it."""
+        return _forecast.Need(
+            self.waiting_work(),
+            self.expected_s,
+            self.start_by,
+            self.useful_until,
+        )
+
     @property
     def has_begun(self) -> bool:
         """Whether a run of it was ordered."""
--- a/src/ferryledge/leases/_pool.py
+++ b/src/ferryledge/leases/_pool.py
@@ -287,3 +287,10 @@
             row.state.capacity.cpu_millis / 1000.0
             for row in self._usable(now, service)
         )
+
+    def free_cores(self, now: float, service: str) -> float:
+        """Return the cores of usable endpoints on which nothing runs."""
+        return sum(
+            max(0, row.free.cpu_millis) / 1000.0
+            for row in self._usable(now, service)
+        )
--- a/src/ferryledge/leases/_rules.py
+++ b/src/ferryledge/leases/_rules.py
@@ -18,6 +18,10 @@
     priorities: bool = True
     #: What can't be in time is refused while that is prompt.
     prompt_refusals: bool = True
+    #: What is late waits as long as its answer is of use to its client.
+    late_answers: bool = True
+    #: Where one job would be late, the largest one is that can wait.
+    largest_late: bool = True
     #: Agents hear how urgent the work is that waits for their room.
     urgency_reports: bool = True
     #: Runs on a slow endpoint are started again elsewhere.
--- a/src/ferryledge/leases/_scheduling.py
+++ b/src/ferryledge/leases/_scheduling.py
@@ -4,11 +4,14 @@
 import random
 
 from ferryledge.leases import _admission
+from ferryledge.leases import _arrivals
+from ferryledge.leases import _forecast
 from ferryledge.leases import _job_table
 from ferryledge.leases import _jobs
 from ferryledge.leases import _own_link
 from ferryledge.leases import _placing
 from ferryledge.leases import _pool
+from ferryledge.leases import _review
 from ferryledge.leases import _run_tracking
 from ferryledge.leases import _share
 from ferryledge.leases import _turns
@@ -52,6 +55,7 @@
         self._placing = placing
         self._link = link
         self._share = _share.Share(link)
+        self._arrivals = _arrivals.Arrivals()
         self._wanting = _wanting.Wanting(link)
         #: When agents are to hear how urgent the waiting jobs are.
         self._wanted_at = _NEVER
@@ -66,6 +70,37 @@
         """When to place or to tell agents at the latest."""
         return min(self._wanted_at, self._place_at)
 
+    def note_arrival(self, now: float, job: _jobs.Job) -> None:
+        """Take in that a job was admitted."""
+        job_class = job.request.job_class
+        slack_s = job.start_by - now
+        self._arrivals.note(
+            now, job_class.name, job_class.service, job.work, slack_s
+        )
+
+    def forecast(
+        self, now: float, job: _jobs.Job
+    ) -> _forecast.Forecast | None:
+        """Return what is expected of a job, whether it is held or offered.
+
+        :param now: monotonic seconds
+        :param job: the job
+        :return: none while agents are likely to come back soon
+        """
+        if self._pool.may_recover(now):
+            return None
+        service = job.request.job_class.service
+        gap_s = self._share.gap_s
+        key = self._turns.key(now, job, gap_s)
+        ahead = sum(
+            one.waiting_work()
+            for one in self._jobs.waiting
+            if one is not job
+            and one.request.job_class.service == service
+            and self._turns.key(now, one, gap_s) < key
+        )
+        return self._forecaster(now, service).in_time(job.need, ahead)
+
     def review(self, now: float) -> Refusals:
         """Yield jobs that wait in vain, in the order of their turns.
 
@@ -77,7 +112,10 @@
         ahead = self._begun_work()
         pool_cores = self._pool.capacity_cores(now)
         self._share.update(now, pool_cores, self._pool.sharers(now))
+        patient = [job for job in untried if self._may_be_late(job)]
         for job in untried:
+            if self._may_be_late(job):
+                continue
             service = job.request.job_class.service
             work = ahead.get(service, 0.0)
             refusal = self.admission.review(now, job, work)
@@ -85,6 +123,70 @@
                 ahead[service] = work + job.work
             else:
                 yield job, refusal
+        for service in {job.request.job_class.service for job in patient}:
+            yield from self._review_patient(
+                now, service, patient, ahead.get(service, 0.0)
+            )
+
+    def _may_be_late(self, job: _jobs.Job) -> bool:
+        return self._turns.rules.late_answers and job.may_be_late
+
+    def _review_patient(
+        self,
+        now: float,
+        service: str,
+        patient: list[_jobs.Job],
+        ahead: float,
+    ) -> Refusals:
+        """Yield the jobs of a service whose answer would be of no use.
+
+        :param now: monotonic seconds
+        :param service: the service
+        :param patient: jobs that may be late, of all services
+        :param ahead: core-seconds that go before them
+        """
+        jobs = [
+            job for job in patient if job.request.job_class.service == service
+        ]
+        jobs.sort(key=lambda job: self._turns.turn_at(job, self._share.gap_s))
+        forecasts = _review.review(
+            now,
+            self._forecaster(now, service),
+            [_review.Waiting(n, job.need) for n, job in enumerate(jobs)],
+            ahead,
+            self._turns.rules.largest_late,
+        )
+        for number, job in enumerate(jobs):
+            self._take_in(now, job, forecasts[number])
+            refusal = self.admission.judge(now, job, forecasts[number])
+            if refusal is not None:
+                yield job, refusal
+
+    def _take_in(
+        self, now: float, job: _jobs.Job, told: _forecast.Forecast
+    ) -> None:
+        """Keep what is forecast of a job, and count it where it goes."""
+        was = job.is_put_back
+        job.forecast = told
+        moved = was - job.is_put_back
+        if moved:
+            self._arrivals.move(now, job.request.job_class.name, moved)
+
+    def _forecaster(self, now: float, service: str) -> _forecast.Forecaster:
+        """Return what tells the prospects of a service's jobs."""
+        pool_cores = self._pool.capacity_cores(now, service)
+        cores = 0.0
+        if pool_cores:
+            sharers = self._pool.sharers(now, service)
+            cores = self._share.cores(now, pool_cores, sharers)
+        room = _forecast.Room(
+            cores,
+            self._pool.free_cores(now, service),
+            (),
+            self._link.wait_s(now),
+        )
+        inflow = self._arrivals.inflow(now, service)
+        return _forecast.Forecaster(now, room, inflow)
 
     def _begun_work(self) -> dict[str, float]:
         """Return the core-seconds that begun jobs wait for, by service."""
--- a/src/ferryledge/leases/_turns.py
+++ b/src/ferryledge/leases/_turns.py
@@ -2,8 +2,9 @@
 
 It answers a full pool: a burst of one kind, a wave, endpoints that left.
 Jobs that can still meet their objective go first, by the latest start that is
-likely to meet it; the others take what room is left. So a long job waits
-longer than a quick one, and both can be in time.
+likely to meet it; the others take what room is left, those first whose answer
+is useless soonest. So a long job waits longer than a quick one, and both can
+be in time.
 
 Known to be weak: the order does not weigh what a job's answer is worth
 against the cores that it takes, since callers do not say so.
@@ -62,13 +63,18 @@
 
     def is_late(self, now: float, job: _jobs.Job) -> bool:
         """Return whether a job has not begun and is unlikely to be in time."""
-        return not job.has_begun and now > job.start_by
+        if job.has_begun:
+            return False
+        return now > job.start_by or job.is_put_back
 
     def key(
         self, now: float, job: _jobs.Job, gap_s: float
     ) -> tuple[bool, float]:
         """Return a key that sorts jobs by who gets room first."""
-        return (self.is_late(now, job), self.turn_at(job, gap_s))
+        is_late = self.is_late(now, job)
+        if is_late and job.may_be_late:
+            return (is_late, job.need.last_start)
+        return (is_late, self.turn_at(job, gap_s))
 
     def sort(
         self, now: float, jobs: abc.Iterable[_jobs.Job], gap_s: float
--- a/src/ferryledge/loads/_jobs.py
+++ b/src/ferryledge/loads/_jobs.py
@@ -28,6 +28,12 @@
         """Seconds within which an answer is in time."""
         return self.kind.stretch * self.work_s + self.kind.target_s
 
+    @property
+    def useful_s(self) -> float:
+        """Seconds within which an answer is of use."""
+        late_s = self.kind.late_factor * self.objective_s
+        return min(late_s, self.deadline_s)
+
     @property
     def core_s(self) -> float:
         """Core-seconds that its tasks take."""
--- a/src/ferryledge/loads/_outcomes.py
+++ b/src/ferryledge/loads/_outcomes.py
@@ -29,6 +29,16 @@
     #: Seconds from its sending to its answer; none if there was none.
     took_s: float | None = None
 
+    @property
+    def is_useful(self) -> bool:
+        """Whether its client got an answer while that was of use."""
+        if self.took_s is None or self.end not in _ANSWERED:
+            return False
+        return self.took_s <= self.job.useful_s
+
+
+_ANSWERED = (JobEnd.IN_TIME, JobEnd.LATE)
+
 
 @dataclasses.dataclass(frozen=True)
 class Results:
@@ -69,6 +79,16 @@
         """
         return _share(self._of(kind), end)
 
+    def useful(self, kind: str = "") -> float:
+        """Return the share of a kind's jobs whose answers were of use.
+
+        :param kind: its name; empty is all kinds
+        """
+        ended = self._of(kind)
+        if not ended:
+            return 1.0
+        return sum(one.is_useful for one in ended) / len(ended)
+
     def by_kind(self) -> dict[str, float]:
         """Return the share in time of each kind."""
         return {
--- a/src/ferryledge/loads/_patterns.py
+++ b/src/ferryledge/loads/_patterns.py
@@ -33,6 +33,8 @@
     target_s: Seconds = 0.06
     #: Seconds for which the client waits: the least and the most.
     deadline_s: tuple[Positive, Positive] = (2.0, 7.0)
+    #: An answer is of use for this many times the objective.
+    late_factor: Positive = 1.0
     #: What an answer in time is worth, for each core-second of a mean job.
     worth: Share = 1.0
 
--- a/src/ferryledge/loads/_play.py
+++ b/src/ferryledge/loads/_play.py
@@ -103,6 +103,7 @@
             _ATTEMPTS,
             job.kind.stretch,
             job.kind.target_s,
+            job.kind.late_factor,
         )
         token = world.submit(
             name,
--- a/src/ferryledge/platform/_config.py
+++ b/src/ferryledge/platform/_config.py
@@ -12,6 +12,10 @@
 #: What leads the key of a record that cordons the zone it names.
 CORDON_PREFIX = "evacuate/"
 
+#: The platform's clients can use an answer until three times the objective;
+#: after that it counts as none.
+_LATE_FACTOR = 3.0
+
 
 class ConfigError(Exception):
     """The configuration can't be read."""
@@ -101,6 +105,7 @@
                 route.attempts,
                 route.stretch,
                 route.target_latency_ms / 1000.0,
+                _LATE_FACTOR,
             ),
         )
         for route in config.routes
