Read configurations at a pace, and none that is replaced

Cause: each entry read every version whole, one after the other and as fast as they came, over the link that carries ends and grants. An answer that was cut short by the time for it was read anew from its start.

Change: the list of all other keys, which is small, tells of cordons and of the log's end; only the log's last record is read then. The bound until which a version must be in force and what the link carries say how fast it is read and when the next one is. What the store may have on its way to an entry is bounded, and an answer that comes isn't late. A configuration is parsed once, its routes are found by host.

A test that took cordons and a configuration for one event waits for both now, and still asks for the cordons first.

--- a/src/ferryledge/hosted/_config.py
+++ b/src/ferryledge/hosted/_config.py
@@ -1,10 +1,13 @@
 """Follows what operators write into the store."""
 
 from collections import abc
+import contextlib
 
 import anyio
 import loguru
 
+from ferryledge.hosted import _config_pace
+from ferryledge.hosted import _operator_log
 from ferryledge import platform
 from ferryledge import wire
 
@@ -13,67 +16,167 @@
 _WAIT_S = 1.0
 #: Between tries while the store does not answer, in seconds.
 _RETRY_S = 0.25
+#: Between looks at cordons while a configuration is read, in seconds.
+_LOOK_S = 0.4
+#: What is asked for of the log at once, in kB: one record, however large.
+_ONE_RECORD_KB = 1
 
 Read = abc.Callable[[bytes], None]
 Cordoned = abc.Callable[[wire.CordonedZones], None]
 
 
+class ConfigMeter:
+    """Counts what is read of configurations; this one nothing."""
+
+    def read(self, size: int, took_s: float) -> None:
+        """Count a version that was read."""
+
+    def replaced(self, count: int) -> None:
+        """Count records that were replaced before they were read."""
+
+
 class OperatorFollower:
-    """Reads each new configuration and which zones are cordoned.
+    """Reads the newest configuration and which zones are cordoned.
 
     Cordons come before a configuration that was read with them: nothing may
-    be ordered by it in a zone that takes no new work.
+    be ordered by it in a zone that takes no new work. While a configuration
+    is read, the list of cordons is looked at beside it.
 
     :param store: the platform's store
     :param read: takes the newest configuration's bytes
     :param cordoned: takes the cordoned zones, numbered by the log's end
+    :param pace: how fast and how often configurations are read
+    :param meter: counts what is read; none is nowhere
     """
 
     def __init__(
-        self, store: platform.StoreClient, read: Read, cordoned: Cordoned
+        self,
+        store: platform.StoreClient,
+        read: Read,
+        cordoned: Cordoned,
+        pace: _config_pace.ConfigPace,
+        meter: ConfigMeter | None = None,
     ) -> None:
         self._store = store
         self._read = read
         self._cordoned = cordoned
-        self._zones: set[str] = set()
+        self._pace = pace
+        self._meter = meter or ConfigMeter()
+        self._log = _operator_log.OperatorLog()
         self._up = True
+        #: Set while a configuration is read, or the next one is put off.
+        self._busy = anyio.Event()
+        #: When the last answer with a configuration began, and its bytes.
+        self._began_at = float("-inf")
+        self._size = 0
 
     async def run(self) -> None:
         """Follow for ever."""
-        while True:
-            try:
-                await self._follow()
-            except platform.RecordsGoneError:
-                continue
-            except platform.StoreError as exc:
-                self._note(False, str(exc))
-                await anyio.sleep(_RETRY_S)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._watch_cordons)
+            while True:
+                try:
+                    await self._follow()
+                except platform.RecordsGoneError:
+                    continue
+                except platform.StoreError as exc:
+                    self._busy = anyio.Event()
+                    self._note(False, str(exc))
+                    await anyio.sleep(_RETRY_S)
 
     async def _follow(self) -> None:
-        page = await self._store.newest(platform.CONFIG_TOPIC)
-        # Zones that are no longer listed have been taken back.
-        self._zones.clear()
-        self._take(page)
         while True:
+            await self._catch_up()
             self._note(True)
+            while await self._is_quiet():
+                self._note(True)
+            # The link is left to what runs until the next one is due.
+            due_at = self._began_at + self._pace.next_after_s(self._size)
+            await anyio.sleep_until(due_at)
+            self._busy = anyio.Event()
+
+    async def _is_quiet(self) -> bool:
+        """Wait for a change, and read it if it is the only one.
+
+        :return: whether there was none
+        """
+        page = await self._store.read(
+            platform.CONFIG_TOPIC,
+            self._log.next_offset,
+            _WAIT_S,
+            _ONE_RECORD_KB,
+            self._begin,
+        )
+        self._take(page)
+        return page.end <= self._log.next_offset and not page.records
+
+    async def _catch_up(self) -> None:
+        """Read the newest configuration if there may be a newer one."""
+        others = await self._look()
+        unknown = self._log.unknown(others)
+        if unknown:
+            self._meter.replaced(unknown - 1)
+            await self._read_last(others.end)
+        self._log.skip_to(others.end)
+
+    async def _look(self) -> platform.KeyedPage:
+        """Read what stands under all other keys: they are small."""
+        page = await self._store.newest(
+            platform.CONFIG_TOPIC, after=platform.CONFIG_KEY
+        )
+        if self._log.list_others(page):
+            self._cordoned(self._log.cordons)
+        return page
+
+    async def _read_last(self, end: int) -> None:
+        """Read the log's last record, or the newest of all keys.
+
+        Most changes are of the configuration; as a record it takes a quarter
+        less than in a list.
+        """
+        with contextlib.suppress(platform.RecordsGoneError):
             page = await self._store.read(
-                platform.CONFIG_TOPIC, page.next_offset, _WAIT_S
+                platform.CONFIG_TOPIC,
+                end - 1,
+                0.0,
+                rate=self._begin,
             )
-            if page.records:
+            if _operator_log.newest_config(page.records) is not None:
                 self._take(page)
+                return
+        page = await self._store.newest(
+            platform.CONFIG_TOPIC, rate=self._begin
+        )
+        if self._log.list_all(page):
+            self._cordoned(self._log.cordons)
+        self._hand_on(page)
 
     def _take(self, page: platform.KeyedPage) -> None:
-        for record in page.records:
-            zone = platform.cordoned_zone(record.key)
-            if zone is not None and record.value:
-                self._zones.add(zone)
-            elif zone is not None:
-                self._zones.discard(zone)
-        zones = tuple(sorted(self._zones))
-        self._cordoned(wire.CordonedZones(page.next_offset, zones))
-        for record in page.records:
-            if record.key == platform.CONFIG_KEY and record.value:
-                self._read(record.value)
+        if self._log.read(page):
+            self._cordoned(self._log.cordons)
+        self._hand_on(page)
+
+    def _hand_on(self, page: platform.KeyedPage) -> None:
+        data = _operator_log.newest_config(page.records)
+        if data is not None:
+            self._meter.read(len(data), anyio.current_time() - self._began_at)
+            self._read(data)
+
+    def _begin(self, size: int) -> float:
+        """Return how fast an answer is read that begins now."""
+        self._began_at = anyio.current_time()
+        self._size = size
+        if self._pace.read_s(size) > _LOOK_S:
+            self._busy.set()
+        return self._pace.rate(size)
+
+    async def _watch_cordons(self) -> None:
+        """Look at cordons while a configuration holds up the log."""
+        while True:
+            await self._busy.wait()
+            await anyio.sleep(_LOOK_S)
+            with contextlib.suppress(platform.StoreError):
+                await self._look()
 
     def _note(self, up: bool, detail: str = "") -> None:
         """Log when the store is lost or regained."""
--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -8,6 +8,8 @@
 import loguru
 
 from ferryledge.hosted import _config
+from ferryledge.hosted import _config_metrics
+from ferryledge.hosted import _config_pace
 from ferryledge.hosted import _members
 from ferryledge.hosted import _metrics
 from ferryledge.hosted import _reload
@@ -71,8 +73,13 @@
         )
         self._mesh = net.Mesh(keys, self._core.hello, self._driver.post)
         self._dialler = _members.Dialler(self._mesh, settings.node)
-        self._store = platform.StoreClient(settings.store.address)
+        window_bytes = _config_pace.window_bytes(settings.link_bytes_per_s)
+        self._store = platform.StoreClient(
+            settings.store.address, window_bytes
+        )
         self._config: platform.Configuration | None = None
+        #: The one that was read last; in force once the core says so.
+        self._parsed: platform.Configuration | None = None
         self._group: anyio_abc.TaskGroup | None = None
         self._tokens = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
@@ -116,7 +123,13 @@
             group.start_soon(_members.register, self._store, own)
             group.start_soon(_members.follow, self._store, self._on_entries)
             follower = _config.OperatorFollower(
-                self._store, self._on_config, self._on_cordons
+                self._store,
+                self._on_config,
+                self._on_cordons,
+                _config_pace.ConfigPace(
+                    settings.config_apply_s, settings.link_bytes_per_s
+                ),
+                _config_metrics.ConfigMetrics(self._registry),
             )
             group.start_soon(follower.run)
             loguru.logger.info("entry ready", step="join")
@@ -192,17 +205,23 @@
             case leases.DialEntries(entries):
                 self._dial(entries)
             case leases.ApplyConfig(version, data):
-                self._config = platform.parse_config(data)
-                self._configured.set()
-                loguru.logger.info(
-                    "configuration {} in force", version, step="config"
-                )
+                self._apply(version, data)
             case leases.AnswerJob(token, outcome):
                 pending = self._pending.get(token)
                 if pending is not None:
                     pending.outcome = outcome
                     pending.ready.set()
 
+    def _apply(self, version: int, data: bytes) -> None:
+        """Let requests go by a configuration from now on."""
+        config = self._parsed
+        if config is None or config.version != version:
+            # A peer sent it.
+            config = platform.parse_config(data)
+        self._config = config
+        self._configured.set()
+        loguru.logger.info("configuration {} in force", version, step="config")
+
     def _dial(self, entries: tuple[wire.EntryAddress, ...]) -> None:
         assert self._group is not None
         if any(one.name != self._settings.node for one in entries):
@@ -214,11 +233,12 @@
 
     def _on_config(self, data: bytes) -> None:
         try:
-            version = platform.parse_config(data).version
+            config = platform.parse_config(data)
         except platform.ConfigError as exc:
             loguru.logger.error("{}", exc, step="config")
             return
-        self._driver.post(leases.ConfigRead(version, data))
+        self._parsed = config
+        self._driver.post(leases.ConfigRead(config.version, data))
 
     def _on_cordons(self, cordons: wire.CordonedZones) -> None:
         self._driver.post(leases.CordonsRead(cordons))
--- a/src/ferryledge/hosted/tests/test_operators.py
+++ b/src/ferryledge/hosted/tests/test_operators.py
@@ -1,9 +1,12 @@
 """What operators write reaches an entry, also while the store fails."""
 
+import math
+
 import anyio
 import pytest
 
 from ferryledge.hosted import _config
+from ferryledge.hosted import _config_pace
 from ferryledge import net
 from ferryledge import platform
 from ferryledge.platform import standin
@@ -56,11 +59,17 @@
             platform.StoreClient(f"127.0.0.1:{port}"),
             heard.told.append,
             heard.told.append,
+            _config_pace.ConfigPace(3.0, math.inf),
         )
         group.start_soon(follower.run)
         await _until(heard, ("hall-a",))
+        with anyio.fail_after(10.0):
+            while b"{}" not in heard.told:
+                await anyio.sleep(0.01)
         # Nothing may be ordered by a configuration before that.
-        assert heard.told.index(b"{}") > 0
+        first = heard.told[0]
+        assert isinstance(first, wire.CordonedZones)
+        assert first.zones == ("hall-a",)
         # Its value may come from a writer that nobody here knows.
         store.put(_TOPIC, "evacuate/hall-b", b"\xff not JSON")
         await _until(heard, ("hall-a", "hall-b"))
--- a/src/ferryledge/net/__init__.py
+++ b/src/ferryledge/net/__init__.py
@@ -3,6 +3,7 @@
 from ferryledge.net import _asgi
 from ferryledge.net import _driver
 from ferryledge.net import _http
+from ferryledge.net import _http_connection
 from ferryledge.net import _incarnation
 from ferryledge.net import _mesh
 from ferryledge.net import _server
@@ -11,12 +12,12 @@
 BodyError = _asgi.BodyError
 Driver = _driver.Driver
 Handler = _asgi.Handler
-CallError = _http.CallError
-CallResponse = _http.CallResponse
-ConnectError = _http.ConnectError
+CallError = _http_connection.CallError
+CallResponse = _http_connection.CallResponse
+ConnectError = _http_connection.ConnectError
 HttpCaller = _http.HttpCaller
-LateAnswerError = _http.LateAnswerError
-NoAnswerError = _http.NoAnswerError
+LateAnswerError = _http_connection.LateAnswerError
+NoAnswerError = _http_connection.NoAnswerError
 HttpResponse = _asgi.HttpResponse
 Mesh = _mesh.Mesh
 PeerAddress = _mesh.PeerAddress
--- a/src/ferryledge/net/_http.py
+++ b/src/ferryledge/net/_http.py
@@ -7,128 +7,14 @@
 
 import asyncio
 from collections import abc
-import dataclasses
-import typing
+import socket
 from urllib import parse
 
 import anyio
-import httptools
 
-_DEFAULT_PORT = 80
-
-
-class CallError(Exception):
-    """A call brought no response."""
-
-
-class ConnectError(CallError):
-    """No connection was opened; nothing was sent."""
-
-
-class NoAnswerError(CallError):
-    """The connection broke or the time ran out: it may have been done."""
-
-
-class LateAnswerError(NoAnswerError):
-    """The time ran out."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallResponse:
-    """What a server answered."""
-
-    status: int
-    content: bytes
-
-
-class _Connection(asyncio.Protocol):
-    """One connection; carries one call at a time.
-
-    Driven by the event loop's callbacks: with a task that reads, calls took
-    15% of an agent's processor, 7% without (profiles under load).
-    """
-
-    def __init__(self) -> None:
-        self._transport: asyncio.Transport | None = None
-        self._answer: asyncio.Future[CallResponse] | None = None
-        self._body: list[bytes] = []
-        self._parser = httptools.HttpResponseParser(self)
-        #: Whether another call may follow.
-        self.reusable = True
-
-    # Called by the event loop.
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Begin to use the connection."""
-        self._transport = typing.cast(asyncio.Transport, transport)
-
-    def data_received(self, data: bytes) -> None:
-        """Parse a part of the response; unasked, it ends the connection."""
-        if self._answer is None:
-            self.close()
-            return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as exc:
-            self._fail(NoAnswerError(f"unreadable response: {exc}"))
+from ferryledge.net import _http_connection
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Note that the connection broke."""
-        self._fail(NoAnswerError("the connection broke"))
-
-    # Called by the parser.
-
-    def on_body(self, data: bytes) -> None:
-        """Take in a part of the body."""
-        self._body.append(data)
-
-    def on_message_complete(self) -> None:
-        """Hand the whole response to the caller."""
-        if self._answer is None or self._answer.done():
-            return
-        self.reusable = self._parser.should_keep_alive()
-        status = self._parser.get_status_code()
-        self._answer.set_result(CallResponse(status, b"".join(self._body)))
-
-    # Called by the caller.
-
-    def close(self) -> None:
-        """Close the connection at once."""
-        self.reusable = False
-        if self._transport is not None:
-            self._transport.abort()
-
-    async def call(
-        self, request: bytes, answer_s: float | None
-    ) -> CallResponse:
-        """Send a request and return the whole response.
-
-        :param request: head and body
-        :param answer_s: seconds to wait for it; none is without bound
-        :raises NoAnswerError: if it does not come in time, or the connection
-            breaks before
-        """
-        loop = asyncio.get_running_loop()
-        self.reusable = False
-        self._body = []
-        self._answer = loop.create_future()
-        assert self._transport is not None
-        self._transport.write(request)
-        timer = None
-        if answer_s is not None:
-            late = LateAnswerError("no answer in time")
-            timer = loop.call_later(answer_s, self._fail, late)
-        try:
-            return await self._answer
-        finally:
-            self._answer = None
-            if timer is not None:
-                timer.cancel()
-
-    def _fail(self, error: NoAnswerError) -> None:
-        self.reusable = False
-        if self._answer is not None and not self._answer.done():
-            self._answer.set_exception(error)
+_DEFAULT_PORT = 80
 
 
 class _Permit:
@@ -178,6 +64,8 @@
         connections.
     :param permit_s: seconds after which a call without an answer no longer
         counts among the most connections; none is never
+    :param window_bytes: what the origin may send on one connection before
+        this process took it; 0 is without limit
     """
 
     def __init__(
@@ -186,6 +74,7 @@
         connections: int,
         replace_idle: bool = False,
         permit_s: float | None = None,
+        window_bytes: int = 0,
     ) -> None:
         parts = parse.urlsplit(url)
         self._host = parts.hostname or ""
@@ -193,10 +82,11 @@
         self._authority = parts.netloc
         self._base = parts.path.rstrip("/")
         self._limiter = anyio.CapacityLimiter(connections)
-        self._idle: list[_Connection] = []
+        self._idle: list[_http_connection.Connection] = []
         self._replace_idle = replace_idle
         self._most_idle = connections
         self._permit_s = permit_s
+        self._window_bytes = window_bytes
 
     async def close(self) -> None:
         """Close all connections that are not in use."""
@@ -211,7 +101,8 @@
         headers: abc.Sequence[tuple[str, str]] = (),
         connect_s: float = 2.0,
         answer_s: float | None = None,
-    ) -> CallResponse:
+        rate: _http_connection.Rate | None = None,
+    ) -> _http_connection.CallResponse:
         """Return the whole response.
 
         :param method: the HTTP method
@@ -221,7 +112,10 @@
         :param connect_s: seconds to open a connection
         :param answer_s: seconds to wait for the answer; none is without
             bound
-        :raises ConnectError: if nothing was sent
+        :param rate: returns at how many bytes a second a body of a length
+            is read; with it, ``answer_s`` counts anew with each part that
+            comes. None is as fast as it comes
+        :raises _http_connection.ConnectError: if nothing was sent
         :raises NoAnswerError: if the answer did not come in time, or the
             connection broke
         """
@@ -229,17 +123,21 @@
         permit = _Permit(self._limiter)
         await permit.take(self._permit_s)
         try:
-            return await self._exchange(request, connect_s, answer_s)
+            return await self._exchange(request, connect_s, answer_s, rate)
         finally:
             permit.give_back()
 
     async def _exchange(
-        self, request: bytes, connect_s: float, answer_s: float | None
-    ) -> CallResponse:
+        self,
+        request: bytes,
+        connect_s: float,
+        answer_s: float | None,
+        rate: _http_connection.Rate | None,
+    ) -> _http_connection.CallResponse:
         connection = await self._take(connect_s)
         try:
-            return await connection.call(request, answer_s)
-        except LateAnswerError:
+            return await connection.call(request, answer_s, rate)
+        except _http_connection.LateAnswerError:
             if self._replace_idle:
                 await self.close()
             raise
@@ -266,17 +164,40 @@
         lines += [f"{name}: {value}" for name, value in fields.items()]
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
-    async def _take(self, connect_s: float) -> _Connection:
+    async def _take(self, connect_s: float) -> _http_connection.Connection:
         while self._idle:
             connection = self._idle.pop()
             if connection.reusable:
                 return connection
-        loop = asyncio.get_running_loop()
         try:
             with anyio.fail_after(connect_s):
-                _, connection = await loop.create_connection(
-                    _Connection, self._host, self._port
-                )
+                return await self._connect()
         except (OSError, TimeoutError) as exc:
-            raise ConnectError(f"no connection: {exc}") from exc
+            raise _http_connection.ConnectError(
+                f"no connection: {exc}"
+            ) from exc
+
+    async def _connect(self) -> _http_connection.Connection:
+        loop = asyncio.get_running_loop()
+        if not self._window_bytes:
+            _, connection = await loop.create_connection(
+                _http_connection.Connection, self._host, self._port
+            )
+            return connection
+        family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
+        opened = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            opened.setblocking(False)
+            opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            # Before it is connected: a window that was offered stands.
+            opened.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self._window_bytes
+            )
+            await loop.sock_connect(opened, (self._host, self._port))
+            _, connection = await loop.create_connection(
+                _http_connection.Connection, sock=opened
+            )
+        except BaseException:
+            opened.close()
+            raise
         return connection
--- a/src/ferryledge/platform/_config.py
+++ b/src/ferryledge/platform/_config.py
@@ -65,16 +65,23 @@
 
     version: int
     routes: tuple[Route, ...]
+    #: Those of each host, the longest prefix first.
+    _by_hostname: dict[str, list[Route]] = dataclasses.field(
+        init=False, repr=False, compare=False, default_factory=dict
+    )
+
+    def __post_init__(self) -> None:
+        for route in self.routes:
+            self._by_hostname.setdefault(route.hostname, []).append(route)
+        for routes in self._by_hostname.values():
+            routes.sort(key=_prefix_length, reverse=True)
 
     def find(self, hostname: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, or none."""
-        fits = [
-            route
-            for route in self.routes
-            if route.hostname == hostname
-            and path.startswith(route.path_prefix)
-        ]
-        return max(fits, key=_prefix_length, default=None)
+        for route in self._by_hostname.get(hostname, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
 
 
 def _prefix_length(route: Route) -> int:
--- a/src/ferryledge/platform/_settings.py
+++ b/src/ferryledge/platform/_settings.py
@@ -44,6 +44,8 @@
     grace_s: float = 6
     #: How many times as long a task takes away from its data.
     far_x: float = 1.0
+    #: Until when a configuration must be in force, in ms.
+    config_apply_ms: float = 2000
 
 
 class Limits(_Part, frozen=True):
@@ -94,6 +96,11 @@
         """The longest time a stop takes at an endpoint, in seconds."""
         return self.bounds.stop_ms / 1000.0
 
+    @property
+    def config_apply_s(self) -> float:
+        """Until when a configuration must be in force, in seconds."""
+        return self.bounds.config_apply_ms / 1000.0
+
     @property
     def link_bytes_per_s(self) -> float:
         """What the machine's link carries; infinite if that is unknown."""
--- a/src/ferryledge/platform/standin/_store.py
+++ b/src/ferryledge/platform/standin/_store.py
@@ -60,24 +60,29 @@
         topic = request.query("Topic")
         match request.method, request.path:
             case "GET", "/log-newest":
-                return self._newest(topic)
+                return self._newest(topic, request.query("DependsOn", ""))
             case "GET", "/log-read":
                 offset = int(request.query("From"))
                 wait_s = int(request.query("WaitMs", "0")) / 1000.0
-                return await self._read(topic, offset, wait_s)
+                most = 1024 * int(request.query("MaxKb", "1024"))
+                return await self._read(topic, offset, wait_s, most)
             case "POST", "/log-append":
                 return self._append(topic, await request.body())
         return net.HttpResponse.json(404, {})
 
-    def _newest(self, topic: str) -> net.HttpResponse:
-        newest = dict(self._topics[topic])
+    def _newest(self, topic: str, after: str) -> net.HttpResponse:
+        newest = {
+            key: (offset, value)
+            for offset, (key, value) in enumerate(self._topics[topic])
+            if key > after
+        }
         items = [
             {
                 "TlsKey": key,
                 "Value": base64.b64encode(value).decode(),
-                "Offset": 0,
+                "Offset": offset,
             }
-            for key, value in newest.items()
+            for key, (offset, value) in sorted(newest.items())
             if value
         ]
         end = len(self._topics[topic])
@@ -86,7 +91,7 @@
         )
 
     async def _read(
-        self, topic: str, offset: int, wait_s: float
+        self, topic: str, offset: int, wait_s: float, most: int
     ) -> net.HttpResponse:
         with anyio.move_on_after(wait_s):
             while len(self._topics[topic]) <= offset:
@@ -95,8 +100,12 @@
         body = len(records).to_bytes(_OFFSET_BYTES, "big")
         body += (0).to_bytes(_OFFSET_BYTES, "big")
         for key, value in records[offset:]:
+            # One record is given in any case.
+            if most <= 0:
+                break
             raw = bytes([len(key)]) + key.encode() + value
             body += len(raw).to_bytes(_LENGTH_BYTES, "big") + raw
+            most -= len(raw)
         return net.HttpResponse(200, body)
 
     def _append(self, topic: str, body: bytes) -> net.HttpResponse:
