--- a/src/ferryledge/hosted/_config.py
+++ b/src/ferryledge/hosted/_config.py
@@ -86,14 +86,15 @@
 
     async def _follow(self) -> None:
         while True:
-            await self._catch_up()
+            behind = await self._catch_up()
             self._note(True)
-            while await self._is_quiet():
-                self._note(True)
+            if not behind:
+                self._busy = anyio.Event()
+                while await self._is_quiet():
+                    self._note(True)
             # The link is left to what runs until the next one is due.
             due_at = self._began_at + self._pace.next_after_s(self._size)
             await anyio.sleep_until(due_at)
-            self._busy = anyio.Event()
 
     async def _is_quiet(self) -> bool:
         """Wait for a change, and read it if it is the only one.
@@ -110,14 +111,18 @@
         self._take(page)
         return page.end <= self._log.next_offset and not page.records
 
-    async def _catch_up(self) -> None:
-        """Read the newest configuration if there may be a newer one."""
+    async def _catch_up(self) -> bool:
+        """Read the newest configuration if there may be a newer one.
+
+        :return: whether there may have been one
+        """
         others = await self._look()
         unknown = self._log.unknown(others)
         if unknown:
             self._meter.replaced(unknown - 1)
             await self._read_last(others.end)
         self._log.skip_to(others.end)
+        return unknown > 0
 
     async def _look(self) -> platform.KeyedPage:
         """Read what stands under all other keys: they are small."""
--- a/src/ferryledge/platform/__init__.py
+++ b/src/ferryledge/platform/__init__.py
@@ -26,6 +26,7 @@
     KeyedPage = _store.KeyedPage
     KeyedRecord = _store.KeyedRecord
     MalformedJobError = _jobs.MalformedJobError
+    Rate = _store.Rate
     RecordsGoneError = _store.RecordsGoneError
     Route = _config.Route
     Settings = _settings.Settings
@@ -87,6 +88,7 @@
             "_store": (
                 "KeyedPage",
                 "KeyedRecord",
+                "Rate",
                 "RecordsGoneError",
                 "StoreClient",
                 "StoreError",
@@ -105,6 +107,7 @@
     "KeyedPage",
     "KeyedRecord",
     "MalformedJobError",
+    "Rate",
     "RecordsGoneError",
     "Route",
     "Settings",
