--- a/src/ferryledge/hosted/tests/test_config_storm.py
+++ b/src/ferryledge/hosted/tests/test_config_storm.py
@@ -167,6 +167,6 @@
 
 
 def test_lost_answer_is_made_up_for() -> None:
-    _, heard, written, cordoned_at = _storm(lost=1)
+    _, heard, written, _ = _storm(lost=1)
     assert max(heard.versions) == max(written)
     assert ("hall-a",) in heard.zones
