Agents with wide links read configurations for entries with narrow ones

Cause: also at a pace, a configuration of 234 kB keeps a link of 2 Mbit/s for a second, and what the store may send ahead waits before all else there.

Change: an entry whose link a large configuration holds up for half a grant asks an agent to follow the store's log and gets what changed, with a digest that proves the result; the packed whole where there is no base. It looks at the log's end once a second and reads by itself what is not brought in time. Entries give each other differences as well. Greetings say who takes them.

--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -3,7 +3,9 @@
 import anyio
 from anyio import abc as anyio_abc
 import loguru
+import msgspec
 
+from ferryledge.hosted import _config_reader
 from ferryledge.hosted import _members
 from ferryledge.hosted import _memory
 from ferryledge.hosted import _metrics
@@ -75,7 +77,10 @@
         self._driver = net.Driver(
             self._core, self._perform, self._ticked, self._core.tick_by
         )
-        self._mesh = net.Mesh(self._keys, self._core.hello, self._driver.post)
+        self._mesh = net.Mesh(self._keys, self._hello, self._on_event)
+        self._reader = _config_reader.ConfigReader(
+            self._store, settings, self._mesh.send
+        )
         self._dialler = _members.Dialler(self._mesh)
         self._calls = platform.EndpointCalls(
             settings.endpoint, self._driver.now
@@ -100,11 +105,22 @@
             group.start_soon(self._recall_endpoint)
             group.start_soon(self._memory.run)
             group.start_soon(self._find_entries)
+            group.start_soon(self._reader.run)
             loguru.logger.info("agent ready", step="join")
             await drain.wait()
             await self._finish()
             group.cancel_scope.cancel()
 
+    def _hello(self) -> wire.Hello:
+        narrow = leases.is_narrow(self._settings.link_bytes_per_s)
+        return msgspec.structs.replace(
+            self._core.hello(), reads_configs=not narrow
+        )
+
+    def _on_event(self, event: wire.StreamEvent) -> None:
+        if not self._reader.take(event):
+            self._driver.post(event)
+
     async def _finish(self) -> None:
         grace_s = self._settings.bounds.grace_s - _KILL_MARGIN_S
         until = self._driver.now() + grace_s
--- a/src/ferryledge/hosted/_config.py
+++ b/src/ferryledge/hosted/_config.py
@@ -35,6 +35,18 @@
         """Count records that were replaced before they were read."""
 
 
+class ConfigBringer:
+    """Another process that may bring configurations; this one is none."""
+
+    @property
+    def present(self) -> bool:
+        """Whether configurations are brought."""
+        return False
+
+    def missed(self) -> None:
+        """Note that one was not brought in time."""
+
+
 class OperatorFollower:
     """Reads the newest configuration and which zones are cordoned.
 
@@ -46,6 +58,7 @@
     :param read: takes the newest configuration's bytes
     :param cordoned: takes the cordoned zones, numbered by the log's end
     :param pace: how fast and how often configurations are read
+    :param bringer: reads them for this process while it is there
     :param meter: counts what is read; none is nowhere
     """
 
@@ -55,12 +68,16 @@
         read: Read,
         cordoned: Cordoned,
         pace: _config_pace.ConfigPace,
+        bringer: ConfigBringer | None = None,
         meter: ConfigMeter | None = None,
     ) -> None:
         self._store = store
         self._read = read
         self._cordoned = cordoned
         self._pace = pace
+        self._bringer = bringer or ConfigBringer()
+        #: Set when a configuration is brought.
+        self._brought = anyio.Event()
         self._meter = meter or ConfigMeter()
         self._log = _operator_log.OperatorLog()
         self._up = True
@@ -70,6 +87,22 @@
         self._began_at = float("-inf")
         self._size = 0
 
+    @property
+    def log_end(self) -> int:
+        """Up to where the log holds no newer configuration."""
+        return self._log.next_offset
+
+    def bring(self, log_end: int, size: int) -> None:
+        """Take in that a configuration was brought.
+
+        :param log_end: up to where the log holds no newer one
+        :param size: its bytes
+        """
+        self._log.skip_to(log_end)
+        self._size = size
+        self._brought.set()
+        self._brought = anyio.Event()
+
     async def run(self) -> None:
         """Follow for ever."""
         async with anyio.create_task_group() as group:
@@ -88,6 +121,9 @@
         while True:
             behind = await self._catch_up()
             self._note(True)
+            if not behind and self._bringer.present:
+                await anyio.sleep(_WAIT_S)
+                continue
             if not behind:
                 self._busy = anyio.Event()
                 while await self._is_quiet():
@@ -117,6 +153,8 @@
         :return: whether there may have been one
         """
         others = await self._look()
+        if self._log.unknown(others) and self._bringer.present:
+            await self._wait_for(others.end)
         unknown = self._log.unknown(others)
         if unknown:
             self._meter.replaced(unknown - 1)
@@ -124,6 +162,15 @@
         self._log.skip_to(others.end)
         return unknown > 0
 
+    async def _wait_for(self, end: int) -> None:
+        """Wait until a configuration is brought, as long as time allows."""
+        wait_s = self._pace.bring_s(self._size) - _WAIT_S
+        with anyio.move_on_after(max(0.0, wait_s)):
+            while self._log.next_offset < end:
+                await self._brought.wait()
+            return
+        self._bringer.missed()
+
     async def _look(self) -> platform.KeyedPage:
         """Read what stands under all other keys: they are small."""
         page = await self._store.newest(
--- a/src/ferryledge/hosted/_config_pace.py
+++ b/src/ferryledge/hosted/_config_pace.py
@@ -53,14 +53,22 @@
         """
         return size / min(self.rate(size), self.link_bytes_per_s)
 
+    def bring_s(self, size: int) -> float:
+        """Return how long another process has to bring a configuration.
+
+        After that there is just time to read it.
+
+        :param size: its bytes
+        """
+        return _PLANNED_SHARE * self.bound_s - self.read_s(size)
+
     def next_after_s(self, size: int) -> float:
         """Return how long after a read began the next one is to begin.
 
         :param size: the bytes of the last one
         """
-        latest_s = _PLANNED_SHARE * self.bound_s - self.read_s(size)
         fair_s = size / (_MEAN_SHARE * self.link_bytes_per_s)
-        return max(0.0, min(latest_s, fair_s))
+        return max(0.0, min(self.bring_s(size), fair_s))
 
 
 def window_bytes(link_bytes_per_s: float) -> int:
--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -1,5 +1,6 @@
 """The entry's shell on the platform: clients, streams, the store."""
 
+from collections import abc
 import itertools
 import random
 
@@ -43,6 +44,36 @@
         self.outcome: outcomes.JobOutcome | None = None
 
 
+class _Bringer(_config.ConfigBringer):
+    """The agent that reads configurations for this entry.
+
+    :param core: knows which one that is
+    :param post: hands an event to it
+    """
+
+    def __init__(
+        self,
+        core: leases.LeaseEntry,
+        post: abc.Callable[[leases.EntryEvent], None],
+    ) -> None:
+        self._core = core
+        self._post = post
+
+    @property
+    def present(self) -> bool:
+        """Whether some agent reads for this entry."""
+        return bool(self._core.peers.reader)
+
+    def missed(self) -> None:
+        """Let another agent read from now on."""
+        loguru.logger.warning(
+            "configuration not brought",
+            step="config",
+            peer=self._core.peers.reader,
+        )
+        self._post(leases.ConfigNotBrought())
+
+
 class HostedEntry:
     """One entry process.
 
@@ -77,6 +108,16 @@
         self._store = platform.StoreClient(
             settings.store.address, window_bytes
         )
+        self._follower = _config.OperatorFollower(
+            self._store,
+            self._on_config,
+            self._on_cordons,
+            _config_pace.ConfigPace(
+                settings.config_apply_s, settings.link_bytes_per_s
+            ),
+            _Bringer(self._core, self._driver.post),
+            _config_metrics.ConfigMetrics(self._registry),
+        )
         self._config: platform.Configuration | None = None
         #: The one that was read last; in force once the core says so.
         self._parsed: platform.Configuration | None = None
@@ -122,16 +163,7 @@
             self._dialler.dial_seeds(group, hosts, settings.stream_port)
             group.start_soon(_members.register, self._store, own)
             group.start_soon(_members.follow, self._store, self._on_entries)
-            follower = _config.OperatorFollower(
-                self._store,
-                self._on_config,
-                self._on_cordons,
-                _config_pace.ConfigPace(
-                    settings.config_apply_s, settings.link_bytes_per_s
-                ),
-                _config_metrics.ConfigMetrics(self._registry),
-            )
-            group.start_soon(follower.run)
+            group.start_soon(self._follower.run)
             loguru.logger.info("entry ready", step="join")
             await drain.wait()
             await self._finish(release)
@@ -204,8 +236,9 @@
                 self._mesh.close(peer)
             case leases.DialEntries(entries):
                 self._dial(entries)
-            case leases.ApplyConfig(version, data):
+            case leases.ApplyConfig(version, data, log_end):
                 self._apply(version, data)
+                self._follower.bring(log_end, len(data))
             case leases.AnswerJob(token, outcome):
                 pending = self._pending.get(token)
                 if pending is not None:
@@ -238,7 +271,8 @@
             loguru.logger.error("{}", exc, step="config")
             return
         self._parsed = config
-        self._driver.post(leases.ConfigRead(config.version, data))
+        log_end = self._follower.log_end
+        self._driver.post(leases.ConfigRead(config.version, data, log_end))
 
     def _on_cordons(self, cordons: wire.CordonedZones) -> None:
         self._driver.post(leases.CordonsRead(cordons))
--- a/src/ferryledge/leases/__init__.py
+++ b/src/ferryledge/leases/__init__.py
@@ -11,6 +11,8 @@
 if typing.TYPE_CHECKING:
     from ferryledge.leases import _agent
     from ferryledge.leases import _agent_events
+    from ferryledge.leases import _config_exchange
+    from ferryledge.leases import _config_readers
     from ferryledge.leases import _entry
     from ferryledge.leases import _entry_events
     from ferryledge.leases import _jobs
@@ -29,6 +31,8 @@
     CallFault = _agent_events.CallFault
     ClientLeft = _entry_events.ClientLeft
     CloseStream = _agent_events.CloseStream
+    ConfigExchange = _config_exchange.ConfigExchange
+    ConfigNotBrought = _entry_events.ConfigNotBrought
     ConfigRead = _entry_events.ConfigRead
     CordonsRead = _entry_events.CordonsRead
     DialEntries = _agent_events.DialEntries
@@ -69,6 +73,7 @@
     StopRun = _agent_events.StopRun
     endpoint_id_of = _lives.endpoint_id_of
     incarnation_of = _lives.incarnation_of
+    is_narrow = _config_readers.is_narrow
 else:
     # An agent needs nothing of an entry, nor an entry of an agent.
     __getattr__ = _lazy.attach(
@@ -103,11 +108,14 @@
                 "StopAnswered",
                 "StopRun",
             ),
+            "_config_exchange": ("ConfigExchange",),
+            "_config_readers": ("is_narrow",),
             "_entry": ("LeaseEntry",),
             "_entry_events": (
                 "AnswerJob",
                 "ApplyConfig",
                 "ClientLeft",
+                "ConfigNotBrought",
                 "ConfigRead",
                 "CordonsRead",
                 "EntryAction",
@@ -146,6 +154,8 @@
     "CallFault",
     "ClientLeft",
     "CloseStream",
+    "ConfigExchange",
+    "ConfigNotBrought",
     "ConfigRead",
     "CordonsRead",
     "DialEntries",
@@ -186,4 +196,5 @@
     "StopRun",
     "endpoint_id_of",
     "incarnation_of",
+    "is_narrow",
 ]
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -10,6 +10,7 @@
 
 from ferryledge import health
 from ferryledge.leases import _agent_events
+from ferryledge.leases import _config_readers
 from ferryledge.leases import _cordons
 from ferryledge.leases import _entry_events
 from ferryledge.leases import _entry_notes
@@ -85,7 +86,9 @@
         self._run_times = placement.RunTimes()
         self._judge = health.HealthJudge()
         self._notes = _entry_notes.EntryNotes(meter or _meters.EntryMeter())
-        self._peers = _peers.EntryPeers(self._cordons)
+        self._peers = _peers.EntryPeers(
+            self._cordons, _config_readers.is_narrow(link_bytes_per_s)
+        )
         self._seeking = _seeking.Seeking(
             name, self._pool, self._peers, self._notes
         )
@@ -180,6 +183,7 @@
             leaving=self._draining,
             config_version=self._peers.version,
             cordons=True,
+            config_deltas=True,
         )
 
     # Driving.
@@ -213,8 +217,10 @@
         match event:
             case _agent_events.EntriesFound(entries):
                 self._peers.learn_entries(entries)
-            case _entry_events.ConfigRead(version, data):
-                self._peers.learn_config(version, data)
+            case _entry_events.ConfigRead(version, data, log_end):
+                self._peers.learn_config(version, data, log_end)
+            case _entry_events.ConfigNotBrought():
+                self._peers.miss_config()
             case _entry_events.CordonsRead(state):
                 self._apply_cordons(self._peers.learn_cordons(state))
 
@@ -381,6 +387,9 @@
         if isinstance(message, wire.CordonedZones):
             self._apply_cordons(self._peers.hear_cordons(peer, message))
             self._tick_by = now
+        elif isinstance(message, wire.ConfigDelta):
+            self._peers.take_delta(peer, message)
+            self._tick_by = now
         row = self._pool.find(peer)
         if row is not None:
             row.heard_at = now
@@ -391,7 +400,7 @@
             case wire.KeepAlive(version):
                 self._peers.hear_version(peer, version)
             case wire.ConfigRequest():
-                self._peers.give_config(peer)
+                self._peers.give_config(peer, message)
             case wire.ConfigReply(version, data):
                 self._peers.learn_config(version, data)
             case wire.EntryList(entries):
--- a/src/ferryledge/leases/_entry_events.py
+++ b/src/ferryledge/leases/_entry_events.py
@@ -32,6 +32,12 @@
     version: int
     #: The configuration as it was read, to hand on to peers.
     data: bytes
+    #: End of the operators' log up to which nothing newer was there.
+    log_end: int = 0
+
+
+class ConfigNotBrought(wire.Event, frozen=True):
+    """The agent that reads configurations for this entry missed one."""
 
 
 class CordonsRead(wire.Event, frozen=True):
@@ -58,6 +64,7 @@
     | JobCancelled
     | _agent_events.EntriesFound
     | ConfigRead
+    | ConfigNotBrought
     | CordonsRead
     | EntryDrain
     | EntryStop
@@ -81,6 +88,8 @@
 
     version: int
     data: bytes
+    #: End of the operators' log up to which nothing newer was there.
+    log_end: int = 0
 
 
 EntryAction = AnswerJob | SendMessage | CloseStream | ApplyConfig | DialEntries
--- a/src/ferryledge/leases/_own_link.py
+++ b/src/ferryledge/leases/_own_link.py
@@ -27,6 +27,8 @@
 #: Bytes of an order beside its spec and its runs, and of each run.
 _ORDER_BYTES = 70
 _RUN_BYTES = 5
+#: Bytes of a difference between configurations beside its text.
+_DELTA_BYTES = 100
 #: Bytes of an address in a list, and of all other messages.
 _ADDRESS_BYTES = 40
 _SMALL_BYTES = 20
@@ -102,6 +104,8 @@
             return texts + _ORDER_BYTES + _RUN_BYTES * len(message.runs)
         case wire.ConfigReply(_, data):
             return len(data)
+        case wire.ConfigDelta():
+            return len(message.packed) + _DELTA_BYTES
         case wire.EntryList(entries):
             return _ADDRESS_BYTES * len(entries)
         case _:
--- a/src/ferryledge/leases/_peers.py
+++ b/src/ferryledge/leases/_peers.py
@@ -3,6 +3,8 @@
 import dataclasses
 
 from ferryledge.leases import _agent_events
+from ferryledge.leases import _config_exchange
+from ferryledge.leases import _config_readers
 from ferryledge.leases import _cordons
 from ferryledge.leases import _entry_events
 from ferryledge import wire
@@ -27,6 +29,8 @@
     heard_at: float
     #: Whether it takes word of cordoned zones.
     cordons: bool = False
+    #: Whether it takes differences between configurations.
+    config_deltas: bool = False
     #: The newest configuration that it is known to have.
     version: int = 0
     #: When it was asked for that last.
@@ -41,14 +45,17 @@
     entry reads, all learn.
 
     :param cordons: the cordoned availability zones
+    :param is_narrow: whether configurations hold up this machine's link
     """
 
-    def __init__(self, cordons: _cordons.Cordons) -> None:
+    def __init__(
+        self, cordons: _cordons.Cordons, is_narrow: bool = False
+    ) -> None:
         self._cordons = cordons
+        self._exchange = _config_exchange.ConfigExchange()
+        self._readers = _config_readers.ConfigReaders(is_narrow)
         self._entries: dict[str, wire.EntryAddress] = {}
         self._peers: dict[str, _Peer] = {}
-        self._version = 0
-        self._config = b""
         #: Since when some peer is known to have a newer one.
         self._behind_since: float | None = None
         self._actions: list[_entry_events.EntryAction] = []
@@ -56,7 +63,12 @@
     @property
     def version(self) -> int:
         """The newest configuration's version; 0 is none."""
-        return self._version
+        return self._exchange.version
+
+    @property
+    def reader(self) -> str:
+        """The agent that reads configurations for this entry, or empty."""
+        return self._readers.current
 
     def address_of(self, name: str) -> wire.EntryAddress | None:
         """Return where an entry listens, or none."""
@@ -70,19 +82,41 @@
 
     def join(self, now: float, hello: wire.Hello) -> None:
         """Tell a new peer what is known."""
-        peer = _Peer(hello.role, now, hello.cordons, hello.config_version)
+        peer = _Peer(
+            hello.role,
+            now,
+            hello.cordons,
+            hello.config_deltas,
+            hello.config_version,
+        )
         self._peers[hello.name] = peer
         self._send(hello.name, self._list())
         # Before the configuration, which lets an entry take jobs.
         if self._cordons.state.version:
             self._tell_cordons(hello.name)
-        if self._version and hello.role is wire.Role.ENTRY:
+        if self.version and hello.role is wire.Role.ENTRY:
             # The greeting may be older than what has come since.
             self._send(hello.name, self._alive())
+        if hello.reads_configs and self._readers.join(hello.name):
+            self._ask_reader()
+        elif hello.name == self.reader:
+            # It has forgotten this entry with its former stream.
+            self._ask_reader()
 
     def leave(self, name: str) -> None:
         """Note that a peer's stream broke."""
         self._peers.pop(name, None)
+        if self._readers.leave(name):
+            self._ask_reader()
+
+    def miss_config(self) -> None:
+        """Ask another agent: the present one missed a configuration."""
+        if self._readers.fail():
+            self._ask_reader()
+
+    def _ask_reader(self) -> None:
+        request = wire.ConfigRequest(self._exchange.digest, follow=True)
+        self._send(self.reader, request)
 
     def learn_entries(self, entries: tuple[wire.EntryAddress, ...]) -> None:
         """Take in addresses; a changed one replaces the former."""
@@ -98,20 +132,37 @@
         for peer in self._peers:
             self._send(peer, news)
 
-    def learn_config(self, version: int, data: bytes) -> None:
+    def learn_config(
+        self, version: int, data: bytes, log_end: int = 0
+    ) -> None:
         """Take in a configuration; an older one changes nothing."""
-        if version <= self._version:
+        if not self._exchange.learn(version, data, log_end):
             return
-        self._version = version
-        self._config = data
-        self._actions.append(_entry_events.ApplyConfig(version, data))
+        self._actions.append(_entry_events.ApplyConfig(version, data, log_end))
         self._behind_since = None
         for name in self.entry_names():
             self._send(name, self._alive())
 
-    def give_config(self, name: str) -> None:
+    def take_delta(self, name: str, delta: wire.ConfigDelta) -> None:
+        """Take in how a peer's configuration differs, or ask for all."""
+        if delta.version <= self.version:
+            return
+        try:
+            data = self._exchange.restore(delta)
+        except _config_exchange.ExchangeError:
+            follow = name == self.reader
+            self._send(name, wire.ConfigRequest(follow=follow))
+            return
+        self.learn_config(delta.version, data, delta.log_end)
+
+    def give_config(self, name: str, request: wire.ConfigRequest) -> None:
         """Send an entry that asks for it the configuration, if any."""
-        if self._version:
+        peer = self._peers.get(name)
+        if not self.version or peer is None:
+            return
+        if peer.config_deltas:
+            self._send(name, self._exchange.answer(request.digest))
+        else:
             self._send(name, self._reply())
 
     def hear_version(self, name: str, version: int) -> None:
@@ -128,7 +179,7 @@
         newer = [
             name
             for name, peer in self._peers.items()
-            if peer.version > self._version
+            if peer.version > self.version
         ]
         if not newer:
             self._behind_since = None
@@ -139,7 +190,7 @@
             # In turn: one may hear nothing of this entry.
             name = min(newer, key=lambda one: self._peers[one].asked_at)
             self._peers[name].asked_at = now
-            self._send(name, wire.ConfigRequest())
+            self._send(name, wire.ConfigRequest(self._exchange.digest))
 
     def learn_cordons(self, state: wire.CordonedZones) -> bool:
         """Take in which zones are cordoned, and hand that on.
@@ -200,10 +251,10 @@
         return wire.EntryList(tuple(self._entries.values()))
 
     def _alive(self) -> wire.KeepAlive:
-        return wire.KeepAlive(self._version)
+        return wire.KeepAlive(self.version)
 
     def _reply(self) -> wire.ConfigReply:
-        return wire.ConfigReply(self._version, self._config)
+        return wire.ConfigReply(self.version, self._exchange.data)
 
     def _send(self, peer: str, message: wire.Message) -> None:
         self._actions.append(_entry_events.SendMessage(peer, message))
--- a/src/ferryledge/platform/__init__.py
+++ b/src/ferryledge/platform/__init__.py
@@ -34,6 +34,7 @@
     StoreClient = _store.StoreClient
     StoreError = _store.StoreError
     UnsupportedJobError = _jobs.UnsupportedJobError
+    config_version = _config.config_version
     cordoned_zone = _config.cordoned_zone
     parse_config = _config.parse_config
     parse_deadline = _jobs.parse_deadline
@@ -58,6 +59,7 @@
                 "ConfigError",
                 "Configuration",
                 "Route",
+                "config_version",
                 "cordoned_zone",
                 "parse_config",
             ),
@@ -115,6 +117,7 @@
     "StoreClient",
     "StoreError",
     "UnsupportedJobError",
+    "config_version",
     "cordoned_zone",
     "parse_config",
     "parse_deadline",
--- a/src/ferryledge/platform/_config.py
+++ b/src/ferryledge/platform/_config.py
@@ -88,6 +88,18 @@
     return len(route.path_prefix)
 
 
+class _Version(_Part, frozen=True):
+    version: int = 0
+
+
+def config_version(data: bytes) -> int:
+    """Return the version of what a record's value holds; 0 if unreadable."""
+    try:
+        return msgspec.json.decode(data, type=_Version).version
+    except msgspec.DecodeError:
+        return 0
+
+
 def parse_config(data: bytes) -> Configuration:
     """Return the configuration that a record's value holds.
 
--- a/src/ferryledge/wire/__init__.py
+++ b/src/ferryledge/wire/__init__.py
@@ -13,7 +13,9 @@
 WireError = _codec.WireError
 encode = _codec.encode
 PackingError = _packing.PackingError
+pack_bytes = _packing.pack_bytes
 pack_text = _packing.pack_text
+unpack_bytes = _packing.unpack_bytes
 unpack_text = _packing.unpack_text
 
 AbandonJobs = _messages.AbandonJobs
@@ -55,6 +57,8 @@
 
 AskLease = _lease_messages.AskLease
 ClaimRuns = _lease_messages.ClaimRuns
+ConfigDelta = _lease_messages.ConfigDelta
+ConfigPiece = _lease_messages.ConfigPiece
 CordonedZones = _lease_messages.CordonedZones
 EndpointState = _lease_messages.EndpointState
 EntryAddress = _lease_messages.EntryAddress
@@ -93,6 +97,8 @@
     "CancelRequest",
     "CancelTasks",
     "ClaimRuns",
+    "ConfigDelta",
+    "ConfigPiece",
     "ConfigReply",
     "ConfigRequest",
     "CordonedZones",
@@ -151,7 +157,9 @@
     "accept",
     "connect",
     "encode",
+    "pack_bytes",
     "pack_text",
     "process_key",
+    "unpack_bytes",
     "unpack_text",
 ]
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -278,6 +278,31 @@
     zones: tuple[str, ...] = ()
 
 
+class ConfigPiece(_messages.Model, frozen=True):
+    """Parts of a base that come next, then bytes of a text."""
+
+    #: The first part of the base, and how many.
+    first: int
+    count: int
+    #: How many bytes of the text.
+    length: int
+
+
+class ConfigDelta(_messages.Model, frozen=True, tag="config-delta"):
+    """How the sender's configuration differs from one of the receiver's."""
+
+    version: int
+    #: End of the operators' log up to which nothing newer was there.
+    log_end: int
+    #: Of the result.
+    digest: bytes
+    #: Of the base; empty if the text is the whole.
+    base: bytes
+    pieces: tuple[ConfigPiece, ...]
+    #: The packed text that the pieces take of.
+    packed: bytes
+
+
 LeaseMessage = (
     OrderRuns
     | RunsReleased
@@ -294,4 +319,5 @@
     | SeekAgents
     | Invite
     | CordonedZones
+    | ConfigDelta
 )
--- a/src/ferryledge/wire/_messages.py
+++ b/src/ferryledge/wire/_messages.py
@@ -47,6 +47,10 @@
     packed_texts: bool = False
     #: Whether the sender takes word of cordoned zones.
     cordons: bool = False
+    #: Whether the sender takes differences between configurations.
+    config_deltas: bool = False
+    #: Whether the sender reads configurations for others: its link is wide.
+    reads_configs: bool = False
 
 
 class KeepAlive(Model, frozen=True, tag="alive"):
@@ -327,6 +331,11 @@
 class ConfigRequest(Model, frozen=True, tag="config-request"):
     """Ask a peer for its configuration."""
 
+    #: Digest of the sender's; empty asks for the whole.
+    digest: bytes = b""
+    #: Whether the sender wants each newer one as well, unasked.
+    follow: bool = False
+
 
 class ConfigReply(Model, frozen=True, tag="config"):
     """A peer's configuration as JSON text with its position."""
