--- a/src/ferryledge/leases/_peers.py
+++ b/src/ferryledge/leases/_peers.py
@@ -65,6 +65,11 @@
         """The newest configuration's version; 0 is none."""
         return self._exchange.version
 
+    @property
+    def digest(self) -> bytes:
+        """What tells that configuration from all others; empty is none."""
+        return self._exchange.digest
+
     @property
     def reader(self) -> str:
         """The agent that reads configurations for this entry, or empty."""
