--- a/src/ferryledge/hosted/_config.py
+++ b/src/ferryledge/hosted/_config.py
@@ -164,7 +164,7 @@
 
     async def _wait_for(self, end: int) -> None:
         """Wait until a configuration is brought, as long as time allows."""
-        wait_s = self._pace.bring_s(self._size) - _WAIT_S
+        wait_s = self._pace.bring_s() - _WAIT_S
         with anyio.move_on_after(max(0.0, wait_s)):
             while self._log.next_offset < end:
                 await self._brought.wait()
--- a/src/ferryledge/hosted/_config_pace.py
+++ b/src/ferryledge/hosted/_config_pace.py
@@ -25,6 +25,8 @@
 #: Seconds that what is on its way to this process may take of the link: far
 #: less than a grant lasts.
 _WINDOW_S = 0.04
+#: Bytes of a large configuration: one of 1,500 routes.
+_LARGE_BYTES = 256 * 1024
 #: Smallest window in bytes: a few packets.
 _LEAST_WINDOW = 8 * 1024
 
@@ -53,14 +55,16 @@
         """
         return size / min(self.rate(size), self.link_bytes_per_s)
 
-    def bring_s(self, size: int) -> float:
+    def bring_s(self) -> float:
         """Return how long another process has to bring a configuration.
 
-        After that there is just time to read it.
-
-        :param size: its bytes
+        After that there is just time to read it, also if it is far larger
+        than the last one.
         """
-        return _PLANNED_SHARE * self.bound_s - self.read_s(size)
+        return self._start_by_s(_LARGE_BYTES)
+
+    def _start_by_s(self, size: int) -> float:
+        return max(0.0, _PLANNED_SHARE * self.bound_s - self.read_s(size))
 
     def next_after_s(self, size: int) -> float:
         """Return how long after a read began the next one is to begin.
@@ -68,7 +72,7 @@
         :param size: the bytes of the last one
         """
         fair_s = size / (_MEAN_SHARE * self.link_bytes_per_s)
-        return max(0.0, min(self.bring_s(size), fair_s))
+        return min(self._start_by_s(size), fair_s)
 
 
 def window_bytes(link_bytes_per_s: float) -> int:
--- a/src/ferryledge/hosted/_config_reader.py
+++ b/src/ferryledge/hosted/_config_reader.py
@@ -15,9 +15,10 @@
 from ferryledge import platform
 from ferryledge import wire
 
-#: The link, in bytes a second, that reading for others may count on at the
-#: most, so that work goes on beside it.
-_MOST_LINK = 1_250_000.0
+#: The link, in bytes a second, that reading for others counts on at the most.
+#: A large configuration then takes less than 0.1 s, so that entries need not
+#: read it too, and not all of a wide link.
+_MOST_LINK = 5_000_000.0
 
 Send = abc.Callable[[str, wire.Message], None]
 
@@ -79,16 +80,15 @@
 
     def _forget(self, peer: str) -> None:
         self._entries.pop(peer, None)
-        if self._entries:
-            return
-        self._wanted = anyio.Event()
-        if self._scope is not None:
+        if not self._entries and self._scope is not None:
             self._scope.cancel()
 
     async def run(self) -> None:
         """Follow the log whenever some entry wants it, for ever."""
         while True:
-            await self._wanted.wait()
+            while not self._entries:
+                self._wanted = anyio.Event()
+                await self._wanted.wait()
             self._follower = self._new_follower()
             with anyio.CancelScope() as self._scope:
                 await self._follower.run()
--- /dev/null
+++ b/src/ferryledge/hosted/tests/slow_store.py
@@ -0,0 +1,83 @@
+"""A log store for followers on a clock that jumps."""
+
+import dataclasses
+
+import anyio
+
+from ferryledge import platform
+
+
+@dataclasses.dataclass(slots=True)
+class Store:
+    """A log whose answers take the time that their bytes take."""
+
+    #: What the reader's link carries.
+    bytes_per_s: float
+    log: list[tuple[str, bytes]] = dataclasses.field(default_factory=list)
+    grown: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    #: Bytes of configurations that were carried.
+    carried: int = 0
+    #: Calls that get no answer.
+    lost: int = 0
+
+    def put(self, key: str, value: bytes) -> None:
+        """Append a record."""
+        self.log.append((key, value))
+        self.grown.set()
+        self.grown = anyio.Event()
+
+    async def newest(
+        self,
+        topic: str,
+        partition: int = 0,
+        after: str = "",
+        rate: platform.Rate | None = None,
+    ) -> platform.KeyedPage:
+        """Return the newest record of each key."""
+        kept = {
+            key: platform.KeyedRecord(key, value, offset)
+            for offset, (key, value) in enumerate(self.log)
+            if key > after
+        }
+        end = len(self.log)
+        records = tuple(one for one in kept.values() if one.value)
+        await self._carry(records, rate)
+        return platform.KeyedPage(records, end, 0, end)
+
+    async def read(
+        self,
+        topic: str,
+        offset: int,
+        wait_s: float,
+        most_kb: int = 1024,
+        rate: platform.Rate | None = None,
+    ) -> platform.KeyedPage:
+        """Return records from an offset on, once there is one."""
+        with anyio.move_on_after(wait_s):
+            while len(self.log) <= offset:
+                await self.grown.wait()
+        end = len(self.log)
+        most = 1 if most_kb == 1 else 5
+        records = tuple(
+            platform.KeyedRecord(key, value, number)
+            for number, (key, value) in enumerate(self.log)
+            if offset <= number < offset + most
+        )
+        await self._carry(records, rate)
+        return platform.KeyedPage(records, offset + len(records), offset, end)
+
+    async def _carry(
+        self,
+        records: tuple[platform.KeyedRecord, ...],
+        rate: platform.Rate | None,
+    ) -> None:
+        if self.lost:
+            self.lost -= 1
+            await anyio.sleep(1.5)
+            raise platform.StoreError("no answer in time")
+        size = sum(len(one.value) for one in records)
+        speed = self.bytes_per_s
+        if rate is not None:
+            speed = min(speed, rate(size))
+        self.carried += size
+        await anyio.sleep(size / speed)
--- a/src/ferryledge/hosted/tests/test_config_storm.py
+++ b/src/ferryledge/hosted/tests/test_config_storm.py
@@ -5,14 +5,12 @@
 several of them ran out of time and was read anew from its start.
 """
 
-import dataclasses
-
 import anyio
 
 from ferryledge.hosted import _config
 from ferryledge.hosted import _config_pace
+from ferryledge.hosted.tests import slow_store
 from ferryledge.net.tests import paused_clock
-from ferryledge import platform
 from ferryledge import wire
 
 _LINK = 250_000.0
@@ -22,75 +20,6 @@
 _BODY = b"x" * 200_000
 
 
-@dataclasses.dataclass(slots=True)
-class _Store:
-    """A log whose answers take the time that their bytes take."""
-
-    log: list[tuple[str, bytes]] = dataclasses.field(default_factory=list)
-    grown: anyio.Event = dataclasses.field(default_factory=anyio.Event)
-    #: Bytes of configurations that were carried.
-    carried: int = 0
-    #: Calls that get no answer.
-    lost: int = 0
-
-    def put(self, key: str, value: bytes) -> None:
-        self.log.append((key, value))
-        self.grown.set()
-        self.grown = anyio.Event()
-
-    async def newest(
-        self,
-        topic: str,
-        partition: int = 0,
-        after: str = "",
-        rate: platform.Rate | None = None,
-    ) -> platform.KeyedPage:
-        kept = {
-            key: platform.KeyedRecord(key, value, offset)
-            for offset, (key, value) in enumerate(self.log)
-            if key > after
-        }
-        end = len(self.log)
-        records = tuple(one for one in kept.values() if one.value)
-        await self._carry(records, rate)
-        return platform.KeyedPage(records, end, 0, end)
-
-    async def read(
-        self,
-        topic: str,
-        offset: int,
-        wait_s: float,
-        most_kb: int = 1024,
-        rate: platform.Rate | None = None,
-    ) -> platform.KeyedPage:
-        with anyio.move_on_after(wait_s):
-            while len(self.log) <= offset:
-                await self.grown.wait()
-        end = len(self.log)
-        most = 1 if most_kb == 1 else 5
-        records = tuple(
-            platform.KeyedRecord(key, value, number)
-            for number, (key, value) in enumerate(self.log)
-            if offset <= number < offset + most
-        )
-        await self._carry(records, rate)
-        return platform.KeyedPage(records, offset + len(records), offset, end)
-
-    async def _carry(
-        self,
-        records: tuple[platform.KeyedRecord, ...],
-        rate: platform.Rate | None,
-    ) -> None:
-        if self.lost:
-            self.lost -= 1
-            await anyio.sleep(1.5)
-            raise platform.StoreError("no answer in time")
-        size = sum(len(one.value) for one in records)
-        speed = _LINK if rate is None else min(_LINK, rate(size))
-        self.carried += size
-        await anyio.sleep(size / speed)
-
-
 class _Heard:
     """When what was written was in force here."""
 
@@ -105,13 +34,15 @@
         self.zones.setdefault(state.zones, anyio.current_time())
 
 
-def _storm(lost: int = 0) -> tuple[_Store, _Heard, dict[int, float], float]:
+def _storm(
+    lost: int = 0,
+) -> tuple[slow_store.Store, _Heard, dict[int, float], float]:
     """Write many versions and, in their midst, a cordon."""
     heard = _Heard()
     written: dict[int, float] = {}
 
-    async def main() -> tuple[_Store, float]:
-        store = _Store()
+    async def main() -> tuple[slow_store.Store, float]:
+        store = slow_store.Store(_LINK)
         follower = _config.OperatorFollower(
             store,
             heard.read,
