End a read that is in vain; faults and mutations of what is brought

An entry that starts reads at once; when an agent or another entry brings the same, the rest of the answer would only fill its link. Configurations out of order, without their base or torn are a row of the matrix; without the rise of versions, or without the digest, the promise is seen to break.

--- a/src/ferryledge/hosted/_config.py
+++ b/src/ferryledge/hosted/_config.py
@@ -78,6 +78,9 @@
         self._bringer = bringer or ConfigBringer()
         #: Set when a configuration is brought.
         self._brought = anyio.Event()
+        #: Ends a read that is in vain, and up to where the log is read.
+        self._reading: anyio.CancelScope | None = None
+        self._reading_end = 0
         self._meter = meter or ConfigMeter()
         self._log = _operator_log.OperatorLog()
         self._up = True
@@ -102,6 +105,8 @@
         self._size = size
         self._brought.set()
         self._brought = anyio.Event()
+        if self._reading is not None and log_end >= self._reading_end:
+            self._reading.cancel()
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -158,7 +163,10 @@
         unknown = self._log.unknown(others)
         if unknown:
             self._meter.replaced(unknown - 1)
-            await self._read_last(others.end)
+            self._reading_end = others.end
+            with anyio.CancelScope() as self._reading:
+                await self._read_last(others.end)
+            self._reading = None
         self._log.skip_to(others.end)
         return unknown > 0
 
--- a/src/ferryledge/hosted/tests/test_config_reader.py
+++ b/src/ferryledge/hosted/tests/test_config_reader.py
@@ -164,6 +164,32 @@
     assert not bringer.misses
 
 
+def test_read_ends_when_the_same_is_brought() -> None:
+    """An entry that starts reads at once, until an agent is found."""
+    in_force: list[bytes] = []
+
+    async def main() -> None:
+        store = slow_store.Store(250_000.0)
+        store.put("config", bytes(200_000))
+        follower = _config.OperatorFollower(
+            typing.cast(platform.StoreClient, store),
+            in_force.append,
+            lambda state: None,
+            _config_pace.ConfigPace(3.0, 250_000.0),
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(follower.run)
+            await anyio.sleep(0.2)
+            follower.bring(1, 200_000)
+            await anyio.sleep(5.0)
+            store.put("config", b"{}")
+            await anyio.sleep(1.0)
+            group.cancel_scope.cancel()
+
+    paused_clock.run(main)
+    assert in_force == [b"{}"]
+
+
 def test_what_is_not_brought_is_read_in_time() -> None:
     """The agent died midway, or the store turned it away."""
     _, bringer, in_force = _follow(brings=False)
--- a/src/ferryledge/leases/tests/faults.py
+++ b/src/ferryledge/leases/tests/faults.py
@@ -3,6 +3,8 @@
 from collections import abc
 import dataclasses
 
+import msgspec
+
 from ferryledge import leases
 from ferryledge import loads as worlds
 from ferryledge import outcomes
@@ -116,7 +118,45 @@
     world.at(1.0, lambda: world.resize(agent, worlds.ROOM))
 
 
+def config_of(version: int) -> bytes:
+    """Return a configuration with some routes, one of them changed."""
+    routes = ",".join(f'{{"Name":"r{number}"}}' for number in range(20))
+    changed = f'{{"Name":"changed-{version}"}}'
+    return f'{{"Version":{version},"Routes":[{routes},{changed}]}}'.encode()
+
+
+def late_configs(world: worlds.World) -> None:
+    """Bring configurations out of order, of a base that few have, or torn.
+
+    A violation is noted where one that is older or torn is in force.
+    """
+    exchange = leases.ConfigExchange()
+    exchange.learn(2, config_of(2), 2)
+    first = exchange.answer(b"")
+    exchange.learn(3, config_of(3), 3)
+    second = exchange.answer(first.digest)
+    exchange.learn(4, config_of(4), 4)
+    torn = msgspec.structs.replace(exchange.answer(second.digest), pieces=())
+    no_base = msgspec.structs.replace(second, version=9, base=b"another")
+    for entry in world.entries:
+        for delta in (second, first, second, torn, first, no_base):
+            world.post(entry, wire.Received("agent-0", delta))
+        world.post(entry, leases.ConfigRead(2, config_of(2), 2))
+        world.at(0.2, lambda name=entry: _check_config(world, name))
+
+
+def _check_config(world: worlds.World, entry: str) -> None:
+    peers = world.nodes[entry].core.peers
+    whole = leases.ConfigExchange()
+    whole.learn(3, config_of(3), 3)
+    if peers.version == 3 and peers.digest != whole.digest:
+        world.violations.append("a torn configuration is in force")
+    if peers.version not in (1, 3):
+        world.violations.append("an older or torn configuration is in force")
+
+
 FAULTS: dict[str, Strike] = {
+    "configurations late or torn": late_configs,
     "endpoint shrinks": _agent(_resize),
     "zone cordoned": _cordon("north"),
     "agents leave an entry": _agent(_leave),
--- a/src/ferryledge/leases/tests/test_mutations.py
+++ b/src/ferryledge/leases/tests/test_mutations.py
@@ -11,6 +11,7 @@
 
 from ferryledge import leases
 from ferryledge.leases import _acceptance
+from ferryledge.leases import _config_exchange
 from ferryledge.leases import _cordons
 from ferryledge.leases import _crashes
 from ferryledge.leases import _endpoint
@@ -168,6 +169,14 @@
     return world
 
 
+def _late_configurations() -> worlds.World:
+    world = worlds.World(seed=4, entries=1, agents=1)
+    world.run(2.0)
+    faults.late_configs(world)
+    world.run(1.0)
+    return world
+
+
 def _deadly_job() -> worlds.World:
     """Let a task take down each endpoint that starts it."""
     world = worlds.World(seed=6, entries=2, agents=6)
@@ -213,6 +222,17 @@
     link._token = max(link._token + 1, link.clock_ms(now))
 
 
+_LEARN = _config_exchange.ConfigExchange.learn
+
+
+def _learn_any(
+    exchange: _config_exchange.ConfigExchange, *read: typing.Any
+) -> bool:
+    """Take in any configuration, as if none had been there."""
+    exchange._version = 0
+    return _LEARN(exchange, *read)
+
+
 _TAKE_PARTS = _acceptance.Acceptance.__init__
 
 
@@ -225,6 +245,18 @@
 
 
 MUTATIONS = {
+    "configurations never go back": Mutation(
+        _config_exchange.ConfigExchange,
+        "learn",
+        _learn_any,
+        _late_configurations,
+    ),
+    "a digest proves a configuration": Mutation(
+        _config_exchange,
+        "digest_of",
+        lambda data: b"any",
+        _late_configurations,
+    ),
     "endpoints crash on under a task": Mutation(
         _crashes.CrashWatch,
         "is_deadly",
