--- a/src/ferryledge/hosted/_config_reader.py
+++ b/src/ferryledge/hosted/_config_reader.py
@@ -94,8 +94,10 @@
                 await self._follower.run()
 
     def _read(self, data: bytes) -> None:
-        version = platform.config_version(data)
-        if not version:
+        try:
+            version = platform.config_version(data)
+        except platform.ConfigError as exc:
+            loguru.logger.error("{}", exc, step="config")
             return
         log_end = self._follower.log_end
         if self._exchange.learn(version, data, log_end):
--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -1,6 +1,5 @@
 """The entry's shell on the platform: clients, streams, the store."""
 
-from collections import abc
 import itertools
 import random
 
@@ -8,9 +7,8 @@
 from anyio import abc as anyio_abc
 import loguru
 
-from ferryledge.hosted import _config
-from ferryledge.hosted import _config_metrics
 from ferryledge.hosted import _config_pace
+from ferryledge.hosted import _entry_config
 from ferryledge.hosted import _members
 from ferryledge.hosted import _metrics
 from ferryledge.hosted import _reload
@@ -44,36 +42,6 @@
         self.outcome: outcomes.JobOutcome | None = None
 
 
-class _Bringer(_config.ConfigBringer):
-    """The agent that reads configurations for this entry.
-
-    :param core: knows which one that is
-    :param post: hands an event to it
-    """
-
-    def __init__(
-        self,
-        core: leases.LeaseEntry,
-        post: abc.Callable[[leases.EntryEvent], None],
-    ) -> None:
-        self._core = core
-        self._post = post
-
-    @property
-    def present(self) -> bool:
-        """Whether some agent reads for this entry."""
-        return bool(self._core.peers.reader)
-
-    def missed(self) -> None:
-        """Let another agent read from now on."""
-        loguru.logger.warning(
-            "configuration not brought",
-            step="config",
-            peer=self._core.peers.reader,
-        )
-        self._post(leases.ConfigNotBrought())
-
-
 class HostedEntry:
     """One entry process.
 
@@ -108,23 +76,16 @@
         self._store = platform.StoreClient(
             settings.store.address, window_bytes
         )
-        self._follower = _config.OperatorFollower(
+        self._config = _entry_config.EntryConfig(
+            settings,
             self._store,
-            self._on_config,
-            self._on_cordons,
-            _config_pace.ConfigPace(
-                settings.config_apply_s, settings.link_bytes_per_s
-            ),
-            _Bringer(self._core, self._driver.post),
-            _config_metrics.ConfigMetrics(self._registry),
+            self._core,
+            self._driver.post,
+            self._registry,
         )
-        self._config: platform.Configuration | None = None
-        #: The one that was read last; in force once the core says so.
-        self._parsed: platform.Configuration | None = None
         self._group: anyio_abc.TaskGroup | None = None
         self._tokens = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
-        self._configured = anyio.Event()
         self._draining = False
         self._refusing = False
 
@@ -163,7 +124,7 @@
             self._dialler.dial_seeds(group, hosts, settings.stream_port)
             group.start_soon(_members.register, self._store, own)
             group.start_soon(_members.follow, self._store, self._on_entries)
-            group.start_soon(self._follower.run)
+            group.start_soon(self._config.run)
             loguru.logger.info("entry ready", step="join")
             await drain.wait()
             await self._finish(release)
@@ -236,25 +197,14 @@
                 self._mesh.close(peer)
             case leases.DialEntries(entries):
                 self._dial(entries)
-            case leases.ApplyConfig(version, data, log_end):
-                self._apply(version, data)
-                self._follower.bring(log_end, len(data))
+            case leases.ApplyConfig():
+                self._config.apply(action)
             case leases.AnswerJob(token, outcome):
                 pending = self._pending.get(token)
                 if pending is not None:
                     pending.outcome = outcome
                     pending.ready.set()
 
-    def _apply(self, version: int, data: bytes) -> None:
-        """Let requests go by a configuration from now on."""
-        config = self._parsed
-        if config is None or config.version != version:
-            # A peer sent it.
-            config = platform.parse_config(data)
-        self._config = config
-        self._configured.set()
-        loguru.logger.info("configuration {} in force", version, step="config")
-
     def _dial(self, entries: tuple[wire.EntryAddress, ...]) -> None:
         assert self._group is not None
         if any(one.name != self._settings.node for one in entries):
@@ -264,27 +214,14 @@
     def _on_entries(self, entries: tuple[wire.EntryAddress, ...]) -> None:
         self._driver.post(leases.EntriesFound(entries))
 
-    def _on_config(self, data: bytes) -> None:
-        try:
-            config = platform.parse_config(data)
-        except platform.ConfigError as exc:
-            loguru.logger.error("{}", exc, step="config")
-            return
-        self._parsed = config
-        log_end = self._follower.log_end
-        self._driver.post(leases.ConfigRead(config.version, data, log_end))
-
-    def _on_cordons(self, cordons: wire.CordonedZones) -> None:
-        self._driver.post(leases.CordonsRead(cordons))
-
     # HTTP.
 
     async def _handle(self, request: net.Request) -> net.HttpResponse:
         if request.path == "/ready" and request.method == "GET":
             return self._readiness()
         with anyio.move_on_after(_CONFIG_WAIT_S):
-            await self._configured.wait()
-        config = self._config
+            await self._config.wait()
+        config = self._config.current
         if config is None:
             reason = outcomes.Reason.NO_CONFIGURATION
             return platform.refusal(reason, _RETRY_S)
@@ -308,7 +245,8 @@
 
     def _readiness(self) -> net.HttpResponse:
         usable = self._core.is_usable(self._driver.now())
-        ready = self._config is not None and usable and not self._draining
+        configured = self._config.current is not None
+        ready = configured and usable and not self._draining
         return net.HttpResponse.json(200 if ready else 503, {"ready": ready})
 
     def _look_up(self, job: str) -> net.HttpResponse:
--- a/src/ferryledge/hosted/tests/test_config_reader.py
+++ b/src/ferryledge/hosted/tests/test_config_reader.py
@@ -12,14 +12,15 @@
 from ferryledge import leases
 from ferryledge.net.tests import paused_clock
 from ferryledge import platform
+from ferryledge.platform import standin
 from ferryledge import wire
 
 _SETTINGS = platform.Settings("agent-0", "127.0.0.1", "north", (7000, 7009))
-_ROUTES = ",".join(f'{{"Name":"route-{number}"}}' for number in range(1000))
+_QUEUES = [f"queue-{number}" for number in range(300)]
 
 
 def _config_of(version: int) -> bytes:
-    return f'{{"Version":{version},"Routes":[{_ROUTES}]}}'.encode()
+    return standin.render_config(version, _QUEUES)
 
 
 def _hello(name: str) -> wire.Hello:
--- a/src/ferryledge/platform/_config.py
+++ b/src/ferryledge/platform/_config.py
@@ -115,16 +115,19 @@
     return len(route.path_prefix)
 
 
-class _Version(_Part, frozen=True):
-    version: int = 0
+def _decode(data: bytes) -> _Config:
+    try:
+        return msgspec.json.decode(data, type=_Config)
+    except msgspec.DecodeError as exc:
+        raise ConfigError(f"unreadable configuration: {exc}") from exc
 
 
 def config_version(data: bytes) -> int:
-    """Return the version of what a record's value holds; 0 if unreadable."""
-    try:
-        return msgspec.json.decode(data, type=_Version).version
-    except msgspec.DecodeError:
-        return 0
+    """Return the version of what a record's value holds.
+
+    :raises ConfigError: if it is not valid
+    """
+    return _decode(data).version
 
 
 def parse_config(data: bytes) -> Configuration:
@@ -132,8 +135,5 @@
 
     :raises ConfigError: if it is not valid
     """
-    try:
-        config = msgspec.json.decode(data, type=_Config)
-    except msgspec.DecodeError as exc:
-        raise ConfigError(f"unreadable configuration: {exc}") from exc
+    config = _decode(data)
     return Configuration(config.version, config.routes)
