Look for the last configuration one record at a time from the log's end

The end of a cordon stands in no list, so that an entry took it for a configuration and read all keys, the configuration among them.

--- a/src/ferryledge/hosted/_config.py
+++ b/src/ferryledge/hosted/_config.py
@@ -20,6 +20,9 @@
 _LOOK_S = 0.4
 #: What is asked for of the log at once, in kB: one record, however large.
 _ONE_RECORD_KB = 1
+#: Records that are looked at one by one, from the log's end; more cost more
+#: calls than a list does bytes.
+_MOST_STEPS = 8
 
 Read = abc.Callable[[bytes], None]
 Cordoned = abc.Callable[[wire.CordonedZones], None]
@@ -189,20 +192,17 @@
         return page
 
     async def _read_last(self, end: int) -> None:
-        """Read the log's last record, or the newest of all keys.
+        """Read the log's last configuration, or the newest of all keys.
 
         Most changes are of the configuration; as a record it takes a quarter
-        less than in a list.
+        less than in a list. Other records are small.
         """
+        first = max(self._log.next_offset, end - _MOST_STEPS)
         with contextlib.suppress(platform.RecordsGoneError):
-            page = await self._store.read(
-                platform.CONFIG_TOPIC,
-                end - 1,
-                0.0,
-                rate=self._begin,
-            )
-            if _operator_log.newest_config(page.records) is not None:
-                self._take(page)
+            for offset in range(end - 1, first - 1, -1):
+                if await self._read_at(offset):
+                    return
+            if first == self._log.next_offset:
                 return
         page = await self._store.newest(
             platform.CONFIG_TOPIC, rate=self._begin
@@ -211,6 +211,23 @@
             self._cordoned(self._log.cordons)
         self._hand_on(page)
 
+    async def _read_at(self, offset: int) -> bool:
+        """Read one record.
+
+        :return: whether it is a configuration
+        """
+        page = await self._store.read(
+            platform.CONFIG_TOPIC,
+            offset,
+            0.0,
+            _ONE_RECORD_KB,
+            self._begin,
+        )
+        if _operator_log.newest_config(page.records) is None:
+            return False
+        self._take(page)
+        return True
+
     def _take(self, page: platform.KeyedPage) -> None:
         if self._log.read(page):
             self._cordoned(self._log.cordons)
--- a/src/ferryledge/hosted/_operator_log.py
+++ b/src/ferryledge/hosted/_operator_log.py
@@ -18,6 +18,8 @@
         self._zones: set[str] = set()
         self._zones_at = 0
         self._next = 0
+        #: Cordons found to be ended since; no list has such a record.
+        self._ended = 0
 
     @property
     def next_offset(self) -> int:
@@ -37,7 +39,9 @@
         if page.end <= self._zones_at:
             return False
         # Zones that are not listed have been taken back.
-        self._zones = set(_cordoned(page.records))
+        zones = set(_cordoned(page.records))
+        self._ended += len(self._zones - zones)
+        self._zones = zones
         self._zones_at = page.end
         return True
 
@@ -54,7 +58,7 @@
 
         :return: whether they tell more of cordons than what is known
         """
-        self._next = max(self._next, page.next_offset)
+        self.skip_to(page.next_offset)
         # What lies before them may hold cordons too.
         if page.first_offset > self._zones_at:
             return False
@@ -76,7 +80,9 @@
 
     def skip_to(self, offset: int) -> None:
         """Note that no newer configuration stands before an offset."""
-        self._next = max(self._next, offset)
+        if offset > self._next:
+            self._next = offset
+            self._ended = 0
 
     def unknown(self, page: platform.KeyedPage) -> int:
         """Return how many new records a list of the other keys leaves out.
@@ -86,7 +92,7 @@
         :param page: the newest record of each key but the configuration's
         """
         listed = sum(record.offset >= self._next for record in page.records)
-        return max(0, page.end - self._next - listed)
+        return max(0, page.end - self._next - listed - self._ended)
 
 
 def _cordoned(
--- a/src/ferryledge/hosted/tests/test_operator_log.py
+++ b/src/ferryledge/hosted/tests/test_operator_log.py
@@ -58,6 +58,17 @@
     assert log.unknown(_listed(4, _record(_CORDON, 2))) == 0
 
 
+def test_end_of_a_cordon_is_no_configuration() -> None:
+    log = _operator_log.OperatorLog()
+    log.list_others(_listed(4, _record(_CORDON, 3)))
+    log.skip_to(4)
+    ended = _listed(5)
+    log.list_others(ended)
+    assert log.unknown(ended) == 0
+    log.skip_to(5)
+    assert log.unknown(_listed(6)) == 1
+
+
 def test_last_configuration_counts() -> None:
     records = (
         platform.KeyedRecord("config", b"1", 0),
