--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -7,7 +7,8 @@
 from anyio import abc as anyio_abc
 import loguru
 
-from ferryledge.hosted import _config
+from ferryledge.hosted import _config_pace
+from ferryledge.hosted import _entry_config
 from ferryledge.hosted import _members
 from ferryledge.hosted import _metrics
 from ferryledge.hosted import _reload
@@ -71,12 +72,20 @@
         )
         self._mesh = net.Mesh(keys, self._core.hello, self._driver.post)
         self._dialler = _members.Dialler(self._mesh, settings.node)
-        self._store = platform.StoreClient(settings.store.address)
-        self._config: platform.Configuration | None = None
+        window_bytes = _config_pace.window_bytes(settings.link_bytes_per_s)
+        self._store = platform.StoreClient(
+            settings.store.address, window_bytes
+        )
+        self._config = _entry_config.EntryConfig(
+            settings,
+            self._store,
+            self._core,
+            self._driver.post,
+            self._registry,
+        )
         self._group: anyio_abc.TaskGroup | None = None
         self._tokens = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
-        self._configured = anyio.Event()
         self._draining = False
         self._refusing = False
 
@@ -115,10 +124,7 @@
             self._dialler.dial_seeds(group, hosts, settings.stream_port)
             group.start_soon(_members.register, self._store, own)
             group.start_soon(_members.follow, self._store, self._on_entries)
-            follower = _config.OperatorFollower(
-                self._store, self._on_config, self._on_cordons
-            )
-            group.start_soon(follower.run)
+            group.start_soon(self._config.run)
             loguru.logger.info("entry ready", step="join")
             await drain.wait()
             await self._finish(release)
@@ -191,12 +197,8 @@
                 self._mesh.close(peer)
             case leases.DialEntries(entries):
                 self._dial(entries)
-            case leases.ApplyConfig(version, data):
-                self._config = platform.parse_config(data)
-                self._configured.set()
-                loguru.logger.info(
-                    "configuration {} in force", version, step="config"
-                )
+            case leases.ApplyConfig():
+                self._config.apply(action)
             case leases.AnswerJob(token, outcome):
                 pending = self._pending.get(token)
                 if pending is not None:
@@ -212,25 +214,14 @@
     def _on_entries(self, entries: tuple[wire.EntryAddress, ...]) -> None:
         self._driver.post(leases.EntriesFound(entries))
 
-    def _on_config(self, data: bytes) -> None:
-        try:
-            version = platform.parse_config(data).version
-        except platform.ConfigError as exc:
-            loguru.logger.error("{}", exc, step="config")
-            return
-        self._driver.post(leases.ConfigRead(version, data))
-
-    def _on_cordons(self, cordons: wire.CordonedZones) -> None:
-        self._driver.post(leases.CordonsRead(cordons))
-
     # HTTP.
 
     async def _handle(self, request: net.Request) -> net.HttpResponse:
         if request.path == "/ready" and request.method == "GET":
             return self._readiness()
         with anyio.move_on_after(_CONFIG_WAIT_S):
-            await self._configured.wait()
-        config = self._config
+            await self._config.wait()
+        config = self._config.current
         if config is None:
             reason = outcomes.Reason.NO_CONFIGURATION
             return platform.refusal(reason, _RETRY_S)
@@ -254,7 +245,8 @@
 
     def _readiness(self) -> net.HttpResponse:
         usable = self._core.is_usable(self._driver.now())
-        ready = self._config is not None and usable and not self._draining
+        configured = self._config.current is not None
+        ready = configured and usable and not self._draining
         return net.HttpResponse.json(200 if ready else 503, {"ready": ready})
 
     def _look_up(self, job: str) -> net.HttpResponse:
--- a/src/ferryledge/platform/__init__.py
+++ b/src/ferryledge/platform/__init__.py
@@ -26,6 +26,7 @@
     KeyedPage = _store.KeyedPage
     KeyedRecord = _store.KeyedRecord
     MalformedJobError = _jobs.MalformedJobError
+    Rate = _store.Rate
     RecordsGoneError = _store.RecordsGoneError
     Route = _config.Route
     Settings = _settings.Settings
@@ -33,6 +34,7 @@
     StoreClient = _store.StoreClient
     StoreError = _store.StoreError
     UnsupportedJobError = _jobs.UnsupportedJobError
+    config_version = _config.config_version
     cordoned_zone = _config.cordoned_zone
     parse_config = _config.parse_config
     parse_deadline = _jobs.parse_deadline
@@ -57,6 +59,7 @@
                 "ConfigError",
                 "Configuration",
                 "Route",
+                "config_version",
                 "cordoned_zone",
                 "parse_config",
             ),
@@ -87,6 +90,7 @@
             "_store": (
                 "KeyedPage",
                 "KeyedRecord",
+                "Rate",
                 "RecordsGoneError",
                 "StoreClient",
                 "StoreError",
@@ -105,6 +109,7 @@
     "KeyedPage",
     "KeyedRecord",
     "MalformedJobError",
+    "Rate",
     "RecordsGoneError",
     "Route",
     "Settings",
@@ -112,6 +117,7 @@
     "StoreClient",
     "StoreError",
     "UnsupportedJobError",
+    "config_version",
     "cordoned_zone",
     "parse_config",
     "parse_deadline",
