Make no handler for the log that is removed at once

Cause: loguru makes a handler for standard error when it is imported, with its format parsed for colours; the daemon removes it before its first line.

Change: a daemon tells loguru beforehand not to.

Test: the first handler that a started command has is its own.

--- a/src/ferryledge/hosted/__main__.py
+++ b/src/ferryledge/hosted/__main__.py
@@ -1,6 +1,11 @@
 """Starts a daemon with as little work as possible."""
 
 import gc
+import os
+
+#: Tells loguru not to make a handler of its own when it is imported: it would
+#: be removed at once, and making it is work.
+_OWN_HANDLER_VARIABLE = "LOGURU_AUTOINIT"
 
 
 def main() -> None:
@@ -10,6 +15,7 @@
     the start longer.
     """
     gc.disable()
+    os.environ[_OWN_HANDLER_VARIABLE] = "False"
     from ferryledge.hosted import _commands
 
     _commands.main()
--- a/src/ferryledge/hosted/tests/test_starts.py
+++ b/src/ferryledge/hosted/tests/test_starts.py
@@ -67,7 +67,8 @@
 
 
 #: Runs a command up to its event loop; prints how often collections ran
-#: before and by then, whether they may run, and whether they look at all.
+#: before and by then, whether they may run, whether some objects are left out,
+#: and how many handlers for the log were made.
 _RUN_COMMAND = """
 import gc, sys
 import anyio
@@ -77,7 +78,8 @@
     return sum(one["collections"] for one in gc.get_stats())
 
 def run(*args, **options):
-    print(count(), gc.isenabled(), gc.get_freeze_count() > 0)
+    handlers = sys.modules["loguru"].logger.add(sys.stderr)
+    print(count(), gc.isenabled(), gc.get_freeze_count() > 0, handlers)
 
 anyio.run = run
 print(count())
@@ -86,7 +88,7 @@
 
 
 @pytest.mark.parametrize("role", ["entry", "agent"])
-def test_nothing_is_collected_during_a_start(
+def test_a_start_collects_nothing_and_makes_one_handler(
     role: str, tmp_path: pathlib.Path
 ) -> None:
     settings = tmp_path / "settings.toml"
@@ -106,4 +108,4 @@
         env=environment,
     )
     lines = [one for one in ran.stdout.splitlines() if one[0] != "{"]
-    assert lines[1] == f"{lines[0]} True True"
+    assert lines[1] == f"{lines[0]} True True 1"
