Listen before the rest of a process is imported

Cause: after a loss of all power each process imports for some 0.35 s of processor, which is 0.7 s and more on half of a core. Its machine refuses connections all that while: requests of clients, which come again 1.3 s later and are then of no use if they are quick; dials of agents, which are repeated every 25 to 50 ms; the first report of an endpoint, whose next one is seconds away.

Ruled out: serving before the imports are over (there is nothing to serve with), and a small process that holds the sockets (one more to lose).

Change: the command reads its settings and listens first, and hands the sockets on to the servers. What comes meanwhile waits in the machine's queue. An address that can't be had is left to the server, which reports it as before.

--- a/src/ferryledge/hosted/__main__.py
+++ b/src/ferryledge/hosted/__main__.py
@@ -2,6 +2,7 @@
 
 import gc
 import os
+import sys
 
 #: Tells loguru not to make a handler of its own when it is imported: it would
 #: be removed at once, and making it is work.
@@ -16,9 +17,12 @@
     """
     gc.disable()
     os.environ[_OWN_HANDLER_VARIABLE] = "False"
+    from ferryledge.hosted import _listening
+
+    listeners = _listening.listen(sys.argv[1:])
     from ferryledge.hosted import _commands
 
-    _commands.main()
+    _commands.main(obj=listeners)
 
 
 if __name__ == "__main__":
--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -4,6 +4,7 @@
 from anyio import abc as anyio_abc
 import loguru
 
+from ferryledge.hosted import _listening
 from ferryledge.hosted import _members
 from ferryledge.hosted import _memory
 from ferryledge.hosted import _metrics
@@ -33,12 +34,17 @@
 
     :param settings: checked settings
     :param keys: the accepted shared keys for streams
+    :param listeners: the sockets that listen already; none is no socket
     """
 
     def __init__(
-        self, settings: platform.Settings, keys: tuple[str, ...]
+        self,
+        settings: platform.Settings,
+        keys: tuple[str, ...],
+        listeners: _listening.Listeners | None = None,
     ) -> None:
         self._settings = settings
+        self._listeners = listeners or _listening.Listeners()
         self._keys = keys
         self._store = platform.StoreClient(settings.store.address)
         self._memory = _memory.EndpointMemory(
@@ -92,6 +98,8 @@
                 host,
                 port,
                 stop,
+                None,
+                self._listeners.take((host, port)),
             )
             self._add_gauges()
             group.start_soon(self._registry.serve, settings.stream_host)
--- a/src/ferryledge/hosted/_commands.py
+++ b/src/ferryledge/hosted/_commands.py
@@ -7,6 +7,7 @@
 import click
 import loguru
 
+from ferryledge.hosted import _listening
 from ferryledge import logs
 from ferryledge import net
 from ferryledge import platform
@@ -55,20 +56,22 @@
 
 
 @main.command()
-def entry() -> None:
+@click.pass_obj
+def entry(listeners: _listening.Listeners) -> None:
     """Take clients' jobs and order their runs."""
     from ferryledge.hosted import _entry
 
-    daemon = _entry.HostedEntry(_settings(), _keys())
+    daemon = _entry.HostedEntry(_settings(), _keys(), listeners)
     _end_start()
     sys.exit(net.run_daemon(daemon.run, daemon.unfinished, daemon.reload))
 
 
 @main.command()
-def agent() -> None:
+@click.pass_obj
+def agent(listeners: _listening.Listeners) -> None:
     """Own the endpoint on this machine."""
     from ferryledge.hosted import _agent
 
-    daemon = _agent.HostedAgent(_settings(), _keys())
+    daemon = _agent.HostedAgent(_settings(), _keys(), listeners)
     _end_start()
     sys.exit(net.run_daemon(daemon.run, daemon.unfinished, daemon.reload))
--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -8,6 +8,7 @@
 import loguru
 
 from ferryledge.hosted import _config
+from ferryledge.hosted import _listening
 from ferryledge.hosted import _members
 from ferryledge.hosted import _metrics
 from ferryledge.hosted import _reload
@@ -46,12 +47,17 @@
 
     :param settings: checked settings
     :param keys: the accepted shared keys for streams
+    :param listeners: the sockets that listen already; none is no socket
     """
 
     def __init__(
-        self, settings: platform.Settings, keys: tuple[str, ...]
+        self,
+        settings: platform.Settings,
+        keys: tuple[str, ...],
+        listeners: _listening.Listeners | None = None,
     ) -> None:
         self._settings = settings
+        self._listeners = listeners or _listening.Listeners()
         self._registry = _metrics.Registry("entry")
         self._core = leases.LeaseEntry(
             settings.node,
@@ -98,11 +104,9 @@
         )
         async with anyio.create_task_group() as group:
             self._group = group
-            await group.start(
-                self._mesh.listen,
-                settings.stream_host,
-                settings.stream_port,
-            )
+            streams = settings.stream_host, settings.stream_port
+            listener = self._listeners.take(streams)
+            await group.start(self._mesh.listen, *streams, listener)
             group.start_soon(self._driver.run)
             self._driver.post(leases.EntriesFound((own,)))
             addresses = settings.listen_addrs
@@ -133,7 +137,10 @@
     ) -> None:
         host, port = platform.split_address(address)
         app = net.asgi_app(self._handle)
-        await group.start(net.serve_http, app, host, port, stop, release)
+        listener = self._listeners.take((host, port))
+        await group.start(
+            net.serve_http, app, host, port, stop, release, listener
+        )
 
     async def _finish(self, release: anyio.Event) -> None:
         """Answer what is in flight and what ends in time; then end.
--- a/src/ferryledge/net/_mesh.py
+++ b/src/ferryledge/net/_mesh.py
@@ -10,11 +10,13 @@
 import contextlib
 import dataclasses
 import random
+import socket
 
 import anyio
 from anyio import abc as anyio_abc
 import loguru
 
+from ferryledge import _sockets
 from ferryledge.net import _connecting
 from ferryledge.net import _redial
 from ferryledge.net import _stream
@@ -24,9 +26,6 @@
 #: 20,000 messages, or a few of the largest.
 _MOST_UNSENT_BYTES = 16 * 1024 * 1024
 _HANDSHAKE_S = 3.0
-#: Connections that wait to be accepted: all agents may come at once after a
-#: loss of power, and one that finds the queue full comes again after seconds.
-_BACKLOG = 2048
 #: Strangers that may be in the handshake at once.
 _MAX_HANDSHAKES = 256
 
@@ -144,17 +143,27 @@
         self,
         host: str,
         port: int,
+        listener: socket.socket | None = None,
         *,
         task_status: anyio_abc.TaskStatus[int],
     ) -> None:
-        """Accept streams for ever; reports the port that was bound."""
+        """Accept streams for ever; reports the port that was bound.
+
+        :param host: IP number to listen on
+        :param port: TCP port; 0 picks one
+        :param listener: a socket that is bound there already; none binds one
+        :raises OSError: if the address can't be listened on
+        """
+        listener = listener or _sockets.bind(host, port)
         async with anyio.create_task_group() as group:
 
             def accept(stream: _stream.Stream) -> None:
                 group.start_soon(self._accept, stream)
 
             server = await asyncio.get_running_loop().create_server(
-                lambda: _stream.Stream(accept), host, port, backlog=_BACKLOG
+                lambda: _stream.Stream(accept),
+                sock=listener,
+                backlog=_sockets.BACKLOG,
             )
             async with server:
                 task_status.started(server.sockets[0].getsockname()[1])
--- a/src/ferryledge/net/_server.py
+++ b/src/ferryledge/net/_server.py
@@ -9,7 +9,8 @@
 from anyio import abc as anyio_abc
 import uvicorn
 
-_BACKLOG = 2048
+from ferryledge import _sockets
+
 _KEEP_ALIVE_S = 75
 _POLL_S = 0.005
 
@@ -51,6 +52,7 @@
     port: int,
     stop: anyio.Event,
     release: anyio.Event | None = None,
+    listener: socket.socket | None = None,
     *,
     task_status: anyio_abc.TaskStatus[int],
 ) -> None:
@@ -64,9 +66,12 @@
     :param stop: ends the server
     :param release: closes connections that clients keep open; new ones are
         still accepted
+    :param listener: a socket that is bound there already; none binds one
     :raises OSError: if the address can't be listened on
     """
-    listener = _listen(host, port)
+    if listener is None:
+        # The server itself would end the process where it can't listen.
+        listener = _sockets.bind(host, port)
     config = uvicorn.Config(
         app,
         log_config=None,
@@ -75,7 +80,7 @@
         http="httptools",
         ws="none",
         loop="asyncio",
-        backlog=_BACKLOG,
+        backlog=_sockets.BACKLOG,
         timeout_keep_alive=_KEEP_ALIVE_S,
         server_header=False,
         date_header=False,
@@ -95,19 +100,6 @@
         group.cancel_scope.cancel()
 
 
-def _listen(host: str, port: int) -> socket.socket:
-    """Return a bound socket; the server itself would end the process."""
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((host, port))
-        listener.setblocking(False)
-    except OSError:
-        listener.close()
-        raise
-    return listener
-
-
 async def _report_start(
     server: uvicorn.Server, port: int, task_status: anyio_abc.TaskStatus[int]
 ) -> None:
