Let fewer classes write their own methods at a start

Change: 26 and 20 of them, in the leased path and in what runs below it, are structs now, as events, actions and messages are. Left as they are: what other work in hand changes (health, admission, the store's client, configurations, a queue's class and its jobs, which callers replace field by field).

Tests: a bound on how many classes a start lets write their methods. The soak's test replaces a field of a run's key by the structs' function, since the key is one now; what it checks is the same.

--- a/src/ferryledge/hosted/tests/test_starts.py
+++ b/src/ferryledge/hosted/tests/test_starts.py
@@ -66,6 +66,23 @@
     return ran.stdout.split()
 
 
+#: Prints the classes that write their own methods when they are imported.
+_PRINT_DATA_CLASSES = """
+for module in list(sys.modules.values()):
+    for found in list(vars(module).values()):
+        if "__dataclass_fields__" in getattr(found, "__dict__", {}):
+            print(f"{found.__module__}.{found.__qualname__}")
+"""
+
+
+@pytest.mark.parametrize(("role", "most"), [("_agent", 4), ("_entry", 30)])
+def test_few_classes_write_their_own_methods(role: str, most: int) -> None:
+    """Each takes as long as the whole import of a small module."""
+    found = set(_start(role, _PRINT_DATA_CLASSES))
+    own = [name for name in found if name.startswith("ferryledge.")]
+    assert len(own) <= most, sorted(own)
+
+
 #: Runs a command up to its event loop; prints how often collections ran
 #: before and by then, whether they may run, whether some objects are left out,
 #: and how many handlers for the log were made.
--- a/src/ferryledge/leases/_crashes.py
+++ b/src/ferryledge/leases/_crashes.py
@@ -8,7 +8,8 @@
 """
 
 from collections import abc
-import dataclasses
+
+import msgspec
 
 #: Crashes of endpoints within so many seconds may have a common cause:
 #: agents notice one within a lease and report it at once.
@@ -23,8 +24,7 @@
 _REMEMBER_S = 60.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Crash:
+class Crash(msgspec.Struct, frozen=True):
     """An endpoint that crashed while a task ran there."""
 
     at: float
@@ -34,8 +34,7 @@
     jobs: int
 
 
-@dataclasses.dataclass(slots=True)
-class _Record:
+class _Record(msgspec.Struct):
     """A crash with the jobs that lost runs by it."""
 
     crash: Crash
--- a/src/ferryledge/leases/_dealing.py
+++ b/src/ferryledge/leases/_dealing.py
@@ -7,7 +7,8 @@
 """
 
 from collections import abc
-import dataclasses
+
+import msgspec
 
 from ferryledge.leases import _agent_events
 from ferryledge.leases import _states
@@ -51,8 +52,7 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
-class _Known:
+class _Known(msgspec.Struct):
     """An entry that the agent knows the address of."""
 
     address: wire.EntryAddress
--- a/src/ferryledge/leases/_jobs.py
+++ b/src/ferryledge/leases/_jobs.py
@@ -4,6 +4,8 @@
 import enum
 import math
 
+import msgspec
+
 from ferryledge.leases import _crashes
 from ferryledge import wire
 
@@ -73,8 +75,7 @@
     DONE = "done"
 
 
-@dataclasses.dataclass(slots=True)
-class Task:
+class Task(msgspec.Struct):
     """One task of a job."""
 
     step: int
@@ -85,12 +86,12 @@
     #: Runs that ended as failed.
     failures: int = 0
     #: Endpoints that crashed while it ran there.
-    crashes: list[_crashes.Crash] = dataclasses.field(default_factory=list)
+    crashes: list[_crashes.Crash] = msgspec.field(default_factory=list)
     #: The agent that holds its run; empty if none does.
     agent: str = ""
     ordered_at: float = 0.0
     #: Agents that failed or were too slow for it.
-    avoid: set[str] = dataclasses.field(default_factory=set)
+    avoid: set[str] = msgspec.field(default_factory=set)
     #: Whether its run was told to stop.
     stopping: bool = False
     #: Times that it was moved for being too slow.
@@ -102,8 +103,7 @@
         return wire.TaskRun(self.step, self.index, self.run)
 
 
-@dataclasses.dataclass(slots=True)
-class Job:
+class Job(msgspec.Struct):
     """A job that this entry holds."""
 
     request: LeasedJob
@@ -121,7 +121,7 @@
     #: Its spec, packed; empty until that is needed.
     packed_spec: bytes = b""
     #: Tasks in the state of waiting, whether their turn has come or not.
-    waiting: int = dataclasses.field(init=False)
+    waiting: int = 0
 
     def __post_init__(self) -> None:
         self.waiting = len(self.all_tasks)
--- a/src/ferryledge/leases/_notes.py
+++ b/src/ferryledge/leases/_notes.py
@@ -1,7 +1,8 @@
 """What a core decided and why, for the log."""
 
 from collections import abc
-import dataclasses
+
+import msgspec
 
 from ferryledge import outcomes
 
@@ -9,8 +10,7 @@
 _MOST = 1000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Note:
+class Note(msgspec.Struct, frozen=True):
     """One decision, or one change of what a core believes."""
 
     step: outcomes.Step
@@ -22,7 +22,7 @@
     #: Whether something went wrong: such notes are written first.
     urgent: bool = False
     #: What decided it, with ages in seconds.
-    facts: abc.Mapping[str, object] = dataclasses.field(default_factory=dict)
+    facts: abc.Mapping[str, object] = msgspec.field(default_factory=dict)
 
 
 class Notes:
--- a/src/ferryledge/leases/_owners.py
+++ b/src/ferryledge/leases/_owners.py
@@ -1,10 +1,11 @@
 """The entries that an agent runs tasks for, and their grants."""
 
 from collections import abc
-import dataclasses
 import math
 import zlib
 
+import msgspec
+
 from ferryledge.leases import _answer_times
 from ferryledge.leases import _timing
 from ferryledge import wire
@@ -27,8 +28,7 @@
 _SOONEST_BEAT = 0.3
 
 
-@dataclasses.dataclass(slots=True)
-class Owner:
+class Owner(msgspec.Struct):
     """One incarnation of an entry."""
 
     name: str
@@ -37,7 +37,7 @@
     #: When the ask was sent that the last grant answers.
     granted_at: float = float("-inf")
     #: Asks without a grant so far, with when they were sent.
-    asks: dict[int, float] = dataclasses.field(default_factory=dict)
+    asks: dict[int, float] = msgspec.field(default_factory=dict)
     next_ask_at: float = 0.0
     heard_at: float = 0.0
     orders_seen: int = 0
@@ -60,9 +60,9 @@
     asked: int = 0
     asked_at: float = float("-inf")
     #: Asks whose answer is waited for, with when they were sent.
-    owed: dict[int, float] = dataclasses.field(default_factory=dict)
+    owed: dict[int, float] = msgspec.field(default_factory=dict)
     #: How long its answers take.
-    answer_times: _answer_times.AnswerTimes = dataclasses.field(
+    answer_times: _answer_times.AnswerTimes = msgspec.field(
         default_factory=lambda: _answer_times.AnswerTimes(
             _LONGEST_ANSWER_S, _SHORTEST_ANSWER_S, _FIRST_SHARE
         )
@@ -72,7 +72,7 @@
     #: When that may be tried again.
     reopen_at: float = float("-inf")
     #: Ends that it has not confirmed, each with the last ask before it.
-    unconfirmed: list[tuple[int, wire.RunsEnded]] = dataclasses.field(
+    unconfirmed: list[tuple[int, wire.RunsEnded]] = msgspec.field(
         default_factory=list
     )
 
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -7,9 +7,10 @@
 """
 
 from collections import abc
-import dataclasses
 import hashlib
 
+import msgspec
+
 from ferryledge.leases import _jobs
 from ferryledge.leases import _pool
 from ferryledge.leases import _timing
@@ -22,8 +23,7 @@
 _WAITING = _jobs.TaskState.WAITING
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Placement:
+class Placement(msgspec.Struct, frozen=True):
     """Tasks of one step of a job for one agent."""
 
     job: _jobs.Job
--- a/src/ferryledge/leases/_pool.py
+++ b/src/ferryledge/leases/_pool.py
@@ -1,7 +1,8 @@
 """The agents that an entry can use, and the room at their endpoints."""
 
 from collections import abc
-import dataclasses
+
+import msgspec
 
 from ferryledge.leases import _cordons
 from ferryledge.leases import _speed
@@ -22,8 +23,7 @@
 _UNKNOWN = wire.EndpointState()
 
 
-@dataclasses.dataclass(slots=True)
-class AgentRow:
+class AgentRow(msgspec.Struct):
     """One agent with its endpoint."""
 
     name: str
@@ -49,13 +49,9 @@
     #: Number of the last order.
     orders: int = 0
     #: What orders took that its last state does not account for.
-    in_flight: dict[int, wire.Resources] = dataclasses.field(
-        default_factory=dict
-    )
+    in_flight: dict[int, wire.Resources] = msgspec.field(default_factory=dict)
     #: Runs of this entry that it may hold, with their jobs' names.
-    runs: set[tuple[str, wire.TaskRun]] = dataclasses.field(
-        default_factory=set
-    )
+    runs: set[tuple[str, wire.TaskRun]] = msgspec.field(default_factory=set)
     #: Whether its endpoint takes work by the judge of health.
     healthy: bool = True
     #: Whether its zone takes no new work.
--- a/src/ferryledge/leases/_runs.py
+++ b/src/ferryledge/leases/_runs.py
@@ -6,9 +6,10 @@
 """
 
 from collections import abc
-import dataclasses
 import enum
 
+import msgspec
+
 from ferryledge.leases import _speed
 from ferryledge import wire
 
@@ -26,8 +27,7 @@
     STOPPING = "stopping"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunKey:
+class RunKey(msgspec.Struct, frozen=True):
     """Names a run at an endpoint."""
 
     job: str
@@ -46,8 +46,7 @@
         return wire.TaskRun(self.step, self.index, self.run)
 
 
-@dataclasses.dataclass(slots=True)
-class RunRow:
+class RunRow(msgspec.Struct):
     """One run."""
 
     key: RunKey
--- a/src/ferryledge/leases/_seeking.py
+++ b/src/ferryledge/leases/_seeking.py
@@ -5,9 +5,10 @@
 agents of theirs to serve it as well.
 """
 
-import dataclasses
 import math
 
+import msgspec
+
 from ferryledge.leases import _entry_events
 from ferryledge.leases import _entry_notes
 from ferryledge.leases import _jobs
@@ -37,8 +38,7 @@
 _MOST_NEEDS = 200
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Need:
+class _Need(msgspec.Struct, frozen=True):
     """What an endpoint must have for a step's tasks."""
 
     service: str
--- a/src/ferryledge/leases/_speed.py
+++ b/src/ferryledge/leases/_speed.py
@@ -6,9 +6,10 @@
 """
 
 from collections import abc
-import dataclasses
 import math
 
+import msgspec
+
 #: Weight of the speed that is assumed, in jobs: a single job whose declared
 #: time is far off must not make an endpoint slow.
 _ASSUMED_WEIGHT = 1.5
@@ -26,8 +27,7 @@
 SLOW_FROM = 2.0
 
 
-@dataclasses.dataclass(slots=True)
-class RunPace:
+class RunPace(msgspec.Struct):
     """The progress of one run."""
 
     job: str
--- a/src/ferryledge/leases/_states.py
+++ b/src/ferryledge/leases/_states.py
@@ -1,8 +1,9 @@
 """When an entry is told again how an agent's endpoint stands."""
 
-import dataclasses
 import functools
 
+import msgspec
+
 from ferryledge import placement
 from ferryledge import wire
 
@@ -25,8 +26,7 @@
 _NOTHING = wire.Resources()
 
 
-@dataclasses.dataclass(slots=True)
-class Turns:
+class Turns(msgspec.Struct):
     """Whose turn it is to hear first of room that became free."""
 
     free: wire.Resources = _NOTHING
--- a/src/ferryledge/leases/_timing.py
+++ b/src/ferryledge/leases/_timing.py
@@ -6,7 +6,7 @@
 endpoint's lease.
 """
 
-import dataclasses
+import msgspec
 
 #: Share by which an endpoint's clock may run slow (the platform's figure).
 CLOCK_DRIFT = 0.02
@@ -18,8 +18,7 @@
 _MARGIN_S = 0.1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LeaseTiming:
+class LeaseTiming(msgspec.Struct, frozen=True):
     """The lease rule's figures, all in seconds.
 
     The defaults suit endpoints that cut a lease down to one second and
--- a/src/ferryledge/logs/_budget.py
+++ b/src/ferryledge/logs/_budget.py
@@ -1,9 +1,10 @@
 """Bounds how much is logged, and never waits for the reader."""
 
-import dataclasses
 import os
 import typing
 
+import msgspec
+
 #: Lines a second that a process may write on average.
 LINES_A_SECOND = 150.0
 #: Lines that it may write at once after a quiet time.
@@ -14,8 +15,7 @@
 _MOST_PENDING = 64 * 1024
 
 
-@dataclasses.dataclass(slots=True)
-class Budget:
+class Budget(msgspec.Struct):
     """Allows lines at a bounded rate; what went wrong goes first."""
 
     lines_a_second: float = LINES_A_SECOND
--- a/src/ferryledge/net/_asgi.py
+++ b/src/ferryledge/net/_asgi.py
@@ -1,13 +1,13 @@
 """A thin ASGI layer: bounded bodies, JSON answers, one handler."""
 
 from collections import abc
-import dataclasses
 import json
 import typing
 from urllib import parse
 
 import anyio
 import loguru
+import msgspec
 
 #: Largest body of a request in bytes.
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -32,8 +32,7 @@
         self.status = status
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class HttpResponse:
+class HttpResponse(msgspec.Struct, frozen=True):
     """An answer to an HTTP request."""
 
     status: int
@@ -46,7 +45,7 @@
     def closing(self) -> "HttpResponse":
         """Return the response with the connection closed after it."""
         headers = (*self.headers, ("connection", "close"))
-        return dataclasses.replace(self, headers=headers)
+        return msgspec.structs.replace(self, headers=headers)
 
     @classmethod
     def json(
--- a/src/ferryledge/net/_http.py
+++ b/src/ferryledge/net/_http.py
@@ -7,12 +7,12 @@
 
 import asyncio
 from collections import abc
-import dataclasses
 import typing
 from urllib import parse
 
 import anyio
 import httptools
+import msgspec
 
 _DEFAULT_PORT = 80
 
@@ -33,8 +33,7 @@
     """The time ran out."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallResponse:
+class CallResponse(msgspec.Struct, frozen=True):
     """What a server answered."""
 
     status: int
--- a/src/ferryledge/net/_mesh.py
+++ b/src/ferryledge/net/_mesh.py
@@ -8,13 +8,13 @@
 import asyncio
 from collections import abc
 import contextlib
-import dataclasses
 import random
 import socket
 
 import anyio
 from anyio import abc as anyio_abc
 import loguru
+import msgspec
 
 from ferryledge import _sockets
 from ferryledge.net import _connecting
@@ -33,8 +33,7 @@
 Prove = abc.Callable[[_stream.Stream, tuple[str, ...]], abc.Awaitable[None]]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerAddress:
+class PeerAddress(msgspec.Struct, frozen=True):
     """Where a peer listens."""
 
     name: str
@@ -62,8 +61,7 @@
         self._stream.close()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Greeting:
+class _Greeting(msgspec.Struct, frozen=True):
     """What came with a peer's greeting."""
 
     hello: wire.Hello
--- a/src/ferryledge/outcomes/_outcomes.py
+++ b/src/ferryledge/outcomes/_outcomes.py
@@ -4,9 +4,10 @@
 that held it said that it never started and never will.
 """
 
-import dataclasses
 import enum
 
+import msgspec
+
 
 class Step(enum.StrEnum):
     """The step of a request at which an outcome arose."""
@@ -55,8 +56,7 @@
     UNKNOWN_WORKSPACE = "unknown_team"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Origin:
+class Origin(msgspec.Struct, frozen=True):
     """Where an outcome arose."""
 
     #: The step at which it arose.
@@ -65,16 +65,14 @@
     peer: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Complete:
+class Complete(msgspec.Struct, frozen=True):
     """Every task ran once and its result is here."""
 
     #: The tasks' results as JSON text, in the order of the tasks.
     results: tuple[bytes, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refused:
+class Refused(msgspec.Struct, frozen=True):
     """Nothing ran; the request may be sent again after the delay."""
 
     reason: Reason
@@ -84,8 +82,7 @@
     detail: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FailedNotRun:
+class FailedNotRun(msgspec.Struct, frozen=True):
     """The request was accepted, then failed; none of it started."""
 
     reason: Reason
@@ -95,8 +92,7 @@
     detail: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FailedMayHaveRun:
+class FailedMayHaveRun(msgspec.Struct, frozen=True):
     """The request failed and some of it ran, or may have run."""
 
     reason: Reason
@@ -104,15 +100,13 @@
     detail: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class InProgress:
+class InProgress(msgspec.Struct, frozen=True):
     """An earlier submission under the same ticket is still running."""
 
     retry_after_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TicketRequired:
+class TicketRequired(msgspec.Struct, frozen=True):
     """An unrepeatable request came without a ticket; nothing ran."""
 
     #: The ticket to send the request again with.
--- a/src/ferryledge/placement/_runtimes.py
+++ b/src/ferryledge/placement/_runtimes.py
@@ -4,9 +4,10 @@
 logarithms, with exponential decay.
 """
 
-import dataclasses
 import math
 
+import msgspec
+
 #: Run time assumed of a service that never ran, in seconds.
 DEFAULT_RUN_S = 0.3
 #: Spread assumed of a service that never ran: half to double.
@@ -19,8 +20,7 @@
 _ERROR_START = 1.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Average:
+class _Average(msgspec.Struct):
     """A decaying average of logarithms with a quick start."""
 
     decay: float
@@ -33,8 +33,7 @@
         self.value += weight * (sample - self.value)
 
 
-@dataclasses.dataclass(slots=True)
-class _Service:
+class _Service(msgspec.Struct):
     log_mean: _Average
     declared_bias: _Average
     mean_error: _Average
--- a/src/ferryledge/soak/tests/test_soak.py
+++ b/src/ferryledge/soak/tests/test_soak.py
@@ -3,6 +3,7 @@
 import dataclasses
 import pathlib
 
+import msgspec
 import pytest
 
 from ferryledge import leases
@@ -134,7 +135,7 @@
 def test_run_whose_place_another_took_may_be_stopped() -> None:
     judge = found_run()
     judge.watch("end", KEY, "endpoint-0")
-    judge.watch("start", dataclasses.replace(KEY, run=2), "endpoint-1")
+    judge.watch("start", msgspec.structs.replace(KEY, run=2), "endpoint-1")
     judge.ended(KEY, wire.HowEnded.STOPPED)
     assert not judge.findings
 
