Begin anew what hangs at the store once it answers

Entries were ready at 36.61 to 36.77 s and had streams of all agents by 36.83; the store answered again from 36.8 s on; configurations came into force at 38.38 to 38.56. The first calls, begun in the silence, ended after their whole 1.5 s, and the next ones came 0.25 s later. 247 of the 382 jobs of 34 to 38 s were refused, 29 were in time.

Ruled out: shorter calls. A large configuration on a narrow link takes more than a second, and would never be read.

Change: the first reading of the entries' addresses, which each start does anyway, is tried over connections of its own, after 0.25 s, 0.5 s and then each second, until the store answers. If it was not the first try, the configuration's follower, the registration and the recall of the endpoint are begun anew at once.

Tests: on a clock that jumps: what hangs is begun anew within 0.6 s of the return, a long silence costs a probe a second, a store that answers gets no call more than before, and what has its answer is left alone.

--- a/src/ferryledge/hosted/_members.py
+++ b/src/ferryledge/hosted/_members.py
@@ -10,6 +10,7 @@
 import loguru
 import msgspec
 
+from ferryledge.hosted import _first_answer
 from ferryledge import net
 from ferryledge import platform
 from ferryledge import wire
@@ -73,23 +74,61 @@
     return address
 
 
+async def read_first(
+    address: str, first: _first_answer.FirstAnswer, found: Found
+) -> int:
+    """Read all entries' addresses as soon as the store answers at all.
+
+    :param address: ``host:port`` of the store
+    :param first: waits for its first answer
+    :param found: takes the addresses
+    :return: the offset after what was read
+    """
+
+    async def read() -> platform.KeyedPage:
+        # Connections of their own: one that is silent holds up no other.
+        store = platform.StoreClient(address)
+        try:
+            return await store.newest(MEMBERS_TOPIC)
+        finally:
+            await store.close()
+
+    page = await first.wait(read)
+    found(_decode(page.records))
+    return page.next_offset
+
+
 async def read_once(store: platform.StoreClient, found: Found) -> None:
     """Read all entries' addresses, however long it takes."""
     page = await until_answered(lambda: store.newest(MEMBERS_TOPIC))
     found(_decode(page.records))
 
 
-async def follow(store: platform.StoreClient, found: Found) -> None:
-    """Report entries' addresses for ever, as they come."""
+async def follow(
+    store: platform.StoreClient,
+    address: str,
+    first: _first_answer.FirstAnswer,
+    found: Found,
+) -> None:
+    """Report entries' addresses for ever, as they come.
+
+    :param store: the platform's store
+    :param address: its ``host:port``
+    :param first: waits for its first answer
+    :param found: takes the addresses
+    """
+    offset = await read_first(address, first, found)
     while True:
         with contextlib.suppress(platform.StoreError):
-            page = await store.newest(MEMBERS_TOPIC)
             while True:
+                page = await store.read(MEMBERS_TOPIC, offset, _WAIT_S)
                 found(_decode(page.records))
-                page = await store.read(
-                    MEMBERS_TOPIC, page.next_offset, _WAIT_S
-                )
+                offset = page.next_offset
         await anyio.sleep(RETRY_S)
+        with contextlib.suppress(platform.StoreError):
+            page = await store.newest(MEMBERS_TOPIC)
+            found(_decode(page.records))
+            offset = page.next_offset
 
 
 class Dialler:
