Probe the part of the store that a start waits for

The silence was of one part of the store alone: entries registered at 36.63 s and agents found their addresses, while the first call for the configuration was lost. So an answer about addresses told nothing.

Change: an entry without a configuration 0.1 s after its start probes the log of configurations itself, by a read from beyond its end. Only if the first probe goes unanswered and a later one is answered is the follower begun anew: a store that takes its time, or a narrow link, is left alone. A start with a store that answers makes no call more than before. The tries for the entries' addresses stay; registration and the recall of an endpoint go on as they were before both changes.

Tests: as before, with a store that takes its time, an answer from a peer that ends the probes, and the probe against the stand-in store.

--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -4,7 +4,6 @@
 from anyio import abc as anyio_abc
 import loguru
 
-from ferryledge.hosted import _first_answer
 from ferryledge.hosted import _listening
 from ferryledge.hosted import _members
 from ferryledge.hosted import _memory
@@ -106,10 +105,9 @@
             group.start_soon(self._registry.serve, settings.stream_host)
             group.start_soon(self._driver.run)
             group.start_soon(self._renew)
-            first = _first_answer.FirstAnswer()
-            group.start_soon(first.run, self._recall_endpoint)
+            group.start_soon(self._recall_endpoint)
             group.start_soon(self._memory.run)
-            group.start_soon(self._find_entries, first)
+            group.start_soon(self._find_entries)
             loguru.logger.info("agent ready", step="join")
             await drain.wait()
             await self._finish()
@@ -129,17 +127,15 @@
         if seen is not None:
             self._driver.post(leases.EndpointRecalled(seen))
 
-    async def _find_entries(self, first: _first_answer.FirstAnswer) -> None:
+    async def _find_entries(self) -> None:
         assert self._group is not None
         self._group.start_soon(self._dial_seeds)
-        await _members.read_first(
-            self._settings.store.address, first, self._on_found
-        )
         while True:
+            address = self._settings.store.address
+            await _members.read_once(address, self._on_found)
             await anyio.sleep(_LOOK_AGAIN_S)
             while self._mesh.names():
                 await anyio.sleep(_LOOK_AGAIN_S)
-            await _members.read_once(self._store, self._on_found)
 
     async def _dial_seeds(self) -> None:
         """Dial the seeds if the store tells of no entry soon."""
--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -1,6 +1,5 @@
 """The entry's shell on the platform: clients, streams, the store."""
 
-import functools
 import itertools
 import random
 
@@ -119,20 +118,22 @@
             hosts = [platform.split_address(one)[0] for one in settings.seeds]
             hosts = [host for host in hosts if host != settings.ip]
             self._dialler.dial_seeds(group, hosts, settings.stream_port)
-            first = _first_answer.FirstAnswer()
-            register = functools.partial(_members.register, self._store, own)
-            group.start_soon(first.run, register)
+            group.start_soon(_members.register, self._store, own)
             group.start_soon(
                 _members.follow,
                 self._store,
                 settings.store.address,
-                first,
                 self._on_entries,
             )
             follower = _config.OperatorFollower(
                 self._store, self._on_config, self._on_cordons
             )
-            group.start_soon(first.run, follower.run)
+            group.start_soon(
+                _first_answer.run,
+                follower.run,
+                lambda: _first_answer.probe(settings.store.address),
+                self._configured,
+            )
             loguru.logger.info("entry ready", step="join")
             await drain.wait()
             await self._finish(release)
--- a/src/ferryledge/hosted/_members.py
+++ b/src/ferryledge/hosted/_members.py
@@ -74,50 +74,47 @@
     return address
 
 
-async def read_first(
-    address: str, first: _first_answer.FirstAnswer, found: Found
-) -> int:
-    """Read all entries' addresses as soon as the store answers at all.
+async def _read_first(address: str) -> platform.KeyedPage:
+    """Return all entries' records as soon as the store answers at all."""
+    return await _first_answer.first_answer(
+        lambda: newest_apart(address, MEMBERS_TOPIC)
+    )
 
-    :param address: ``host:port`` of the store
-    :param first: waits for its first answer
-    :param found: takes the addresses
-    :return: the offset after what was read
-    """
 
-    async def read() -> platform.KeyedPage:
-        # Connections of their own: one that is silent holds up no other.
-        store = platform.StoreClient(address)
-        try:
-            return await store.newest(MEMBERS_TOPIC)
-        finally:
-            await store.close()
+async def newest_apart(
+    address: str, topic: str, partition: int = 0
+) -> platform.KeyedPage:
+    """Return a topic's newest records, over connections of their own.
 
-    page = await first.wait(read)
-    found(_decode(page.records))
-    return page.next_offset
+    One that is silent then holds up no other call.
+
+    :raises platform.StoreError: if the store did not answer with them
+    """
+    store = platform.StoreClient(address)
+    try:
+        return await store.newest(topic, partition)
+    finally:
+        await store.close()
 
 
-async def read_once(store: platform.StoreClient, found: Found) -> None:
+async def read_once(address: str, found: Found) -> None:
     """Read all entries' addresses, however long it takes."""
-    page = await until_answered(lambda: store.newest(MEMBERS_TOPIC))
+    page = await _read_first(address)
     found(_decode(page.records))
 
 
 async def follow(
-    store: platform.StoreClient,
-    address: str,
-    first: _first_answer.FirstAnswer,
-    found: Found,
+    store: platform.StoreClient, address: str, found: Found
 ) -> None:
     """Report entries' addresses for ever, as they come.
 
     :param store: the platform's store
     :param address: its ``host:port``
-    :param first: waits for its first answer
     :param found: takes the addresses
     """
-    offset = await read_first(address, first, found)
+    page = await _read_first(address)
+    found(_decode(page.records))
+    offset = page.next_offset
     while True:
         with contextlib.suppress(platform.StoreError):
             while True:
