Call an endpoint that refuses connections at growing distance

Cause: a renewal that was refused came again after 30 ms for as long as nothing listened; each is a new connection to the endpoint. Ruled out: the same for calls that get no answer. Those may be carried out, and a lease that isn't renewed loses what runs. Change: Renewal.retry_s doubles from 30 to 250 ms while calls are refused; a heartbeat ends the wait, so that an endpoint that comes back is used at once.

--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -19,8 +19,6 @@
 _KILL_MARGIN_S = 0.5
 #: Seconds between renewals at the least: ends within it share an answer.
 _RENEW_PAUSE_S = 0.004
-#: Seconds after a renewal that failed.
-_RENEW_RETRY_S = 0.03
 #: Seconds that the store has for its answer before seeds are dialled: they
 #: are few, and each agent that dials one takes a handshake of it.
 _STORE_FIRST_S = 0.3
@@ -45,6 +43,8 @@
             self._store, settings.node, settings.store.partitions
         )
         self._group: anyio_abc.TaskGroup | None = None
+        #: Set by the endpoint's next heartbeat.
+        self._heard = anyio.Event()
         #: Whether some entry is known.
         self._found = False
 
@@ -150,7 +150,8 @@
             answer = await self._calls.renew(renewal)
             self._driver.post(answer)
             if isinstance(answer, leases.LeaseNotRenewed):
-                await anyio.sleep(_RENEW_RETRY_S)
+                with anyio.move_on_after(renewal.retry_s):
+                    await self._heard.wait()
             else:
                 await anyio.sleep(_RENEW_PAUSE_S)
 
@@ -233,4 +234,6 @@
             loguru.logger.warning("{}", exc, step="heartbeat")
             return net.HttpResponse.json(400, {"error": str(exc)})
         self._driver.post(seen)
+        self._heard.set()
+        self._heard = anyio.Event()
         return net.HttpResponse.json(200, {})
--- a/src/ferryledge/leases/_agent_events.py
+++ b/src/ferryledge/leases/_agent_events.py
@@ -291,3 +291,6 @@
     wait_ms: int
     #: Seconds beyond that after which it counts as missing.
     slack_s: float = 0.15
+    #: Seconds until the next one if this one fails; a heartbeat that comes
+    #: before ends the wait.
+    retry_s: float = 0.03
--- a/src/ferryledge/leases/_endpoint.py
+++ b/src/ferryledge/leases/_endpoint.py
@@ -14,6 +14,10 @@
 #: learned that much later when the connection has gone silent.
 _LONGEST_SLACK_S = 0.15
 _SHORTEST_SLACK_S = 0.04
+#: Seconds after a renewal that failed, and the most of them: where nothing
+#: listens each call is a new connection, and they come at growing distance.
+_RETRY_S = 0.03
+_LONGEST_RETRY_S = 0.25
 #: Without a renewal for this share of a lease nothing new is started.
 _FRESH_SHARE = 0.6
 _MARGIN_S = 0.05
@@ -61,6 +65,8 @@
         self._leased_at = now
         #: Why the last renewal brought no list; none if it brought one.
         self._fault: _agent_events.CallFault | None = None
+        #: Seconds to wait after the next renewal if it fails too.
+        self._retry_s = _RETRY_S
         #: The incarnation that calls are meant for, and the last such.
         self._incarnation = ""
         self._last = ""
@@ -289,11 +295,16 @@
             self.acknowledged if is_known else 0,
             _WAIT_MS if self.synced and is_known else 0,
             self._answer_times.limit_s,
+            self._retry_s,
         )
 
     def failed(self, fault: _agent_events.CallFault) -> None:
         """Note that a renewal brought no list."""
         self._fault = fault
+        if fault is _agent_events.CallFault.DOWN:
+            self._retry_s = min(_LONGEST_RETRY_S, 2.0 * self._retry_s)
+        else:
+            self._retry_s = _RETRY_S
 
     def renewed(self, sent_at: float, now: float) -> None:
         """Note that the endpoint took a renewal sent at that time."""
@@ -303,6 +314,7 @@
             self._answer_times.note(beyond_s)
         self._renewed_at = max(self._renewed_at, sent_at)
         self._fault = None
+        self._retry_s = _RETRY_S
         candidate = self._candidate
         if candidate is not None and sent_at > self._candidate_at:
             # The known incarnation answers still: the other came before it.
