Let all entries know what one endpoint does to the runs of each

Cause: each entry found out by losing jobs of its own that an endpoint fails what it starts, for all callers or those of one zone; an endpoint that went down and came back by turns was trusted anew each time; second tries had no bound but a task's own; and two faults left endpoints unused for good, one whose probe was stopped or lost, and one that was replaced while ejected. Change: agents keep ends by the zone of the entry that ordered the run, and outages, and tell them with the endpoint's state (ZoneFailures, steady); the judge of health takes them in beside its own; endpoints with evidence come last, shaky ones are used in part, no more than a third of the cores is left out; second tries draw on a budget of a fifth of the starts. Tests of health, leases (mutations among them), wire and hosted passed.

--- a/src/ferryledge/health/_judge.py
+++ b/src/ferryledge/health/_judge.py
@@ -7,6 +7,8 @@
 
 import dataclasses
 
+from ferryledge.health import _rate
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HealthOptions:
@@ -22,6 +24,8 @@
     first_ejection_s: float = 1.0
     #: Longest ejection in seconds.
     longest_ejection_s: float = 60.0
+    #: Seconds without an ejection after which the next is a first one again.
+    forget_after_s: float = 20.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,9 +54,28 @@
 @dataclasses.dataclass(slots=True)
 class _Row:
     state: Health = dataclasses.field(default_factory=Healthy)
-    failure_rate: float = 0.0
+    seen: _rate.FailureRate = dataclasses.field(
+        default_factory=_rate.FailureRate
+    )
     ejections: int = 0
-    last_job: str = ""
+    #: When its last ejection ended.
+    admitted_at: float = float("-inf")
+    #: Failure rate that others tell, and how many failures they counted.
+    told: float = 0.0
+    told_failures: int = 0
+    #: Failures told that count no more: it did well since.
+    forgiven: int = 0
+
+    def take_told(self, rate: float, failures: int) -> bool:
+        """Take in what others tell; return whether it speaks against it."""
+        self.told = rate
+        if not rate:
+            return False
+        if failures < self.told_failures:
+            self.forgiven = 0  # Who counts began anew.
+        is_news = failures != self.told_failures and failures > self.forgiven
+        self.told_failures = failures
+        return is_news
 
 
 class HealthJudge:
@@ -104,15 +127,37 @@
         if isinstance(row.state, Probing):
             self._end_probe(endpoint, row, ok, now)
             return
-        if not ok and row.last_job == job:
-            return
-        if not ok:
-            row.last_job = job
-        row.failure_rate += self._options.decay * (blame - row.failure_rate)
-        over = row.failure_rate >= self._options.eject_at
+        row.seen.add(job, blame, ok, self._options.decay)
+        over = row.seen.rate >= self._options.eject_at
         if over and isinstance(row.state, Healthy) and self._may_eject():
             self._eject(endpoint, row, now)
 
+    def told(
+        self, endpoint: str, rate: float, failures: int, now: float
+    ) -> None:
+        """Take in what others saw of an endpoint.
+
+        What they counted before it did well here speaks no more.
+
+        :param endpoint: where
+        :param rate: their failure rate; 0 is nothing known against it
+        :param failures: failures that they counted
+        :param now: monotonic seconds
+        """
+        row = self._rows.setdefault(endpoint, _Row())
+        was_bad = row.told >= self._options.eject_at
+        is_news = row.take_told(rate, failures)
+        match row.state:
+            case Healthy() if is_news and self._is_told_bad(row):
+                if self._may_eject():
+                    self._eject(endpoint, row, now)
+            case Probing(sent=False) if is_news and self._is_told_bad(row):
+                self._eject(endpoint, row, now)
+            case Ejected() | Probing() if was_bad and not rate:
+                self._admit(endpoint, row, now)
+            case _:
+                pass
+
     def probes_due(self, now: float) -> list[str]:
         """Let ejections that are over turn into probes.
 
@@ -147,6 +192,15 @@
         ]
         return min(ends, default=float("inf"))
 
+    def _is_told_bad(self, row: _Row) -> bool:
+        """Return whether an endpoint does worse than the others by far."""
+        others = len(self._rows) - 1
+        if not others:
+            return False
+        rates = sum(one.told for one in self._rows.values()) - row.told
+        blame = 1.0 - rates / others
+        return row.told * blame >= self._options.eject_at
+
     def _blame(self, service: str, ok: bool) -> float:
         if ok:
             return 0.0
@@ -163,18 +217,26 @@
 
     def _eject(self, endpoint: str, row: _Row, now: float) -> None:
         options = self._options
+        if now - row.admitted_at > options.forget_after_s:
+            row.ejections = 0
         self._held.add(endpoint)
         row.ejections += 1
         length = options.first_ejection_s * 2.0 ** (row.ejections - 1)
-        row.state = Ejected(now + min(length, options.longest_ejection_s))
+        until = now + min(length, options.longest_ejection_s)
+        row.state = Ejected(until)
+        row.admitted_at = until
 
     def _end_probe(
         self, endpoint: str, row: _Row, ok: bool, now: float
     ) -> None:
-        if not ok:
+        if ok:
+            self._admit(endpoint, row, now)
+        else:
             self._eject(endpoint, row, now)
-            return
+
+    def _admit(self, endpoint: str, row: _Row, now: float) -> None:
         self._held.discard(endpoint)
         row.state = Healthy()
-        row.failure_rate = 0.0
-        row.last_job = ""
+        row.admitted_at = now
+        row.seen.forgive()
+        row.forgiven = row.told_failures
--- a/src/ferryledge/hosted/_metrics.py
+++ b/src/ferryledge/hosted/_metrics.py
@@ -115,6 +115,9 @@
         self._moved = registry.counter(
             "moved_runs", "Runs moved off slow endpoints"
         )
+        self._retries = registry.counter(
+            "retries_waiting", "Times that second tries waited for budget"
+        )
         self._health = registry.counter(
             "health_changes", "Endpoints ejected or taken back"
         )
@@ -147,6 +150,10 @@
         """Count a move."""
         self._moved.add()
 
+    def retry_waits(self) -> None:
+        """Count a second try that waits."""
+        self._retries.add()
+
     def health_changed(self) -> None:
         """Count a change of health."""
         self._health.add()
@@ -178,6 +185,9 @@
         self._heartbeats = registry.counter(
             "heartbeats_passed_over", "Heartbeats not believed, or not yet"
         )
+        self._outages = registry.counter(
+            "endpoint_outages", "Unannounced outages of the endpoint"
+        )
         self._renewals = registry.counter(
             "renewals", "Renewals of the lease (no fault) or not", ("fault",)
         )
@@ -195,6 +205,10 @@
         """Count an order without an answer."""
         self._unanswered.add()
 
+    def outage(self) -> None:
+        """Count an outage of the endpoint."""
+        self._outages.add()
+
     def suspected(self) -> None:
         """Count a stream taken for silent."""
         self._suspected.add()
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -167,7 +167,9 @@
         match event:
             case wire.PeerUp(hello):
                 if hello.role is wire.Role.ENTRY:
-                    self._owners.join(now, hello.name, hello.incarnation)
+                    self._owners.join(
+                        now, hello.name, hello.incarnation, hello.zone
+                    )
                     self._dealing.join(now, hello.name)
             case wire.PeerDown(name, incarnation):
                 self._owners.leave(name, incarnation)
@@ -207,6 +209,7 @@
             self._reports.due_at,
             self._watch.due_at(),
             self._dealing.due_at,
+            self._endpoint.outages.due_at(self._now),
             self._tick_by,
         )
         self._watch.plan_look(due)
@@ -383,6 +386,8 @@
             home=False,
             entries=max(1, len(self._owners.connected)),
             cold=self._link.is_cold(self._now),
+            failing=self._endpoint.evidence.told(self._now),
+            steady=self._endpoint.outages.steady(self._now),
         )
 
 
--- a/src/ferryledge/leases/_agent_notes.py
+++ b/src/ferryledge/leases/_agent_notes.py
@@ -165,6 +165,20 @@
         """The endpoint's lease was renewed, or not."""
         self._meter.renewed(str(fault.value) if fault else "")
 
+    def back(self, away_s: float, steady: float) -> None:
+        """The endpoint is back after an outage that was not announced.
+
+        :param away_s: seconds for which it was away
+        :param steady: share of its room that is used for now
+        """
+        self._meter.outage()
+        self.add(
+            outcomes.Step.HEALTH,
+            "endpoint back",
+            away_s=round(away_s, 3),
+            steady=steady,
+        )
+
     def recalled(self, seen: _agent_events.EndpointSeen) -> None:
         """What an earlier start kept of the endpoint is used for now."""
         self.add(
--- a/src/ferryledge/leases/_endpoint_watch.py
+++ b/src/ferryledge/leases/_endpoint_watch.py
@@ -6,6 +6,7 @@
 from ferryledge.leases import _agent_notes
 from ferryledge.leases import _answer_times
 from ferryledge.leases import _endpoint
+from ferryledge.leases import _evidence
 from ferryledge.leases import _listing
 from ferryledge.leases import _owners
 from ferryledge.leases import _reports
@@ -26,6 +27,9 @@
     _agent_events.StartResult.DOWN: wire.NotStarted.ENDPOINT,
 }
 
+#: Ends that say whether an endpoint does what it is asked.
+_SPEAKS = (wire.HowEnded.DONE, wire.HowEnded.FAILED)
+
 
 class EndpointWatch:
     """Takes in what the endpoint says and tells entries what ended.
@@ -63,6 +67,10 @@
         self._act = act
         #: How fast the endpoint works.
         self.speed = _speed.EndpointSpeed()
+        #: What ends say of it, by the callers' zones.
+        self.evidence = _evidence.Evidence()
+        #: How often it went down.
+        self.outages = _evidence.Outages()
         #: Since when runs wait to be claimed.
         self.unclaimed_since = now
         #: Whether the endpoint announced its end.
@@ -130,6 +138,9 @@
                 self._lose_listed(now)
         self.speed = _speed.EndpointSpeed()
         self._listed_clock_ms = 0
+        self.evidence.forget()
+        if not self._announced:
+            self.outages.note_down(now, started_anew=True)
 
     def _lose_listed(self, now: float) -> None:
         """Take for lost what the start before is known to have had.
@@ -193,6 +204,8 @@
                 if event.result is _agent_events.StartResult.FENCED:
                     self._link.raise_token(event.clock_ms, now)
                 row.release = _RELEASES[event.result]
+                if row.release is wire.NotStarted.UNHEALTHY:
+                    self._note_end(now, row, False)
                 self._end(now, row, wire.HowEnded.STOPPED)
 
     def _on_renewed(
@@ -208,6 +221,7 @@
         if not had_token:
             return
         self._link.renewed(event.sent_at, now)
+        self._note_back(now)
         self._keep_endpoint()
         self._notes.renewed()
         for end in event.ended:
@@ -240,6 +254,8 @@
         if event.incarnation != self._link.incarnation:
             return
         self._link.failed(event.fault)
+        if self._link.is_down and not self._announced:
+            self.outages.note_down(now)
         match event.fault:
             case _agent_events.CallFault.FENCED:
                 self._link.raise_token(event.clock_ms, now)
@@ -263,8 +279,21 @@
         row = self._runs.find(end.key)
         if row is not None:
             row.confirmed_at = row.confirmed_at or row.ordered_at
+            if end.how in _SPEAKS:
+                self._note_end(now, row, end.how is wire.HowEnded.DONE)
             self._end(now, row, end.how)
 
+    def _note_end(self, now: float, row: _runs.RunRow, ok: bool) -> None:
+        owner = self._owners.find(row.owner)
+        if owner is not None:
+            self.evidence.note_end(now, owner.zone, row.key.job, ok)
+
+    def _note_back(self, now: float) -> None:
+        """Count an outage that is over."""
+        away_s = self.outages.note_back(now)
+        if away_s is not None:
+            self._notes.back(away_s, self.outages.steady(now))
+
     def _adopt(self, now: float, key: _runs.RunKey) -> None:
         """Keep a run that this incarnation of the agent did not order."""
         row = _runs.RunRow(
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -13,6 +13,7 @@
 from ferryledge.leases import _cordons
 from ferryledge.leases import _entry_events
 from ferryledge.leases import _entry_notes
+from ferryledge.leases import _evidence
 from ferryledge.leases import _job_table
 from ferryledge.leases import _jobs
 from ferryledge.leases import _meters
@@ -105,7 +106,12 @@
             self._pool,
             self._runs,
             _placing.Placing(
-                name, self._pool, self._run_times, far_factor, turns
+                name,
+                self._pool,
+                self._run_times,
+                far_factor,
+                turns,
+                self._runs.retries,
             ),
             self._link,
             rng,
@@ -471,9 +477,14 @@
     ) -> None:
         if state.incarnation and state.incarnation != row.state.incarnation:
             self._judge.join(row.name)
+            row.healthy = True
+            row.on_trial = False
             self._run_times.forget_endpoint(row.name)
         self._notes.state_changed(row, state)
         self._pool.set_state(row, state)
+        if self._rules.shared_evidence:
+            told = _evidence.of_zone(state.failing, self._zone)
+            self._runs.hear(now, row, told)
         if self._jobs.are_waiting:
             self._dirty = True
             self._tick_by = now
@@ -498,10 +509,7 @@
             self._notes.over(now, row)
             for decided in self._runs.held(now, row, ()):
                 self._decide(now, decided)
-        for name in self._judge.probes_due(now):
-            found = self._pool.find(name)
-            if found is not None:
-                found.healthy = True
+        self._runs.probe(now)
         self._sweep_jobs(now)
         self._dirty = self._dirty or len(self._jobs) > 0
 
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -236,6 +236,17 @@
             normal_s=late.normal_s,
         )
 
+    def retry_waits(self, job: _jobs.Job, task: _jobs.Task) -> None:
+        """A task that failed waits until there is budget to try it again."""
+        self._meter.retry_waits()
+        self.add(
+            outcomes.Step.PLACE,
+            "second try waits: too many of the starts are second tries",
+            job.name,
+            task=task.index,
+            failures=task.failures,
+        )
+
     def connected(self, hello: wire.Hello) -> None:
         """A stream is open."""
         self.add(
@@ -282,10 +293,11 @@
     ) -> None:
         """An endpoint is another, stopped or began taking work, or slowed."""
         old = row.state
-        if (old.incarnation, old.accepting, old.slowness) == (
+        if (old.incarnation, old.accepting, old.slowness, old.steady) == (
             state.incarnation,
             state.accepting,
             state.slowness,
+            state.steady,
         ):
             return
         self.add(
@@ -295,18 +307,27 @@
             incarnation=state.incarnation,
             accepting=state.accepting,
             slowness=state.slowness,
+            steady=state.steady,
         )
 
     def judged(
-        self, job: _jobs.Job, row: _pool.AgentRow, state: health.Health
+        self, job: str, row: _pool.AgentRow, state: health.Health
     ) -> None:
-        """An endpoint's health changed with the end of a run."""
+        """An endpoint's health changed, by an end or by what others saw.
+
+        :param job: whose run ended; empty if others saw it
+        :param row: the agent beside it
+        :param state: its health now
+        """
         self._meter.health_changed()
         self.add(
             outcomes.Step.HEALTH,
             "endpoint's health changed",
-            job.name,
+            job,
             row.name,
             True,
             state=repr(state),
+            failing=[
+                (one.zone, one.rate, one.failures) for one in row.state.failing
+            ],
         )
--- a/src/ferryledge/leases/_meters.py
+++ b/src/ferryledge/leases/_meters.py
@@ -32,6 +32,9 @@
     def moved(self) -> None:
         """A run was moved off a slow endpoint."""
 
+    def retry_waits(self) -> None:
+        """A task waits for the budget of second tries."""
+
     def health_changed(self) -> None:
         """An endpoint was ejected, or taken back."""
 
@@ -52,6 +55,9 @@
     def unanswered(self) -> None:
         """An order went without an answer."""
 
+    def outage(self) -> None:
+        """The endpoint is back after an outage that was not announced."""
+
     def suspected(self) -> None:
         """A stream counts as silent; a new one is opened beside it."""
 
--- a/src/ferryledge/leases/_owners.py
+++ b/src/ferryledge/leases/_owners.py
@@ -33,6 +33,8 @@
 
     name: str
     incarnation: str
+    #: Its availability zone.
+    zone: str = ""
     connected: bool = True
     #: When the ask was sent that the last grant answers.
     granted_at: float = float("-inf")
@@ -175,13 +177,15 @@
             del self._owing[owner.incarnation]
         return True
 
-    def join(self, now: float, name: str, incarnation: str) -> Owner:
+    def join(
+        self, now: float, name: str, incarnation: str, zone: str = ""
+    ) -> Owner:
         """Note that an entry's stream is open."""
         self._current[name] = incarnation
         self.changes += 1
         owner = self._owners.get(incarnation)
         if owner is None:
-            owner = self._owners[incarnation] = Owner(name, incarnation)
+            owner = self._owners[incarnation] = Owner(name, incarnation, zone)
         owner.connected = True
         owner.heard_at = now
         owner.wants_held = True
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -1,17 +1,20 @@
 """Which waiting task goes to which endpoint.
 
-It answers endpoints of unequal speed, data and labels: fast ones near the
-data come first, those that started lately and are cold last, a slow one gets
-one run at a time, and no task goes back to where it failed while others are
-left.
+It answers endpoints of unequal speed, data, labels and trust: those with
+evidence against them come last, fast ones near the data first, those that
+started lately and are cold late, a slow one gets one run at a time, and no
+task goes back to where it failed while others are left.
 """
 
 from collections import abc
 import dataclasses
 import hashlib
+import sys
 
 from ferryledge.leases import _jobs
 from ferryledge.leases import _pool
+from ferryledge.leases import _quarantine
+from ferryledge.leases import _retry_budget
 from ferryledge.leases import _timing
 from ferryledge.leases import _turns
 from ferryledge import placement
@@ -52,6 +55,7 @@
     :param run_times: what was learned of run times and speeds
     :param far_factor: how many times as long a task takes away from its data
     :param turns: the order of waiting jobs
+    :param retries: how many tasks may be tried again
     """
 
     def __init__(
@@ -61,12 +65,16 @@
         run_times: placement.RunTimes,
         far_factor: float,
         turns: _turns.Turns,
+        retries: _retry_budget.RetryBudget,
     ) -> None:
         self._name = name
         self._pool = pool
         self._run_times = run_times
         self._far_factor = far_factor
         self._turns = turns
+        self._retries = retries
+        #: Endpoints that are used in part, with the share to use.
+        self._shares: dict[str, float] = {}
         self._ranks: dict[str, int] = {}
 
     def place(
@@ -86,6 +94,8 @@
             for row in self._pool
             if row.usable(now) and (not row.slow or row.may_try(now))
         ]
+        if self._turns.rules.damped_flaps:
+            self._shares = _quarantine.held_back(self._pool)
         least = min(_smallest_cpu(job) for job in waiting)
         rows = _with_room(open_rows, least)
         rows.sort(key=self._order)
@@ -100,7 +110,7 @@
             if placed:
                 rows = _with_room(rows, least)
 
-    def _order(self, row: _pool.AgentRow) -> tuple[bool, bool, int, int]:
+    def _order(self, row: _pool.AgentRow) -> tuple[bool, bool, bool, int, int]:
         slowness = 0.0
         if self._turns.rules.fast_first:
             seen = self._run_times.slowness(row.name)
@@ -109,7 +119,8 @@
         if rank is None:
             rank = self._ranks[row.name] = _preference(self._name, row)
         steps = int(slowness / _SLOWNESS_GRAIN)
-        return (row.state.cold, not row.state.home, steps, rank)
+        shaky = row.doubted or row.name in self._shares
+        return (shaky, row.state.cold, not row.state.home, steps, rank)
 
     def _place_job(
         self, now: float, job: _jobs.Job, rows: list[_pool.AgentRow]
@@ -124,14 +135,24 @@
                 # If it takes this one down as well, nobody else is there to
                 # lose a run or to be blamed.
                 near = sorted(near, key=_is_in_use)
+            if any(task.failures for task in tasks):
+                bad = _quarantine.doubted_zones(self._pool)
+                near = sorted(near, key=lambda row: row.zone in bad)
             for row in near:
                 if not tasks:
                     break
-                chosen = self._choose(job, step, number, row, tasks)
+                again = self._may_retry(now)
+                chosen = self._choose(job, step, number, row, tasks, again)
                 if chosen:
                     tasks = [one for one in tasks if one not in chosen]
                     yield Placement(job, number, row, tuple(chosen))
 
+    def _may_retry(self, now: float) -> int:
+        """Return how many tasks may be tried again now."""
+        if not self._turns.rules.retry_budget:
+            return sys.maxsize
+        return self._retries.left(now)
+
     def _by_nearness(
         self,
         now: float,
@@ -160,8 +181,12 @@
         number: int,
         row: _pool.AgentRow,
         tasks: list[_jobs.Task],
+        again: int,
     ) -> list[_jobs.Task]:
-        """Return the tasks of a step that an endpoint takes now."""
+        """Return the tasks of a step that an endpoint takes now.
+
+        :param again: how many of them may have failed before
+        """
         if row.state.service != job.request.job_class.service:
             return []
         if step.label and step.label not in row.state.labels:
@@ -169,8 +194,10 @@
         left_s = row.state.remaining_s
         if left_s and job.expected_s * _timing.RUN_MARGIN > left_s:
             return []
-        free = row.free
         most = step.max_per_endpoint or len(tasks)
+        room = _quarantine.room_of(row, self._shares.get(row.name, 1.0), most)
+        free = room.free
+        most = room.tasks
         if row.slow:
             most = 1 if row.free == row.state.capacity else 0
         if step.max_per_endpoint:
@@ -179,16 +206,33 @@
                 for task in job.tasks[number]
             )
         chosen: list[_jobs.Task] = []
-        for task in tasks:
+        for task in _allowed(row, tasks, again):
             if len(chosen) >= most or not step.need.fits_in(free):
                 break
-            if row.name in task.avoid:
-                continue
             chosen.append(task)
             free = free.minus(step.need)
         return chosen
 
 
+def _allowed(
+    row: _pool.AgentRow, tasks: list[_jobs.Task], again: int
+) -> abc.Iterator[_jobs.Task]:
+    """Yield the tasks that may go to an endpoint.
+
+    :param row: the agent beside it
+    :param tasks: those that wait
+    :param again: how many of them may have failed before
+    """
+    for task in tasks:
+        if row.name in task.avoid:
+            continue
+        if task.failures:
+            if not again:
+                continue
+            again -= 1
+        yield task
+
+
 def _is_in_use(row: _pool.AgentRow) -> bool:
     return row.free != row.state.capacity
 
--- a/src/ferryledge/leases/_pool.py
+++ b/src/ferryledge/leases/_pool.py
@@ -58,6 +58,10 @@
     )
     #: Whether its endpoint takes work by the judge of health.
     healthy: bool = True
+    #: Whether it gets one task, whose end decides on its health.
+    on_trial: bool = False
+    #: Whether there is evidence against it for callers of this zone.
+    doubted: bool = False
     #: Whether its zone takes no new work.
     cordoned: bool = False
     #: When a run was last tried on it while it was slow.
--- a/src/ferryledge/leases/_rules.py
+++ b/src/ferryledge/leases/_rules.py
@@ -24,3 +24,9 @@
     moves: bool = True
     #: Endpoints that were faster lately come first.
     fast_first: bool = True
+    #: What other entries' runs say of an endpoint counts as well.
+    shared_evidence: bool = True
+    #: Endpoints that go down again and again are used little at first.
+    damped_flaps: bool = True
+    #: Second tries never exceed a share of the work.
+    retry_budget: bool = True
--- a/src/ferryledge/leases/_run_tracking.py
+++ b/src/ferryledge/leases/_run_tracking.py
@@ -11,13 +11,18 @@
 from ferryledge.leases import _moving
 from ferryledge.leases import _own_link
 from ferryledge.leases import _pool
+from ferryledge.leases import _retry_budget
 from ferryledge import outcomes
 from ferryledge import placement
 from ferryledge import wire
 
 Send = abc.Callable[[str, wire.Message], None]
 
-_COSTS_TRUST = (wire.NotStarted.REJECTED, wire.NotStarted.UNHEALTHY)
+#: Reasons for which the next try would end the same way at that endpoint.
+_COSTS_TRUST = (
+    wire.NotStarted.REJECTED,
+    wire.NotStarted.UNHEALTHY,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -58,6 +63,8 @@
         self._link = link
         self._send = send
         self._crashes = _crashes.CrashWatch()
+        #: How many tasks may be tried again.
+        self.retries = _retry_budget.RetryBudget()
 
     def order(
         self,
@@ -71,6 +78,8 @@
         :return: the bytes that the order takes on the link
         """
         need = job.request.steps[tasks[0].step].need
+        again = sum(task.failures > 0 for task in tasks)
+        self.retries.note_started(now, len(tasks) - again, again)
         for task in tasks:
             job.set_state(task, _jobs.TaskState.BOUND)
             task.run += 1
@@ -103,6 +112,7 @@
         if not isinstance(self._judge.state(row.name), health.Healthy):
             self._judge.probe_sent(row.name)
             row.healthy = False
+            row.on_trial = False
         return _own_link.size_of(order) + _own_link.PACKET_BYTES
 
     def stop(self, job: _jobs.Job, tasks: list[_jobs.Task]) -> None:
@@ -127,6 +137,7 @@
         if taken is None:
             return
         job, task = taken
+        self._take_back_probe(row)
         self._notes.not_started(job, row, run, reason)
         if reason in _COSTS_TRUST:
             task.avoid.add(row.name)
@@ -143,6 +154,8 @@
         if taken is None:
             return None
         job, task = taken
+        if end.how not in (wire.HowEnded.DONE, wire.HowEnded.FAILED):
+            self._take_back_probe(row)
         self._notes.ended(job, row, end, task.failures)
         decided = None
         match end.how:
@@ -155,6 +168,8 @@
                 task.avoid.add(row.name)
                 self._judge_end(now, row, job, False)
                 decided = self._if_hopeless(job, task, row)
+                if decided is None and not self.retries.left(now):
+                    self._notes.retry_waits(job, task)
             case wire.HowEnded.LOST if end.crashed_jobs:
                 task.avoid.add(row.name)
                 task.crashes.append(
@@ -203,11 +218,49 @@
     ) -> None:
         name = job.request.job_class.name
         self._judge.ended(row.name, name, job.name, ok, now)
+        self._note_health(row, job.name)
+
+    def _note_health(self, row: _pool.AgentRow, name: str = "") -> None:
+        """Use an endpoint, or not, by what the judge thinks of it now."""
         state = self._judge.state(row.name)
         healthy = isinstance(state, health.Healthy)
+        if isinstance(state, health.Probing) and not state.sent:
+            return  # It takes its one task.
         if healthy != row.healthy:
-            self._notes.judged(job, row, state)
+            self._notes.judged(name, row, state)
         row.healthy = healthy
+        row.on_trial = False
+
+    def _take_back_probe(self, row: _pool.AgentRow) -> None:
+        """Let an endpoint be probed again whose probe tells nothing."""
+        match self._judge.state(row.name):
+            case health.Probing(sent=True):
+                self._judge.probe_lost(row.name)
+                row.healthy = True
+                row.on_trial = True
+            case _:
+                pass
+
+    def probe(self, now: float) -> None:
+        """Let endpoints take one task each whose time out is over."""
+        for name in self._judge.probes_due(now):
+            row = self._pool.find(name)
+            if row is not None:
+                row.healthy = True
+                row.on_trial = True
+
+    def hear(
+        self, now: float, row: _pool.AgentRow, told: wire.ZoneFailures
+    ) -> None:
+        """Take in what the ends of all entries say of an endpoint.
+
+        :param now: monotonic seconds
+        :param row: the agent beside it
+        :param told: what is known for callers of this zone
+        """
+        row.doubted = told.rate > 0.0
+        self._judge.told(row.name, told.rate, told.failures, now)
+        self._note_health(row)
 
     def _if_done(self, job: _jobs.Job) -> Decided | None:
         if all(t.state is _jobs.TaskState.DONE for t in job.all_tasks):
--- a/src/ferryledge/leases/_states.py
+++ b/src/ferryledge/leases/_states.py
@@ -93,6 +93,8 @@
         state.home,
         state.entries,
         state.cold,
+        state.failing,
+        state.steady,
     )
 
 
--- a/src/ferryledge/loads/_world.py
+++ b/src/ferryledge/loads/_world.py
@@ -82,6 +82,7 @@
     :param peers: whether entries keep streams to each other
     :param rules: those that entries decide by; none is all
     :param zones: availability zones, over which agents are spread in turn
+    :param entry_zones: the same for entries
     """
 
     def __init__(
@@ -93,12 +94,18 @@
         peers: bool = False,
         rules: leases.EntryRules | None = None,
         zones: tuple[str, ...] = ("north",),
+        entry_zones: tuple[str, ...] = ("north",),
     ) -> None:
         self.now = 0.0
         #: The zone of each agent.
         self.zone_of = {
             f"agent-{n}": zones[n % len(zones)] for n in range(agents)
         }
+        #: The zone of each entry.
+        self.entry_zone_of = {
+            f"entry-{n}": entry_zones[n % len(entry_zones)]
+            for n in range(entries)
+        }
         #: What operators have the log say of cordoned zones.
         self.cordons = wire.CordonedZones(1)
         #: When each zone that is cordoned was.
@@ -149,6 +156,10 @@
         self.violations: list[str] = []
         self.work_s: dict[str, float] = {}
         self.failing: set[str] = set()
+        #: Endpoints that fail for the callers of one zone only, with that.
+        self.failing_for: dict[str, str] = {}
+        #: The zone of the entry that each job was sent to last.
+        self.caller_zone: dict[str, str] = {}
         #: Until when endpoints say that they are cold.
         self.cold_until: dict[str, float] = {}
         #: Labels of the endpoints beside agents, where they have any.
@@ -211,7 +222,12 @@
     def _work_of(
         self, key: leases.RunKey, endpoint: str
     ) -> tuple[float, bool]:
-        ok = endpoint not in self.failing and key.job not in self.failing_jobs
+        zone = self.caller_zone[key.job]
+        ok = (
+            endpoint not in self.failing
+            and self.failing_for.get(endpoint) != zone
+            and key.job not in self.failing_jobs
+        )
         return self.work_s[key.job], ok
 
     def _watch(self, what: str, key: leases.RunKey, endpoint: str) -> None:
@@ -284,7 +300,7 @@
             node.core = leases.LeaseEntry(
                 name,
                 incarnation,
-                "north",
+                self.entry_zone_of[name],
                 rng,
                 link_bytes_per_s=self.link_bytes_per_s,
                 rules=self._rules,
@@ -719,6 +735,7 @@
         )
         self.jobs[token] = job
         self.work_s[name] = work_s
+        self.caller_zone[name] = self.entry_zone_of[entry]
         self.answers[token] = []
         self.post(entry, leases.JobSubmitted(token, job))
         return token
--- a/src/ferryledge/wire/__init__.py
+++ b/src/ferryledge/wire/__init__.py
@@ -77,6 +77,7 @@
 RunsReleased = _lease_messages.RunsReleased
 StopRuns = _lease_messages.StopRuns
 TaskRun = _lease_messages.TaskRun
+ZoneFailures = _lease_messages.ZoneFailures
 
 accept = _handshake.accept
 connect = _handshake.connect
@@ -148,6 +149,7 @@
     "Verdict",
     "VerdictTag",
     "WireError",
+    "ZoneFailures",
     "accept",
     "connect",
     "encode",
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -179,6 +179,18 @@
     runs: tuple[LateRun, ...]
 
 
+class ZoneFailures(_messages.Model, frozen=True):
+    """How often runs failed at an endpoint, for callers of one zone."""
+
+    #: The availability zone of the entries that ordered them; empty is every
+    #: zone that is known, if these are several.
+    zone: str
+    #: Share of the last runs that failed, from 0 to 1.
+    rate: float
+    #: Failures counted so far; rises with each that is news.
+    failures: int
+
+
 class EndpointState(_messages.Model, frozen=True, tag="endpoint"):
     """The sender's endpoint; empty fields while none is known."""
 
@@ -203,6 +215,10 @@
     entries: int = 1
     #: Whether it is slow as yet, having started lately.
     cold: bool = False
+    #: Zones for whose callers it fails; none are known by default.
+    failing: tuple[ZoneFailures, ...] = ()
+    #: Share of its room to use; below 1 after it went down repeatedly.
+    steady: float = 1.0
 
 
 class RoomWanted(_messages.Model, frozen=True, tag="wanted"):
