Hand waiting jobs on to entries that can be in time

Cause: callers crowd at some entries, or an entry's agents are away; it refuses jobs while its neighbours have room for them. Nothing passed a job from one entry to another.

Ruled out: offering without knowledge of the taker's room (each offer that is declined costs the spec on a narrow link); a second entry that answers the client; telling the agents whose job it is.

Change: an entry that expects a job to start too late asks a few others for their spare room and offers it to one of two that have some. The taker takes what could start at once. Its right to run the job counts from its own asks, 0.3 s each, and its agents' grants end sooner by the age of that ask, so all runs are over in the usual time after the giver's last sign also if both fail. The giver runs the job again only after that.

--- a/src/ferryledge/hosted/_metrics.py
+++ b/src/ferryledge/hosted/_metrics.py
@@ -118,6 +118,9 @@
         self._health = registry.counter(
             "health_changes", "Endpoints ejected or taken back"
         )
+        self._handovers = registry.counter(
+            "handovers", "Jobs between this entry and others", ("what",)
+        )
 
     def answered(
         self, outcome: str, reason: str, waited_s: float, slowdown: float
@@ -151,6 +154,10 @@
         """Count a change of health."""
         self._health.add()
 
+    def handover(self, what: str) -> None:
+        """Count what happened to a job between two entries."""
+        self._handovers.add(1, what)
+
 
 class AgentMetrics(leases.AgentMeter):
     """An agent's counters and histograms.
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -13,6 +13,7 @@
 from ferryledge.leases import _cordons
 from ferryledge.leases import _entry_events
 from ferryledge.leases import _entry_notes
+from ferryledge.leases import _handover
 from ferryledge.leases import _job_table
 from ferryledge.leases import _jobs
 from ferryledge.leases import _meters
@@ -25,6 +26,7 @@
 from ferryledge.leases import _run_tracking
 from ferryledge.leases import _scheduling
 from ferryledge.leases import _seeking
+from ferryledge.leases import _spare_room
 from ferryledge.leases import _timing
 from ferryledge.leases import _turns
 from ferryledge import outcomes
@@ -111,6 +113,22 @@
             rng,
             turns,
         )
+        self._handover = _handover.Handover(
+            incarnation,
+            zone,
+            self._timing,
+            self._rules.hands_on,
+            self._cordons,
+            self._jobs,
+            _spare_room.SpareRoom(self._jobs, self._pool, self._link, turns),
+            self._run_times,
+            rng,
+            self._notes,
+            self._send,
+            self._finish,
+            self._keep,
+            self._client_left,
+        )
         self._actions: list[_entry_events.EntryAction] = []
         #: Agents whose last ask is to be answered.
         self._asking: dict[str, _pool.AgentRow] = {}
@@ -180,6 +198,7 @@
             leaving=self._draining,
             config_version=self._peers.version,
             cordons=True,
+            takes_jobs=self._handover.takes_jobs,
         )
 
     # Driving.
@@ -202,6 +221,7 @@
             case _entry_events.EntryDrain(until):
                 self._draining = True
                 self._scheduling.admission.close(until)
+                self._handover.drain()
             case _entry_events.EntryStop():
                 self._answer_all(now)
             case _:
@@ -222,11 +242,15 @@
         """Return the actions that are due."""
         self._now = now
         self._tick_by = _NEVER
+        self._handover.check(now)
         if now >= self._next_sweep:
             self._sweep(now)
         if self._dirty or self._scheduling.is_link_free(now):
             self._dirty = False
             self._scheduling.place(now)
+        for job in self._handover.act(now):
+            self._jobs.drop_if_over(job)
+            self._next_sweep = now
         for row, message in self._scheduling.tell_wanted(now):
             self._send(row.name, message)
         self._grant(now)
@@ -241,7 +265,12 @@
 
     def wake_at(self) -> float:
         """Return when to tick at the latest."""
-        return min(self._tick_by, self._next_sweep, self._scheduling.due_at)
+        return min(
+            self._tick_by,
+            self._next_sweep,
+            self._scheduling.due_at,
+            self._handover.due_at,
+        )
 
     def tick_by(self) -> float:
         """Return when to tick for the events since the last tick."""
@@ -283,10 +312,14 @@
         hope, messages = self._seeking.seek(now, job)
         self._send_all(messages)
         refusal = self._scheduling.admission.admit(now, job, hope)
-        if refusal is not None:
+        if refusal is not None and not self._handover.keeps(job, refusal):
             self._finish(now, job, refusal)
             return
         self._notes.admitted(job, len(self._jobs), self._peers.version)
+        self._keep(now, job)
+
+    def _keep(self, now: float, job: _jobs.Job) -> None:
+        """Hold a job until it is answered and its runs are over."""
         self._jobs.add(job)
         self._next_sweep = min(self._next_sweep, now + _REVIEW_S)
         self._dirty = True
@@ -331,6 +364,9 @@
 
     def _reply(self, tokens: list[int], outcome: outcomes.JobOutcome) -> None:
         for token in tokens:
+            if token < 0:
+                self._handover.answer(token, outcome)
+                continue
             self._link.note_sent(self._now, _own_link.ANSWER_BYTES)
             self._actions.append(_entry_events.AnswerJob(token, outcome))
 
@@ -347,6 +383,7 @@
     def _close(self, job: _jobs.Job) -> None:
         """Stop a job's runs; it is forgotten once they are over."""
         job.closed = True
+        self._handover.withdraw(job)
         self._runs.stop(job, job.bound())
         self._jobs.drop_if_over(job)
 
@@ -361,9 +398,12 @@
                 self._notes.connected(hello)
                 if hello.role is wire.Role.AGENT:
                     self._pool.join(now, hello)
+                else:
+                    self._handover.join(now, hello)
             case wire.PeerDown(name, incarnation):
                 self._notes.disconnected(name, incarnation)
                 self._peers.leave(name)
+                self._handover.leave(name)
                 self._pool.leave(name, incarnation)
 
     def _apply_cordons(self, is_news: bool) -> None:
@@ -399,7 +439,8 @@
             case wire.SeekAgents():
                 self._send_all(self._seeking.invite(now, message))
             case _:
-                return
+                self._handover.receive(now, peer, message)
+                self._dirty = True
 
     def _on_agent_message(
         self, now: float, row: _pool.AgentRow, message: wire.Message
@@ -435,7 +476,8 @@
             if row.ask_answered != row.ask_seen:
                 row.ask_answered = row.ask_seen
                 row.granted_at = now
-                self._send(row.name, wire.GrantLease(row.ask_seen))
+                less_s = self._runs.less_s(now, row)
+                self._send(row.name, wire.GrantLease(row.ask_seen, less_s))
         self._asking.clear()
 
     def _on_runs_message(
@@ -503,6 +545,7 @@
             if found is not None:
                 found.healthy = True
         self._sweep_jobs(now)
+        self._handover.note_sweep()
         self._dirty = self._dirty or len(self._jobs) > 0
 
     def _sweep_jobs(self, now: float) -> None:
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -1,9 +1,8 @@
 """An entry's notes: what each says and which inputs it carries."""
 
 from ferryledge import health
+from ferryledge.leases import _handover_notes
 from ferryledge.leases import _jobs
-from ferryledge.leases import _meters
-from ferryledge.leases import _notes
 from ferryledge.leases import _pool
 from ferryledge import outcomes
 from ferryledge import wire
@@ -14,15 +13,8 @@
 _LATE = ", late by its expected size"
 
 
-class EntryNotes(_notes.Notes):
-    """What an entry decides about jobs, and believes of agents.
-
-    :param meter: counts along
-    """
-
-    def __init__(self, meter: _meters.EntryMeter) -> None:
-        super().__init__()
-        self._meter = meter
+class EntryNotes(_handover_notes.HandoverNotes):
+    """What an entry decides about jobs, and believes of agents."""
 
     def admitted(self, job: _jobs.Job, held: int, config: int) -> None:
         """A job is kept."""
--- a/src/ferryledge/leases/_job_table.py
+++ b/src/ferryledge/leases/_job_table.py
@@ -14,6 +14,9 @@
     def __init__(self) -> None:
         self._jobs: dict[str, _jobs.Job] = {}
         self._complete: dict[str, float] = {}
+        #: From when the right to run jobs of other entries counts, by the
+        #: names of the jobs.
+        self.signed: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._jobs)
@@ -53,7 +56,7 @@
 
     def drop_if_over(self, job: _jobs.Job) -> None:
         """Forget a closed job once none of its runs may be alive."""
-        if job.closed and not job.bound():
+        if job.closed and not job.is_away and not job.bound():
             self._jobs.pop(job.name, None)
 
     def note_complete(self, name: str, now: float) -> None:
--- a/src/ferryledge/leases/_jobs.py
+++ b/src/ferryledge/leases/_jobs.py
@@ -120,6 +120,12 @@
     closed: bool = False
     #: Its spec, packed; empty until that is needed.
     packed_spec: bytes = b""
+    #: Whether another entry has it, or may have it: nothing is ordered here.
+    is_away: bool = False
+    #: Whether it belongs to another entry; it is handed on no further.
+    is_handed_in: bool = False
+    #: Times that it was offered to other entries.
+    offers: int = 0
     #: Tasks in the state of waiting, whether their turn has come or not.
     waiting: int = dataclasses.field(init=False)
 
@@ -223,7 +229,7 @@
 
     def startable(self) -> list[Task]:
         """Return the waiting tasks whose earlier steps are done."""
-        if not self.waiting:
+        if self.is_away or not self.waiting:
             return []
         ready: list[Task] = []
         for number, step in enumerate(self.request.steps):
--- a/src/ferryledge/leases/_meters.py
+++ b/src/ferryledge/leases/_meters.py
@@ -35,6 +35,12 @@
     def health_changed(self) -> None:
         """An endpoint was ejected, or taken back."""
 
+    def handover(self, what: str) -> None:
+        """Something happened to a job between two entries.
+
+        :param what: such as ``offered`` or ``lost``
+        """
+
 
 class AgentMeter:
     """Counts an agent's decisions."""
--- a/src/ferryledge/leases/_own_link.py
+++ b/src/ferryledge/leases/_own_link.py
@@ -100,6 +100,8 @@
         case wire.OrderRuns():
             texts = len(message.spec) + len(message.packed_spec)
             return texts + _ORDER_BYTES + _RUN_BYTES * len(message.runs)
+        case wire.OfferJob():
+            return len(message.packed_spec) + _ORDER_BYTES
         case wire.ConfigReply(_, data):
             return len(data)
         case wire.EntryList(entries):
--- a/src/ferryledge/leases/_rules.py
+++ b/src/ferryledge/leases/_rules.py
@@ -24,3 +24,5 @@
     moves: bool = True
     #: Endpoints that were faster lately come first.
     fast_first: bool = True
+    #: Waiting jobs are handed on to entries that can be in time.
+    hands_on: bool = True
--- /dev/null
+++ b/src/ferryledge/leases/_spare_room.py
@@ -0,0 +1,110 @@
+"""What an entry could start at once for others, and what it lacks itself.
+
+It answers callers that crowd at some entries: these expect to be late while
+others have room that none of their own jobs waits for.
+"""
+
+import math
+
+from ferryledge.leases import _job_table
+from ferryledge.leases import _jobs
+from ferryledge.leases import _own_link
+from ferryledge.leases import _placing
+from ferryledge.leases import _pool
+from ferryledge.leases import _turns
+
+#: Bytes that a waiting job is to take of the own link beside its spec.
+_JOB_BYTES = 400
+
+
+def cpu_millis_of(job: _jobs.Job) -> int:
+    """Return the thousandths of a core that a job could use at once."""
+    steps = job.request.steps
+    return sum(steps[one.step].need.cpu_millis for one in job.startable())
+
+
+class SpareRoom:
+    """Looks at the room of this entry.
+
+    :param jobs: the jobs that are held
+    :param pool: the agents
+    :param link: this entry's own
+    :param turns: the order of waiting jobs
+    """
+
+    def __init__(
+        self,
+        jobs: _job_table.JobTable,
+        pool: _pool.Pool,
+        link: _own_link.OwnLink,
+        turns: _turns.Turns,
+    ) -> None:
+        self._jobs = jobs
+        self._pool = pool
+        self._link = link
+        self._turns = turns
+
+    def cpu_millis(self, now: float, service: str) -> int:
+        """Return the free thousandths of a core that no own job waits for.
+
+        :param now: monotonic seconds
+        :param service: of the endpoints
+        """
+        if not self._link.is_free(now):
+            return 0
+        free = sum(
+            max(0, row.free.cpu_millis)
+            for row in self._pool
+            if row.usable(now) and row.state.service == service
+        )
+        wanted = sum(
+            cpu_millis_of(job)
+            for job in self._jobs.waiting
+            if job.request.job_class.service == service
+        )
+        return max(0, free - wanted)
+
+    def has_room(self, now: float, job: _jobs.Job) -> bool:
+        """Return whether all of a new job's first tasks could start now."""
+        if any(True for _ in _placing.unfit_steps(self._pool, job)):
+            return False
+        service = job.request.job_class.service
+        return cpu_millis_of(job) <= self.cpu_millis(now, service)
+
+    def late(self, now: float, lead_s: float) -> list[_jobs.Job]:
+        """Return the untried jobs that would start too late here.
+
+        The most pressing ones come first.
+
+        :param now: monotonic seconds
+        :param lead_s: how much sooner than its latest start a job counts as
+            late, so that another entry still starts it in time
+        """
+        late = []
+        ahead: dict[str, float] = {}
+        link_s = self._link.wait_s(now)
+        for job in self._turns.sort(now, self._jobs.untried, 0.0):
+            service = job.request.job_class.service
+            work = ahead.get(service, 0.0) + job.work
+            wait_s = self._wait_s(now, job, work) + link_s
+            if now + wait_s + lead_s > job.start_by:
+                late.append(job)
+            else:
+                ahead[service] = work
+                link_s += self._link_s(job)
+        return late
+
+    def _wait_s(self, now: float, job: _jobs.Job, work: float) -> float:
+        """Return how long a job waits behind so many core-seconds."""
+        service = job.request.job_class.service
+        cores = self._pool.capacity_cores(now, service)
+        if not cores or self._is_unfit(job):
+            return math.inf
+        return work * self._pool.sharers(now, service) / cores
+
+    def _is_unfit(self, job: _jobs.Job) -> bool:
+        return any(True for _ in _placing.unfit_steps(self._pool, job))
+
+    def _link_s(self, job: _jobs.Job) -> float:
+        size = len(job.request.spec) + _JOB_BYTES
+        return size / self._link.bytes_per_s
--- a/src/ferryledge/wire/__init__.py
+++ b/src/ferryledge/wire/__init__.py
@@ -1,6 +1,7 @@
 """Messages between the system's own processes and their encoding."""
 
 from ferryledge.wire import _codec
+from ferryledge.wire import _handover_messages
 from ferryledge.wire import _handshake
 from ferryledge.wire import _lease_messages
 from ferryledge.wire import _messages
@@ -78,6 +79,20 @@
 StopRuns = _lease_messages.StopRuns
 TaskRun = _lease_messages.TaskRun
 
+AskHandedIn = _handover_messages.AskHandedIn
+AskRoom = _handover_messages.AskRoom
+Declined = _handover_messages.Declined
+GrantHandedIn = _handover_messages.GrantHandedIn
+HandoverMessage = _handover_messages.HandoverMessage
+HowHandled = _handover_messages.HowHandled
+JobHandled = _handover_messages.JobHandled
+OfferAnswered = _handover_messages.OfferAnswered
+OfferJob = _handover_messages.OfferJob
+OfferedClass = _handover_messages.OfferedClass
+OfferedStep = _handover_messages.OfferedStep
+RoomTold = _handover_messages.RoomTold
+WithdrawJob = _handover_messages.WithdrawJob
+
 accept = _handshake.accept
 connect = _handshake.connect
 process_key = _messages.process_key
@@ -85,7 +100,9 @@
 __all__ = [
     "AbandonJobs",
     "AgentSet",
+    "AskHandedIn",
     "AskLease",
+    "AskRoom",
     "AskTickets",
     "AuthenticationError",
     "Authorise",
@@ -96,6 +113,7 @@
     "ConfigReply",
     "ConfigRequest",
     "CordonedZones",
+    "Declined",
     "Decoder",
     "EndpointState",
     "EntryAddress",
@@ -106,12 +124,16 @@
     "FencedJob",
     "FinishedTask",
     "FrontTask",
+    "GrantHandedIn",
     "GrantLease",
+    "HandoverMessage",
     "HeldRun",
     "Hello",
     "HowEnded",
+    "HowHandled",
     "Invite",
     "JobAnswered",
+    "JobHandled",
     "KeepAlive",
     "LateRun",
     "LateRuns",
@@ -119,6 +141,10 @@
     "Leaving",
     "Message",
     "NotStarted",
+    "OfferAnswered",
+    "OfferJob",
+    "OfferedClass",
+    "OfferedStep",
     "OrderRuns",
     "OutcomeRecord",
     "PackingError",
@@ -131,6 +157,7 @@
     "ReportNow",
     "Resources",
     "Role",
+    "RoomTold",
     "RoomWanted",
     "RunEnd",
     "RunsEnded",
@@ -148,6 +175,7 @@
     "Verdict",
     "VerdictTag",
     "WireError",
+    "WithdrawJob",
     "accept",
     "connect",
     "encode",
--- a/src/ferryledge/wire/_codec.py
+++ b/src/ferryledge/wire/_codec.py
@@ -6,6 +6,7 @@
 import msgpack
 import msgspec
 
+from ferryledge.wire import _handover_messages
 from ferryledge.wire import _lease_messages
 from ferryledge.wire import _messages
 
@@ -15,7 +16,11 @@
 MAX_ARRAY = 4096
 
 _BUILTIN_TYPES = (bytes,)
-Message = _messages.Message | _lease_messages.LeaseMessage
+Message = (
+    _messages.Message
+    | _lease_messages.LeaseMessage
+    | _handover_messages.HandoverMessage
+)
 #: The types of messages by the tag that leads each.
 _TYPES = {
     str(one.__struct_config__.tag): one for one in typing.get_args(Message)
--- a/src/ferryledge/wire/_messages.py
+++ b/src/ferryledge/wire/_messages.py
@@ -47,6 +47,8 @@
     packed_texts: bool = False
     #: Whether the sender takes word of cordoned zones.
     cordons: bool = False
+    #: Whether the sender takes jobs that other entries hand on.
+    takes_jobs: bool = False
 
 
 class KeepAlive(Model, frozen=True, tag="alive"):
