--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -439,8 +439,8 @@
             case wire.SeekAgents():
                 self._send_all(self._seeking.invite(now, message))
             case _:
-                self._handover.receive(now, peer, message)
-                self._dirty = True
+                if self._handover.receive(now, peer, message):
+                    self._dirty = True
 
     def _on_agent_message(
         self, now: float, row: _pool.AgentRow, message: wire.Message
--- a/src/ferryledge/leases/_handing_on.py
+++ b/src/ferryledge/leases/_handing_on.py
@@ -40,8 +40,8 @@
 #: by chance gets an offer, so that givers don't crowd at the emptiest.
 _ASKED_AT_ONCE = 4
 #: Seconds between asks while some have room, and at most while none has.
-_ASK_EVERY_S = 0.05
-_ASK_SELDOM_S = 0.4
+_ASK_EVERY_S = 0.04
+_ASK_SELDOM_S = 0.2
 #: Most offers of one job.
 _MOST_OFFERS = 2
 #: Seconds that an ask, an offer and the taker's order take.
@@ -124,9 +124,9 @@
         self._ask_every_s = _ASK_EVERY_S
 
     @property
-    def has_takers(self) -> bool:
-        """Whether some entry takes jobs."""
-        return bool(self._peers)
+    def takers(self) -> int:
+        """How many entries take jobs."""
+        return len(self._peers)
 
     def has_taker_outside(self, cordons: _cordons.Cordons) -> bool:
         """Return whether some entry that takes jobs has a zone at work."""
--- a/src/ferryledge/leases/_handover.py
+++ b/src/ferryledge/leases/_handover.py
@@ -101,26 +101,39 @@
         self._is_leaving = True
         self._in.is_leaving = True
 
-    def receive(self, now: float, peer: str, message: wire.Message) -> None:
-        """Take in a message of another entry."""
+    def receive(self, now: float, peer: str, message: wire.Message) -> bool:
+        """Take in a message of another entry.
+
+        :return: whether there may be something to order now
+        """
         if not self._is_on:
-            return
+            return False
         match message:
-            case wire.AskRoom(service):
-                self._in.tell_room(now, peer, service)
+            case wire.OfferAnswered():
+                self._on.answered(now, peer, message)
+                return message.declined is not None
+            case wire.JobHandled():
+                self._on.handled(now, peer, message)
+                return message.how is wire.HowHandled.NOT_RUN
             case wire.RoomTold():
                 self._on.hear_room(now, peer, message)
                 self._is_due = True
+            case wire.AskHandedIn():
+                self._on.asked(now, peer, message)
+            case _:
+                self._receive_from_giver(now, peer, message)
+        return False
+
+    def _receive_from_giver(
+        self, now: float, peer: str, message: wire.Message
+    ) -> None:
+        match message:
+            case wire.AskRoom(service):
+                self._in.tell_room(now, peer, service)
             case wire.OfferJob():
                 self._in.offered(now, peer, message)
-            case wire.OfferAnswered():
-                self._on.answered(now, peer, message)
-            case wire.JobHandled():
-                self._on.handled(now, peer, message)
             case wire.WithdrawJob():
                 self._in.withdrawn(now, message)
-            case wire.AskHandedIn():
-                self._on.asked(now, peer, message)
             case wire.GrantHandedIn():
                 self._in.granted(now, peer, message)
 
@@ -149,7 +162,7 @@
 
     def note_sweep(self) -> None:
         """Look for late jobs at the next chance."""
-        self._is_due = self._on.has_takers
+        self._is_due = self._on.takers > 0
 
     def check(self, now: float) -> None:
         """Stop what may not be run any longer: before anything is ordered."""
@@ -163,12 +176,17 @@
         if self._is_due:
             self._is_due = False
             if self._jobs.untried:
-                lead_s = _NEVER if self._is_leaving else _handing_on.LEAD_S
-                self._on.plan(now, self._room.late(now, lead_s))
+                self._offer_late(now)
             self._refuse_kept(now)
         self._in.ask(now)
         return self._on.look(now)
 
+    def _offer_late(self, now: float) -> None:
+        if self._is_leaving:
+            self._on.plan(now, self._room.late(now, _NEVER))
+        elif self._room.may_differ(now, self._on.takers):
+            self._on.plan(now, self._room.late(now, _handing_on.LEAD_S))
+
     def _refuse_kept(self, now: float) -> None:
         """Refuse what no other entry took."""
         for name, (job, refusal) in list(self._kept.items()):
--- a/src/ferryledge/leases/_spare_room.py
+++ b/src/ferryledge/leases/_spare_room.py
@@ -45,24 +45,29 @@
         self._turns = turns
 
     def cpu_millis(self, now: float, service: str) -> int:
-        """Return the free thousandths of a core that no own job waits for.
+        """Return the thousandths of a core that others' jobs could use.
+
+        None while an own job waits: on a full pool some room is always free
+        for a moment, and the jobs that wait there have a turn.
 
         :param now: monotonic seconds
         :param service: of the endpoints
         """
         if not self._link.is_free(now):
             return 0
+        reserved = 0
+        for job in self._jobs.waiting:
+            if job.request.job_class.service != service:
+                continue
+            if not job.is_handed_in:
+                return 0
+            reserved += cpu_millis_of(job)
         free = sum(
             max(0, row.free.cpu_millis)
             for row in self._pool
             if row.usable(now) and row.state.service == service
         )
-        wanted = sum(
-            cpu_millis_of(job)
-            for job in self._jobs.waiting
-            if job.request.job_class.service == service
-        )
-        return max(0, free - wanted)
+        return max(0, free - reserved)
 
     def has_room(self, now: float, job: _jobs.Job) -> bool:
         """Return whether all of a new job's first tasks could start now."""
@@ -71,6 +76,19 @@
         service = job.request.job_class.service
         return cpu_millis_of(job) <= self.cpu_millis(now, service)
 
+    def may_differ(self, now: float, entries: int) -> bool:
+        """Return whether other entries may have room that this one has not.
+
+        They have not where each of them shares all endpoints, unless it is
+        the own link that is full.
+
+        :param now: monotonic seconds
+        :param entries: how many others there are
+        """
+        if self._link.is_busy(now) or not self._pool.is_usable(now):
+            return True
+        return self._pool.sharers(now) < entries + 0.5
+
     def late(self, now: float, lead_s: float) -> list[_jobs.Job]:
         """Return the untried jobs that would start too late here.
 
--- a/src/ferryledge/loads/_patterns.py
+++ b/src/ferryledge/loads/_patterns.py
@@ -99,6 +99,8 @@
     spread: Share = 0.4
     #: What the link of each entry carries in Mbit/s; 0 is unlimited.
     link_mbps: Share = 0.0
+    #: Bytes of what the endpoints are to run, which do not compress well.
+    spec_bytes: Count = 4
 
     def phase_at(self, at: float) -> Phase:
         """Return the phase that holds at a time."""
--- a/src/ferryledge/loads/_play.py
+++ b/src/ferryledge/loads/_play.py
@@ -2,6 +2,8 @@
 
 import functools
 import math
+import random
+import string
 
 from ferryledge import leases
 from ferryledge.loads import _faults
@@ -57,6 +59,10 @@
         #: The entry of each job's last try, with the life it had then.
         self._entry_of: dict[str, tuple[str, int]] = {}
         self._faults = _faults.FaultInjector(self._world)
+        letters = random.Random(seed).choices(
+            string.ascii_lowercase[:16], k=load.spec_bytes
+        )
+        self._spec = "".join(letters)
         self._looks: list[float] = []
         self._began_at = 0.0
 
@@ -113,6 +119,7 @@
             job.deadline_s - passed_s,
             estimate_s=job.guess_s,
             job_class=job_class,
+            spec=self._spec,
         )
         self._tries.setdefault(job.name, []).append(token)
         self._entry_of[job.name] = (name, world.nodes[name].life)
