--- a/src/ferryledge/hosted/_commands.py
+++ b/src/ferryledge/hosted/_commands.py
@@ -14,6 +14,8 @@
 
 #: Variable with the keys for streams, separated by commas.
 KEYS_VARIABLE = "FERRYLEDGE_PEER_KEYS"
+#: Variable that is "off" where entries keep their clients' jobs.
+HAND_ON_VARIABLE = "FERRYLEDGE_HAND_ON"
 #: Exit code for a wrong setting.
 EXIT_USAGE = 2
 
@@ -37,6 +39,14 @@
     return tuple(key for key in keys.split(",") if key)
 
 
+def _hands_on() -> bool:
+    text = os.environ.get(HAND_ON_VARIABLE, "on")
+    if text not in ("on", "off"):
+        click.echo(f"error: set {HAND_ON_VARIABLE} to on or off", err=True)
+        sys.exit(EXIT_USAGE)
+    return text == "on"
+
+
 def _end_start() -> None:
     """Let collections begin, which the start put off.
 
@@ -51,7 +61,8 @@
     """Run a daemon on the users' platform.
 
     Settings come from the file that FERRYLEDGE_CONFIG names, the keys for
-    streams from FERRYLEDGE_PEER_KEYS.
+    streams from FERRYLEDGE_PEER_KEYS. Entries hand waiting jobs on to each
+    other unless FERRYLEDGE_HAND_ON is off.
     """
 
 
@@ -61,7 +72,7 @@
     """Take clients' jobs and order their runs."""
     from ferryledge.hosted import _entry
 
-    daemon = _entry.HostedEntry(_settings(), _keys(), listeners)
+    daemon = _entry.HostedEntry(_settings(), _keys(), listeners, _hands_on())
     _end_start()
     sys.exit(net.run_daemon(daemon.run, daemon.unfinished, daemon.reload))
 
--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -50,6 +50,7 @@
     :param settings: checked settings
     :param keys: the accepted shared keys for streams
     :param listeners: the sockets that listen already; none is no socket
+    :param hands_on: whether jobs are handed on between entries
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         settings: platform.Settings,
         keys: tuple[str, ...],
         listeners: _listening.Listeners | None = None,
+        hands_on: bool = True,
     ) -> None:
         self._settings = settings
         self._listeners = listeners or _listening.Listeners()
@@ -72,6 +74,7 @@
             far_factor=settings.bounds.far_x,
             meter=_metrics.EntryMetrics(self._registry),
             link_bytes_per_s=settings.link_bytes_per_s,
+            rules=leases.EntryRules(hands_on=hands_on),
         )
         self._log = logs.DecisionLog()
         self._driver = net.Driver(
@@ -171,7 +174,8 @@
         with anyio.move_on_after(grace_s):
             await anyio.sleep(_LINGER_S)
             release.set()
-            while self._pending:
+            # Jobs of other entries are among the open ones.
+            while self._pending or self._core.open_jobs:
                 await anyio.sleep(_DRAIN_POLL_S)
         self._refusing = True
         self._driver.post(leases.EntryStop())
--- a/src/ferryledge/leases/_rules.py
+++ b/src/ferryledge/leases/_rules.py
@@ -34,3 +34,5 @@
     damped_flaps: bool = True
     #: Second tries never exceed a share of the work.
     retry_budget: bool = True
+    #: Waiting jobs are handed on to entries that can be in time.
+    hands_on: bool = True
--- a/src/ferryledge/wire/_messages.py
+++ b/src/ferryledge/wire/_messages.py
@@ -51,6 +51,8 @@
     config_deltas: bool = False
     #: Whether the sender reads configurations for others: its link is wide.
     reads_configs: bool = False
+    #: Whether the sender takes jobs that other entries hand on.
+    takes_jobs: bool = False
 
 
 class KeepAlive(Model, frozen=True, tag="alive"):
