Move a run that hangs while others go on at its endpoint

Cause: runs were moved only off endpoints on which most runs slow down. One that stood still alone stayed until its client gave up. Ruled out: to go by the endpoint's word alone. Progress comes in whole percents, and a large run stands still between two. Change: agents report runs without progress for 0.3 s, or for a twentieth of their expected time; an entry moves them once they are longer than the learned spread explains. The run is stopped first, as any that is moved. Faults of the matrix: endpoints that flap, hang now and then, fail one zone's callers.

--- a/src/ferryledge/leases/_reports.py
+++ b/src/ferryledge/leases/_reports.py
@@ -111,9 +111,11 @@
             self._send(owner, wire.RunsReleased(job, tuple(runs), reason))
 
     def tell_late(self, now: float, speed: _speed.EndpointSpeed) -> None:
-        """Tell entries of their runs on an endpoint that became slow."""
-        if speed.reported < _speed.SLOW_FROM:
-            return
+        """Tell entries of their runs that a slow endpoint holds up.
+
+        On one that does well these are the runs that hang.
+        """
+        is_slow = speed.reported >= _speed.SLOW_FROM
         if now - self._late_told_at < _LATE_S:
             return
         self._late_told_at = now
@@ -121,7 +123,9 @@
             runs = tuple(
                 _late_run(now, row, row.pace, speed)
                 for row in self._runs.of_owner(owner.incarnation)
-                if row.pace is not None and row.state is _runs.RunState.RUNNING
+                if row.pace is not None
+                and row.state is _runs.RunState.RUNNING
+                and (is_slow or row.pace.is_hung(now))
             )
             if runs:
                 self._send(owner, wire.LateRuns(runs))
--- a/src/ferryledge/leases/_speed.py
+++ b/src/ferryledge/leases/_speed.py
@@ -16,6 +16,11 @@
 _STILL_WEIGHT = 3.0
 #: Seconds without any progress after which a run stands still.
 _STILL_S = 0.15
+#: Seconds without any progress after which a run counts as hung although the
+#: endpoint does well, at the least and as a share of its expected time:
+#: progress is told in whole percents.
+_HUNG_S = 0.3
+_HUNG_SHARE = 0.05
 #: Largest speed that one run is taken to show.
 _FASTEST = 2.0
 #: Shortest time between two samples of one run; progress is whole percents.
@@ -62,6 +67,11 @@
         """Return whether it makes no progress at all."""
         return self.rate <= 0.0 and now - self.moved_at > _STILL_S
 
+    def is_hung(self, now: float) -> bool:
+        """Return whether it stands still for longer than steps explain."""
+        patience_s = max(_HUNG_S, _HUNG_SHARE * self.expected_s)
+        return self.rate <= 0.0 and now - self.moved_at > patience_s
+
     def left_s(self, now: float) -> float:
         """Return the seconds until its end at its last rate."""
         if self.rate <= 0.0:
--- a/src/ferryledge/leases/tests/faults.py
+++ b/src/ferryledge/leases/tests/faults.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import functools
 
 from ferryledge import leases
 from ferryledge import loads as worlds
@@ -52,6 +53,27 @@
     world.at(3.0, lambda: setattr(endpoint, "speed", 1.0))
 
 
+def _fail_north(world: worlds.World, agent: str) -> None:
+    """Let an endpoint fail what entries of the zone north order."""
+    name = world.endpoints[agent].name
+    world.failing_for[name] = "north"
+    world.at(2.0, lambda: world.failing_for.pop(name, None))
+
+
+def _flap(world: worlds.World, agent: str) -> None:
+    """Let an endpoint go down and come back three times."""
+    for turn in range(3):
+        crash = functools.partial(world.crash_endpoint, agent, 0.4)
+        world.at(0.8 * turn, crash)
+
+
+def _hang(world: worlds.World, agent: str) -> None:
+    """Let half of the runs hang that start there within two seconds."""
+    name = world.endpoints[agent].name
+    world.hanging[name] = 0.5
+    world.at(2.0, lambda: world.hanging.pop(name, None))
+
+
 def _drain(world: worlds.World, agent: str) -> None:
     world.endpoints[agent].draining = True
     world.heartbeat(agent)
@@ -134,6 +156,9 @@
     "endpoint restarted, then draining": _agent(_restart_and_drain),
     "endpoint and agent restarted": _agent(_restart_both),
     "endpoint gone": _agent(lambda w, a: w.crash_endpoint(a, None)),
+    "endpoint flaps": _agent(_flap),
+    "endpoint fails a zone's callers": _agent(_fail_north),
+    "endpoint hangs now and then": _agent(_hang),
     "endpoint draining": _agent(_drain),
     "endpoint stands still": _slow,
     "entry paused": lambda w: w.pause("entry-0", 0.5),
--- a/src/ferryledge/loads/_faults.py
+++ b/src/ferryledge/loads/_faults.py
@@ -8,6 +8,8 @@
 
 #: Seconds that a stopping entry has for the jobs that it holds.
 _GRACE_S = 2.0
+#: Seconds for which an endpoint is down, and then up, that flaps.
+_FLAP_S = 0.7
 #: Seconds that a process takes to start.
 _BOOT_S = 0.4
 
@@ -29,6 +31,10 @@
         match fault.what:
             case what.ENDPOINTS_DOWN | what.ENDPOINTS_LEAVE:
                 self._hit_endpoints(fault)
+            case what.ENDPOINTS_FLAP:
+                self._flap(fault)
+            case what.ENDPOINTS_FAIL:
+                self._fail(fault)
             case what.ENTRIES_DOWN | what.ENTRIES_STOP:
                 self._hit_entries(fault)
             case what.ANSWERS_LOST:
@@ -46,6 +52,24 @@
                 world.endpoints[agent].draining = True
                 world.heartbeat(agent)
 
+    def _flap(self, fault: _patterns.Fault) -> None:
+        world = self._world
+        for number, agent in enumerate(world.agents[: fault.count]):
+            apart_s = number * _FLAP_S / fault.count
+            for turn in range(int(fault.for_s / (2.0 * _FLAP_S))):
+                crash = functools.partial(world.crash_endpoint, agent, _FLAP_S)
+                world.at(apart_s + turn * 2.0 * _FLAP_S, crash)
+
+    def _fail(self, fault: _patterns.Fault) -> None:
+        world = self._world
+        names = {
+            world.endpoints[agent].name
+            for agent in world.agents[: fault.count]
+        }
+        world.failing |= names
+        heal = functools.partial(world.failing.difference_update, names)
+        world.at(fault.for_s, heal)
+
     def _hit_entries(self, fault: _patterns.Fault) -> None:
         world = self._world
         for number, entry in enumerate(world.entries[: fault.count]):
--- a/src/ferryledge/loads/_patterns.py
+++ b/src/ferryledge/loads/_patterns.py
@@ -56,6 +56,10 @@
     ENDPOINTS_DOWN = "endpoints_down"
     #: Endpoints say that they leave, and stay away.
     ENDPOINTS_LEAVE = "endpoints_leave"
+    #: Endpoints are down by turns, as long as they are up between.
+    ENDPOINTS_FLAP = "endpoints_flap"
+    #: Endpoints fail all that they start, though they say that they are well.
+    ENDPOINTS_FAIL = "endpoints_fail"
     #: Entries are lost, and start again.
     ENTRIES_DOWN = "entries_down"
     #: Entries are stopped as planned, one after another.
--- a/src/ferryledge/loads/_world.py
+++ b/src/ferryledge/loads/_world.py
@@ -32,6 +32,8 @@
 DRAIN_S = 0.5
 JOB_CLASS = leases.JobClass("quick", "desk", 0, 2, 1.6, 0.06)
 ROOM = wire.Resources(8000, 8000, 0)
+#: Work of a run that hangs, in seconds: it makes no step of progress.
+HUNG_S = 1e6
 #: Endpoints that may crash under a task before it starts no more.
 MOST_CRASHES = 5
 #: Seconds from a task's start until it takes its endpoint down, and until
@@ -156,6 +158,8 @@
         self.violations: list[str] = []
         self.work_s: dict[str, float] = {}
         self.failing: set[str] = set()
+        #: Share of the runs that hang at an endpoint while others go on.
+        self.hanging: dict[str, float] = {}
         #: Endpoints that fail for the callers of one zone only, with that.
         self.failing_for: dict[str, str] = {}
         #: The zone of the entry that each job was sent to last.
@@ -228,6 +232,9 @@
             and self.failing_for.get(endpoint) != zone
             and key.job not in self.failing_jobs
         )
+        share = self.hanging.get(endpoint, 0.0)
+        if share and self.rng.random() < share:
+            return HUNG_S, ok
         return self.work_s[key.job], ok
 
     def _watch(self, what: str, key: leases.RunKey, endpoint: str) -> None:
