--- a/src/ferryledge/health/_judge.py
+++ b/src/ferryledge/health/_judge.py
@@ -15,9 +15,9 @@
     """When an endpoint is ejected, and for how long."""
 
     #: Weight of the newest end in the failure rate, from 0 to 1.
-    decay: float = 0.2
+    decay: float = _rate.DECAY
     #: Failure rate at which an endpoint is ejected.
-    eject_at: float = 0.45
+    eject_at: float = _rate.EJECT_AT
     #: Largest share of the endpoints that are ejected at once.
     max_ejected: float = 0.34
     #: First ejection in seconds; doubles each time.
@@ -95,6 +95,11 @@
         row = self._rows.get(endpoint)
         return row.state if row else Healthy()
 
+    def failure_rate(self, endpoint: str) -> float:
+        """Return how often an endpoint failed here lately, from 0 to 1."""
+        row = self._rows.get(endpoint)
+        return row.seen.rate if row else 0.0
+
     @property
     def held(self) -> bool:
         """Whether some endpoint is ejected or on trial."""
--- a/src/ferryledge/health/_rate.py
+++ b/src/ferryledge/health/_rate.py
@@ -1,10 +1,14 @@
 """How often tasks fail, by the last ends that were seen."""
 
-import dataclasses
+import msgspec
 
+#: Weight of the newest end, from 0 to 1.
+DECAY = 0.2
+#: Failure rate from which a place is taken for failing.
+EJECT_AT = 0.45
 
-@dataclasses.dataclass(slots=True)
-class FailureRate:
+
+class FailureRate(msgspec.Struct):
     """A decaying average of ends, to which one job adds one failure."""
 
     #: Share of failures from 0 to 1; the newest ends weigh most.
--- a/src/ferryledge/hosted/tests/test_starts.py
+++ b/src/ferryledge/hosted/tests/test_starts.py
@@ -23,7 +23,7 @@
     "ferryledge.core",
 )
 _NO_AGENT = (
-    "ferryledge.health",
+    "ferryledge.health._judge",
     "ferryledge.leases._entry",
     "ferryledge.leases._jobs",
     "ferryledge.limits",
--- a/src/ferryledge/leases/_evidence.py
+++ b/src/ferryledge/leases/_evidence.py
@@ -10,18 +10,17 @@
 """
 
 from collections import abc
-import dataclasses
 import math
 
+import msgspec
+
 from ferryledge import health
 from ferryledge import wire
 
-#: Weight of the newest end, as an entry's own judge has it.
-_DECAY = health.HealthOptions().decay
 #: Failure rate from which a zone is told of it, and below which it is told
 #: no more: in between the last word stands, so that it doesn't waver.
-_TELL_FROM = health.HealthOptions().eject_at
-_TELL_UNTIL = 0.2
+_TELL_FROM = 0.3
+_TELL_UNTIL = 0.15
 #: Seconds without an end after which a zone's evidence is no longer true.
 _EXPIRES_S = 10.0
 #: Seconds between two counts that are told: a beat of the streams.
@@ -41,9 +40,8 @@
 _NEVER = float("inf")
 
 
-@dataclasses.dataclass(slots=True)
-class _ZoneRow:
-    seen: health.FailureRate = dataclasses.field(
+class _ZoneRow(msgspec.Struct):
+    seen: health.FailureRate = msgspec.field(
         default_factory=health.FailureRate
     )
     ended_at: float = 0.0
@@ -69,7 +67,7 @@
         :param ok: whether the endpoint did what it was asked
         """
         row = self._zones.setdefault(zone, _ZoneRow())
-        row.seen.add(job, 1.0, ok, _DECAY)
+        row.seen.add(job, 1.0, ok, health.DECAY)
         row.ended_at = now
         if row.seen.rate >= _TELL_FROM:
             row.is_told = True
