--- a/src/ferryledge/hosted/_config.py
+++ b/src/ferryledge/hosted/_config.py
@@ -58,7 +58,8 @@
     is read, the list of cordons is looked at beside it.
 
     :param store: the platform's store
-    :param read: takes the newest configuration's bytes
+    :param read: takes the newest configuration's bytes; raises a
+        :exc:`platform.ConfigError` if they are none, which changes nothing
     :param cordoned: takes the cordoned zones, numbered by the log's end
     :param pace: how fast and how often configurations are read
     :param bringer: reads them for this process while it is there
@@ -121,7 +122,7 @@
                 except platform.RecordsGoneError:
                     continue
                 except platform.StoreError as exc:
-                    self._busy = anyio.Event()
+                    self._rest()
                     self._note(False, str(exc))
                     await anyio.sleep(_RETRY_S)
 
@@ -129,17 +130,24 @@
         while True:
             behind = await self._catch_up()
             self._note(True)
+            if not behind:
+                self._rest()
             if not behind and self._bringer.present:
-                await anyio.sleep(_WAIT_S)
+                await anyio.sleep(self._pace.look_every_s())
                 continue
             if not behind:
-                self._busy = anyio.Event()
                 while await self._is_quiet():
                     self._note(True)
             # The link is left to what runs until the next one is due.
             due_at = self._began_at + self._pace.next_after_s(self._size)
             await anyio.sleep_until(due_at)
 
+    def _rest(self) -> None:
+        """Note that no configuration holds up the log."""
+        # Whoever waits for it to be set waits for this very event.
+        if self._busy.is_set():
+            self._busy = anyio.Event()
+
     async def _is_quiet(self) -> bool:
         """Wait for a change, and read it if it is the only one.
 
@@ -175,8 +183,8 @@
 
     async def _wait_for(self, end: int) -> None:
         """Wait until a configuration is brought, as long as time allows."""
-        wait_s = self._pace.bring_s() - _WAIT_S
-        with anyio.move_on_after(max(0.0, wait_s)):
+        wait_s = self._pace.bring_s() - self._pace.look_every_s()
+        with anyio.move_on_after(wait_s):
             while self._log.next_offset < end:
                 await self._brought.wait()
             return
@@ -223,21 +231,28 @@
             _ONE_RECORD_KB,
             self._begin,
         )
-        if _operator_log.newest_config(page.records) is None:
-            return False
-        self._take(page)
-        return True
+        return self._take(page)
+
+    def _take(self, page: platform.KeyedPage) -> bool:
+        """Hand on what records tell.
 
-    def _take(self, page: platform.KeyedPage) -> None:
+        :return: whether they hold a configuration that can be read
+        """
         if self._log.read(page):
             self._cordoned(self._log.cordons)
-        self._hand_on(page)
+        return self._hand_on(page)
 
-    def _hand_on(self, page: platform.KeyedPage) -> None:
+    def _hand_on(self, page: platform.KeyedPage) -> bool:
         data = _operator_log.newest_config(page.records)
-        if data is not None:
-            self._meter.read(len(data), anyio.current_time() - self._began_at)
+        if data is None:
+            return False
+        self._meter.read(len(data), anyio.current_time() - self._began_at)
+        try:
             self._read(data)
+        except platform.ConfigError as exc:
+            loguru.logger.error("{}", exc, step="config")
+            return False
+        return True
 
     def _begin(self, size: int) -> float:
         """Return how fast an answer is read that begins now."""
--- a/src/ferryledge/hosted/_config_pace.py
+++ b/src/ferryledge/hosted/_config_pace.py
@@ -25,6 +25,10 @@
 #: Seconds that what is on its way to this process may take of the link: far
 #: less than a grant lasts.
 _WINDOW_S = 0.04
+#: Most seconds between looks at the log's end.
+_LOOK_S = 1.0
+#: Share of the time that another process has for it; the rest it may use.
+_LOOK_SHARE = 0.6
 #: Bytes of a large configuration: one of 1,500 routes.
 _LARGE_BYTES = 256 * 1024
 #: Smallest window in bytes: a few packets.
@@ -63,6 +67,10 @@
         """
         return self._start_by_s(_LARGE_BYTES)
 
+    def look_every_s(self) -> float:
+        """Return how often to look whether something is to be brought."""
+        return min(_LOOK_S, _LOOK_SHARE * self.bring_s())
+
     def _start_by_s(self, size: int) -> float:
         return max(0.0, _PLANNED_SHARE * self.bound_s - self.read_s(size))
 
--- a/src/ferryledge/hosted/_config_reader.py
+++ b/src/ferryledge/hosted/_config_reader.py
@@ -94,11 +94,7 @@
                 await self._follower.run()
 
     def _read(self, data: bytes) -> None:
-        try:
-            version = platform.config_version(data)
-        except platform.ConfigError as exc:
-            loguru.logger.error("{}", exc, step="config")
-            return
+        version = platform.config_version(data)
         log_end = self._follower.log_end
         if self._exchange.learn(version, data, log_end):
             for peer in self._entries:
--- a/src/ferryledge/hosted/_entry_config.py
+++ b/src/ferryledge/hosted/_entry_config.py
@@ -95,28 +95,20 @@
         self._follower.bring(action.log_end, len(action.data))
         config = self._parsed
         if config is None or config.version != action.version:
-            # Another process sent it.
-            config = self._parse(action.data)
-        if config is None:
-            return
+            # Another process sent it, which has read it.
+            try:
+                config = platform.parse_config(action.data)
+            except platform.ConfigError as exc:
+                loguru.logger.error("{}", exc, step="config")
+                return
         self._current = config
         self._arrived.set()
         loguru.logger.info(
             "configuration {} in force", action.version, step="config"
         )
 
-    def _parse(self, data: bytes) -> platform.Configuration | None:
-        try:
-            return platform.parse_config(data)
-        except platform.ConfigError as exc:
-            loguru.logger.error("{}", exc, step="config")
-            return None
-
     def _read(self, data: bytes) -> None:
-        config = self._parse(data)
-        if config is None:
-            return
-        self._parsed = config
+        config = self._parsed = platform.parse_config(data)
         log_end = self._follower.log_end
         self._post(leases.ConfigRead(config.version, data, log_end))
 
--- a/src/ferryledge/hosted/tests/test_config_storm.py
+++ b/src/ferryledge/hosted/tests/test_config_storm.py
@@ -5,12 +5,15 @@
 several of them ran out of time and was read anew from its start.
 """
 
+import typing
+
 import anyio
 
 from ferryledge.hosted import _config
 from ferryledge.hosted import _config_pace
 from ferryledge.hosted.tests import slow_store
 from ferryledge.net.tests import paused_clock
+from ferryledge import platform
 from ferryledge import wire
 
 _LINK = 250_000.0
@@ -97,6 +100,67 @@
     assert list(heard.zones) == [(), ("hall-a",)]
 
 
+def test_what_cannot_be_read_changes_nothing() -> None:
+    """The one before it counts, also if both came during a read."""
+    in_force: list[bytes] = []
+
+    def read(data: bytes) -> None:
+        if data.startswith(b"?"):
+            raise platform.ConfigError("unreadable")
+        in_force.append(data)
+
+    async def main() -> None:
+        store = slow_store.Store(_LINK)
+        store.put("config", b"0" + _BODY)
+        follower = _config.OperatorFollower(
+            typing.cast(platform.StoreClient, store),
+            read,
+            lambda state: None,
+            _config_pace.ConfigPace(_BOUND_S, _LINK),
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(follower.run)
+            await anyio.sleep(0.1)
+            store.put("config", b"1")
+            store.put("config", b"?")
+            await anyio.sleep(_BOUND_S)
+            group.cancel_scope.cancel()
+
+    paused_clock.run(main)
+    assert in_force[-1] == b"1"
+
+
+def test_cordons_in_a_row_do_not_wait() -> None:
+    """Each during the read of another configuration."""
+    heard = _Heard()
+    written: dict[str, float] = {}
+
+    async def main() -> None:
+        store = slow_store.Store(_LINK)
+        follower = _config.OperatorFollower(
+            typing.cast(platform.StoreClient, store),
+            lambda data: None,
+            heard.cordoned,
+            _config_pace.ConfigPace(_BOUND_S, _LINK),
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(follower.run)
+            for number in range(4):
+                await anyio.sleep(5.0)
+                store.put("config", _BODY)
+                await anyio.sleep(0.1)
+                zone = f"hall-{number}"
+                written[zone] = anyio.current_time()
+                store.put(f"evacuate/{zone}", b"{}")
+            await anyio.sleep(5.0)
+            group.cancel_scope.cancel()
+
+    paused_clock.run(main)
+    for zone, at in written.items():
+        heard_at = min(t for zones, t in heard.zones.items() if zone in zones)
+        assert heard_at - at < 0.6
+
+
 def test_lost_answer_is_made_up_for() -> None:
     _, heard, written, _ = _storm(lost=1)
     assert max(heard.versions) == max(written)
