Open new streams beside slow ones less often

Cause: where a link was full, agents took live streams for silent each 0.3 s and opened new ones over it, which were given up when the old one answered. Change: each such false alarm doubles the time between tries, up to fourfold; an answer in time halves it. A stream that goes silent is tried as soon as before.

--- a/src/ferryledge/leases/_owners.py
+++ b/src/ferryledge/leases/_owners.py
@@ -71,6 +71,8 @@
     reopening: bool = False
     #: When that may be tried again.
     reopen_at: float = float("-inf")
+    #: How often lately the silent one answered before the new one was open.
+    false_alarms: int = 0
     #: Ends that it has not confirmed, each with the last ask before it.
     unconfirmed: list[tuple[int, wire.RunsEnded]] = dataclasses.field(
         default_factory=list
@@ -189,6 +191,7 @@
         owner.told = None
         owner.expects = None
         owner.next_ask_at = 0.0
+        owner.false_alarms = 0
         self._owe_nothing(owner)
         self._sort()
         self.plan_asks()
--- a/src/ferryledge/leases/_stream_watch.py
+++ b/src/ferryledge/leases/_stream_watch.py
@@ -3,7 +3,9 @@
 A new stream is opened beside a silent one and replaces it once both sides
 have greeted each other. If the old one answers first it was only slow, and
 the new one is given up: behind a full link or in a busy process the answer
-that is under way comes before a handshake of several round trips ends.
+that is under way comes before a handshake of several round trips ends. Where
+that happens again and again, new streams cost the link what made it slow, and
+are tried less often.
 """
 
 from collections import abc
@@ -14,6 +16,9 @@
 
 #: Seconds between tries to open a new stream beside the same silent one.
 _RETRY_S = 0.3
+#: False alarms by each of which the time between tries doubles, at the most.
+#: Tries then take place once in the silence after which a stream is given up.
+_MOST_ALARMS = 2
 #: A look that comes so many seconds late shows that this process was paused
 #: or busy itself, and may have answers to read.
 _LATE_LOOK_S = 0.03
@@ -47,11 +52,15 @@
 
     def answered(self, now: float, owner: _owners.Owner, number: int) -> None:
         """Take in that an entry has seen the ask with that number."""
+        late = now >= owner.silent_at
         if not self._owners.note_answer(now, owner, number):
             return
         if owner.reopening:
             owner.reopening = False
+            owner.false_alarms = min(_MOST_ALARMS, owner.false_alarms + 1)
             self._act(_agent_events.KeepStream(owner.name))
+        elif not late:
+            owner.false_alarms = max(0, owner.false_alarms - 1)
 
     def look(self, now: float) -> list[_owners.Owner]:
         """Open new streams beside silent ones.
@@ -87,7 +96,7 @@
         if not owner.reopening:
             self._notes.suspected(now, owner)
         owner.reopening = True
-        owner.reopen_at = now + _RETRY_S
+        owner.reopen_at = now + _RETRY_S * 2**owner.false_alarms
         self._act(_agent_events.ReopenStream(owner.name))
 
 
