--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -181,6 +181,11 @@
             "Thousandths of a core that runs take",
             lambda: core.runs.held.cpu_millis,
         )
+        gauge(
+            "config_entries",
+            "Entries that configurations are read for",
+            lambda: self._reader.entries,
+        )
         gauge(
             "slowness_ratio",
             "How many times as long runs take as they should",
--- a/src/ferryledge/hosted/_config_reader.py
+++ b/src/ferryledge/hosted/_config_reader.py
@@ -53,6 +53,11 @@
             self._store, self._read, self._cordoned, self._pace
         )
 
+    @property
+    def entries(self) -> int:
+        """How many entries it reads for."""
+        return len(self._entries)
+
     def take(self, event: wire.StreamEvent) -> bool:
         """Take in what concerns configurations.
 
