--- a/src/ferryledge/hosted/_config_reader.py
+++ b/src/ferryledge/hosted/_config_reader.py
@@ -53,6 +53,11 @@
             self._store, self._read, self._cordoned, self._pace
         )
 
+    @property
+    def entries(self) -> int:
+        """How many entries it reads for."""
+        return len(self._entries)
+
     def take(self, event: wire.StreamEvent) -> bool:
         """Take in what concerns configurations.
 
@@ -94,11 +99,7 @@
                 await self._follower.run()
 
     def _read(self, data: bytes) -> None:
-        try:
-            version = platform.config_version(data)
-        except platform.ConfigError as exc:
-            loguru.logger.error("{}", exc, step="config")
-            return
+        version = platform.config_version(data)
         log_end = self._follower.log_end
         if self._exchange.learn(version, data, log_end):
             for peer in self._entries:
