Tell refused callers when there is room, and keep their place

Cause: a refused client was told a delay of 0.5 to 1 s by chance, whatever was known of the room to come. So all come back into the same full pool.

Change: Returns promises room one caller after another, from the forecast; no state goes to the client, the job's name is the ticket at the entry that refused it. One that comes at its time goes a step ahead and is not put back for others; an early one gains nothing. Forecasts know of endpoints that go and of agents that are likely to come back. A job that is put back has a line in the log with what was forecast, and a counter.

Tried and left out: shares. A queue that sends half more than it usually does, and than an equal part of the room, was put back first, and its own arrivals counted up to its share only. A full pool frees the room for a wide quick job more slowly than that can wait, whoever goes first.

--- a/src/ferryledge/hosted/_metrics.py
+++ b/src/ferryledge/hosted/_metrics.py
@@ -107,6 +107,9 @@
         self._first = registry.histogram(
             "first_order_seconds", "From a job's arrival to its first order"
         )
+        self._put_back = registry.counter(
+            "put_back_jobs", "Jobs put behind all that can be in time"
+        )
         self._orders = registry.counter("ordered_runs", "Runs ordered")
         self._released = registry.counter(
             "released_runs", "Runs that agents did not start", ("reason",)
@@ -131,6 +134,10 @@
         """Count a job's first order."""
         self._first.observe(waited_s)
 
+    def put_back(self) -> None:
+        """Count a job that waits behind those in time."""
+        self._put_back.add()
+
     def ordered(self, count: int) -> None:
         """Count ordered runs."""
         self._orders.add(count)
--- a/src/ferryledge/leases/_admission.py
+++ b/src/ferryledge/leases/_admission.py
@@ -1,12 +1,14 @@
 """Refuses jobs that would only wait, while the refusal is still cheap."""
 
+from collections import abc
+import math
 import random
 
-from ferryledge.leases import _forecast
 from ferryledge.leases import _jobs
 from ferryledge.leases import _own_link
 from ferryledge.leases import _placing
 from ferryledge.leases import _pool
+from ferryledge.leases import _returns
 from ferryledge.leases import _rules
 from ferryledge.leases import _share
 from ferryledge.leases import _timing
@@ -48,6 +50,8 @@
         self._share = share
         self._link = link
         self._rng = rng
+        #: What refused callers were told.
+        self.returns = _returns.Returns(rng)
         self._ends_at = float("inf")
 
     def close(self, ends_at: float) -> None:
@@ -123,27 +127,35 @@
         return None
 
     def judge(
-        self, now: float, job: _jobs.Job, told: _forecast.Forecast
+        self,
+        now: float,
+        job: _jobs.Job,
+        room_in: abc.Callable[[float], float],
     ) -> outcomes.Refused | None:
-        """Return a refusal for a job whose answer would be of no use.
+        """Return a refusal for a job whose answer is forecast to be of no use.
 
         :param now: monotonic seconds
         :param job: a job that may be late and for which nothing was ordered
-        :param told: what is forecast of it
+        :param room_in: tells in how many seconds so much work has got room,
+            beside what waits already
         """
-        if self._pool.may_recover(now):
+        if self._pool.may_recover(now) and now < job.need.last_start:
             return None
         unfit = self._unfit(job)
         if unfit is not None:
             return unfit
-        if told.prospect is not _forecast.Prospect.IN_VAIN:
-            return None
-        left_s = max(0.0, job.useful_until - now)
-        return self._refuse(
-            outcomes.Reason.CAPACITY,
-            f"room is forecast in {told.room_in_s:.2f} s, and an answer is "
-            f"of use for {left_s:.2f} s",
+        told = job.forecast
+        answer_s = told.answer_in_s if told is not None else math.inf
+        detail = (
+            f"an answer is forecast in {answer_s:.2f} s, and of use for "
+            f"{max(0.0, job.useful_until - now):.2f} s"
         )
+        reason = outcomes.Reason.CAPACITY
+        if not self._rules.returns_in_order:
+            return self._refuse(reason, detail)
+        delay_s = self.returns.promise(now, job.name, job.work, room_in)
+        origin = outcomes.Origin(outcomes.Step.ADMIT, self._name)
+        return outcomes.Refused(reason, origin, delay_s, detail)
 
     def _wait_s(self, now: float, job: _jobs.Job, ahead: float) -> float:
         """Return how long it takes until the last task of a job has room."""
--- a/src/ferryledge/leases/_arrivals.py
+++ b/src/ferryledge/leases/_arrivals.py
@@ -53,15 +53,32 @@
     slack_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueFlow:
+    """The work that comes to one queue."""
+
+    queue: str
+    #: Cores that it would keep at work, lately and usually.
+    lately: float
+    usually: float
+    #: Seconds that its jobs may wait, on average.
+    slack_s: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Inflow:
     """The work that comes to one service, at one moment."""
 
-    #: Cores that it would keep at work, lately and usually.
-    lately: float = 0.0
-    usually: float = 0.0
-    #: For each queue: the cores, and the seconds that its jobs may wait.
-    queues: tuple[tuple[float, float], ...] = ()
+    queues: tuple[QueueFlow, ...] = ()
+    #: Cores that all of it would keep at work, lately and usually.
+    lately: float = dataclasses.field(init=False)
+    usually: float = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        lately = sum(one.lately for one in self.queues)
+        usually = sum(one.usually for one in self.queues)
+        object.__setattr__(self, "lately", lately)
+        object.__setattr__(self, "usually", usually)
 
     def cores(self, in_s: float) -> float:
         """Return the cores that what comes then would keep at work.
@@ -79,8 +96,7 @@
         :param wait_s: seconds until that job's latest start
         """
         return sum(
-            cores * max(0.0, wait_s - slack_s)
-            for cores, slack_s in self.queues
+            one.lately * max(0.0, wait_s - one.slack_s) for one in self.queues
         )
 
 
@@ -126,11 +142,15 @@
 
     def inflow(self, now: float, service: str) -> Inflow:
         """Return what comes to a service."""
-        queues = [q for q in self._queues.values() if q.service == service]
-        lately = [q.lately.value(now) * q.work for q in queues]
-        slacks = [q.slack_s for q in queues]
         return Inflow(
-            sum(lately),
-            sum(q.usually.value(now) * q.work for q in queues),
-            tuple(zip(lately, slacks, strict=True)),
+            tuple(
+                QueueFlow(
+                    name,
+                    queue.lately.value(now) * queue.work,
+                    queue.usually.value(now) * queue.work,
+                    queue.slack_s,
+                )
+                for name, queue in self._queues.items()
+                if queue.service == service
+            )
         )
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -110,6 +110,7 @@
             self._link,
             rng,
             turns,
+            self._notes,
         )
         self._actions: list[_entry_events.EntryAction] = []
         #: Agents whose last ask is to be answered.
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -1,6 +1,7 @@
 """An entry's notes: what each says and which inputs it carries."""
 
 from ferryledge import health
+from ferryledge.leases import _forecast
 from ferryledge.leases import _jobs
 from ferryledge.leases import _meters
 from ferryledge.leases import _notes
@@ -143,6 +144,25 @@
             **facts,
         )
 
+    def put_back(
+        self, now: float, job: _jobs.Job, told: _forecast.Forecast
+    ) -> None:
+        """A job waits behind all that can be in time, for the first time."""
+        if job.was_put_back:
+            return
+        job.was_put_back = True
+        self._meter.put_back()
+        self.add(
+            outcomes.Step.ADMIT,
+            "put back: late, and of use",
+            job.name,
+            queue=job.request.job_class.name,
+            waited_s=round(now - job.arrived_at, 3),
+            room_in_s=round(told.room_in_s, 3),
+            answer_in_s=round(told.answer_in_s, 3),
+            useful_s=round(job.useful_until - now, 3),
+        )
+
     def client_left(self, now: float, job: _jobs.Job) -> None:
         """Nobody waits for a job any more."""
         self.add(
@@ -174,6 +194,7 @@
             waited_s=round(now - job.arrived_at, 3),
             free_cpu_millis=row.free.cpu_millis,
             slowness=round(slowness, 2),
+            prospect=str(job.forecast.prospect.value) if job.forecast else "",
             state_age_s=round(now - row.heard_at, 3),
         )
 
--- a/src/ferryledge/leases/_forecast.py
+++ b/src/ferryledge/leases/_forecast.py
@@ -104,20 +104,26 @@
     ) -> None:
         self._now = now
         self._room = room
-        self._inflow = inflow
+        #: The work that comes.
+        self.inflow = inflow
         steps = [number * _STEP_S for number in range(_STEPS)]
         self._whole = _sums([room.cores_in(one) for one in steps])
         self._left = _sums(
             [max(0.0, room.cores_in(one) - inflow.cores(one)) for one in steps]
         )
 
+    @property
+    def cores(self) -> float:
+        """The cores that its jobs can count on now."""
+        return self._room.cores_in(0.0)
+
     def in_time(self, need: Need, ahead: float) -> Forecast:
         """Return the forecast of a job in the turn of those in time.
 
         :param need: what it needs
         :param ahead: core-seconds that wait and get room before it
         """
-        coming = self._inflow.ahead(need.start_by - self._now)
+        coming = self.inflow.ahead(need.start_by - self._now)
         room_in_s = self._room_in(self._whole, need, ahead + coming)
         if self._now + room_in_s <= need.start_by:
             return self._tell(need, room_in_s, Prospect.IN_TIME)
@@ -134,9 +140,13 @@
             return self._tell(need, room_in_s, Prospect.LATE)
         return self._tell(need, room_in_s, Prospect.IN_VAIN)
 
-    def room_in(self, work: float) -> float:
-        """Return in how many seconds so much late work has got room."""
-        return _reached(self._left, work)
+    def room_in(self, ahead: float, work: float) -> float:
+        """Return in how many seconds so much more work has got room.
+
+        :param ahead: core-seconds that wait
+        :param work: core-seconds that come behind them
+        """
+        return _reached(self._left, ahead + work)
 
     def _room_in(self, sums: list[float], need: Need, ahead: float) -> float:
         """Return how long it takes until the last task has room.
--- a/src/ferryledge/leases/_jobs.py
+++ b/src/ferryledge/leases/_jobs.py
@@ -120,6 +120,10 @@
     #: What was forecast of it last, while nothing was ordered for it; none
     #: if it was not looked at, or is refused where it would be late.
     forecast: _forecast.Forecast | None = None
+    #: Whether it was ever put behind all that can be in time.
+    was_put_back: bool = False
+    #: Whether its client was refused and comes back at the time it was told.
+    keeps_place: bool = False
     #: Whether it was answered, or nobody waits for it any more.
     closed: bool = False
     #: Its spec, packed; empty until that is needed.
--- a/src/ferryledge/leases/_meters.py
+++ b/src/ferryledge/leases/_meters.py
@@ -20,6 +20,9 @@
     def first_order(self, waited_s: float) -> None:
         """A job's first runs were ordered, after that many seconds."""
 
+    def put_back(self) -> None:
+        """A job was put behind all that can be in time."""
+
     def ordered(self, count: int) -> None:
         """Runs were ordered."""
 
--- a/src/ferryledge/leases/_pool.py
+++ b/src/ferryledge/leases/_pool.py
@@ -294,3 +294,28 @@
             max(0, row.free.cpu_millis) / 1000.0
             for row in self._usable(now, service)
         )
+
+    def leaving_cores(
+        self, now: float, service: str
+    ) -> abc.Iterator[tuple[float, float]]:
+        """Yield when usable endpoints go, in seconds, and with what cores."""
+        for row in self._usable(now, service):
+            if row.state.remaining_s:
+                left_s = row.state.remaining_s - (now - row.heard_at)
+                yield max(0.0, left_s), row.state.capacity.cpu_millis / 1000.0
+
+    def returning_cores(
+        self, now: float, service: str
+    ) -> abc.Iterator[tuple[float, float]]:
+        """Yield when lost agents are likely back, in seconds, with what cores.
+
+        Those that were killed are back within the time for which jobs are
+        kept where no agent is left.
+        """
+        for row in self._rows.values():
+            gone_s = now - row.heard_at
+            is_lost = not row.connected and not row.leaving
+            if service != row.state.service or row.cordoned or not is_lost:
+                continue
+            if row.state.accepting and gone_s < _HOPE_S:
+                yield _HOPE_S - gone_s, row.state.capacity.cpu_millis / 1000.0
--- a/src/ferryledge/leases/_review.py
+++ b/src/ferryledge/leases/_review.py
@@ -14,8 +14,11 @@
 
 from ferryledge.leases import _forecast
 
-#: Jobs that are looked at for one that is put back: the largest ones.
+_IN_TIME = _forecast.Prospect.IN_TIME
+#: Jobs that are looked at for one that is put back.
 _MOST_LOOKS = 4
+#: Most jobs that are put back for one.
+_MOST_PUT_BACK = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,6 +27,8 @@
 
     number: int
     need: _forecast.Need
+    #: Whether it is not put back for others.
+    keeps_place: bool = False
 
 
 def review(
@@ -45,14 +50,9 @@
     late: list[Waiting] = []
     queue = _InTime(now, forecaster, ahead)
     for job in jobs:
-        told = forecaster.in_time(job.need, queue.work)
-        forecasts[job.number] = told
         queue.add(job)
-        if told.prospect is not _forecast.Prospect.IN_TIME:
-            put_back = queue.put_back(job, largest_late)
-            late.append(put_back)
-            ahead = queue.work - job.need.work
-            forecasts[job.number] = forecaster.in_time(job.need, ahead)
+        late += queue.make_room(job, largest_late)
+        forecasts[job.number] = queue.forecast(job)
     late.sort(key=lambda job: job.need.last_start)
     work = queue.work
     for job in late:
@@ -83,23 +83,41 @@
     def add(self, job: Waiting) -> None:
         """Take in a job."""
         self.work += job.need.work
-        heapq.heappush(self._largest, (-job.need.work, job.number, job))
+        if not job.keeps_place:
+            heapq.heappush(self._largest, _entry(job))
+
+    def forecast(self, job: Waiting) -> _forecast.Forecast:
+        """Return the forecast of the job that was added last."""
+        return self._forecaster.in_time(job.need, self.work - job.need.work)
 
-    def put_back(self, job: Waiting, largest_late: bool) -> Waiting:
-        """Take out the job that is late for one that would be.
+    def make_room(self, job: Waiting, largest_late: bool) -> list[Waiting]:
+        """Take out the jobs that are late so that one is in time.
 
         :param job: the one that was added last
-        :param largest_late: whether it may be another one
+        :param largest_late: whether it may be others
+        :return: itself if others would not help
         """
-        chosen = job
-        if largest_late and self._now <= job.need.start_by:
-            chosen = self._largest_that_can_wait() or job
-        self._largest.remove((-chosen.need.work, chosen.number, chosen))
-        heapq.heapify(self._largest)
-        self.work -= chosen.need.work
-        return chosen
-
-    def _largest_that_can_wait(self) -> Waiting | None:
+        put_back: list[Waiting] = []
+        may_be_others = largest_late and self._now <= job.need.start_by
+        while self.forecast(job).prospect is not _IN_TIME:
+            chosen = self._next_late() if may_be_others else None
+            is_enough = len(put_back) == _MOST_PUT_BACK
+            if chosen is None or chosen is job or is_enough:
+                for other in put_back:
+                    self.add(other)
+                self._take_out(job)
+                return [job]
+            self._take_out(chosen)
+            put_back.append(chosen)
+        return put_back
+
+    def _take_out(self, job: Waiting) -> None:
+        if not job.keeps_place:
+            self._largest.remove(_entry(job))
+            heapq.heapify(self._largest)
+        self.work -= job.need.work
+
+    def _next_late(self) -> Waiting | None:
         """Return the largest job whose answer is of use if it is late."""
         late = _forecast.Prospect.LATE
         for _, _, job in heapq.nsmallest(_MOST_LOOKS, self._largest):
@@ -107,3 +125,8 @@
             if told.prospect is late:
                 return job
         return None
+
+
+def _entry(job: Waiting) -> tuple[float, int, Waiting]:
+    """Return what sorts jobs by their work, the largest first."""
+    return (-job.need.work, job.number, job)
--- a/src/ferryledge/leases/_rules.py
+++ b/src/ferryledge/leases/_rules.py
@@ -22,6 +22,8 @@
     late_answers: bool = True
     #: Where one job would be late, the largest one is that can wait.
     largest_late: bool = True
+    #: Refused callers are told when there will be room for them.
+    returns_in_order: bool = True
     #: Agents hear how urgent the work is that waits for their room.
     urgency_reports: bool = True
     #: Runs on a slow endpoint are started again elsewhere.
--- a/src/ferryledge/leases/_scheduling.py
+++ b/src/ferryledge/leases/_scheduling.py
@@ -1,10 +1,12 @@
 """Which waiting jobs get room and when, and which are refused."""
 
 from collections import abc
+import functools
 import random
 
 from ferryledge.leases import _admission
 from ferryledge.leases import _arrivals
+from ferryledge.leases import _entry_notes
 from ferryledge.leases import _forecast
 from ferryledge.leases import _job_table
 from ferryledge.leases import _jobs
@@ -35,6 +37,7 @@
     :param link: this entry's own
     :param rng: spreads the delays that refused clients are told
     :param turns: the order of waiting jobs
+    :param notes: what is decided
     """
 
     def __init__(
@@ -47,8 +50,10 @@
         link: _own_link.OwnLink,
         rng: random.Random,
         turns: _turns.Turns,
+        notes: _entry_notes.EntryNotes,
     ) -> None:
         self._turns = turns
+        self._notes = notes
         self._jobs = jobs
         self._pool = pool
         self._runs = runs
@@ -73,6 +78,7 @@
     def note_arrival(self, now: float, job: _jobs.Job) -> None:
         """Take in that a job was admitted."""
         job_class = job.request.job_class
+        job.keeps_place = self.admission.returns.come(now, job.name)
         slack_s = job.start_by - now
         self._arrivals.note(
             now, job_class.name, job_class.service, job.work, slack_s
@@ -149,16 +155,28 @@
             job for job in patient if job.request.job_class.service == service
         ]
         jobs.sort(key=lambda job: self._turns.turn_at(job, self._share.gap_s))
+        forecaster = self._forecaster(now, service)
         forecasts = _review.review(
             now,
-            self._forecaster(now, service),
-            [_review.Waiting(n, job.need) for n, job in enumerate(jobs)],
+            forecaster,
+            [
+                _review.Waiting(number, job.need, job.keeps_place)
+                for number, job in enumerate(jobs)
+            ],
             ahead,
             self._turns.rules.largest_late,
         )
+        in_vain: list[_jobs.Job] = []
         for number, job in enumerate(jobs):
             self._take_in(now, job, forecasts[number])
-            refusal = self.admission.judge(now, job, forecasts[number])
+            if forecasts[number].prospect is _forecast.Prospect.IN_VAIN:
+                in_vain.append(job)
+            else:
+                ahead += job.work
+        for job in in_vain:
+            refusal = self.admission.judge(
+                now, job, functools.partial(forecaster.room_in, ahead)
+            )
             if refusal is not None:
                 yield job, refusal
 
@@ -171,22 +189,36 @@
         moved = was - job.is_put_back
         if moved:
             self._arrivals.move(now, job.request.job_class.name, moved)
+        if not was and told.prospect is _forecast.Prospect.LATE:
+            self._notes.put_back(now, job, told)
 
     def _forecaster(self, now: float, service: str) -> _forecast.Forecaster:
         """Return what tells the prospects of a service's jobs."""
+        inflow = self._arrivals.inflow(now, service)
+        return _forecast.Forecaster(now, self._room(now, service), inflow)
+
+    def _room(self, now: float, service: str) -> _forecast.Room:
+        """Return the room that this entry's work can count on."""
+        link_s = self._link.wait_s(now)
         pool_cores = self._pool.capacity_cores(now, service)
-        cores = 0.0
-        if pool_cores:
-            sharers = self._pool.sharers(now, service)
-            cores = self._share.cores(now, pool_cores, sharers)
-        room = _forecast.Room(
+        if not pool_cores:
+            return _forecast.Room(0.0, link_s=link_s)
+        sharers = self._pool.sharers(now, service)
+        cores = self._share.cores(now, pool_cores, sharers)
+        # What comes or goes is shared as the rest of the pool is.
+        part = cores / pool_cores
+        change = _forecast.RoomChange
+        goes = self._pool.leaving_cores(now, service)
+        comes = self._pool.returning_cores(now, service)
+        return _forecast.Room(
             cores,
             self._pool.free_cores(now, service),
-            (),
-            self._link.wait_s(now),
+            (
+                *(change(in_s, -part * gone) for in_s, gone in goes),
+                *(change(in_s, part * back) for in_s, back in comes),
+            ),
+            link_s,
         )
-        inflow = self._arrivals.inflow(now, service)
-        return _forecast.Forecaster(now, room, inflow)
 
     def _begun_work(self) -> dict[str, float]:
         """Return the core-seconds that begun jobs wait for, by service."""
--- a/src/ferryledge/leases/_turns.py
+++ b/src/ferryledge/leases/_turns.py
@@ -22,6 +22,9 @@
 #: Seconds that one step of a queue's priority counts as: what a quick job may
 #: wait. So operators' order decides between jobs that are about as pressing.
 PRIORITY_STEP_S = 0.2
+#: Seconds by which a job goes ahead whose client was refused before and comes
+#: back when it was told: what a quick job may wait.
+RETURN_LEAD_S = PRIORITY_STEP_S
 #: A late job counts as if it could wait this long, in seconds: behind all
 #: that can still meet their objective.
 _LATE_S = 30.0
@@ -57,6 +60,8 @@
             turn_at = self.begin_by(job, gap_s)
         if self.rules.priorities:
             turn_at += PRIORITY_STEP_S * job.request.job_class.priority
+        if job.keeps_place:
+            turn_at -= RETURN_LEAD_S
         if self.rules.begun_first and job.has_begun:
             turn_at -= BEGUN_LEAD_S
         return turn_at
--- a/src/ferryledge/leases/tests/test_arrivals.py
+++ b/src/ferryledge/leases/tests/test_arrivals.py
@@ -35,7 +35,12 @@
 
 
 def test_what_may_wait_longer_does_not_go_ahead() -> None:
-    inflow = _arrivals.Inflow(30.0, 30.0, ((10.0, 0.1), (20.0, 0.6)))
+    inflow = _arrivals.Inflow(
+        (
+            _arrivals.QueueFlow("quick", 10.0, 10.0, 0.1),
+            _arrivals.QueueFlow("long", 20.0, 20.0, 0.6),
+        )
+    )
     assert inflow.ahead(0.05) == 0.0
     assert inflow.ahead(0.5) == pytest.approx(4.0)
 
--- a/src/ferryledge/leases/tests/test_forecast.py
+++ b/src/ferryledge/leases/tests/test_forecast.py
@@ -21,7 +21,9 @@
     link_s: float = 0.0,
 ) -> _forecast.Forecaster:
     room = _forecast.Room(cores, free, changes, link_s)
-    inflow = _arrivals.Inflow(comes, comes, ((comes, 0.3),))
+    inflow = _arrivals.Inflow(
+        (_arrivals.QueueFlow("quick", comes, comes, 0.3),)
+    )
     return _forecast.Forecaster(_NOW, room, inflow)
 
 
--- a/src/ferryledge/loads/_patterns.py
+++ b/src/ferryledge/loads/_patterns.py
@@ -35,6 +35,8 @@
     deadline_s: tuple[Positive, Positive] = (2.0, 7.0)
     #: An answer is of use for this many times the objective.
     late_factor: Positive = 1.0
+    #: Times that a refused client comes back when it was told.
+    returns: typing.Annotated[int, annotated_types.Ge(0)] = 0
     #: What an answer in time is worth, for each core-second of a mean job.
     worth: Share = 1.0
 
--- a/src/ferryledge/loads/_play.py
+++ b/src/ferryledge/loads/_play.py
@@ -58,6 +58,11 @@
         self._entry_of: dict[str, tuple[str, int]] = {}
         self._faults = _faults.FaultInjector(self._world)
         self._looks: list[float] = []
+        #: Jobs of tries whose clients come back if they are refused.
+        self._returning: dict[int, _jobs.Job] = {}
+        #: Tries that were refused and are followed by another.
+        self._refused: set[int] = set()
+        self._world.on_answer = self._come_back
         self._began_at = 0.0
 
     def play(self) -> _outcomes.Results:
@@ -115,9 +120,24 @@
             estimate_s=job.guess_s,
             job_class=job_class,
         )
-        self._tries.setdefault(job.name, []).append(token)
+        tries = self._tries.setdefault(job.name, [])
+        tries.append(token)
+        if len(tries) <= job.kind.returns:
+            self._returning[token] = job
         self._entry_of[job.name] = (name, world.nodes[name].life)
 
+    def _come_back(self, token: int, outcome: outcomes.JobOutcome) -> None:
+        """Send a refused job again when its client was told to."""
+        job = self._returning.pop(token, None)
+        if job is None or not isinstance(outcome, outcomes.Refused):
+            return
+        delay_s = max(1.0, round(outcome.retry_after_s))
+        back_at = self._world.now - self._began_at + delay_s
+        if back_at + job.objective_s < job.at + job.deadline_s:
+            self._refused.add(token)
+            again = functools.partial(self._send, job)
+            self._world.at(delay_s, again)
+
     def _repeat(self, job: _jobs.Job) -> None:
         """Send a job again whose entry is gone without an answer."""
         world = self._world
@@ -141,7 +161,8 @@
     def _answer_to(self, job: _jobs.Job) -> int | None:
         """Return the token of the try that was answered."""
         for token in self._tries.get(job.name, ()):
-            if self._world.outcome(token) is not None:
+            is_over = token not in self._refused
+            if is_over and self._world.outcome(token) is not None:
                 return token
         return None
 
--- a/src/ferryledge/loads/_world.py
+++ b/src/ferryledge/loads/_world.py
@@ -135,6 +135,10 @@
         #: Share of orders that are carried out without an answer, late.
         self.late_orders = 0.0
         self.answers: dict[int, list[outcomes.JobOutcome]] = {}
+        #: Is told each answer to a client.
+        self.on_answer: abc.Callable[[int, outcomes.JobOutcome], None] = (
+            _pass_over
+        )
         #: When each job's client was answered first.
         self.answered_at: dict[int, float] = {}
         self.jobs: dict[int, leases.LeasedJob] = {}
@@ -416,6 +420,7 @@
         self.answered_at.setdefault(token, self.now)
         if len(self.answers[token]) > 1:
             self.violations.append(f"token {token} answered again")
+        self.on_answer(token, outcome)
 
     # Streams.
 
@@ -808,3 +813,7 @@
             self.heartbeat(agent)
 
         self.at(down_s, restart)
+
+
+def _pass_over(_token: int, _outcome: outcomes.JobOutcome) -> None:
+    """Do nothing with an answer."""
