--- a/src/ferryledge/leases/_forecast.py
+++ b/src/ferryledge/leases/_forecast.py
@@ -136,7 +136,10 @@
         :param ahead: core-seconds that wait and get room before it
         """
         room_in_s = self._room_in(self._left, need, ahead)
-        if self._now + room_in_s <= need.last_start:
+        # What fits into free room is not given up: it may get that in spite
+        # of what is ahead, which may wait for other endpoints.
+        wait_s = 0.0 if self._fits(need) else room_in_s
+        if self._now + wait_s <= need.last_start:
             return self._tell(need, room_in_s, Prospect.LATE)
         return self._tell(need, room_in_s, Prospect.IN_VAIN)
 
@@ -148,6 +151,10 @@
         """
         return _reached(self._left, ahead + work)
 
+    def _fits(self, need: Need) -> bool:
+        """Return whether all its waiting tasks have room now."""
+        return need.work <= self._room.free * need.run_s
+
     def _room_in(self, sums: list[float], need: Need, ahead: float) -> float:
         """Return how long it takes until the last task has room.
 
--- a/src/ferryledge/leases/tests/test_forecast.py
+++ b/src/ferryledge/leases/tests/test_forecast.py
@@ -73,6 +73,13 @@
     assert forecaster.in_time(_need(), 1.0).prospect is _IN_TIME
 
 
+def test_job_that_fits_into_free_room_is_not_in_vain() -> None:
+    """After a loss of power long jobs were refused with endpoints free."""
+    forecaster = _forecaster(cores=1.0, free=5.0, comes=8.0)
+    assert forecaster.late(_need(), 50.0).prospect is _LATE
+    assert forecaster.late(_need(work=4.0), 50.0).prospect is _IN_VAIN
+
+
 def test_room_that_goes_and_comes_moves_the_forecast() -> None:
     goes = _forecast.RoomChange(0.0, -10.0)
     comes = _forecast.RoomChange(0.5, 10.0)
