--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -121,6 +121,7 @@
             self._link,
             rng,
             turns,
+            self._notes,
         )
         self._handover = _handover.Handover(
             incarnation,
