--- a/src/ferryledge/hosted/_commands.py
+++ b/src/ferryledge/hosted/_commands.py
@@ -61,7 +61,7 @@
     """Take clients' jobs and order their runs."""
     from ferryledge.hosted import _entry
 
-    daemon = _entry.HostedEntry(_settings(), _keys(), listeners)
+    daemon = _entry.HostedEntry(_settings(), _keys(), listeners=listeners)
     _end_start()
     sys.exit(net.run_daemon(daemon.run, daemon.unfinished, daemon.reload))
 
@@ -72,6 +72,6 @@
     """Own the endpoint on this machine."""
     from ferryledge.hosted import _agent
 
-    daemon = _agent.HostedAgent(_settings(), _keys(), listeners)
+    daemon = _agent.HostedAgent(_settings(), _keys(), listeners=listeners)
     _end_start()
     sys.exit(net.run_daemon(daemon.run, daemon.unfinished, daemon.reload))
