--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -49,16 +49,16 @@
 
     :param settings: checked settings
     :param keys: the accepted shared keys for streams
-    :param listeners: the sockets that listen already; none is no socket
     :param hands_on: whether jobs are handed on between entries
+    :param listeners: the sockets that listen already; none is no socket
     """
 
     def __init__(
         self,
         settings: platform.Settings,
         keys: tuple[str, ...],
-        listeners: _listening.Listeners | None = None,
         hands_on: bool = True,
+        listeners: _listening.Listeners | None = None,
     ) -> None:
         self._settings = settings
         self._listeners = listeners or _listening.Listeners()
--- a/src/ferryledge/hosted/tests/test_listening.py
+++ b/src/ferryledge/hosted/tests/test_listening.py
@@ -140,7 +140,7 @@
     with socket.create_connection(readiness, 5.0) as client:
         client.sendall(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
         client.setblocking(False)
-        entry = _entry.HostedEntry(settings, ("key",), listeners)
+        entry = _entry.HostedEntry(settings, ("key",), listeners=listeners)
         async with anyio.create_task_group() as group:
             group.start_soon(entry.run, anyio.Event())
             with anyio.fail_after(20.0):
