--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -347,7 +347,8 @@
             return
         job.tokens.remove(token)
         if not job.tokens:
-            self._notes.client_left(now, job)
+            if token > 0:
+                self._notes.client_left(now, job)
             self._close(job)
 
     def _cancel(self, now: float, name: str) -> None:
@@ -374,7 +375,7 @@
         self, now: float, job: _jobs.Job, outcome: outcomes.JobOutcome
     ) -> None:
         """Answer a job and stop what is left of it."""
-        if job.tokens:
+        if any(token > 0 for token in job.tokens):
             self._notes.answered(now, job, outcome)
         self._reply(job.tokens, outcome)
         job.tokens = []
--- a/src/ferryledge/leases/tests/test_handover.py
+++ b/src/ferryledge/leases/tests/test_handover.py
@@ -125,3 +125,42 @@
         case 5:
             world.kill(one, for_s)
             world.at(0.2, lambda: world.kill(other, for_s))
+
+
+def test_earlier_releases_are_sent_nothing_new() -> None:
+    """Their greeting does not say that they take jobs."""
+    entry = _entry_without_agents()
+    old = wire.Hello(wire.Role.ENTRY, "entry-1", "1.1", "north")
+    assert not _sent_for_a_job(entry, old)
+
+
+def test_entry_without_agents_asks_for_room() -> None:
+    entry = _entry_without_agents()
+    new = wire.Hello(
+        wire.Role.ENTRY, "entry-1", "1.1", "north", takes_jobs=True
+    )
+    assert _sent_for_a_job(entry, new) == [wire.AskRoom("desk")]
+
+
+def _entry_without_agents() -> leases.LeaseEntry:
+    return leases.LeaseEntry("entry-0", "0.1", "north", random.Random(1))
+
+
+def _sent_for_a_job(
+    entry: leases.LeaseEntry, peer: wire.Hello
+) -> list[wire.Message]:
+    """Return what a peer is sent on a job's account."""
+    entry.receive(0.0, wire.PeerUp(peer))
+    entry.tick(0.0)
+    step = leases.JobStep(1, wire.Resources(1000, 100, 0), 0.2)
+    request = leases.LeasedJob(
+        handovers.JOB, worlds.JOB_CLASS, "spec", (step,), 5.0
+    )
+    entry.receive(0.1, leases.JobSubmitted(1, request))
+    sent = entry.tick(0.1) + entry.tick(0.13)
+    return [
+        one.message
+        for one in sent
+        if isinstance(one, leases.SendMessage)
+        and not isinstance(one.message, wire.KeepAlive)
+    ]
