Tell how much sooner a grant ends in whole milliseconds

Cause: a float field takes nine bytes of each grant and order, also where nothing is handed on.

Change: less_ms, one byte where it is 0. Mutations of handing on hold and break as before.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -256,9 +256,9 @@
                 owner.wanted_by = now + (
                     _NEVER if start_by_s is None else start_by_s
                 )
-            case wire.GrantLease(number, less_s):
+            case wire.GrantLease(number, less_ms):
                 self._watch.answered(now, owner, number)
-                self._owners.granted(owner, number, less_s)
+                self._owners.granted(owner, number, less_ms)
             case wire.CordonedZones():
                 self._on_cordons(owner, message)
             case wire.EntryList() | wire.Invite():
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -477,8 +477,8 @@
             if row.ask_answered != row.ask_seen:
                 row.ask_answered = row.ask_seen
                 row.granted_at = now
-                less_s = self._runs.less_s(now, row)
-                self._send(row.name, wire.GrantLease(row.ask_seen, less_s))
+                less_ms = self._runs.less_ms(now, row)
+                self._send(row.name, wire.GrantLease(row.ask_seen, less_ms))
         self._asking.clear()
 
     def _on_runs_message(
--- a/src/ferryledge/leases/_owners.py
+++ b/src/ferryledge/leases/_owners.py
@@ -209,7 +209,7 @@
         """Take in an order's number and the grant that it brings."""
         owner.orders_seen = max(owner.orders_seen, order.number)
         self.changes += 1
-        self.granted(owner, order.ask_seen, order.less_s)
+        self.granted(owner, order.ask_seen, order.less_ms)
         due = owner.granted_at + self._timing.idle_ask_every_s
         self._bring_forward(owner, due)
 
@@ -288,14 +288,14 @@
         beats = math.floor((soonest - self._phase * every) / every)
         return (beats + 1 + self._phase) * every
 
-    def granted(self, owner: Owner, number: int, less_s: float = 0.0) -> None:
+    def granted(self, owner: Owner, number: int, less_ms: int = 0) -> None:
         """Take in a grant; an unknown or older one changes nothing.
 
         It confirms what was sent before its ask: a stream keeps the order.
 
         :param owner: the entry
         :param number: of the ask that it answers
-        :param less_s: seconds by which it ends sooner
+        :param less_ms: milliseconds by which it ends sooner
         """
         if owner.unconfirmed:
             owner.unconfirmed = [
@@ -304,7 +304,7 @@
         asked_at = owner.asks.pop(number, None)
         if asked_at is None:
             return
-        owner.granted_at = max(owner.granted_at, asked_at - less_s)
+        owner.granted_at = max(owner.granted_at, asked_at - less_ms / 1000.0)
         for older in [one for one in owner.asks if one < number]:
             del owner.asks[older]
 
--- a/src/ferryledge/leases/_run_tracking.py
+++ b/src/ferryledge/leases/_run_tracking.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import math
 
 from ferryledge import health
 from ferryledge.leases import _crashes
@@ -92,7 +93,7 @@
             job.expected_s,
             row.ask_seen,
             job.pack_spec() if packs else b"",
-            self.less_s(now, row),
+            self.less_ms(now, row),
         )
         row.granted_at = now
         row.ask_answered = row.ask_seen
@@ -106,17 +107,17 @@
             row.healthy = False
         return _own_link.size_of(order) + _own_link.PACKET_BYTES
 
-    def less_s(self, now: float, row: _pool.AgentRow) -> float:
-        """Return by how much sooner a grant to an agent has to end.
+    def less_ms(self, now: float, row: _pool.AgentRow) -> int:
+        """Return by how many ms sooner a grant to an agent has to end.
 
         Runs of another entry's job must end in time after the last sign of
         that entry, also if this one is lost meanwhile.
         """
         signed = self._jobs.signed
         if not signed:
-            return 0.0
+            return 0
         ages = [now - signed[name] for name, _ in row.runs if name in signed]
-        return max(ages, default=0.0)
+        return math.ceil(1000.0 * max(ages, default=0.0))
 
     def stop(self, job: _jobs.Job, tasks: list[_jobs.Task]) -> None:
         """Stop runs; each stays bound until it is known to be over."""
--- a/src/ferryledge/leases/tests/test_handover_mutations.py
+++ b/src/ferryledge/leases/tests/test_handover_mutations.py
@@ -106,8 +106,8 @@
     ),
     "grants last as long as for own runs": test_mutations.Mutation(
         _run_tracking.RunTracking,
-        "less_s",
-        lambda *_: 0.0,
+        "less_ms",
+        lambda *_: 0,
         _all_lost_in_turn,
     ),
     "the giver orders what is away": test_mutations.Mutation(
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -68,8 +68,8 @@
     ask_seen: int = 0
     #: The packed spec, for receivers that take packed texts.
     packed_spec: bytes = b""
-    #: Seconds by which the grant ends sooner, as with :class:`GrantLease`.
-    less_s: float = 0.0
+    #: By how much the grant ends sooner, as with :class:`GrantLease`.
+    less_ms: int = 0
 
 
 class NotStarted(enum.StrEnum):
@@ -232,9 +232,9 @@
     """The right, counted from the sending of the ask with this number."""
 
     number: int
-    #: Seconds by which it ends sooner: for so long the sender has not heard
-    #: the entry that it runs jobs for.
-    less_s: float = 0.0
+    #: Milliseconds by which it ends sooner: for so long the sender has not
+    #: heard the entry that it runs jobs for. One byte where it is 0.
+    less_ms: int = 0
 
 
 class EntryAddress(_messages.Model, frozen=True):
