--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -361,7 +361,8 @@
             return
         job.tokens.remove(token)
         if not job.tokens:
-            self._notes.client_left(now, job)
+            if token > 0:
+                self._notes.client_left(now, job)
             self._close(job)
 
     def _cancel(self, now: float, name: str) -> None:
@@ -388,7 +389,7 @@
         self, now: float, job: _jobs.Job, outcome: outcomes.JobOutcome
     ) -> None:
         """Answer a job and stop what is left of it."""
-        if job.tokens:
+        if any(token > 0 for token in job.tokens):
             self._notes.answered(now, job, outcome)
         self._reply(job.tokens, outcome)
         job.tokens = []
@@ -493,8 +494,8 @@
             if row.ask_answered != row.ask_seen:
                 row.ask_answered = row.ask_seen
                 row.granted_at = now
-                less_s = self._runs.less_s(now, row)
-                self._send(row.name, wire.GrantLease(row.ask_seen, less_s))
+                less_ms = self._runs.less_ms(now, row)
+                self._send(row.name, wire.GrantLease(row.ask_seen, less_ms))
         self._asking.clear()
 
     def _on_runs_message(
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -1,8 +1,8 @@
 """An entry's notes: what each says and which inputs it carries."""
 
 from ferryledge import health
-from ferryledge.leases import _handover_notes
 from ferryledge.leases import _forecast
+from ferryledge.leases import _handover_notes
 from ferryledge.leases import _jobs
 from ferryledge.leases import _pool
 from ferryledge import outcomes
