Let fewer classes of an entry write their own methods at a start

Cause: the parts together brought 33 data classes to an entry's imports, above the 30 that its start may have. Change: facts of the forecast, of offers and of promises are structs.

--- a/src/ferryledge/leases/_forecast.py
+++ b/src/ferryledge/leases/_forecast.py
@@ -8,10 +8,11 @@
 """
 
 import bisect
-import dataclasses
 import enum
 import itertools
 
+import msgspec
+
 from ferryledge.leases import _arrivals
 
 #: Seconds between two points of a forecast, and how far it reaches: beyond
@@ -33,8 +34,7 @@
     IN_VAIN = "in vain"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Forecast:
+class Forecast(msgspec.Struct, frozen=True):
     """What is expected of one job."""
 
     #: Seconds until its last waiting task has room; infinite if never.
@@ -44,8 +44,7 @@
     prospect: Prospect
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Need:
+class Need(msgspec.Struct, frozen=True):
     """What a forecast has to know of a job; times in monotonic seconds."""
 
     #: Core-seconds of its waiting tasks.
@@ -63,8 +62,7 @@
         return self.useful_until - self.run_s
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RoomChange:
+class RoomChange(msgspec.Struct, frozen=True):
     """Room that comes or goes."""
 
     #: Seconds from now.
@@ -73,8 +71,7 @@
     cores: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Room:
+class Room(msgspec.Struct, frozen=True):
     """The room that work of one entry can count on."""
 
     #: Cores that its waiting work gets in the long run.
--- a/src/ferryledge/leases/_handed_in.py
+++ b/src/ferryledge/leases/_handed_in.py
@@ -11,9 +11,10 @@
 """
 
 from collections import abc
-import dataclasses
 import math
 
+import msgspec
+
 from ferryledge.leases import _entry_notes
 from ferryledge.leases import _handing_on
 from ferryledge.leases import _job_table
@@ -36,8 +37,7 @@
 Drop = abc.Callable[[float, int, str], None]
 
 
-@dataclasses.dataclass(slots=True)
-class _Held:
+class _Held(msgspec.Struct):
     """A job of another entry."""
 
     peer: str
@@ -48,8 +48,7 @@
     job: _jobs.Job
 
 
-@dataclasses.dataclass(slots=True)
-class _Giver:
+class _Giver(msgspec.Struct):
     """An entry whose jobs are held."""
 
     peer: str
@@ -58,11 +57,11 @@
     #: Its stream is open.
     connected: bool = True
     #: Asks without an answer so far, with when they were sent, and for what.
-    asks: dict[int, tuple[float, tuple[int, ...]]] = dataclasses.field(
+    asks: dict[int, tuple[float, tuple[int, ...]]] = msgspec.field(
         default_factory=dict
     )
     #: Results that it has not confirmed, each with the last ask before it.
-    unconfirmed: list[tuple[int, wire.JobHandled]] = dataclasses.field(
+    unconfirmed: list[tuple[int, wire.JobHandled]] = msgspec.field(
         default_factory=list
     )
 
--- a/src/ferryledge/leases/_handing_on.py
+++ b/src/ferryledge/leases/_handing_on.py
@@ -15,9 +15,10 @@
 """
 
 from collections import abc
-import dataclasses
 import random
 
+import msgspec
+
 from ferryledge.leases import _cordons
 from ferryledge.leases import _entry_notes
 from ferryledge.leases import _jobs
@@ -54,16 +55,14 @@
 Finish = abc.Callable[[float, _jobs.Job, outcomes.JobOutcome], None]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Peer:
+class _Peer(msgspec.Struct, frozen=True):
     """Another entry that takes jobs."""
 
     incarnation: str
     zone: str
 
 
-@dataclasses.dataclass(slots=True)
-class _Room:
+class _Room(msgspec.Struct):
     """What an entry said that it could start."""
 
     number: int
@@ -71,8 +70,7 @@
     heard_at: float
 
 
-@dataclasses.dataclass(slots=True)
-class Offer:
+class Offer(msgspec.Struct):
     """A job that another entry has, or may have."""
 
     number: int
--- a/src/ferryledge/leases/_quarantine.py
+++ b/src/ferryledge/leases/_quarantine.py
@@ -7,7 +7,6 @@
 """
 
 from collections import abc
-import dataclasses
 
 import msgspec
 
@@ -23,8 +22,7 @@
 _FEWEST_OF_ZONE = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Room:
+class Room(msgspec.Struct, frozen=True):
     """What of an endpoint's room is to be used."""
 
     free: wire.Resources
--- a/src/ferryledge/leases/_returns.py
+++ b/src/ferryledge/leases/_returns.py
@@ -14,9 +14,10 @@
 """
 
 from collections import abc
-import dataclasses
 import random
 
+import msgspec
+
 #: Longest delay in seconds that a caller is told: what comes later than that
 #: is anyone's guess.
 _LONGEST_S = 5.0
@@ -29,8 +30,7 @@
 _MOST = 2000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Promise:
+class _Promise(msgspec.Struct, frozen=True):
     """What a refused caller was told."""
 
     #: When it may come back, in monotonic seconds.
--- a/src/ferryledge/leases/_review.py
+++ b/src/ferryledge/leases/_review.py
@@ -9,9 +9,10 @@
 """
 
 from collections import abc
-import dataclasses
 import heapq
 
+import msgspec
+
 from ferryledge.leases import _forecast
 
 _IN_TIME = _forecast.Prospect.IN_TIME
@@ -21,8 +22,7 @@
 _MOST_PUT_BACK = 4
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Waiting:
+class Waiting(msgspec.Struct, frozen=True):
     """A job that nothing was ordered for."""
 
     number: int
