--- a/src/ferryledge/soak/tests/test_soak.py
+++ b/src/ferryledge/soak/tests/test_soak.py
@@ -109,7 +109,7 @@
     judge = _judge.Judge()
     judge.submitted(KEY.job, 1)
     for run in range(failures):
-        key = dataclasses.replace(KEY, run=run + 1)
+        key = msgspec.structs.replace(KEY, run=run + 1)
         judge.ended(key, wire.HowEnded.FAILED)
     judge.answered(KEY.job, platform_standin.ClientState.FAILED)
     assert [one.promise for one in judge.findings] == found
