Keep the series that failed once beside the enlarged ones

Cause: four faults were added to those that series draw from, so the seed that once showed a start after an endpoint's restart drew another series. Change: that seed is played without the later faults as well.

--- a/src/ferryledge/leases/tests/test_matrix.py
+++ b/src/ferryledge/leases/tests/test_matrix.py
@@ -8,8 +8,15 @@
 from ferryledge import loads as worlds
 from ferryledge import outcomes
 
-#: The last one started a task by an order that came after a restart.
 _SEEDS = (*range(24), 157)
+#: Faults that were added since a seed failed. Seeds that failed are played
+#: without them as well, so that they go on drawing what they drew then.
+_LATER_FAULTS = (
+    "configurations late or torn",
+    "endpoint flaps",
+    "endpoint fails a zone's callers",
+    "endpoint hangs now and then",
+)
 
 
 @pytest.mark.parametrize("step", faults.STEPS)
@@ -30,10 +37,24 @@
 @pytest.mark.parametrize("seed", _SEEDS)
 def test_faults_in_series(seed: int) -> None:
     """Faults overlap while jobs keep coming to both entries."""
+    _play_series(seed, list(faults.FAULTS))
+
+
+def test_order_that_came_after_a_restart_starts_nothing() -> None:
+    """A series in which an order started a task once its endpoint was anew.
+
+    The order had been on its way to the start before, whose runs were taken
+    for lost with it.
+    """
+    names = [one for one in faults.FAULTS if one not in _LATER_FAULTS]
+    _play_series(157, names)
+
+
+def _play_series(seed: int, names: list[str]) -> None:
+    """Let jobs come while faults with these names strike."""
     rng = random.Random(seed)
     world = worlds.World(seed, entries=2, agents=4)
     world.run(2.0)
-    names = list(faults.FAULTS)
     for number in range(60):
         entry = f"entry-{rng.randrange(2)}"
         name = f"{seed:08x}{number:08x}"
