Ask in one place whether a job fits nowhere; copy no room that is whole

Cause: the last reading found one predicate written three times, and a copy of an endpoint's room made for each job and endpoint although nearly all are used whole. Change: one function in placing; whole rooms are returned as they are. The results are the same.

--- a/src/ferryledge/leases/_admission.py
+++ b/src/ferryledge/leases/_admission.py
@@ -86,7 +86,7 @@
 
     def _unfit(self, job: _jobs.Job) -> outcomes.Refused | None:
         """Return a refusal if some step fits nowhere."""
-        if next(_placing.unfit_steps(self._pool, job), None) is None:
+        if not _placing.is_unfit(self._pool, job):
             return None
         return self._refuse(
             outcomes.Reason.IMPOSSIBLE,
--- a/src/ferryledge/leases/_placing.py
+++ b/src/ferryledge/leases/_placing.py
@@ -283,6 +283,11 @@
             yield step
 
 
+def is_unfit(pool: _pool.Pool, job: _jobs.Job) -> bool:
+    """Return whether no endpoint that is known could run some step."""
+    return next(unfit_steps(pool, job), None) is not None
+
+
 def fits_somewhere(
     pool: _pool.Pool, step: _jobs.JobStep, service: str
 ) -> bool:
--- a/src/ferryledge/leases/_quarantine.py
+++ b/src/ferryledge/leases/_quarantine.py
@@ -60,13 +60,15 @@
     :param share: share of its capacity to use
     :param tasks: how many it might get
     """
-    is_idle = row.free == row.state.capacity
+    free = row.free
+    is_idle = free == row.state.capacity
     if row.on_trial or (is_idle and not share):
-        return Room(row.free, min(1, tasks))
-    whole = row.state.capacity.cpu_millis
-    unused = int((1.0 - share) * whole)
-    cpu_millis = row.free.cpu_millis - unused
-    free = msgspec.structs.replace(row.free, cpu_millis=cpu_millis)
+        return Room(free, min(1, tasks))
+    if share >= 1.0:
+        return Room(free, tasks)
+    unused = int((1.0 - share) * row.state.capacity.cpu_millis)
+    cpu_millis = free.cpu_millis - unused
+    free = msgspec.structs.replace(free, cpu_millis=cpu_millis)
     return Room(free, tasks)
 
 
--- a/src/ferryledge/leases/_spare_room.py
+++ b/src/ferryledge/leases/_spare_room.py
@@ -71,7 +71,7 @@
 
     def has_room(self, now: float, job: _jobs.Job) -> bool:
         """Return whether all of a new job's first tasks could start now."""
-        if any(True for _ in _placing.unfit_steps(self._pool, job)):
+        if _placing.is_unfit(self._pool, job):
             return False
         service = job.request.job_class.service
         return cpu_millis_of(job) <= self.cpu_millis(now, service)
@@ -116,13 +116,10 @@
         """Return how long a job waits behind so many core-seconds."""
         service = job.request.job_class.service
         cores = self._pool.capacity_cores(now, service)
-        if not cores or self._is_unfit(job):
+        if not cores or _placing.is_unfit(self._pool, job):
             return math.inf
         return work * self._pool.sharers(now, service) / cores
 
-    def _is_unfit(self, job: _jobs.Job) -> bool:
-        return any(True for _ in _placing.unfit_steps(self._pool, job))
-
     def _link_s(self, job: _jobs.Job) -> float:
         size = len(job.request.spec) + _JOB_BYTES
         return size / self._link.bytes_per_s
