Note adopted runs and stops that an endpoint does not confirm

A task that ran twice could not be explained from agents' logs: an agent said neither that it went on with runs of its predecessor, nor that a stop was repeated while the lease was renewed. Both are hypotheses of the incident that a log must tell apart.

An agent now notes, as urgent lines, how many runs one list of the endpoint made it adopt, how many of them it stopped since no entry claimed them, and once for each run that a stop was not confirmed within stop_s, with whether a renewal succeeded since. "run over" tells the number of stops and the seconds since the first one. Three counters go with the lines.

--- a/src/ferryledge/hosted/_metrics.py
+++ b/src/ferryledge/hosted/_metrics.py
@@ -197,6 +197,15 @@
         self._expired_grants = registry.counter(
             "grants_run_out", "Runs stopped for want of a grant"
         )
+        self._adopted = registry.counter(
+            "adopted_runs", "Runs taken over from an earlier start"
+        )
+        self._unclaimed = registry.counter(
+            "unclaimed_runs_stopped", "Adopted runs that no entry claimed"
+        )
+        self._overdue_stops = registry.counter(
+            "stops_overdue", "Runs whose stop was not confirmed in time"
+        )
         self._ignored_heartbeats = registry.counter(
             "heartbeats_passed_over", "Heartbeats not believed, or not yet"
         )
@@ -228,6 +237,18 @@
         """Count a stream suspected of being dead."""
         self._suspected.add()
 
+    def adopted(self, count: int) -> None:
+        """Count runs adopted from an earlier incarnation."""
+        self._adopted.add(count)
+
+    def unclaimed_stopped(self, count: int) -> None:
+        """Count adopted runs that were stopped without an entry."""
+        self._unclaimed.add(count)
+
+    def stop_overdue(self) -> None:
+        """Count a run whose stop was not confirmed in time."""
+        self._overdue_stops.add()
+
     def heartbeat_ignored(self) -> None:
         """Count a heartbeat that is rejected or not accepted yet."""
         self._ignored_heartbeats.add()
--- a/src/ferryledge/leases/_agent_notes.py
+++ b/src/ferryledge/leases/_agent_notes.py
@@ -149,6 +149,10 @@
     ) -> None:
         """Record that a run ended."""
         self._meter.run_ended(how, now - row.ordered_at)
+        facts: dict[str, object] = {}
+        if row.first_stop_at is not None:
+            facts["stops"] = row.stops_sent
+            facts["stopping_s"] = round(now - row.first_stop_at, 3)
         self.add(
             outcomes.Step.RUN,
             "run over",
@@ -159,6 +163,61 @@
             run=row.key.run,
             how=str(how),
             held_s=round(now - row.ordered_at, 3),
+            **facts,
+        )
+
+    def adopted(self, runs: int, started_s: float) -> None:
+        """Record that runs of an earlier incarnation were adopted.
+
+        :param runs: how many runs one list of the endpoint brought
+        :param started_s: seconds since the start of this incarnation
+        """
+        self._meter.adopted(runs)
+        self.add(
+            outcomes.Step.LEASE,
+            "runs of an earlier incarnation adopted",
+            urgent=True,
+            runs=runs,
+            started_s=round(started_s, 3),
+        )
+
+    def unclaimed_stopped(self, runs: int, unclaimed_s: float) -> None:
+        """Record that adopted runs are stopped, since no entry claimed them.
+
+        :param runs: how many runs
+        :param unclaimed_s: seconds since the first of them was adopted
+        """
+        self._meter.unclaimed_stopped(runs)
+        self.add(
+            outcomes.Step.LEASE,
+            "runs stopped: no entry claimed them",
+            urgent=True,
+            runs=runs,
+            unclaimed_s=round(unclaimed_s, 3),
+        )
+
+    def stop_overdue(
+        self, row: _runs.RunRow, entry: str, waited_s: float, renewed: bool
+    ) -> None:
+        """Record that the endpoint did not confirm a run's stop in time.
+
+        :param row: the run
+        :param entry: the entry that ordered it; empty if unknown
+        :param waited_s: seconds since the first stop was sent
+        :param renewed: whether the endpoint's lease was renewed since
+        """
+        self._meter.stop_overdue()
+        self.add(
+            outcomes.Step.LEASE,
+            "stop not confirmed in time",
+            row.key.job,
+            entry,
+            True,
+            task=row.key.index,
+            run=row.key.run,
+            waited_s=round(waited_s, 3),
+            stops=row.stops_sent,
+            renewed=renewed,
         )
 
     def order_unanswered(self, row: _runs.RunRow) -> None:
--- a/src/ferryledge/leases/_endpoint.py
+++ b/src/ferryledge/leases/_endpoint.py
@@ -355,6 +355,10 @@
         recent_s = _FRESH_SHARE * self._timing.lease_s
         return now - self._renewed_at < recent_s
 
+    def was_renewed_since(self, at: float) -> bool:
+        """Return whether a renewal that was sent after a time succeeded."""
+        return self._renewed_at > at
+
     def is_unresponsive(self, now: float) -> bool:
         """Return whether no renewal succeeded for the time of a lease."""
         return now - self._renewed_at > self._timing.lease_s
--- a/src/ferryledge/leases/_endpoint_watch.py
+++ b/src/ferryledge/leases/_endpoint_watch.py
@@ -68,6 +68,7 @@
         self._notes = notes
         self._answer_times = answer_times
         self._act = act
+        self._started_at = now
         #: Estimate of the endpoint's speed.
         self.speed = _speed.EndpointSpeed()
         #: The endpoint's failure rates by the callers' zones.
@@ -262,8 +263,7 @@
             # An older list may come later on another connection, and have
             # runs whose end was processed since.
             self._listed_clock_ms = event.clock_ms
-            for key in listed:
-                self._adopt(now, key)
+            self._adopt_all(now, listed)
         self.speed.update(now, self._run_progress())
         self._link.synced = True
 
@@ -314,6 +314,15 @@
         if away_s is not None:
             self._notes.outage_ended(away_s, self.outages.steady(now))
 
+    def _adopt_all(
+        self, now: float, keys: abc.Collection[_runs.RunKey]
+    ) -> None:
+        """Add the listed runs that the agent does not know."""
+        for key in keys:
+            self._adopt(now, key)
+        if keys:
+            self._notes.adopted(len(keys), now - self._started_at)
+
     def _adopt(self, now: float, key: _runs.RunKey) -> None:
         """Add a run that an earlier incarnation of the agent started."""
         row = _runs.RunRow(
--- a/src/ferryledge/leases/_meters.py
+++ b/src/ferryledge/leases/_meters.py
@@ -86,6 +86,21 @@
     def grant_expired(self) -> None:
         """A run was stopped, since the grant of its entry expired."""
 
+    def adopted(self, count: int) -> None:
+        """Runs of an earlier incarnation of the agent were adopted.
+
+        :param count: number of runs
+        """
+
+    def unclaimed_stopped(self, count: int) -> None:
+        """Adopted runs were stopped, since no entry claimed them.
+
+        :param count: number of runs
+        """
+
+    def stop_overdue(self) -> None:
+        """The endpoint did not confirm a stop in time."""
+
     def heartbeat_ignored(self) -> None:
         """A heartbeat was ignored, at least for now."""
 
--- a/src/ferryledge/leases/_run_stopper.py
+++ b/src/ferryledge/leases/_run_stopper.py
@@ -95,9 +95,12 @@
         )
         row.expires_ms = 0
         row.stop_confirmed_at = None
+        row.first_stop_at = None
         self._send_stop(now, row)
 
     def _send_stop(self, now: float, row: _runs.RunRow) -> None:
+        if row.first_stop_at is None:
+            row.first_stop_at = now
         row.stop_sent_at = now
         row.stops_sent += 1
         self._unconfirmed[row.key] = row
@@ -134,11 +137,22 @@
                 self._stop_without_grant(now, owner)
         self._forget_disconnected(now)
         if now - unclaimed_since > self._timing.grant_s:
-            for row in self._runs.of_owner(""):
-                self.stop(now, row.key)
+            self._stop_unclaimed(now, unclaimed_since)
         self._repeat(now)
         self._list_runs(now)
 
+    def _stop_unclaimed(self, now: float, unclaimed_since: float) -> None:
+        """Stop the runs that no entry has claimed."""
+        rows = [
+            row
+            for row in self._runs.of_owner("")
+            if row.state is not _runs.RunState.STOPPING
+        ]
+        for row in rows:
+            self.stop(now, row.key)
+        if rows:
+            self._notes.unclaimed_stopped(len(rows), now - unclaimed_since)
+
     def _stop_without_grant(self, now: float, owner: _owners.Owner) -> None:
         """Stop the runs of an entry whose grant has expired."""
         for row in self._runs.of_owner(owner.incarnation):
@@ -161,9 +175,27 @@
         for key, row in list(self._unconfirmed.items()):
             if self._runs.find(key) is not row:
                 del self._unconfirmed[key]
-            elif now >= self._repeat_at(row):
+                continue
+            self._note_if_overdue(now, row)
+            if now >= self._repeat_at(row):
                 self._send_stop(now, row)
 
+    def _note_if_overdue(self, now: float, row: _runs.RunRow) -> None:
+        """Note once that a stop was not confirmed in time."""
+        first = row.first_stop_at
+        if row.is_overdue or first is None:
+            return
+        if now - first <= self._timing.stop_s:
+            return
+        row.is_overdue = True
+        owner = self._owners.find(row.owner)
+        self._notes.stop_overdue(
+            row,
+            owner.name if owner else row.owner,
+            now - first,
+            self._link.was_renewed_since(first),
+        )
+
     def _repeat_at(self, row: _runs.RunRow) -> float:
         """Return when an unconfirmed stop is sent again."""
         if row.stop_sent_at is None:
--- a/src/ferryledge/leases/_runs.py
+++ b/src/ferryledge/leases/_runs.py
@@ -60,6 +60,11 @@
     expires_ms: int = 0
     #: When the endpoint confirmed the start, in monotonic seconds.
     confirmed_at: float | None = None
+    #: When the first stop was sent to the endpoint's current incarnation, in
+    #: monotonic seconds.
+    first_stop_at: float | None = None
+    #: Whether it was noted that the stop was not confirmed in time.
+    is_overdue: bool = False
     #: When the last stop was sent, in monotonic seconds.
     stop_sent_at: float | None = None
     #: When a stop was confirmed, in monotonic seconds.
