Note runs that an agent reports after they counted as over

An entry's log did not tell a double run: the end of a run that it had counted as over, since a list lacked it or its agent got no grant for long, was dropped without a line, and a lost run was logged alike whether its agent had said so or not.

"run ended without a result" now carries the source: agent, list or presumed. An end that merely comes late, as after a cut, is not a double run, so the line and the counter tell by proven whether the run went on for longer than the entry assumed: it is held still, or its run time exceeds the time from its order until it was counted as over. "ordered" is urgent for second and later runs and names their numbers and the previous agents. No decision changed.

--- a/src/ferryledge/hosted/_metrics.py
+++ b/src/ferryledge/hosted/_metrics.py
@@ -125,6 +125,11 @@
         self._health = registry.counter(
             "health_changes", "Endpoints ejected or taken back"
         )
+        self._outlived = registry.counter(
+            "runs_outlived",
+            "Runs that agents told of after they counted as over",
+            ("proven",),
+        )
         self._handovers = registry.counter(
             "handovers", "Jobs between this entry and others", ("what",)
         )
@@ -169,6 +174,10 @@
         """Count an endpoint's ejection or readmission."""
         self._health.add()
 
+    def run_outlived(self, proven: bool) -> None:
+        """Count a run that an agent told of after it counted as over."""
+        self._outlived.add(1, "yes" if proven else "no")
+
     def handover(self, what: str) -> None:
         """Count an event of a handover between two entries."""
         self._handovers.add(1, what)
--- a/src/ferryledge/hosted/tests/test_metrics.py
+++ b/src/ferryledge/hosted/tests/test_metrics.py
@@ -29,3 +29,24 @@
         "ferryledge_agent_held 3.0",
     ]
     assert [line for line in expected if line not in lines] == []
+
+
+def test_runs_that_may_have_run_twice_are_counted() -> None:
+    entry = _metrics.Registry("entry")
+    entry_metrics = _metrics.EntryMetrics(entry)
+    entry_metrics.run_outlived(True)
+    entry_metrics.run_outlived(False)
+    agent = _metrics.Registry("agent")
+    agent_metrics = _metrics.AgentMetrics(agent)
+    agent_metrics.adopted(3)
+    agent_metrics.unclaimed_stopped(2)
+    agent_metrics.stop_overdue()
+    lines = (entry.render() + agent.render()).decode().splitlines()
+    expected = [
+        'ferryledge_entry_runs_outlived_total{proven="yes"} 1.0',
+        'ferryledge_entry_runs_outlived_total{proven="no"} 1.0',
+        "ferryledge_agent_adopted_runs_total 3.0",
+        "ferryledge_agent_unclaimed_runs_stopped_total 2.0",
+        "ferryledge_agent_stops_overdue_total 1.0",
+    ]
+    assert [line for line in expected if line not in lines] == []
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -26,6 +26,7 @@
 from ferryledge.leases import _peers
 from ferryledge.leases import _placement
 from ferryledge.leases import _pool
+from ferryledge.leases import _presumed_ends
 from ferryledge.leases import _rules
 from ferryledge.leases import _run_tracker
 from ferryledge.leases import _scheduler
@@ -531,7 +532,8 @@
                         now, row, wire.GrantRequest(ask, needs_answer=True)
                     )
             case wire.RunsHeld(runs):
-                for decided in self._runs.reconcile(now, row, runs):
+                listed = _presumed_ends.EndSource.LIST
+                for decided in self._runs.reconcile(now, row, runs, listed):
                     self._finish_decided(now, decided)
                 row.reconciled = True
 
@@ -583,7 +585,8 @@
             self._actions.append(_entry_events.CloseStream(row.name))
         for row in self._pool.expired(now):
             self._notes.expired(now, row)
-            for decided in self._runs.reconcile(now, row, ()):
+            presumed = _presumed_ends.EndSource.PRESUMED
+            for decided in self._runs.reconcile(now, row, (), presumed):
                 self._finish_decided(now, decided)
         self._runs.start_due_probes(now)
         self._sweep_jobs(now)
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -5,6 +5,7 @@
 from ferryledge.leases import _handover_notes
 from ferryledge.leases import _jobs
 from ferryledge.leases import _pool
+from ferryledge.leases import _presumed_ends
 from ferryledge import outcomes
 from ferryledge import wire
 
@@ -177,15 +178,25 @@
         tasks: tuple[_jobs.Task, ...],
         slowness: float,
     ) -> None:
-        """Runs were ordered from an agent."""
+        """Runs were ordered from an agent.
+
+        The note is urgent if a task gets another run: it then tells which
+        agents had the previous ones.
+        """
         self._meter.ordered(len(tasks))
         if job.dispatched_at == now:
             self._meter.first_order(now - job.arrived_at)
+        facts: dict[str, object] = {}
+        is_repeat = any(task.run > 1 for task in tasks)
+        if is_repeat:
+            facts["runs"] = [task.run for task in tasks]
+            facts["previous_agents"] = [task.previous_agent for task in tasks]
         self.add(
             outcomes.Step.PLACE,
             "ordered",
             job.name,
             row.name,
+            is_repeat,
             tasks=[task.index for task in tasks],
             run=tasks[0].run,
             waited_s=round(now - job.arrived_at, 3),
@@ -193,6 +204,7 @@
             slowness=round(slowness, 2),
             prospect=str(job.forecast.prospect.value) if job.forecast else "",
             state_age_s=round(now - row.heard_at, 3),
+            **facts,
         )
 
     def not_started(
@@ -220,6 +232,7 @@
         row: _pool.AgentRow,
         end: wire.RunEnd,
         failures: int,
+        source: _presumed_ends.EndSource,
     ) -> None:
         """A run ended; it is logged only if it brought no result."""
         self._meter.ended(end.how)
@@ -236,6 +249,48 @@
             how=str(end.how),
             run_s=round(end.run_s, 3),
             failures=failures,
+            source=str(source.value),
+        )
+
+    def outlived(
+        self,
+        now: float,
+        job: str,
+        row: _pool.AgentRow,
+        run: wire.TaskRun,
+        presumed: _presumed_ends.PresumedEnd,
+        end: wire.RunEnd | None,
+    ) -> None:
+        """An agent told of a run that had been counted as over.
+
+        :param now: monotonic seconds
+        :param job: name of the run's job
+        :param row: the agent
+        :param run: the run
+        :param presumed: how the run was counted as over
+        :param end: its end; ``None`` if the agent listed it as held
+        """
+        facts: dict[str, object] = {"how": "held"}
+        proven = True
+        if end is not None:
+            facts = {"how": str(end.how), "run_s": round(end.run_s, 3)}
+            # A run starts after its order, and reports of ends come late.
+            proven = presumed.outlived or end.run_s > presumed.held_s
+        if not presumed.outlived:
+            self._meter.run_outlived(proven)
+        self.add(
+            outcomes.Step.LEASE,
+            "run counted as over reported by its agent",
+            job,
+            row.name,
+            True,
+            proven=proven,
+            task=run.index,
+            run=run.run,
+            source=str(presumed.source.value),
+            held_s=round(presumed.held_s, 3),
+            over_s=round(now - presumed.at, 3),
+            **facts,
         )
 
     def moved(
--- a/src/ferryledge/leases/_jobs.py
+++ b/src/ferryledge/leases/_jobs.py
@@ -91,6 +91,8 @@
     crashes: list[_crashes.Crash] = msgspec.field(default_factory=list)
     #: Agent that holds the run; empty if none does.
     agent: str = ""
+    #: Agent that held the previous run; empty for none.
+    previous_agent: str = ""
     ordered_at: float = 0.0
     #: Agents to avoid, since the task failed, crashed or was too slow there.
     avoided_agents: set[str] = msgspec.field(default_factory=set)
--- a/src/ferryledge/leases/_meters.py
+++ b/src/ferryledge/leases/_meters.py
@@ -50,6 +50,13 @@
     def health_changed(self) -> None:
         """An endpoint was ejected or readmitted."""
 
+    def run_outlived(self, proven: bool) -> None:
+        """An agent told of a run that had been counted as over.
+
+        :param proven: whether the run surely went on for longer; otherwise
+            its end may only have been reported late
+        """
+
     def handover(self, what: str) -> None:
         """A handover of a job between two entries changed its state.
 
--- a/src/ferryledge/leases/_run_tracker.py
+++ b/src/ferryledge/leases/_run_tracker.py
@@ -11,6 +11,7 @@
 from ferryledge.leases import _jobs
 from ferryledge.leases import _moving
 from ferryledge.leases import _pool
+from ferryledge.leases import _presumed_ends
 from ferryledge.leases import _retry_budget
 from ferryledge.leases import _uplink
 from ferryledge import outcomes
@@ -70,6 +71,7 @@
         self._link = link
         self._send = send
         self._crashes = _crashes.CrashWatch()
+        self._presumed_ends = _presumed_ends.PresumedEnds()
         #: Limits how many failed tasks are started again.
         self.retry_budget = _retry_budget.RetryBudget()
 
@@ -166,6 +168,7 @@
         reason: wire.RunReleaseReason,
     ) -> None:
         """Handle the release of a run that never started."""
+        self._presumed_ends.remove(row.name, name, run)
         unbound = self._unbind(row, name, run)
         if unbound is None:
             return
@@ -177,19 +180,37 @@
         self._jobs.drop_if_over(job)
 
     def ended(
-        self, now: float, row: _pool.AgentRow, name: str, end: wire.RunEnd
+        self,
+        now: float,
+        row: _pool.AgentRow,
+        name: str,
+        end: wire.RunEnd,
+        source: _presumed_ends.EndSource = _presumed_ends.EndSource.AGENT,
     ) -> DecidedJob | None:
         """Handle the end of a run.
 
+        :param now: monotonic seconds
+        :param row: its agent
+        :param name: name of its job
+        :param end: the end
+        :param source: how this entry learned of the end
         :return: the job with its outcome, if this end decides it
         """
+        if source is _presumed_ends.EndSource.AGENT:
+            self._note_if_outlived(now, row, name, end.run, end)
+            self._presumed_ends.remove(row.name, name, end.run)
         unbound = self._unbind(row, name, end.run)
         if unbound is None:
             return None
         job, task = unbound
+        if source is not _presumed_ends.EndSource.AGENT:
+            presumed = _presumed_ends.PresumedEnd(
+                source, now, now - task.ordered_at
+            )
+            self._presumed_ends.add(row.name, name, end.run, presumed)
         if end.how not in (wire.RunOutcome.DONE, wire.RunOutcome.FAILED):
             self._return_probe(row)
-        self._notes.ended(job, row, end, task.failures)
+        self._notes.ended(job, row, end, task.failures, source)
         decided = None
         match end.how:
             case wire.RunOutcome.DONE:
@@ -214,6 +235,28 @@
         self._jobs.drop_if_over(job)
         return decided
 
+    def _note_if_outlived(
+        self,
+        now: float,
+        row: _pool.AgentRow,
+        name: str,
+        run: wire.TaskRun,
+        end: wire.RunEnd | None = None,
+    ) -> None:
+        """Note that an agent told of a run that counted as over.
+
+        :param now: monotonic seconds
+        :param row: the agent
+        :param name: name of the run's job
+        :param run: the run
+        :param end: its end; ``None`` if the agent listed it as held
+        """
+        presumed = self._presumed_ends.find(now, row.name, name, run)
+        if presumed is None or (presumed.outlived and end is None):
+            return
+        self._notes.outlived(now, name, row, run, presumed, end)
+        presumed.outlived = True
+
     def _unbind(
         self, row: _pool.AgentRow, name: str, run: wire.TaskRun
     ) -> tuple[_jobs.Job, _jobs.Task] | None:
@@ -229,6 +272,7 @@
         if task.state is not _jobs.TaskState.BOUND:
             return None
         job.set_state(task, _jobs.TaskState.WAITING)
+        task.previous_agent = task.agent
         task.agent = ""
         task.stopping = False
         return job, task
@@ -340,6 +384,7 @@
         now: float,
         row: _pool.AgentRow,
         runs: tuple[wire.HeldRun, ...],
+        source: _presumed_ends.EndSource,
     ) -> list[DecidedJob]:
         """Reconcile the runs that an agent holds with those ordered there.
 
@@ -349,14 +394,16 @@
         :param now: monotonic seconds
         :param row: the agent
         :param runs: the runs that it holds
+        :param source: whether it listed them, or is presumed to hold none
         :return: the jobs whose outcome this decides
         """
         held_runs = {(item.job, item.run) for item in runs}
         decided = []
         for name, run in list(row.runs - held_runs):
             end = wire.RunEnd(run, wire.RunOutcome.LOST, 0.0)
-            decided.append(self.ended(now, row, name, end))
+            decided.append(self.ended(now, row, name, end, source))
         for name, run in held_runs - row.runs:
+            self._note_if_outlived(now, row, name, run)
             self._send(row.name, wire.StopRuns(name, (run,)))
         self._claim(row, held_runs & row.runs)
         return [decision for decision in decided if decision is not None]
