Keep the end of overdue and unclaimed runs in the agent's log

A search for a job's id did not find the lines about adopted runs, and "run over" of a stopped run is an ordinary line, which the budget may leave out, though it tells for how long the run outlived its stop. The lines now name up to five jobs, and "run over" is urgent if the stop was overdue or no entry had claimed the run; that of a stop confirmed in time stays an ordinary line. Its tests failed before for want of jobs and urgency.

--- a/src/ferryledge/leases/_agent_notes.py
+++ b/src/ferryledge/leases/_agent_notes.py
@@ -1,5 +1,7 @@
 """The notes that an agent writes to the log and counts in its metrics."""
 
+from collections import abc
+
 from ferryledge.leases import _agent_events
 from ferryledge.leases import _entry_selection
 from ferryledge.leases import _meters
@@ -9,6 +11,8 @@
 from ferryledge import outcomes
 from ferryledge import wire
 
+#: Jobs that one note names at the most.
+_MAX_JOBS = 5
 _EXPECTED = (wire.RunOutcome.DONE, wire.RunOutcome.STOPPED)
 
 
@@ -147,7 +151,11 @@
     def run_ended(
         self, now: float, row: _runs.RunRow, how: wire.RunOutcome
     ) -> None:
-        """Record that a run ended."""
+        """Record that a run ended.
+
+        The note is urgent if the run failed, or if it may have gone on for
+        longer than its entry assumed.
+        """
         self._meter.run_ended(how, now - row.ordered_at)
         facts: dict[str, object] = {}
         if row.first_stop_at is not None:
@@ -158,7 +166,7 @@
             "run over",
             row.key.job,
             row.owner,
-            how not in _EXPECTED,
+            how not in _EXPECTED or row.is_overdue or not row.owner,
             task=row.key.index,
             run=row.key.run,
             how=str(how),
@@ -166,33 +174,39 @@
             **facts,
         )
 
-    def adopted(self, runs: int, started_s: float) -> None:
+    def adopted(
+        self, runs: abc.Collection[_runs.RunKey], started_s: float
+    ) -> None:
         """Record that runs of an earlier incarnation were adopted.
 
-        :param runs: how many runs one list of the endpoint brought
+        :param runs: the runs that one list of the endpoint brought
         :param started_s: seconds since the start of this incarnation
         """
-        self._meter.adopted(runs)
+        self._meter.adopted(len(runs))
         self.add(
             outcomes.Step.LEASE,
             "runs of an earlier incarnation adopted",
             urgent=True,
-            runs=runs,
+            runs=len(runs),
+            jobs=_jobs_of(runs),
             started_s=round(started_s, 3),
         )
 
-    def unclaimed_stopped(self, runs: int, unclaimed_s: float) -> None:
+    def unclaimed_stopped(
+        self, runs: abc.Collection[_runs.RunKey], unclaimed_s: float
+    ) -> None:
         """Record that adopted runs are stopped, since no entry claimed them.
 
-        :param runs: how many runs
+        :param runs: the runs
         :param unclaimed_s: seconds since the first of them was adopted
         """
-        self._meter.unclaimed_stopped(runs)
+        self._meter.unclaimed_stopped(len(runs))
         self.add(
             outcomes.Step.LEASE,
             "runs stopped: no entry claimed them",
             urgent=True,
-            runs=runs,
+            runs=len(runs),
+            jobs=_jobs_of(runs),
             unclaimed_s=round(unclaimed_s, 3),
         )
 
@@ -312,3 +326,8 @@
             capacity_cpu_millis=event.capacity.cpu_millis,
             remaining_s=event.remaining_s,
         )
+
+
+def _jobs_of(runs: abc.Iterable[_runs.RunKey]) -> list[str]:
+    """Return the names of the first few jobs of runs."""
+    return sorted({key.job for key in runs})[:_MAX_JOBS]
--- a/src/ferryledge/leases/_endpoint_watch.py
+++ b/src/ferryledge/leases/_endpoint_watch.py
@@ -321,7 +321,7 @@
         for key in keys:
             self._adopt(now, key)
         if keys:
-            self._notes.adopted(len(keys), now - self._started_at)
+            self._notes.adopted(keys, now - self._started_at)
 
     def _adopt(self, now: float, key: _runs.RunKey) -> None:
         """Add a run that an earlier incarnation of the agent started."""
--- a/src/ferryledge/leases/_run_stopper.py
+++ b/src/ferryledge/leases/_run_stopper.py
@@ -143,15 +143,15 @@
 
     def _stop_unclaimed(self, now: float, unclaimed_since: float) -> None:
         """Stop the runs that no entry has claimed."""
-        rows = [
-            row
+        keys = [
+            row.key
             for row in self._runs.of_owner("")
             if row.state is not _runs.RunState.STOPPING
         ]
-        for row in rows:
-            self.stop(now, row.key)
-        if rows:
-            self._notes.unclaimed_stopped(len(rows), now - unclaimed_since)
+        for key in keys:
+            self.stop(now, key)
+        if keys:
+            self._notes.unclaimed_stopped(keys, now - unclaimed_since)
 
     def _stop_without_grant(self, now: float, owner: _owners.Owner) -> None:
         """Stop the runs of an entry whose grant has expired."""
--- a/src/ferryledge/leases/tests/test_double_run_notes.py
+++ b/src/ferryledge/leases/tests/test_double_run_notes.py
@@ -112,6 +112,7 @@
     assert note.message == _ADOPTED
     assert note.urgent
     assert note.facts["runs"] == 3
+    assert note.facts["jobs"] == [_JOB]
     assert 0.0 < typing.cast(float, note.facts["started_s"]) < 0.3
     assert meter.counts == {"adopted": 3}
 
@@ -123,10 +124,14 @@
     world.run(0.101)
     meter = _meter_agent(world, agent)
     world.run(1.5)
-    adopted, stopped = _notes_of(world, agent, _ADOPTED, _UNCLAIMED)
+    adopted, stopped, *overs = _notes_of(
+        world, agent, _ADOPTED, _UNCLAIMED, "run over"
+    )
     assert (adopted.message, stopped.message) == (_ADOPTED, _UNCLAIMED)
     assert stopped.urgent
     assert stopped.facts["runs"] == 3
+    assert stopped.facts["jobs"] == [_JOB]
+    assert [over.urgent for over in overs] == [True] * 3
     assert 0.6 < typing.cast(float, stopped.facts["unclaimed_s"]) < 0.8
     assert meter.counts == {"adopted": 3, "unclaimed": 3}
 
@@ -149,6 +154,7 @@
     world.run(0.2)
     (over,) = _notes_of(world, agent, _OVERDUE, "run over")
     assert over.message == "run over"
+    assert over.urgent
     assert typing.cast(int, over.facts["stops"]) > 10
     assert 1.0 < typing.cast(float, over.facts["stopping_s"]) < 1.2
 
@@ -170,6 +176,7 @@
     world.post("entry-0", leases.JobCancelled(_JOB))
     world.run(0.5)
     (over,) = _notes_of(world, agent, _OVERDUE, "run over")
+    assert not over.urgent
     assert over.facts["how"] == "stopped"
     assert over.facts["stops"] == 1
     assert typing.cast(float, over.facts["stopping_s"]) < 0.1
