Reproduce double runs at an endpoint whose stops are lost

Cause, the first hypothesis: an agent renews the lease of its endpoint as a whole. A run whose stop is not confirmed goes on under renewals that other runs need, while its entry counts it as over, or its client has repeated the job at another entry.

Change: the virtual world can lose the stops of chosen endpoints.

--- a/src/ferryledge/loads/_world.py
+++ b/src/ferryledge/loads/_world.py
@@ -143,6 +143,8 @@
         ] = collections.defaultdict(list)
         #: Share of orders that are carried out without an answer, late.
         self.late_orders = 0.0
+        #: Agents whose endpoints neither carry out nor answer stops.
+        self.lost_stops: set[str] = set()
         self.answers: dict[int, list[outcomes.JobOutcome]] = {}
         #: Is told each answer to a client.
         self.on_answer: abc.Callable[[int, outcomes.JobOutcome], None] = (
@@ -590,6 +592,9 @@
     def _order(
         self, agent: str, order: leases.StartRun | leases.StopRun
     ) -> None:
+        if isinstance(order, leases.StopRun) and agent in self.lost_stops:
+            self._lose_stop(agent, order)
+            return
         node = self.nodes[agent]
         endpoint = self.endpoints[agent]
         life = node.life
@@ -629,6 +634,11 @@
             )
             self.at(order.answer_timeout_s, lambda: self.post(agent, silent))
 
+    def _lose_stop(self, agent: str, order: leases.StopRun) -> None:
+        """Let a stop go unanswered; it is not carried out."""
+        event = leases.StopAnswered(order.key, order.incarnation, False)
+        self.at(order.answer_timeout_s, lambda: self.post(agent, event))
+
     def _list_runs(self, agent: str, renewal: leases.Renewal) -> None:
         endpoint = self.endpoints[agent]
         life = self.nodes[agent].life
