Reproduce double runs under the successors of agents

Cause, the second hypothesis: an agent that starts again within the lease of its predecessor (0.65 s) adopts the runs that it finds and renews them for 0.6 s while no entry claims them. Their entry, cut off or lost, counts them as over from its own last grant on, and a client whose entry was lost repeats the job after 1.3 s.

Ruled out: the restart alone. After 0.1 to 0.4 s, or 0.65 s and more, no run is doubled: unclaimed runs end early enough, or have lapsed.

Conclusion: the fault is reproduced by a single event, the loss of all processes at once, if agents are back in about half a second.

--- a/src/ferryledge/leases/tests/test_lease_extension.py
+++ b/src/ferryledge/leases/tests/test_lease_extension.py
@@ -6,6 +6,8 @@
 
 import functools
 
+import pytest
+
 from ferryledge import leases
 from ferryledge.leases.tests import faults
 from ferryledge import loads as worlds
@@ -15,6 +17,8 @@
 _AGENT = "agent-0"
 _TASKS = 20
 _WORK_S = 4.0
+#: Seconds between the kill of an agent and its next start.
+_RESTARTS_S = (0.1, 0.3, 0.5, 0.55, 0.6, 0.7)
 
 
 def _world(entries: int = 2, agents: int = 3) -> worlds.World:
@@ -65,3 +69,34 @@
     world.run(1.5)
     assert isinstance(world.outcome(other), outcomes.Complete)
     assert world.started["b" * 16] == 3
+
+
+@pytest.mark.parametrize("down_s", _RESTARTS_S)
+@pytest.mark.parametrize("phase_s", [0.1, 0.15])
+@pytest.mark.parametrize("entries", [1, 2])
+def test_successor_of_an_agent_extends_no_run_that_is_not_claimed(
+    entries: int, phase_s: float, down_s: float
+) -> None:
+    """The entry is cut off from the successor and takes the runs for over."""
+    world = _world(entries)
+    world.run(phase_s)
+    world.kill(_AGENT, down_s)
+    world.cut("entry-0", _AGENT, 3.0)
+    world.run(8.0)
+    assert not world.violations
+
+
+@pytest.mark.parametrize("down_s", _RESTARTS_S)
+@pytest.mark.parametrize("entry_down_s", [0.0, 0.2, 0.4])
+def test_runs_of_killed_processes_end_before_their_client_repeats(
+    entry_down_s: float, down_s: float
+) -> None:
+    """All processes are killed at once, and agents soon start again."""
+    world = _world()
+    for name in world.agents:
+        world.kill(name, down_s)
+    world.kill("entry-0", 3.0)
+    world.kill("entry-1", entry_down_s)
+    world.at(faults.REPEAT_S, functools.partial(_repeat, world))
+    world.run(8.0)
+    assert not world.violations
