Extend an endpoint's lease only while all its runs may go on

Cause: the bound after which an entry takes silent runs for over adds up grant, stop and lease. The lease was to end a run that could not be stopped, but an agent whose stops are lost went on to extend it for the other runs of the endpoint. Class: a fallback that the normal work of others keeps from happening.

Ruled out: a longer bound at the entry; a lost stop has no bound, and clients repeat a job after 1.3 s whatever the entry thinks. Withholding the lease as soon as a stop is sent: stops of clients that leave early take a few milliseconds each and would hold up renewals on a busy endpoint.

Change: LeaseGuard. stop_s after a run's grant ran out, or after its entry asked for its stop, the lease is not extended until the stop is confirmed, by renewals as little as by starts.

Why it works: the last extension is sent stop_s after the right to run ended, and reaches lease_s beyond: 0.6 + 0.05 + 0.663 s after the ask, 0.1 s before the entry's bound, and 0.72 s after a client left.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -14,6 +14,7 @@
 from ferryledge.leases import _endpoint_watch
 from ferryledge.leases import _entry_selection
 from ferryledge.leases import _grant_requests
+from ferryledge.leases import _lease_guard
 from ferryledge.leases import _meters
 from ferryledge.leases import _notes
 from ferryledge.leases import _owners
@@ -53,10 +54,13 @@
         self._incarnation = incarnation
         self._zone = zone
         self._timing = timing or _timing.LeaseTiming()
-        self._link = _endpoint.EndpointLink(self._timing, now)
         self._runs = _runs.RunTable()
         self._notes = _agent_notes.AgentNotes(meter or _meters.AgentMeter())
         self._owners = _owners.OwnerTable(self._timing, name)
+        guard = _lease_guard.LeaseGuard(self._runs, self._owners, self._timing)
+        self._link = _endpoint.EndpointLink(
+            self._timing, now, guard.may_extend
+        )
         self._entry_selection = _entry_selection.EntrySelection(name)
         self._actions: list[_agent_events.AgentAction] = []
         self._cordons = _cordons.Cordons()
--- a/src/ferryledge/leases/_endpoint.py
+++ b/src/ferryledge/leases/_endpoint.py
@@ -1,5 +1,6 @@
 """Tracks an endpoint's incarnation, clock, lease and reachability."""
 
+from collections import abc
 import enum
 
 from ferryledge.leases import _agent_events
@@ -43,10 +44,18 @@
 
     :param timing: durations of leases and grants
     :param now: monotonic seconds
+    :param may_extend: returns whether the lease may be extended at a time;
+        defaults to always
     """
 
-    def __init__(self, timing: _timing.LeaseTiming, now: float) -> None:
+    def __init__(
+        self,
+        timing: _timing.LeaseTiming,
+        now: float,
+        may_extend: abc.Callable[[float], bool] = lambda now: True,
+    ) -> None:
         self._timing = timing
+        self._may_extend = may_extend
         #: The last heartbeat of the current incarnation.
         self.heartbeat: _agent_events.EndpointHeartbeat | None = None
         #: Whether the current incarnation has listed its runs.
@@ -62,8 +71,10 @@
         self._answer_times = _answer_times.AnswerTimes(
             _LONGEST_SLACK_S, _SHORTEST_SLACK_S
         )
-        #: When the last lease was sent.
+        #: When the lease was last extended.
         self._leased_at = now
+        #: End of the lease on the endpoint's clock; 0 before the first one.
+        self._lease_until_ms = 0
         #: Why the last renewal failed; none if it succeeded.
         self._fault: _agent_events.CallFault | None = None
         #: Seconds to wait after the next renewal if it fails too.
@@ -278,6 +289,7 @@
         self.acknowledged = 0
         self.synced = False
         self._clock_ms = 0
+        self._lease_until_ms = 0
         self._token = 0
         self._renewed_at = float("-inf")
         self._warm_at = float("-inf")
@@ -297,10 +309,14 @@
     def lease_until_ms(self, now: float) -> int:
         """Return the end of a lease that is sent now.
 
-        It is a time of the endpoint's clock.
+        It is a time of the endpoint's clock. While the lease may not be
+        extended, it is the end of the last one.
         """
-        self._leased_at = now
-        return self.clock_ms(now) + int(self._timing.lease_s * 1000.0)
+        if self._may_extend(now):
+            self._leased_at = now
+            lease_ms = int(self._timing.lease_s * 1000.0)
+            self._lease_until_ms = self.clock_ms(now) + lease_ms
+        return self._lease_until_ms
 
     def renewal(self, now: float) -> _agent_events.Renewal:
         """Return the arguments of the next renewal call."""
@@ -366,8 +382,8 @@
     def all_leases_expired(self, now: float) -> bool:
         """Return whether all leases on runs have expired.
 
-        No lease is sent while the endpoint is unresponsive, so the last one
-        sent expires last.
+        No lease is sent while the endpoint is unresponsive, so the last
+        extension expires last.
         """
         lease_s = self._timing.lease_s * (1.0 + _timing.CLOCK_DRIFT)
         last = self._leased_at + lease_s + _MARGIN_S
--- a/src/ferryledge/leases/_run_stopper.py
+++ b/src/ferryledge/leases/_run_stopper.py
@@ -73,9 +73,14 @@
             proves never to have started
         """
         row = self._runs.find(key)
-        if row is None or row.state is _runs.RunState.STOPPING:
+        if row is None:
             return
-        if owner is not None and row.owner != owner.incarnation:
+        if owner is not None:
+            if row.owner != owner.incarnation:
+                return
+            if row.unwanted_at is None:
+                row.unwanted_at = now
+        if row.state is _runs.RunState.STOPPING:
             return
         row.state = _runs.RunState.STOPPING
         row.release_reason = release_reason
--- a/src/ferryledge/leases/_runs.py
+++ b/src/ferryledge/leases/_runs.py
@@ -67,6 +67,8 @@
     is_overdue: bool = False
     #: When the last stop was sent, in monotonic seconds.
     stop_sent_at: float | None = None
+    #: When its entry first asked for its stop, in monotonic seconds.
+    unwanted_at: float | None = None
     #: When a stop was confirmed, in monotonic seconds.
     stop_confirmed_at: float | None = None
     #: The number of stops that were sent.
