Extend no lease under an agent's successor until its runs are claimed

Cause: an agent that started again renewed the runs that it found for 0.6 s while no entry had claimed them, and up to one lease longer if it was lost too. Their entry counts from its own last grant, which is up to 0.85 s older; cut off, it took them for over meanwhile. With all processes killed at once the clients repeated their jobs 1.3 s later, when the runs were just being stopped. Without any stream the stop came later still, since nothing planned a tick for it. Class: a right that is renewed by one who doesn't know how old it is.

Ruled out: restarts of less than 0.5 s and of 0.65 s and more, which doubled no run in the tests before this change.

Change: a run without an owner keeps the guard from extending the lease, it is stopped after 0.15 s without a claim instead of 0.6 s, and a tick is planned for that.

Why it works: what a successor finds lives on the predecessor's lease alone, which the entry's bound covers. A claim comes from an entry that knows the run and grants it anew.

Runs whose entry is not back within 0.15 s are lost with a restart of their agent, and started again.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -214,7 +214,7 @@
         """Return when to tick at the latest."""
         due = min(
             self._owners.ask_due_at,
-            self._run_stopper.due_at(),
+            self._run_stopper.due_at(self._endpoint.unclaimed_since),
             self._reports.due_at,
             self._watch.due_at(),
             self._entry_selection.due_at,
--- a/src/ferryledge/leases/_lease_guard.py
+++ b/src/ferryledge/leases/_lease_guard.py
@@ -45,8 +45,6 @@
 
     def _may_go_on(self, row: _runs.RunRow, at: float) -> bool:
         """Return whether a run was allowed to go on at a time."""
-        if not row.owner:
-            return True
         if row.unwanted_at is not None and row.unwanted_at <= at:
             return False
         owner = self._owners.find(row.owner)
--- a/src/ferryledge/leases/_run_stopper.py
+++ b/src/ferryledge/leases/_run_stopper.py
@@ -18,6 +18,10 @@
 #: Stops of a run that are repeated as soon as an answer is overdue. Further
 #: ones are sent at longer intervals: the endpoint is probably cut off.
 _FAST_REPEATS = 3
+#: Seconds for which runs that the agent found at its start wait for their
+#: entry's claim. The lease isn't extended meanwhile, so a longer wait would end
+#: the runs that are claimed.
+_CLAIM_WAIT_S = 0.15
 
 Act = abc.Callable[[_agent_events.AgentAction], None]
 
@@ -138,14 +142,20 @@
             entry to claim them
         """
         for owner in self._owners_with_runs():
-            if not self._owners.has_grant(owner, now):
+            if now >= self._right_ends_at(owner):
                 self._stop_without_grant(now, owner)
         self._forget_disconnected(now)
-        if now - unclaimed_since > self._timing.grant_s:
+        if now - unclaimed_since >= _CLAIM_WAIT_S:
             self._stop_unclaimed(now, unclaimed_since)
         self._repeat(now)
         self._list_runs(now)
 
+    def _right_ends_at(self, owner: _owners.Owner) -> float:
+        """Return when the runs of an entry are stopped without a new grant."""
+        if self._owners.is_superseded(owner):
+            return float("-inf")
+        return owner.granted_at + self._timing.grant_s
+
     def _stop_unclaimed(self, now: float, unclaimed_since: float) -> None:
         """Stop the runs that no entry has claimed."""
         keys = [
@@ -227,14 +237,20 @@
         stopped = row.stop_confirmed_at is not None
         return stopped and row.release_reason is not None and not row.listed
 
-    def due_at(self) -> float:
-        """Return when to tick at the latest, in monotonic seconds."""
+    def due_at(self, unclaimed_since: float) -> float:
+        """Return when to tick at the latest, in monotonic seconds.
+
+        :param unclaimed_since: since when runs without an owner wait for an
+            entry to claim them
+        """
         repeats = [self._repeat_at(row) for row in self._unconfirmed.values()]
         expiries = [
-            owner.granted_at + self._timing.grant_s
+            self._right_ends_at(owner)
             for owner in self._owners_with_runs()
             if self._has_unstopped(owner.incarnation)
         ]
+        if self._has_unstopped(""):
+            expiries.append(unclaimed_since + _CLAIM_WAIT_S)
         return min([*repeats, *expiries, self._list_at])
 
     def _has_unstopped(self, owner: str) -> bool:
