Keep adopted runs until their entry's first grant arrives

What callers saw: work lost with each restart of an agent that was quick enough for its successor to find runs; jobs late by one run.

Cause: an entry's claim may arrive a moment before its first grant, since the list of runs goes out before the ask. The agent stopped what it had just been told to keep, for want of a grant. In real processes claim and grant often arrive in one read, so this showed only at times.

Ruled out: sending the ask first; the claim would still be handled before the grant when the two arrive apart.

Change: runs that an entry claimed wait 0.15 s for its first grant before they are stopped. The lease is not extended for them meanwhile.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -265,7 +265,7 @@
                         now, _runs.RunKey.of(job, run), owner
                     )
             case wire.ClaimRuns(runs):
-                self._on_claim(owner, runs)
+                self._on_claim(now, owner, runs)
             case wire.UrgencyReport(start_by_s):
                 owner.latest_start = now + (
                     _NEVER if start_by_s is None else start_by_s
@@ -371,12 +371,16 @@
         )
 
     def _on_claim(
-        self, owner: _owners.Owner, runs: tuple[wire.HeldRun, ...]
+        self,
+        now: float,
+        owner: _owners.Owner,
+        runs: tuple[wire.HeldRun, ...],
     ) -> None:
         for held in runs:
             row = self._runs.find(_runs.RunKey.of(held.job, held.run))
             if row is None or row.owner:
                 continue
+            owner.claimed_at = now
             self._runs.remove(row.key)
             row.owner = owner.incarnation
             row.need = held.need
--- a/src/ferryledge/leases/_run_stopper.py
+++ b/src/ferryledge/leases/_run_stopper.py
@@ -19,8 +19,8 @@
 #: ones are sent at longer intervals: the endpoint is probably cut off.
 _FAST_REPEATS = 3
 #: Seconds for which runs that the agent found at its start wait for their
-#: entry's claim. The lease isn't extended meanwhile, so a longer wait would end
-#: the runs that are claimed.
+#: entry's claim, and then for its grant. The lease isn't extended meanwhile,
+#: so a longer wait would end the runs that are claimed.
 _CLAIM_WAIT_S = 0.15
 
 Act = abc.Callable[[_agent_events.AgentAction], None]
@@ -154,7 +154,10 @@
         """Return when the runs of an entry are stopped without a new grant."""
         if self._owners.is_superseded(owner):
             return float("-inf")
-        return owner.granted_at + self._timing.grant_s
+        return max(
+            owner.granted_at + self._timing.grant_s,
+            owner.claimed_at + _CLAIM_WAIT_S,
+        )
 
     def _stop_unclaimed(self, now: float, unclaimed_since: float) -> None:
         """Stop the runs that no entry has claimed."""
--- /dev/null
+++ b/src/ferryledge/leases/tests/test_adopted_runs.py
@@ -0,0 +1,25 @@
+"""Runs go on under the successor of their agent, or are stopped by it."""
+
+from ferryledge import loads as worlds
+
+_JOB = "a" * 16
+_AGENT = "agent-0"
+
+
+def _world(agents: int) -> worlds.World:
+    """Return a world whose first entry has runs at the first endpoint."""
+    world = worlds.World(seed=3, entries=2, agents=agents)
+    world.run(3.0)
+    world.submit("entry-0", _JOB, 8 * agents, 4.0, deadline_s=12.0)
+    world.run(0.5)
+    assert world.endpoints[_AGENT].runs
+    return world
+
+
+def test_runs_go_on_under_the_successor_of_their_agent() -> None:
+    world = _world(agents=1)
+    started = world.started[_JOB]
+    world.kill(_AGENT, 0.2)
+    world.run(1.5)
+    assert world.started[_JOB] == started
+    assert len(world.endpoints[_AGENT].runs) == started
