Claim an adopted run before its stop is asked for

What callers saw: a task that may run on after its job was cancelled or its client left, and beside a repeat of the job at another entry.

Cause: an agent that starts again lists the runs that it found. For one that is to be stopped the entry sent the stop first and the claim after it. An agent ignores a stop from an entry that does not own the run, so the stop was lost, the claim made the run go on, and the entry, which had asked for the stop, did not ask again.

Evidence: test_run_that_nobody_wants_is_stopped_under_a_successor failed before (StopRuns before ClaimRuns).

Ruled out: letting any entry stop a run without an owner; each entry asks for the stop of all listed runs that are not its own.

Change: claims first, then stops, also for runs of jobs that the entry has dropped.

A double run by this needs a restart of the agent within the 0.65 s of a lease, at the moment of a stop.

--- a/src/ferryledge/leases/_run_tracker.py
+++ b/src/ferryledge/leases/_run_tracker.py
@@ -411,18 +411,26 @@
     def _claim(
         self, row: _pool.AgentRow, runs: set[tuple[str, wire.TaskRun]]
     ) -> None:
-        """Confirm the runs that an agent holds, and stop unwanted ones."""
+        """Confirm the runs that an agent holds, and stop unwanted ones.
+
+        An agent stops a run only for the entry that claimed it, so the claims
+        are sent first.
+        """
         claimed = []
+        unwanted = []
         for name, run in runs:
             job = self._jobs.find(name)
             task = job.find(run) if job else None
-            if job is None or task is None or task.stopping:
-                self._send(row.name, wire.StopRuns(name, (run,)))
+            need = wire.Resources()
             if job is not None:
                 need = job.request.steps[run.step].need
-                claimed.append(wire.HeldRun(name, run, need))
+            claimed.append(wire.HeldRun(name, run, need))
+            if task is None or task.stopping:
+                unwanted.append(wire.StopRuns(name, (run,)))
         if claimed:
             self._send(row.name, wire.ClaimRuns(tuple(claimed)))
+        for message in unwanted:
+            self._send(row.name, message)
 
     def move_late(self, now: float, runs: tuple[wire.LateRun, ...]) -> None:
         """Restart late runs on other endpoints where that helps."""
--- a/src/ferryledge/leases/tests/test_adopted_runs.py
+++ b/src/ferryledge/leases/tests/test_adopted_runs.py
@@ -1,6 +1,8 @@
 """Runs go on under the successor of their agent, or are stopped by it."""
 
+from ferryledge import leases
 from ferryledge import loads as worlds
+from ferryledge import wire
 
 _JOB = "a" * 16
 _AGENT = "agent-0"
@@ -23,3 +25,28 @@
     world.run(1.5)
     assert world.started[_JOB] == started
     assert len(world.endpoints[_AGENT].runs) == started
+
+
+def test_run_that_nobody_wants_is_stopped_under_a_successor() -> None:
+    """Guards against a stop that is ignored since the claim comes after it."""
+    world = _world(agents=3)
+    world.kill(_AGENT, 0.2)
+    world.run(0.1)
+    world.post("entry-0", leases.ClientLeft(next(iter(world.jobs)), _JOB))
+    sent: list[wire.Message] = []
+    perform = world._perform
+
+    def note(name: str, action: object) -> None:
+        match action:
+            case leases.SendMessage(peer, message) if (
+                name == "entry-0" and peer == _AGENT
+            ):
+                sent.append(message)
+        perform(name, action)
+
+    world._perform = note
+    world.run(0.4)
+    kinds = [type(message) for message in sent]
+    assert wire.StopRuns in kinds
+    assert kinds.index(wire.ClaimRuns) < kinds.index(wire.StopRuns)
+    assert not world.endpoints[_AGENT].runs
