--- a/src/ferryledge/leases/tests/test_adopted_runs.py
+++ b/src/ferryledge/leases/tests/test_adopted_runs.py
@@ -1,6 +1,7 @@
 """Runs go on under the successor of their agent, or are stopped by it."""
 
 from ferryledge import leases
+from ferryledge.leases.tests import faults
 from ferryledge import loads as worlds
 from ferryledge import wire
 
@@ -50,3 +51,14 @@
     assert wire.StopRuns in kinds
     assert kinds.index(wire.ClaimRuns) < kinds.index(wire.StopRuns)
     assert not world.endpoints[_AGENT].runs
+
+
+def test_unwanted_run_is_over_when_its_client_repeats_the_job() -> None:
+    world = _world(agents=3)
+    world.kill(_AGENT, 0.2)
+    world.run(0.1)
+    world.post("entry-0", leases.ClientLeft(next(iter(world.jobs)), _JOB))
+    world.run(faults.REPEAT_S)
+    world.submit("entry-1", _JOB, 24, 4.0, deadline_s=12.0)
+    world.run(6.0)
+    assert not world.violations
