--- a/src/ferryledge/leases/_run_stopper.py
+++ b/src/ferryledge/leases/_run_stopper.py
@@ -142,7 +142,8 @@
             entry to claim them
         """
         for owner in self._owners_with_runs():
-            if now >= self._right_ends_at(owner):
+            is_new = now < owner.claimed_at + _CLAIM_WAIT_S
+            if not is_new and not self._owners.has_grant(owner, now):
                 self._stop_without_grant(now, owner)
         self._forget_disconnected(now)
         if now - unclaimed_since >= _CLAIM_WAIT_S:
@@ -150,15 +151,6 @@
         self._repeat(now)
         self._list_runs(now)
 
-    def _right_ends_at(self, owner: _owners.Owner) -> float:
-        """Return when the runs of an entry are stopped without a new grant."""
-        if self._owners.is_superseded(owner):
-            return float("-inf")
-        return max(
-            owner.granted_at + self._timing.grant_s,
-            owner.claimed_at + _CLAIM_WAIT_S,
-        )
-
     def _stop_unclaimed(self, now: float, unclaimed_since: float) -> None:
         """Stop the runs that no entry has claimed."""
         keys = [
@@ -248,7 +240,10 @@
         """
         repeats = [self._repeat_at(row) for row in self._unconfirmed.values()]
         expiries = [
-            self._right_ends_at(owner)
+            max(
+                owner.granted_at + self._timing.grant_s,
+                owner.claimed_at + _CLAIM_WAIT_S,
+            )
             for owner in self._owners_with_runs()
             if self._has_unstopped(owner.incarnation)
         ]
