Play lost stops and quick restarts in the matrix and the mutations

Cause: the matrix lost orders and stops together, by chance and for single calls, and restarted agents after 0.3 s with their entries reachable.

Ruled out: nothing.

Change: three faults for each step of the matrix and for its series: stops lost for 2 s, the same with the entry cut off, an agent restarted after 0.5 s with its entry cut off. Two mutations: a lease that is extended for any run, and for unclaimed runs.

--- a/src/ferryledge/leases/tests/faults.py
+++ b/src/ferryledge/leases/tests/faults.py
@@ -76,6 +76,23 @@
     world.at(2.0, lambda: world.hanging.pop(name, None))
 
 
+def _lose_stops(world: worlds.World, agent: str) -> None:
+    """Let the endpoint answer no stops for longer than a lease."""
+    world.lost_stops.add(agent)
+    world.at(2.0, lambda: world.lost_stops.discard(agent))
+
+
+def _lose_stops_cut_off(world: worlds.World, agent: str) -> None:
+    _lose_stops(world, agent)
+    world.cut("entry-0", agent, 2.5)
+
+
+def _restart_cut_off(world: worlds.World, agent: str) -> None:
+    """Restart an agent within a lease while its entry is cut off."""
+    world.kill(agent, 0.5)
+    world.cut("entry-0", agent, 2.5)
+
+
 def _drain(world: worlds.World, agent: str) -> None:
     world.endpoints[agent].draining = True
     world.heartbeat(agent)
@@ -190,6 +207,9 @@
     "orders lost or late": _lose_orders,
     "agent killed": _agent(lambda w, a: w.kill(a)),
     "agent down for long": _agent(lambda w, a: w.kill(a, 2.5)),
+    "agent restarted while cut off": _agent(_restart_cut_off),
+    "stops lost": _agent(_lose_stops),
+    "stops lost while cut off": _agent(_lose_stops_cut_off),
     "agent paused": _agent(lambda w, a: w.pause(a, 0.5)),
     "agent paused for long": _agent(lambda w, a: w.pause(a, 3.0)),
     "endpoint crashed": _agent(lambda w, a: w.crash_endpoint(a)),
--- a/src/ferryledge/leases/tests/test_matrix.py
+++ b/src/ferryledge/leases/tests/test_matrix.py
@@ -16,6 +16,9 @@
     "endpoint flaps",
     "endpoint fails a zone's callers",
     "endpoint hangs now and then",
+    "agent restarted while cut off",
+    "stops lost",
+    "stops lost while cut off",
 )
 
 
--- a/src/ferryledge/leases/tests/test_mutations.py
+++ b/src/ferryledge/leases/tests/test_mutations.py
@@ -18,7 +18,9 @@
 from ferryledge.leases import _endpoint
 from ferryledge.leases import _endpoint_watch
 from ferryledge.leases import _incarnations
+from ferryledge.leases import _lease_guard
 from ferryledge.leases import _owners
+from ferryledge.leases import _runs
 from ferryledge.leases import _stream_watch
 from ferryledge.leases import _timing
 from ferryledge.leases.tests import faults
@@ -53,6 +55,35 @@
     return world
 
 
+def _stops_lost_and_the_job_repeated() -> worlds.World:
+    world = worlds.World(seed=5)
+    world.run(2.0)
+    world.submit("entry-0", _JOB, count=8, work_s=3.0)
+    world.run(0.2)
+    world.lost_stops.update(world.agents)
+    world.kill("entry-0", down_s=6.0)
+    world.run(faults.REPEAT_S)
+    world.submit("entry-1", _JOB, count=8, work_s=3.0)
+    world.run(8.0)
+    return world
+
+
+def _agents_restarted_and_the_job_repeated() -> worlds.World:
+    world = worlds.World(seed=5)
+    world.run(2.0)
+    # The job fills one endpoint, so its repetition runs on another.
+    world.submit("entry-0", _JOB, count=8, work_s=3.0)
+    world.run(0.2)
+    world.lost_stops.update(world.agents)
+    for name in world.agents:
+        world.kill(name, 0.5)
+    world.kill("entry-0", down_s=6.0)
+    world.run(faults.REPEAT_S)
+    world.submit("entry-1", _JOB, count=8, work_s=3.0)
+    world.run(8.0)
+    return world
+
+
 def _late_heartbeat_during_a_run() -> worlds.World:
     world = worlds.World(seed=5)
     world.run(2.0)
@@ -230,6 +261,15 @@
     """Replace a disabled mechanism."""
 
 
+_may_go_on = _lease_guard.LeaseGuard._may_go_on
+
+
+def _go_on_if_unclaimed(
+    guard: _lease_guard.LeaseGuard, row: _runs.RunRow, at: float
+) -> bool:
+    return not row.owner or _may_go_on(guard, row, at)
+
+
 def _return_true(*_: typing.Any) -> bool:
     return True
 
@@ -319,6 +359,18 @@
         _return_true,
         _entry_lost_and_its_job_repeated,
     ),
+    "the lease is extended for any run": Mutation(
+        _lease_guard.LeaseGuard,
+        "may_extend",
+        _return_true,
+        _stops_lost_and_the_job_repeated,
+    ),
+    "unclaimed runs keep the lease": Mutation(
+        _lease_guard.LeaseGuard,
+        "_may_go_on",
+        _go_on_if_unclaimed,
+        _agents_restarted_and_the_job_repeated,
+    ),
     "any heartbeat is accepted": Mutation(
         _endpoint.EndpointLink,
         "receive_heartbeat",
