Show that an older stream takes the place of a newer one

Cause: each side of a stream replaces the old one as soon as a new one has completed its handshake. If the Hello of a stream that its dialler gave up arrives late, the acceptor takes it for the newest, and the messages behind it for newer than those that it had over the newer stream. An agent's list of runs on the older stream lacks the runs that were ordered over the newer one, so the entry counts them as lost and orders them again.

Change: tests only. The world gets a switch by which what an agent sends on its next replacement stream arrives late, even after the agent closed that stream, as with TCP.

--- a/src/ferryledge/loads/_world.py
+++ b/src/ferryledge/loads/_world.py
@@ -58,6 +58,9 @@
     open: bool = True
     #: Whether nothing arrives any more, though neither side is told.
     silent: bool = False
+    #: Seconds by which all that the agent sends is late, its greeting first.
+    #: It then arrives even if the agent has closed the stream, as with TCP.
+    late_s: float = 0.0
 
 
 class Node:
@@ -135,6 +138,9 @@
         self.reopening: dict[tuple[str, str], Stream] = {}
         #: How often that was tried.
         self.reopened = 0
+        #: By how much the greeting of the next stream that is opened beside
+        #: another is late, and what follows it, in seconds.
+        self.late_greetings: dict[tuple[str, str], float] = {}
         #: Which entries each agent keeps dialling.
         self.dialled: set[tuple[str, str]] = set()
         self.cuts: set[tuple[str, str]] = set()
@@ -483,16 +489,17 @@
         wait_s: float = 0.0,
     ) -> None:
         way = (source, target)
+        late_s = stream.late_s if source == stream.agent else 0.0
 
         def arrive() -> None:
             if stream.silent:
                 return
             if way in self.cuts or self.held[way]:
                 self.held[way].append((stream, act))
-            elif stream.open:
+            elif stream.open or late_s:
                 act()
 
-        self.at(wait_s + HOP_S, arrive)
+        self.at(wait_s + HOP_S + late_s, arrive)
 
     def _dial_loop(self, agent: str, entry: str) -> None:
         def loop() -> None:
@@ -542,6 +549,7 @@
             return
         self.reopened += 1
         stream = self.reopening[key] = Stream(agent, entry)
+        stream.late_s = self.late_greetings.pop(key, 0.0)
 
         def try_it() -> None:
             if self.reopening.get(key) is not stream:
