Refuse a stream whose handshake completes after that of a newer one

Cause: whichever stream completed its handshake last replaced the others. A Hello that arrives late made an older stream the newest one on one side, whose list of runs then counted runs of the newer stream as lost.

Ruled out: the order in which streams are accepted, as the only measure: a stream that is dialled first may be accepted second. A memory of replaced incarnations: an acceptor that knows neither takes the late Hello of an old incarnation for a new one, and would then refuse the live one for good. It compares when streams of two incarnations were accepted instead. Each stream is challenged after it is accepted, so its process lived longer than that of one whose stream was accepted before; a live process that was replaced gets back in with its next dial.

Change: the dialling side numbers its streams, with one sequence for the process, so that seeds and names compare; the number is taken before the dial and sent as the last field of Hello, which is an array, so that older builds ignore it. wire.StreamOrder holds the rule: both sides keep the highest number that they have admitted, also after that stream was closed; a dialler compares its own numbers whichever incarnation answers. The accepting side sends 0, as does an older build, whose streams replace each other as before. A refused stream posts no event, its messages are dropped, it is logged as "stream refused: superseded" at info level and counted apart from failed handshakes (Mesh.superseded). The world of virtual time uses the same rule.

--- a/src/ferryledge/loads/_world.py
+++ b/src/ferryledge/loads/_world.py
@@ -14,6 +14,8 @@
 import random
 import typing
 
+import msgspec
+
 from ferryledge import leases
 from ferryledge import outcomes
 from ferryledge import standin
@@ -74,6 +76,7 @@
         self.waiting: list[abc.Callable[[], None]] = []
         self.life = 0
         self.tick_at = float("inf")
+        self.stream_order = wire.StreamOrder()
 
 
 class World:
@@ -309,6 +312,7 @@
         node.paused = False
         node.waiting.clear()
         node.tick_at = float("inf")
+        node.stream_order = wire.StreamOrder()
         incarnation = f"{name}.{node.life}"
         self.dialled = {one for one in self.dialled if one[0] != name}
         self.at(STORE_S, lambda: self._find_entries(name, node.life))
@@ -523,18 +527,41 @@
     def _greet(self, stream: Stream) -> None:
         """Let both sides greet each other, and then use a stream."""
         self.streams[stream.agent, stream.entry] = stream
+        numbers = {
+            name: self.nodes[name].stream_order.next_number()
+            for name in (stream.agent, stream.entry)
+        }
         for own, peer in (
             (stream.agent, stream.entry),
             (stream.entry, stream.agent),
         ):
-            up = wire.PeerUp(self.nodes[peer].core.hello())
-            use = functools.partial(self._use, stream, own, peer, up)
+            hello = self.nodes[peer].core.hello()
+            if peer == stream.agent:
+                hello = msgspec.structs.replace(
+                    hello, stream=numbers[stream.agent]
+                )
+            up = wire.PeerUp(hello)
+            use = functools.partial(
+                self._use, stream, numbers[own], own, peer, up
+            )
             self._carry(stream, peer, own, use)
 
     def _use(
-        self, stream: Stream, own: str, peer: str, up: wire.PeerUp
+        self,
+        stream: Stream,
+        number: int,
+        own: str,
+        peer: str,
+        up: wire.PeerUp,
     ) -> None:
-        """Use a stream from now on; an older one is closed."""
+        """Use a stream from now on, unless a newer one is known.
+
+        An older one is closed.
+        """
+        order = self.nodes[own].stream_order
+        if not order.admit(up.hello, number, own == stream.agent):
+            stream.open = False
+            return
         old = self.used.get((own, peer))
         self.used[own, peer] = stream
         if old is not None and old.open:
--- a/src/ferryledge/net/_mesh.py
+++ b/src/ferryledge/net/_mesh.py
@@ -3,7 +3,8 @@
 A stream starts with mutual authentication by a shared key and an exchange of
 ``Hello`` messages. There is at most one stream per peer: when a new stream has
 completed its handshake, it replaces the old one. A replacement can therefore
-be opened while an unresponsive stream is still in place.
+be opened while an unresponsive stream is still in place. A stream whose
+handshake completes after that of a newer one is refused.
 """
 
 import asyncio
@@ -31,11 +32,6 @@
 _MAX_HANDSHAKES = 256
 
 
-Authenticate = abc.Callable[
-    [_stream.Stream, tuple[str, ...]], abc.Awaitable[None]
-]
-
-
 class PeerAddress(msgspec.Struct, frozen=True):
     """The name of a peer and the address that it listens on."""
 
@@ -100,6 +96,8 @@
         self._messages_sent = 0
         self._bytes_sent = 0
         self._refusals = 0
+        self._order = wire.StreamOrder()
+        self._superseded = 0
 
     @property
     def messages_sent(self) -> int:
@@ -116,6 +114,11 @@
         """The number of streams refused for a failed handshake."""
         return self._refusals
 
+    @property
+    def superseded(self) -> int:
+        """The number of streams refused since a newer one came first."""
+        return self._superseded
+
     def send(self, name: str, message: wire.Message) -> None:
         """Send a message to a peer; dropped if it has no stream."""
         connection = self._connections.get(name)
@@ -173,27 +176,37 @@
                 await anyio.sleep_forever()
 
     async def _accept(self, stream: _stream.Stream) -> None:
-        await self._handshake_and_serve(stream, wire.accept, self._handshakes)
+        number = self._order.next_number()
+        await self._handshake_and_serve(stream, number, is_dialled=False)
 
     async def _handshake_and_serve(
-        self,
-        stream: _stream.Stream,
-        authenticate: Authenticate,
-        limiter: contextlib.AbstractAsyncContextManager[object],
+        self, stream: _stream.Stream, number: int, *, is_dialled: bool
     ) -> bool:
         """Complete the handshake of a new stream and serve it.
 
         :param stream: the stream; it is closed on return
-        :param authenticate: authenticates both sides by the shared key
-        :param limiter: limits the number of concurrent handshakes
+        :param number: the number of the stream in this process
+        :param is_dialled: whether this process dialled
         :return: whether the handshake succeeded
         """
+        limiter: contextlib.AbstractAsyncContextManager[object]
+        if is_dialled:
+            authenticate, limiter = wire.connect, contextlib.nullcontext()
+            sent_number = number
+        else:
+            authenticate, limiter = wire.accept, self._handshakes
+            sent_number = 0
         try:
             async with limiter:
                 with anyio.fail_after(_HANDSHAKE_S):
                     await authenticate(stream, self._keys)
-                    peer_hello = await self._exchange_hellos(stream)
-            await self._serve(stream, peer_hello)
+                    peer_hello = await self._exchange_hellos(
+                        stream, sent_number
+                    )
+            if self._order.admit(peer_hello.hello, number, is_dialled):
+                await self._serve(stream, peer_hello)
+            else:
+                self._log_superseded(peer_hello.hello)
         except (wire.AuthenticationError, wire.WireError) as exc:
             self._log_refusal(stream, exc)
             return False
@@ -209,6 +222,12 @@
             "stream refused: {}", exc, step="handshake", peer=stream.peer
         )
 
+    def _log_superseded(self, hello: wire.Hello) -> None:
+        self._superseded += 1
+        loguru.logger.info(
+            "stream refused: superseded", step="handshake", peer=hello.name
+        )
+
     async def keep_dialling(self, address: PeerAddress) -> None:
         """Keep a stream to a peer open until :meth:`stop_dialling`."""
         if address.name in self._dial_scopes:
@@ -272,6 +291,7 @@
         self, address: PeerAddress, max_attempts: int = 1
     ) -> _redial.DialResult:
         loop = asyncio.get_running_loop()
+        number = self._order.next_number()
         try:
             stream = await _connecting.connect(
                 lambda: loop.create_connection(
@@ -283,13 +303,15 @@
             return _redial.DialResult.REFUSED
         except (OSError, TimeoutError):
             return _redial.DialResult.UNREACHABLE
-        limiter = contextlib.nullcontext()
-        if await self._handshake_and_serve(stream, wire.connect, limiter):
+        if await self._handshake_and_serve(stream, number, is_dialled=True):
             return _redial.DialResult.CLOSED
         return _redial.DialResult.HANDSHAKE_FAILED
 
-    async def _exchange_hellos(self, stream: _stream.Stream) -> _PeerHello:
-        stream.write(wire.encode(self._hello()))
+    async def _exchange_hellos(
+        self, stream: _stream.Stream, number: int
+    ) -> _PeerHello:
+        hello = msgspec.structs.replace(self._hello(), stream=number)
+        stream.write(wire.encode(hello))
         decoder = wire.Decoder()
         while True:
             messages = list(decoder.feed(await stream.receive()))
--- a/src/ferryledge/net/tests/test_mesh.py
+++ b/src/ferryledge/net/tests/test_mesh.py
@@ -6,9 +6,12 @@
 import dataclasses
 
 import anyio
+import msgpack
+import msgspec
 import pytest
 
 from ferryledge import net
+from ferryledge.net import _stream
 from ferryledge.soak import _proxy
 from ferryledge import wire
 
@@ -268,6 +271,7 @@
         await pair.check_messages()
         assert pair.agent.count(wire.PeerUp) == 3
         assert not pair.entry.mesh.refused
+        assert pair.entry.mesh.superseded == 1
 
 
 async def test_late_answer_to_an_older_dial_replaces_no_newer_stream() -> None:
@@ -289,3 +293,29 @@
         assert pair.agent.count(wire.PeerDown) == 1
         await pair.check_messages()
         assert not pair.agent.mesh.refused
+        assert pair.agent.mesh.superseded == 1
+
+
+async def _dial_as_older_build(port: int) -> _stream.Stream:
+    """Open a stream whose ``Hello`` has no number."""
+    loop = asyncio.get_running_loop()
+    _, stream = await loop.create_connection(_stream.Stream, _HOST, port)
+    await wire.connect(stream, _KEYS)
+    hello = wire.Hello(wire.Role.AGENT, "agent-0", "agent-0.1", "north")
+    array = msgspec.to_builtins(hello)
+    stream.write(msgpack.packb(array[: array.index("north") + 1]))
+    return stream
+
+
+async def test_stream_of_an_older_build_replaces_the_one_before() -> None:
+    entry = _Side(wire.Role.ENTRY, "entry-0")
+    async with anyio.create_task_group() as group:
+        port = await group.start(entry.mesh.listen, _HOST, 0)
+        for number in range(1, 4):
+            stream = await _dial_as_older_build(port)
+            await _until(lambda n=number: entry.count(wire.PeerUp) == n)
+            stream.write(wire.encode(wire.GrantRequest(number)))
+            request = wire.GrantRequest(number)
+            await _until(lambda r=request: entry.received(r))
+        assert entry.count(wire.PeerDown) == 2
+        group.cancel_scope.cancel()
--- a/src/ferryledge/wire/__init__.py
+++ b/src/ferryledge/wire/__init__.py
@@ -7,6 +7,7 @@
 from ferryledge.wire import _messages
 from ferryledge.wire import _packing
 from ferryledge.wire import _stream_events
+from ferryledge.wire import _stream_order
 
 AuthenticationError = _handshake.AuthenticationError
 Decoder = _codec.Decoder
@@ -50,6 +51,7 @@
 Settle = _messages.Settle
 StartTasks = _messages.StartTasks
 StreamEvent = _stream_events.StreamEvent
+StreamOrder = _stream_order.StreamOrder
 TasksFinished = _messages.TasksFinished
 TasksReleased = _messages.TasksReleased
 Tickets = _messages.Tickets
@@ -173,6 +175,7 @@
     "StartTasks",
     "StopRuns",
     "StreamEvent",
+    "StreamOrder",
     "TaskRun",
     "TasksFinished",
     "TasksReleased",
--- a/src/ferryledge/wire/_messages.py
+++ b/src/ferryledge/wire/_messages.py
@@ -55,6 +55,9 @@
     reads_configs: bool = False
     #: Whether the sender accepts jobs that other entries hand over.
     takes_jobs: bool = False
+    #: Number of the stream, which rises with each one that the sender dials;
+    #: 0 from the side that accepts it.
+    stream: int = 0
 
 
 class KeepAlive(Model, frozen=True, tag="alive"):
