Show that orders of an earlier stream count as seen on a new one

Cause: an entry numbers its orders on each stream from 1 (Pool.join), but the agent keeps the highest number of the streams before (OwnerTable.join). Its state reports on the new stream thus include orders that it has not seen, and the entry releases their capacity while they are on their way. Callers may see tasks that are ordered at a full endpoint and come back; no double run follows.

One line in OwnerTable.join would mend it; leases belong to others.

Conclusion: open. How much it costs was not measured.

--- a/src/ferryledge/leases/tests/test_reports_across_streams.py
+++ b/src/ferryledge/leases/tests/test_reports_across_streams.py
@@ -1,8 +1,11 @@
 """What an agent reports is not taken for newer than it is."""
 
 from ferryledge import leases
+from ferryledge.leases import _owners
+from ferryledge.leases import _timing
 from ferryledge import loads as worlds
 from ferryledge import outcomes
+from ferryledge import wire
 
 _SETTLE_S = 2.0
 _JOB = "b" * 16
@@ -28,3 +31,17 @@
     world.run(_SETTLE_S)
     assert isinstance(world.outcome(token), outcomes.Complete)
     assert not world.violations
+
+
+def test_orders_of_an_earlier_stream_do_not_count_as_seen() -> None:
+    """An entry numbers its orders on each stream from 1.
+
+    It would release the capacity of an order that is still on its way.
+    """
+    owners = _owners.OwnerTable(_timing.LeaseTiming(), "agent-0")
+    owner = owners.join(0.0, "entry-0", "entry-0.1")
+    order = wire.OrderRuns(7, _JOB, "", wire.Resources(), (), "endpoint", 0.1)
+    owners.note_order(owner, order)
+    owners.leave("entry-0", "entry-0.1")
+    owner = owners.join(1.0, "entry-0", "entry-0.1")
+    assert owner.orders_seen == 0
