--- a/src/ferryledge/loads/_world.py
+++ b/src/ferryledge/loads/_world.py
@@ -14,6 +14,8 @@
 import random
 import typing
 
+import msgspec
+
 from ferryledge import leases
 from ferryledge import outcomes
 from ferryledge import standin
@@ -58,6 +60,9 @@
     open: bool = True
     #: Whether nothing arrives any more, though neither side is told.
     silent: bool = False
+    #: Seconds by which all that the agent sends is late, its greeting first.
+    #: It then arrives even if the agent has closed the stream, as with TCP.
+    late_s: float = 0.0
 
 
 class Node:
@@ -71,6 +76,7 @@
         self.waiting: list[abc.Callable[[], None]] = []
         self.life = 0
         self.tick_at = float("inf")
+        self.stream_order = wire.StreamOrder()
 
 
 class World:
@@ -135,6 +141,9 @@
         self.reopening: dict[tuple[str, str], Stream] = {}
         #: How often that was tried.
         self.reopened = 0
+        #: By how much the greeting of the next stream that is opened beside
+        #: another is late, and what follows it, in seconds.
+        self.late_greetings: dict[tuple[str, str], float] = {}
         #: Which entries each agent keeps dialling.
         self.dialled: set[tuple[str, str]] = set()
         self.cuts: set[tuple[str, str]] = set()
@@ -305,6 +314,7 @@
         node.paused = False
         node.waiting.clear()
         node.tick_at = float("inf")
+        node.stream_order = wire.StreamOrder()
         incarnation = f"{name}.{node.life}"
         self.dialled = {one for one in self.dialled if one[0] != name}
         self.at(STORE_S, lambda: self._find_entries(name, node.life))
@@ -485,16 +495,17 @@
         wait_s: float = 0.0,
     ) -> None:
         way = (source, target)
+        late_s = stream.late_s if source == stream.agent else 0.0
 
         def arrive() -> None:
             if stream.silent:
                 return
             if way in self.cuts or self.held[way]:
                 self.held[way].append((stream, act))
-            elif stream.open:
+            elif stream.open or late_s:
                 act()
 
-        self.at(wait_s + HOP_S, arrive)
+        self.at(wait_s + HOP_S + late_s, arrive)
 
     def _dial_loop(self, agent: str, entry: str) -> None:
         def loop() -> None:
@@ -518,18 +529,41 @@
     def _greet(self, stream: Stream) -> None:
         """Let both sides greet each other, and then use a stream."""
         self.streams[stream.agent, stream.entry] = stream
+        numbers = {
+            name: self.nodes[name].stream_order.next_number()
+            for name in (stream.agent, stream.entry)
+        }
         for own, peer in (
             (stream.agent, stream.entry),
             (stream.entry, stream.agent),
         ):
-            up = wire.PeerUp(self.nodes[peer].core.hello())
-            use = functools.partial(self._use, stream, own, peer, up)
+            hello = self.nodes[peer].core.hello()
+            if peer == stream.agent:
+                hello = msgspec.structs.replace(
+                    hello, stream=numbers[stream.agent]
+                )
+            up = wire.PeerUp(hello)
+            use = functools.partial(
+                self._use, stream, numbers[own], own, peer, up
+            )
             self._carry(stream, peer, own, use)
 
     def _use(
-        self, stream: Stream, own: str, peer: str, up: wire.PeerUp
+        self,
+        stream: Stream,
+        number: int,
+        own: str,
+        peer: str,
+        up: wire.PeerUp,
     ) -> None:
-        """Use a stream from now on; an older one is closed."""
+        """Use a stream from now on, unless a newer one is known.
+
+        An older one is closed.
+        """
+        order = self.nodes[own].stream_order
+        if not order.admit(up.hello, number, own == stream.agent):
+            stream.open = False
+            return
         old = self.used.get((own, peer))
         self.used[own, peer] = stream
         if old is not None and old.open:
@@ -544,6 +578,7 @@
             return
         self.reopened += 1
         stream = self.reopening[key] = Stream(agent, entry)
+        stream.late_s = self.late_greetings.pop(key, 0.0)
 
         def try_it() -> None:
             if self.reopening.get(key) is not stream:
