Take runs for lost by the first list on a stream only

Cause: an agent that finds a run it does not know lists its runs to all entries, on streams that are in use. An order on its way is not in the list, so its entry took the runs for lost and ordered them again, while the agent started them a moment later if the unknown run was claimed or over by then.

Ruled out: numbers of orders in the list; the first list on a stream is the only one that has to be complete, since ends are reported and repeated.

Change: a later list on a stream only claims or stops what it holds.

--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -531,6 +531,8 @@
                     self._on_ask(
                         now, row, wire.GrantRequest(ask, needs_answer=True)
                     )
+            case wire.RunsHeld(runs) if row.reconciled:
+                self._runs.claim_or_stop(now, row, runs)
             case wire.RunsHeld(runs):
                 listed = _presumed_ends.EndSource.LIST
                 for decided in self._runs.reconcile(now, row, runs, listed):
--- a/src/ferryledge/leases/_run_tracker.py
+++ b/src/ferryledge/leases/_run_tracker.py
@@ -388,8 +388,8 @@
     ) -> list[DecidedJob]:
         """Reconcile the runs that an agent holds with those ordered there.
 
-        Ordered runs that the agent does not hold are lost. Runs that it holds
-        and that were not ordered are stopped.
+        Ordered runs that the agent does not hold are lost. The list must be
+        the first one on a stream: orders on their way are not in later ones.
 
         :param now: monotonic seconds
         :param row: the agent
@@ -402,11 +402,26 @@
         for name, run in list(row.runs - held_runs):
             end = wire.RunEnd(run, wire.RunOutcome.LOST, 0.0)
             decided.append(self.ended(now, row, name, end, source))
+        self.claim_or_stop(now, row, runs)
+        return [decision for decision in decided if decision is not None]
+
+    def claim_or_stop(
+        self,
+        now: float,
+        row: _pool.AgentRow,
+        runs: tuple[wire.HeldRun, ...],
+    ) -> None:
+        """Claim the runs that were ordered at an agent, and stop the others.
+
+        :param now: monotonic seconds
+        :param row: the agent
+        :param runs: runs that it holds
+        """
+        held_runs = {(item.job, item.run) for item in runs}
         for name, run in held_runs - row.runs:
             self._note_if_outlived(now, row, name, run)
             self._send(row.name, wire.StopRuns(name, (run,)))
         self._claim(row, held_runs & row.runs)
-        return [decision for decision in decided if decision is not None]
 
     def _claim(
         self, row: _pool.AgentRow, runs: set[tuple[str, wire.TaskRun]]
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -152,9 +152,10 @@
     """All runs of the receiver that are alive, or may be, at the sender.
 
     On a new stream it is sent first, after the ends that are not confirmed
-    yet. A run that is neither listed here nor reported as ended is over.
+    yet. A run that is neither listed there nor reported as ended is over.
     Runs that the sender found at its endpoint are listed to every entry
-    while their owner is unknown.
+    while their owner is unknown. A later list on the stream announces such
+    runs, and says nothing about runs that it lacks.
     """
 
     runs: tuple[HeldRun, ...]
