Count the orders of each stream anew at the agent

What callers saw: orders in vain after a stream was replaced.

Cause: an entry numbers its orders on each stream from 1, while the agent went on with the highest number of the stream before. Its reports told the entry that orders on their way were seen, so their room counted as free again.

Ruled out: an effect on double runs; the agent turns down what does not fit.

Change: the count starts at 0 with each stream.

--- a/src/ferryledge/leases/_owners.py
+++ b/src/ferryledge/leases/_owners.py
@@ -205,6 +205,7 @@
         owner.connected = True
         owner.heard_at = now
         owner.needs_held_report = True
+        owner.orders_seen = 0
         owner.latest_start = float("inf")
         owner.last_report = None
         owner.expected_free = None
