--- a/src/ferryledge/leases/tests/test_double_run_notes.py
+++ b/src/ferryledge/leases/tests/test_double_run_notes.py
@@ -176,7 +176,7 @@
 
 
 def _list(world: worlds.World, agent: str, *held: wire.HeldRun) -> None:
-    """Let the entry receive a first list of runs that the agent didn't send."""
+    """Let the entry receive a forged first list of runs."""
     world.nodes["entry-0"].core.pool.find(agent).reconciled = False
     world.post("entry-0", wire.Received(agent, wire.RunsHeld(held)))
 
