Let a soak have any number of clients

Ruled out: clients with several jobs at a time; more clients do the same.

The faults of a seed don't depend on it; a test holds that. It failed before: make_plan took no clients.

--- a/src/ferryledge/soak/__main__.py
+++ b/src/ferryledge/soak/__main__.py
@@ -17,6 +17,12 @@
 @click.option("--seconds", default=20.0, help="Length of the load.")
 @click.option("--entries", default=3, help="Entry processes.")
 @click.option("--agents", default=5, help="Agent processes.")
+@click.option(
+    "--clients",
+    default=_plan.CLIENTS,
+    show_default=True,
+    help="Clients, each with one job at a time.",
+)
 @click.option(
     "--only",
     multiple=True,
@@ -36,6 +42,7 @@
     seconds: float,
     entries: int,
     agents: int,
+    clients: int,
     only: tuple[str, ...],
     mean_gap_s: float,
 ) -> None:
@@ -47,7 +54,9 @@
     if seeds > 1:
         sys.exit(_play_each(seed, seeds))
     kinds = tuple(_plan.FaultKind(one) for one in only)
-    plan = _plan.make_plan(seed, seconds, entries, agents, kinds, mean_gap_s)
+    plan = _plan.make_plan(
+        seed, seconds, entries, agents, kinds, mean_gap_s, clients
+    )
     report = _run.play(plan)
     click.echo(json.dumps(dataclasses.asdict(report)))
     sys.exit(int(bool(report.findings)))
--- a/src/ferryledge/soak/_clients.py
+++ b/src/ferryledge/soak/_clients.py
@@ -12,8 +12,6 @@
 from ferryledge.soak import _workload
 
 QUEUES = ("hold", "quote")
-#: Clients, each with one connection to each entry that it keeps open.
-CLIENTS = 8
 _JOBS_PER_S = 8.0
 _DEADLINE_S = 5.0
 #: A client repeats a job this long after its try broke off.
--- a/src/ferryledge/soak/_plan.py
+++ b/src/ferryledge/soak/_plan.py
@@ -6,6 +6,8 @@
 
 #: Seconds at the start and at the end without faults.
 _CALM_S = 2.0
+#: Clients, each with one connection to each entry that it keeps open.
+CLIENTS = 8
 #: Mean seconds between faults; they last longer, so they overlap.
 MEAN_GAP_S = 1.2
 
@@ -66,6 +68,7 @@
     entries: int
     agents: int
     faults: tuple[Fault, ...]
+    clients: int = CLIENTS
 
 
 def make_plan(
@@ -75,6 +78,7 @@
     agents: int = 5,
     only: tuple[FaultKind, ...] = (),
     mean_gap_s: float = MEAN_GAP_S,
+    clients: int = CLIENTS,
 ) -> Plan:
     """Return the plan of a seed.
 
@@ -84,6 +88,7 @@
     :param agents: number of agent processes, each with an endpoint
     :param only: kinds of faults; none is all
     :param mean_gap_s: mean seconds between faults
+    :param clients: number of clients, each with one job at a time
     """
     rng = random.Random(seed)
     faults = []
@@ -95,4 +100,4 @@
             Fault(at, kind, rng.randrange(1000), rng.uniform(0.2, 3.5))
         )
         at += rng.expovariate(1.0 / mean_gap_s)
-    return Plan(seed, seconds, entries, agents, tuple(faults))
+    return Plan(seed, seconds, entries, agents, tuple(faults), clients)
--- a/src/ferryledge/soak/_run.py
+++ b/src/ferryledge/soak/_run.py
@@ -51,6 +51,7 @@
     """
 
     def __init__(self, plan: _plan.Plan, folder: pathlib.Path) -> None:
+        self._plan = plan
         self.judge = _judge.Judge()
         self._workload = _workload.Workload()
         self._deployment = _deployment.Deployment(
@@ -130,7 +131,7 @@
                 self._started_at = asyncio.get_running_loop().time()
                 clients = [
                     group.create_task(self._clients.submit_many(n))
-                    for n in range(_clients.CLIENTS)
+                    for n in range(self._plan.clients)
                 ]
                 strikes = self._strikes.strike_all(group)
                 faults = group.create_task(strikes)
--- a/src/ferryledge/soak/tests/test_soak.py
+++ b/src/ferryledge/soak/tests/test_soak.py
@@ -36,6 +36,12 @@
     assert soak.make_plan(7) != soak.make_plan(8)
 
 
+def test_more_clients_leave_the_faults_as_they_are() -> None:
+    plan = soak.make_plan(7, clients=64)
+    assert plan.clients == 64
+    assert plan.faults == soak.make_plan(7).faults
+
+
 def test_every_kind_of_fault_is_planned() -> None:
     kinds = {
         fault.kind
