Let the soak tell both runs of a task that runs twice

Cause: the finding named the other endpoint alone: not the run numbers, when each run started, whether it was stopped and how it ended. A start of a task whose end was noted long before was not looked for. Of two runs of a task at one endpoint the end of one hid the other.

Ruled out: a finding for each start after an acknowledged end of a job that was sent once. The users' rule speaks of machines in touch: where a fault that parts machines strikes from the end until a second after the acknowledgement, or up to 3 s before, it is counted, not found.

Change: the judge keeps each run; the finding twice names both, and when and where the job was sent; the finding again and the count repeated in the report. The endpoint stand-in tells of stops and acknowledgements.

All tests of soak and platform pass. The new tests failed before: no method book, no field repeated; the third run beside one of two at an endpoint was not found.

--- a/src/ferryledge/platform/standin/__init__.py
+++ b/src/ferryledge/platform/standin/__init__.py
@@ -5,6 +5,7 @@
 from ferryledge.platform.standin import _settings
 from ferryledge.platform.standin import _store
 
+BookEvent = _endpoint.BookEvent
 ClientAnswer = _client.ClientAnswer
 ClientState = _client.ClientState
 EndpointServer = _endpoint.EndpointServer
@@ -16,6 +17,7 @@
 submit = _client.submit
 
 __all__ = [
+    "BookEvent",
     "ClientAnswer",
     "ClientState",
     "EndpointServer",
--- a/src/ferryledge/platform/standin/_endpoint.py
+++ b/src/ferryledge/platform/standin/_endpoint.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import contextlib
+import enum
 import json
 import random
 import typing
@@ -27,6 +28,22 @@
 }
 
 
+class BookEvent(enum.StrEnum):
+    """What an agent told the endpoint about a run."""
+
+    #: The agent ordered a stop of an active run.
+    STOP_ORDERED = "stop ordered"
+    #: The agent acknowledged the end of the run.
+    ACKNOWLEDGED = "acknowledged"
+
+
+BookWatch = abc.Callable[[BookEvent, leases.RunKey, str], None]
+
+
+def _ignore(what: BookEvent, key: leases.RunKey, endpoint: str) -> None:
+    """Do nothing: nobody watches."""
+
+
 def _parse_run_key(task: str, run: int) -> leases.RunKey:
     job, _, step, index = task.rsplit(".", 3)
     return leases.RunKey(job, int(step), int(index), run)
@@ -45,6 +62,8 @@
     :param agent_url: base URL of the agent
     :param model: the simulated endpoint
     :param rng: selects the calls that are delayed
+    :param watch: called with what the agent tells of a run, the run's key and
+        the endpoint's name
     """
 
     def __init__(
@@ -55,6 +74,7 @@
         agent_url: str,
         model: standin.LeasedEndpoint,
         rng: random.Random,
+        watch: BookWatch = _ignore,
     ) -> None:
         self.model = model
         #: Share of the calls that are executed late and answered only after
@@ -67,6 +87,7 @@
         self._port = port
         self._caller = net.HttpClient(agent_url, 1)
         self._rng = rng
+        self._watch = watch
         #: Start time of the endpoint, and when the agent first answered a
         #: heartbeat of this start that reported draining.
         self._drain_reported: tuple[int, float] | None = None
@@ -168,6 +189,8 @@
         key = _parse_run_key(fields["Task"], fields["Run"])
         token = fields["FencingToken"]
         if path == "/run-stop":
+            if key in self.model.runs:
+                self._watch(BookEvent.STOP_ORDERED, key, self.model.name)
             stop = leases.StopRun(key, incarnation, token)
             done = self.model.stop(now, stop)
             return net.HttpResponse.json(200 if done else 409, clock)
@@ -189,7 +212,11 @@
             fields["AckedUpto"],
             0,
         )
+        listed = self.model.ended
         answer = self.model.renew(now, now, renewal)
+        for end in listed:
+            if end not in self.model.ended:
+                self._watch(BookEvent.ACKNOWLEDGED, end.key, self.model.name)
         if renewal.lease_until_ms and isinstance(answer, leases.LeaseRenewed):
             self.renewals += 1
         wait_until = now + fields.get("WaitMs", 0) / 1000.0
--- a/src/ferryledge/soak/_clients.py
+++ b/src/ferryledge/soak/_clients.py
@@ -85,10 +85,11 @@
         if self.deadly_next:
             self.deadly_next = False
             self._judge.deadly(job)
-        for caller in self._turn_to(rng, callers):
-            self._judge.submitted(job, tasks)
+        for entry in self._turn_to(rng, len(callers)):
+            self._judge.now = self._now()
+            self._judge.submitted(job, tasks, entry)
             answer = await platform_standin.submit(
-                caller,
+                callers[entry],
                 rng.choice(QUEUES),
                 job,
                 spec,
@@ -103,13 +104,15 @@
                 return
             await asyncio.sleep(_REPEAT_S)
 
-    def _turn_to(
-        self, rng: random.Random, callers: list[net.HttpClient]
-    ) -> list[net.HttpClient]:
-        """Return the entries to try, in order."""
-        chosen = rng.sample(callers, min(2, len(callers)))
+    def _turn_to(self, rng: random.Random, entries: int) -> list[int]:
+        """Return the numbers of the entries to try, in order.
+
+        :param rng: chooses
+        :param entries: how many there are
+        """
+        chosen = rng.sample(range(entries), min(2, entries))
         if self.crowded is not None:
-            chosen[0] = callers[self.crowded]
+            chosen[0] = self.crowded
         return chosen
 
 
--- a/src/ferryledge/soak/_plan.py
+++ b/src/ferryledge/soak/_plan.py
@@ -46,6 +46,26 @@
     DEADLY_JOB = "deadly_job"
 
 
+#: Faults that keep entries and agents from hearing of each other.
+_OUT_OF_TOUCH = frozenset(
+    {
+        FaultKind.KILL_ENTRY,
+        FaultKind.STOP_ENTRY,
+        FaultKind.PAUSE_ENTRY,
+        FaultKind.KILL_AGENT,
+        FaultKind.STOP_AGENT,
+        FaultKind.PAUSE_AGENT,
+        FaultKind.DELAY,
+        FaultKind.RESET,
+        FaultKind.SILENCE,
+        FaultKind.CUT,
+        FaultKind.CUT_ONE_WAY,
+    }
+)
+#: Seconds after such a fault until all are in touch again.
+_REUNION_S = 3.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fault:
     """One fault."""
@@ -70,6 +90,19 @@
     faults: tuple[Fault, ...]
     clients: int = CLIENTS
 
+    def is_in_touch(self, since: float, until: float) -> bool:
+        """Return whether entries and agents hear of each other for a while.
+
+        :param since: seconds of the load
+        :param until: seconds of the load
+        """
+        return not any(
+            fault.kind in _OUT_OF_TOUCH
+            and fault.at <= until
+            and since <= fault.at + fault.for_s + _REUNION_S
+            for fault in self.faults
+        )
+
 
 def make_plan(
     seed: int,
--- a/src/ferryledge/soak/_run.py
+++ b/src/ferryledge/soak/_run.py
@@ -38,6 +38,8 @@
     unknown: int
     #: Runs that went on to their end under the successor of their agent.
     adopted: int
+    #: Starts of tasks whose end as done had been acknowledged, which may be.
+    repeated: int
     findings: tuple[_judge.Finding, ...]
     #: Where the logs and settings are; empty if nothing was found.
     logs: str
@@ -52,10 +54,10 @@
 
     def __init__(self, plan: _plan.Plan, folder: pathlib.Path) -> None:
         self._plan = plan
-        self.judge = _judge.Judge()
+        self.judge = _judge.Judge(plan.is_in_touch)
         self._workload = _workload.Workload()
         self._deployment = _deployment.Deployment(
-            plan, folder, self._workload, self._watch
+            plan, folder, self._workload, self._watch, self._book
         )
         self._clients = _clients.Clients(
             plan, self._workload, self.judge, self._now
@@ -87,6 +89,16 @@
         else:
             self._on_end(key, number)
 
+    def _book(
+        self,
+        what: platform_standin.BookEvent,
+        key: leases.RunKey,
+        endpoint: str,
+    ) -> None:
+        """Tell the judge what an agent told its endpoint."""
+        self.judge.now = self._now()
+        self.judge.book(what, key, endpoint)
+
     def _on_start(self, key: leases.RunKey, number: int) -> None:
         server = self._deployment.endpoints[number]
         model = server.model
@@ -192,6 +204,7 @@
         judge.count(state.REFUSED),
         judge.count(state.UNKNOWN),
         judge.adopted,
+        judge.repeated,
         tuple(judge.findings),
         str(folder),
     )
--- a/src/ferryledge/soak/tests/test_soak.py
+++ b/src/ferryledge/soak/tests/test_soak.py
@@ -206,3 +206,110 @@
     assert not _adoption.is_quiet(plan(near), kill)
     far = dataclasses.replace(near, at=9.0)
     assert _adoption.is_quiet(plan(far), kill)
+
+
+def _start(judge: _judge.Judge, at: float, run: int, endpoint: str) -> None:
+    judge.now = at
+    key = msgspec.structs.replace(KEY, run=run)
+    judge.watch("start", key, endpoint)
+
+
+def _end(
+    judge: _judge.Judge,
+    at: float,
+    run: int,
+    endpoint: str,
+    how: wire.RunOutcome,
+) -> None:
+    judge.now = at
+    key = msgspec.structs.replace(KEY, run=run)
+    judge.watch("end", key, endpoint)
+    judge.ended(key, how)
+
+
+def test_finding_of_runs_side_by_side_tells_both() -> None:
+    judge = _judge.Judge()
+    judge.now = 0.5
+    judge.submitted(KEY.job, 1, 2)
+    _start(judge, 1.0, 1, "endpoint-0")
+    judge.now = 1.5
+    judge.book(platform_standin.BookEvent.STOP_ORDERED, KEY, "endpoint-0")
+    _start(judge, 2.0, 2, "endpoint-1")
+    _end(judge, 3.0, 1, "endpoint-0", wire.RunOutcome.DONE)
+    judge.now = 3.25
+    judge.book(platform_standin.BookEvent.ACKNOWLEDGED, KEY, "endpoint-0")
+    assert judge.findings == [
+        soak.Finding(
+            2.0,
+            "twice",
+            f"{(KEY.job, 0, 0)}: run 1 at endpoint-0, started 1.000,"
+            " stop ordered 1.500, ended 3.000 as done, acknowledged 3.250;"
+            " run 2 at endpoint-1, started 2.000, never stopped, active;"
+            " sent 0.500 to entry-2",
+        )
+    ]
+
+
+def test_third_run_beside_one_of_two_at_an_endpoint_is_found() -> None:
+    # The end of one run at an endpoint does not hide another one there.
+    judge = _judge.Judge()
+    judge.submitted(KEY.job, 1)
+    _start(judge, 1.0, 1, "endpoint-0")
+    _start(judge, 1.1, 2, "endpoint-0")
+    _end(judge, 1.2, 1, "endpoint-0", wire.RunOutcome.STOPPED)
+    _start(judge, 1.3, 3, "endpoint-1")
+    assert [one.at for one in judge.findings] == [1.1, 1.3]
+
+
+def _judge_of_a_noted_end(tries: int, *faults: _plan.Fault) -> _judge.Judge:
+    """Return a judge of a run that ended as done, noted at second 2."""
+    plan = _plan.Plan(1, 60.0, 3, 5, faults)
+    judge = _judge.Judge(plan.is_in_touch)
+    for _ in range(tries):
+        judge.submitted(KEY.job, 1)
+    _start(judge, 1.0, 1, "endpoint-0")
+    _end(judge, 1.5, 1, "endpoint-0", wire.RunOutcome.DONE)
+    judge.now = 2.0
+    judge.book(platform_standin.BookEvent.ACKNOWLEDGED, KEY, "endpoint-0")
+    return judge
+
+
+@pytest.mark.parametrize(("at", "found"), [(2.9, []), (3.1, ["again"])])
+def test_start_after_a_noted_end_is_found(at: float, found: list[str]) -> None:
+    judge = _judge_of_a_noted_end(tries=1)
+    _start(judge, at, 2, "endpoint-1")
+    assert [one.promise for one in judge.findings] == found
+    assert not judge.repeated
+
+
+def test_start_after_a_noted_end_of_a_job_sent_again_is_counted() -> None:
+    judge = _judge_of_a_noted_end(tries=2)
+    _start(judge, 3.1, 2, "endpoint-1")
+    assert not judge.findings
+    assert judge.repeated == 1
+
+
+@pytest.mark.parametrize(
+    ("kind", "at", "repeated"),
+    [
+        (_KIND.CUT, 2.5, 1),
+        (_KIND.CUT, 3.05, 0),
+        (_KIND.CONFIG, 1.0, 0),
+    ],
+)
+def test_start_after_an_end_that_its_entry_could_not_hear_is_counted(
+    kind: _plan.FaultKind, at: float, repeated: int
+) -> None:
+    judge = _judge_of_a_noted_end(1, _plan.Fault(at, kind, 0, 1.0))
+    _start(judge, 3.1, 2, "endpoint-1")
+    assert judge.repeated == repeated
+    assert len(judge.findings) == 1 - repeated
+
+
+def test_start_after_an_end_that_nobody_noted_is_not_found() -> None:
+    judge = _judge.Judge()
+    judge.submitted(KEY.job, 1)
+    _start(judge, 1.0, 1, "endpoint-0")
+    _end(judge, 1.5, 1, "endpoint-0", wire.RunOutcome.DONE)
+    _start(judge, 9.0, 2, "endpoint-1")
+    assert not judge.findings
