Let the endpoint stand-in ignore stops and fall silent

Cause: calls of agents go straight to the endpoint stand-in, so a soak could neither silence the connections between them nor leave stops undone while renewals go on.

Ruled out: a proxy before each endpoint; the application sees the address of each connection's client, which is enough.

Change: EndpointServer.silence and ignores_stops, an application that leaves open connections unanswered, and the event that a stop was ignored. The heartbeats of the stand-in keep their connection.

--- a/src/ferryledge/platform/standin/_endpoint.py
+++ b/src/ferryledge/platform/standin/_endpoint.py
@@ -11,6 +11,7 @@
 
 from ferryledge import leases
 from ferryledge import net
+from ferryledge.platform.standin import _connections
 from ferryledge import standin
 from ferryledge import wire
 
@@ -33,6 +34,8 @@
 
     #: The agent ordered a stop of an active run.
     STOP_ORDERED = "stop ordered"
+    #: The same, but the endpoint doesn't carry it out.
+    STOP_IGNORED = "stop ignored"
     #: The agent acknowledged the end of the run.
     ACKNOWLEDGED = "acknowledged"
 
@@ -80,6 +83,8 @@
         #: Share of the calls that are executed late and answered only after
         #: their timeout.
         self.late_orders = 0.0
+        #: Whether stops are neither carried out nor answered in time.
+        self.ignores_stops = False
         #: Number of accepted renewals that extended the lease.
         self.renewals = 0
         self._service = service
@@ -88,6 +93,7 @@
         self._caller = net.HttpClient(agent_url, 1)
         self._rng = rng
         self._watch = watch
+        self._app = _connections.SilentConnections(net.asgi_app(self.handle))
         #: Start time of the endpoint, and when the agent first answered a
         #: heartbeat of this start that reported draining.
         self._drain_reported: tuple[int, float] | None = None
@@ -108,7 +114,7 @@
         async with anyio.create_task_group() as group:
             await group.start(
                 net.serve_http,
-                net.asgi_app(self.handle),
+                self._app,
                 self._host,
                 self._port,
                 stop,
@@ -116,6 +122,10 @@
             group.start_soon(self._progress)
             group.start_soon(self._send_heartbeats)
 
+    def silence(self) -> None:
+        """Answer nothing on the open connections; new ones work."""
+        self._app.silence()
+
     async def _progress(self) -> None:
         while True:
             self.model.advance(anyio.current_time())
@@ -172,6 +182,12 @@
             await anyio.sleep(self._rng.uniform(1.0, 4.0))
             self._execute(request.path, fields, incarnation)
             await anyio.sleep(_HEARTBEAT_TIMEOUT_S)
+        if request.path == "/run-stop" and self.ignores_stops:
+            key = _parse_run_key(fields["Task"], fields["Run"])
+            if key in self.model.runs:
+                self._watch(BookEvent.STOP_IGNORED, key, self.model.name)
+            await anyio.sleep(_HEARTBEAT_TIMEOUT_S)
+            return net.HttpResponse.json(503, {})
         if request.path == "/hold":
             return await self._renew(fields, incarnation)
         return self._execute(request.path, fields, incarnation)
--- a/src/ferryledge/platform/tests/test_calls.py
+++ b/src/ferryledge/platform/tests/test_calls.py
@@ -10,6 +10,7 @@
 from ferryledge import net
 from ferryledge import platform
 from ferryledge.platform import standin as platform_standin
+from ferryledge.platform.standin import _connections
 from ferryledge import standin
 from ferryledge import wire
 
@@ -165,6 +166,55 @@
     _serve(server.handle, use)
 
 
+def test_stop_that_is_ignored_leaves_the_run_active() -> None:
+    heard: list[tuple[platform_standin.BookEvent, leases.RunKey, str]] = []
+    server = _endpoint(heard)
+    key = leases.RunKey("j", 0, 3, 1)
+
+    async def use(port: int) -> None:
+        calls = platform.EndpointCalls(f"127.0.0.1:{port}")
+        until = server.model.clock_ms(anyio.current_time()) + 900
+        await calls.start(leases.StartRun(key, "x", "e-1", until, 7, 0.5))
+        server.ignores_stops = True
+        stopped = await calls.stop(leases.StopRun(key, "e-1", 7, 0.06))
+        assert not stopped.confirmed
+        assert heard == [(platform_standin.BookEvent.STOP_IGNORED, key, "e")]
+        assert server.model.runs[key].stops_at is None
+        await calls.close()
+
+    _serve(server.handle, use)
+
+
+def test_silent_connection_is_not_answered_and_a_new_one_is() -> None:
+    calls_seen: list[str] = []
+
+    async def answer(request: net.Request) -> net.HttpResponse:
+        calls_seen.append(request.path)
+        return net.HttpResponse.json(200, {})
+
+    app = _connections.SilentConnections(net.asgi_app(answer))
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            stop = anyio.Event()
+            port = await group.start(net.serve_http, app, "127.0.0.1", 0, stop)
+            url = f"http://127.0.0.1:{port}"
+            old, new = net.HttpClient(url, 1), net.HttpClient(url, 1)
+            await old.call("POST", "/first", b"{}", answer_s=5.0)
+            app.silence()
+            with pytest.raises(net.CallError):
+                await old.call("POST", "/lost", b"{}", answer_s=0.2)
+            await new.call("POST", "/second", b"{}", answer_s=5.0)
+            # The client has closed the silent connection.
+            await old.call("POST", "/third", b"{}", answer_s=5.0)
+            assert calls_seen == ["/first", "/second", "/third"]
+            for client in (old, new):
+                await client.close()
+            stop.set()
+
+    anyio.run(main)
+
+
 def test_refusals_of_an_order_have_different_results() -> None:
     server = _endpoint()
     key = leases.RunKey("j", 0, 0, 1)
--- a/src/ferryledge/soak/_task_runs.py
+++ b/src/ferryledge/soak/_task_runs.py
@@ -22,6 +22,8 @@
     started_at: float
     #: When the agent first ordered it to stop.
     stop_ordered_at: float | None = None
+    #: Stops that its endpoint did not carry out.
+    stops_ignored: int = 0
     ended_at: float | None = None
     #: How it ended; none if it is active or its endpoint went down.
     how: wire.RunOutcome | None = None
@@ -38,6 +40,8 @@
             parts.append("never stopped")
         else:
             parts.append(f"stop ordered {self.stop_ordered_at:.3f}")
+        if self.stops_ignored:
+            parts.append(f"{self.stops_ignored} stops ignored")
         if self.ended_at is None:
             parts.append("active")
         else:
