Let the soak's proxy break some streams and hold up one process

Cause: the proxy before an entry could break or hold up all its streams alone.

Ruled out: source addresses, which are the same for all processes of a machine. A process tells its name in clear at the beginning of a stream.

Change: Proxy.reset_some, cut_off and restore.

--- a/src/ferryledge/soak/_proxy.py
+++ b/src/ferryledge/soak/_proxy.py
@@ -1,11 +1,16 @@
 """A loopback proxy that delays, resets, cuts one way or silences."""
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
+import random
+import re
 
 _READ_BYTES = 64 * 1024
 _POLL_S = 0.005
+#: What a process calls itself at the beginning of a stream.
+_NAME = re.compile(rb"(?:agent|entry)-\d+")
 #: Seconds that connections get to end.
 _CLOSE_S = 2.0
 
@@ -21,6 +26,22 @@
     cut_back: bool = False
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _Connection:
+    """A connection that is passed on."""
+
+    #: The side that dialled, and the side of the target.
+    near: asyncio.StreamWriter
+    far: asyncio.StreamWriter
+    #: The process that dialled; none until it told its name.
+    name: str = ""
+
+    def read_name(self, data: bytes) -> None:
+        """Learn the name of the process from the first bytes that have it."""
+        if not self.name and (found := _NAME.search(data)):
+            self.name = found[0].decode()
+
+
 class Proxy:
     """Passes connections to one address on to another.
 
@@ -34,6 +55,9 @@
         self._listen = listen
         self._target = target
         self._writers: set[asyncio.StreamWriter] = set()
+        self._connections: list[_Connection] = []
+        #: Processes whose connections are held up, with how many reasons.
+        self._cut_off: collections.Counter[str] = collections.Counter()
         self._tasks: set[asyncio.Task[None]] = set()
         #: Writers of connections that nothing passes on any more.
         self._silent: set[asyncio.StreamWriter] = set()
@@ -53,6 +77,7 @@
         """Stop listening and break all connections."""
         self._server.close()
         self.weather = Weather()
+        self._cut_off.clear()
         self._closed.set()
         self.reset()
         if self._tasks:
@@ -63,6 +88,25 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def reset_some(self, rng: random.Random, share: float) -> None:
+        """Break each open connection with a certain chance.
+
+        :param rng: chooses
+        :param share: the chance
+        """
+        for connection in self._connections:
+            if rng.random() < share:
+                connection.near.transport.abort()
+                connection.far.transport.abort()
+
+    def cut_off(self, name: str) -> None:
+        """Hold up all bytes from and to a process until it is restored."""
+        self._cut_off[name] += 1
+
+    def restore(self, name: str) -> None:
+        """Let bytes of a process pass again."""
+        self._cut_off[name] -= 1
+
     def silence(self) -> None:
         """Let nothing pass on the open connections; new ones work."""
         self._silent |= self._writers
@@ -84,13 +128,16 @@
             self._writers.discard(writer)
             return
         self._writers.add(far_writer)
+        connection = _Connection(writer, far_writer)
+        self._connections.append(connection)
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._pipe(reader, far_writer, True))
-                group.create_task(self._pipe(far_reader, writer, False))
+                group.create_task(self._pipe(connection, reader, True))
+                group.create_task(self._pipe(connection, far_reader, False))
         except* (OSError, _EndedError):
             pass  # Either side broke; both are broken below.
         finally:
+            self._connections.remove(connection)
             for one in (writer, far_writer):
                 self._writers.discard(one)
                 self._silent.discard(one)
@@ -99,13 +146,16 @@
 
     async def _pipe(
         self,
+        connection: _Connection,
         reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
         forth: bool,
     ) -> None:
+        writer = connection.far if forth else connection.near
         while True:
             data = await reader.read(_READ_BYTES)
-            while self._is_cut(forth):
+            if forth:
+                connection.read_name(data)
+            while self._is_cut(connection, forth):
                 await asyncio.sleep(_POLL_S)
             if self.weather.delay_s:
                 await asyncio.sleep(self.weather.delay_s)
@@ -127,7 +177,9 @@
             data = await reader.read(_READ_BYTES)
         await self._closed.wait()
 
-    def _is_cut(self, forth: bool) -> bool:
+    def _is_cut(self, connection: _Connection, forth: bool) -> bool:
+        if self._cut_off[connection.name] > 0:
+            return True
         if forth:
             return self.weather.cut_forth
         return self.weather.cut_back
