Let faults of the soak strike many things at once

Cause: each fault struck one process, stream or endpoint (silence: all streams to entries); the users' record shows events that hit most agents or streams.

Ruled out: new kinds beside the old ones, since a seed chooses from all kinds, so each seed would play something else.

--- a/src/ferryledge/soak/__main__.py
+++ b/src/ferryledge/soak/__main__.py
@@ -23,11 +23,19 @@
     show_default=True,
     help="Clients, each with one job at a time.",
 )
+@click.option(
+    "--kinds",
+    "kind_set",
+    type=click.Choice([*_plan.KIND_SETS]),
+    default="single",
+    show_default=True,
+    help="Play faults that strike one thing, many at once, or both.",
+)
 @click.option(
     "--only",
     multiple=True,
-    type=click.Choice([kind.value for kind in _plan.FaultKind]),
-    help="Play faults of this kind; may be given several times.",
+    type=click.Choice([kind.value for kind in _plan.KIND_SETS["all"]]),
+    help="Play faults of this kind alone; may be given several times.",
 )
 @click.option(
     "--gap",
@@ -43,6 +51,7 @@
     entries: int,
     agents: int,
     clients: int,
+    kind_set: str,
     only: tuple[str, ...],
     mean_gap_s: float,
 ) -> None:
@@ -53,7 +62,10 @@
     """
     if seeds > 1:
         sys.exit(_play_each(seed, seeds))
-    kinds = tuple(_plan.FaultKind(one) for one in only)
+    kinds = tuple(
+        kind for kind in _plan.KIND_SETS["all"] if kind.value in only
+    )
+    kinds = kinds or _plan.KIND_SETS[kind_set]
     plan = _plan.make_plan(
         seed, seconds, entries, agents, kinds, mean_gap_s, clients
     )
--- a/src/ferryledge/soak/_judge.py
+++ b/src/ferryledge/soak/_judge.py
@@ -226,6 +226,10 @@
             case platform_standin.BookEvent.STOP_ORDERED:
                 if run.stop_ordered_at is None:
                     run.stop_ordered_at = self.now
+            case platform_standin.BookEvent.STOP_IGNORED:
+                run.stops_ignored += 1
+                if run.stop_ordered_at is None:
+                    run.stop_ordered_at = self.now
             case platform_standin.BookEvent.ACKNOWLEDGED:
                 run.acknowledged_at = self.now
 
--- a/src/ferryledge/soak/_plan.py
+++ b/src/ferryledge/soak/_plan.py
@@ -46,9 +46,42 @@
     DEADLY_JOB = "deadly_job"
 
 
+class WideKind(enum.StrEnum):
+    """What goes wrong at many places at once, or together."""
+
+    #: All agents are killed.
+    KILL_AGENTS = "kill_agents"
+    #: A random half of all processes is killed.
+    KILL_HALF = "kill_half"
+    #: All streams to entries break.
+    RESET_ALL = "reset_all"
+    #: A random half of them breaks.
+    RESET_HALF = "reset_half"
+    #: Nothing passes on open connections to entries, or on those from agents
+    #: to endpoints.
+    SILENCE_ALL = "silence_all"
+    #: Half of the endpoints carry out no stops.
+    STOPS_IGNORED = "stops_ignored"
+    #: The same, and one entry can't reach their agents.
+    STOPS_IGNORED_CUT = "stops_ignored_cut"
+    #: Half of the processes are stopped again and again in short bursts.
+    STUTTER = "stutter"
+    #: An agent is killed and started at once, and one entry can't reach it.
+    QUICK_RESTART = "quick_restart"
+
+
+AnyKind = FaultKind | WideKind
+#: The kinds of faults that a plan may choose from, by name.
+KIND_SETS: dict[str, tuple[AnyKind, ...]] = {
+    "single": tuple(FaultKind),
+    "wide": tuple(WideKind),
+    "all": (*FaultKind, *WideKind),
+}
+
 #: Faults that keep entries and agents from hearing of each other.
-_OUT_OF_TOUCH = frozenset(
+_OUT_OF_TOUCH: frozenset[AnyKind] = frozenset(
     {
+        *WideKind,
         FaultKind.KILL_ENTRY,
         FaultKind.STOP_ENTRY,
         FaultKind.PAUSE_ENTRY,
@@ -72,7 +105,7 @@
 
     #: Seconds from the start of the load.
     at: float
-    kind: FaultKind
+    kind: AnyKind
     #: Picks the thing that it strikes, among those of its kind.
     pick: int
     #: Seconds that it lasts.
@@ -109,7 +142,7 @@
     seconds: float = 20.0,
     entries: int = 3,
     agents: int = 5,
-    only: tuple[FaultKind, ...] = (),
+    only: tuple[AnyKind, ...] = (),
     mean_gap_s: float = MEAN_GAP_S,
     clients: int = CLIENTS,
 ) -> Plan:
@@ -119,14 +152,14 @@
     :param seconds: how long load is offered
     :param entries: number of entry processes
     :param agents: number of agent processes, each with an endpoint
-    :param only: kinds of faults; none is all
+    :param only: kinds of faults; none is all that strike one thing at a time
     :param mean_gap_s: mean seconds between faults
     :param clients: number of clients, each with one job at a time
     """
     rng = random.Random(seed)
     faults = []
     at = _CALM_S
-    kinds = only or tuple(FaultKind)
+    kinds = only or KIND_SETS["single"]
     while at < seconds - 2 * _CALM_S:
         kind = rng.choice(kinds)
         faults.append(
--- a/src/ferryledge/soak/_processes.py
+++ b/src/ferryledge/soak/_processes.py
@@ -65,6 +65,14 @@
         if process is not None and process.poll() is None:
             process.send_signal(number)
 
+    def restart(self) -> None:
+        """Kill the process and start it again at once."""
+        process = self._process
+        self.signal(signal.SIGKILL)
+        if process is not None:
+            process.wait()
+            self.start()
+
     async def pause(self, for_s: float) -> None:
         """Stop the process for a while."""
         self.signal(signal.SIGSTOP)
--- a/src/ferryledge/soak/_strikes.py
+++ b/src/ferryledge/soak/_strikes.py
@@ -12,6 +12,7 @@
 from ferryledge.soak import _operators
 from ferryledge.soak import _plan
 from ferryledge.soak import _processes
+from ferryledge.soak import _wide_strikes
 from ferryledge.soak import _workload
 from ferryledge import standin
 
@@ -50,6 +51,7 @@
         self._operators = operators
         self._judge = judge
         self._now = now
+        self._wide_strikes = _wide_strikes.WideStrikes(deployment)
         self.adoption = _adoption.Adoption(judge)
         #: When each zone that is cordoned was, in seconds of the load.
         self._cordoned_at: dict[str, float] = {}
@@ -71,6 +73,8 @@
     async def _strike(self, fault: _plan.Fault) -> None:
         kind = _plan.FaultKind
         match fault.kind:
+            case _plan.WideKind():
+                await self._wide_strikes.strike(fault)
             case kind.CONFIG:
                 self._operators.publish()
             case kind.CONFIG_STORM:
--- a/src/ferryledge/soak/tests/test_soak.py
+++ b/src/ferryledge/soak/tests/test_soak.py
@@ -313,3 +313,34 @@
     _end(judge, 1.5, 1, "endpoint-0", wire.RunOutcome.DONE)
     _start(judge, 9.0, 2, "endpoint-1")
     assert not judge.findings
+
+
+def test_every_wide_kind_is_planned_if_asked_for() -> None:
+    kinds = {
+        fault.kind
+        for seed in range(10)
+        for fault in soak.make_plan(seed, only=_plan.KIND_SETS["wide"]).faults
+    }
+    assert kinds == set(_plan.WideKind)
+
+
+def test_plans_that_do_not_ask_for_wide_kinds_stay_as_they_were() -> None:
+    faults = soak.make_plan(1).faults
+    assert [(one.kind.value, one.pick) for one in faults[:4]] == [
+        ("kill_agent", 582),
+        ("reset", 120),
+        ("endpoint_drain", 388),
+        ("kill_entry", 914),
+    ]
+
+
+def test_stop_that_is_ignored_is_told() -> None:
+    judge = _judge.Judge()
+    judge.submitted(KEY.job, 1)
+    _start(judge, 1.0, 1, "endpoint-0")
+    judge.now = 1.5
+    judge.book(platform_standin.BookEvent.STOP_IGNORED, KEY, "endpoint-0")
+    judge.now = 1.6
+    judge.book(platform_standin.BookEvent.STOP_ORDERED, KEY, "endpoint-0")
+    _start(judge, 2.0, 2, "endpoint-1")
+    assert "stop ordered 1.500, 1 stops ignored" in judge.findings[0].detail
