Let tasks of a soak take any time

Cause: tasks took 0.05, 0.2 or 0.8 s, so no run outlived a lost grant and the second run that its entry orders after that.

Ruled out: longer tasks for all plans; seeds keep their jobs.

The test failed before, as make_plan took no work_s.

--- a/src/ferryledge/soak/__main__.py
+++ b/src/ferryledge/soak/__main__.py
@@ -23,6 +23,15 @@
     show_default=True,
     help="Clients, each with one job at a time.",
 )
+@click.option(
+    "--work",
+    "work_s",
+    multiple=True,
+    type=float,
+    default=_plan.WORK_S,
+    show_default=True,
+    help="Seconds that the tasks of a job take; may be given several times.",
+)
 @click.option(
     "--kinds",
     "kind_set",
@@ -51,6 +60,7 @@
     entries: int,
     agents: int,
     clients: int,
+    work_s: tuple[float, ...],
     kind_set: str,
     only: tuple[str, ...],
     mean_gap_s: float,
@@ -67,7 +77,7 @@
     )
     kinds = kinds or _plan.KIND_SETS[kind_set]
     plan = _plan.make_plan(
-        seed, seconds, entries, agents, kinds, mean_gap_s, clients
+        seed, seconds, entries, agents, kinds, mean_gap_s, clients, work_s
     )
     report = _run.play(plan)
     click.echo(json.dumps(dataclasses.asdict(report)))
--- a/src/ferryledge/soak/_clients.py
+++ b/src/ferryledge/soak/_clients.py
@@ -79,7 +79,7 @@
         self, rng: random.Random, callers: list[net.HttpClient], job: str
     ) -> None:
         tasks = rng.randint(1, 6)
-        work_s = rng.choice((0.05, 0.2, 0.8))
+        work_s = rng.choice(self._plan.work_s)
         cpu = rng.choice((800, 1600, 2300))
         spec = self._workload.add(job, cpu, work_s)
         if self.deadly_next:
--- a/src/ferryledge/soak/_plan.py
+++ b/src/ferryledge/soak/_plan.py
@@ -8,6 +8,8 @@
 _CALM_S = 2.0
 #: Clients, each with one connection to each entry that it keeps open.
 CLIENTS = 8
+#: Seconds that tasks take, one of these for each job.
+WORK_S = (0.05, 0.2, 0.8)
 #: Mean seconds between faults; they last longer, so they overlap.
 MEAN_GAP_S = 1.2
 
@@ -122,6 +124,7 @@
     agents: int
     faults: tuple[Fault, ...]
     clients: int = CLIENTS
+    work_s: tuple[float, ...] = WORK_S
 
     def is_in_touch(self, since: float, until: float) -> bool:
         """Return whether entries and agents hear of each other for a while.
@@ -145,6 +148,7 @@
     only: tuple[AnyKind, ...] = (),
     mean_gap_s: float = MEAN_GAP_S,
     clients: int = CLIENTS,
+    work_s: tuple[float, ...] = WORK_S,
 ) -> Plan:
     """Return the plan of a seed.
 
@@ -155,6 +159,7 @@
     :param only: kinds of faults; none is all that strike one thing at a time
     :param mean_gap_s: mean seconds between faults
     :param clients: number of clients, each with one job at a time
+    :param work_s: seconds that tasks take, one of these for each job
     """
     rng = random.Random(seed)
     faults = []
@@ -166,4 +171,4 @@
             Fault(at, kind, rng.randrange(1000), rng.uniform(0.2, 3.5))
         )
         at += rng.expovariate(1.0 / mean_gap_s)
-    return Plan(seed, seconds, entries, agents, tuple(faults), clients)
+    return Plan(seed, seconds, entries, agents, tuple(faults), clients, work_s)
--- a/src/ferryledge/soak/tests/test_soak.py
+++ b/src/ferryledge/soak/tests/test_soak.py
@@ -36,9 +36,9 @@
     assert soak.make_plan(7) != soak.make_plan(8)
 
 
-def test_more_clients_leave_the_faults_as_they_are() -> None:
-    plan = soak.make_plan(7, clients=64)
-    assert plan.clients == 64
+def test_other_clients_and_jobs_leave_the_faults_as_they_are() -> None:
+    plan = soak.make_plan(7, clients=64, work_s=(0.2, 2.0))
+    assert (plan.clients, plan.work_s) == (64, (0.2, 2.0))
     assert plan.faults == soak.make_plan(7).faults
 
 
