Play wide faults for some seconds in each test run

Change: a test that plays seed 8: half of the streams broken, all agents killed, a quick restart, a stutter and ignored stops within half a second.

--- a/src/ferryledge/soak/tests/test_soak.py
+++ b/src/ferryledge/soak/tests/test_soak.py
@@ -66,6 +66,24 @@
     assert report.succeeded
 
 
+def test_promises_hold_in_a_short_soak_of_wide_faults(
+    tmp_path: pathlib.Path,
+) -> None:
+    plan = soak.make_plan(
+        8,
+        seconds=6.6,
+        entries=2,
+        agents=4,
+        only=_plan.KIND_SETS["wide"],
+        mean_gap_s=0.15,
+        clients=16,
+        work_s=(0.2, 0.8),
+    )
+    report = soak.play(plan, tmp_path)
+    assert not report.findings
+    assert report.succeeded
+
+
 def test_start_at_a_draining_endpoint_is_found() -> None:
     judge = _judge.Judge()
     judge.drain("endpoint-0", _judge.DRAIN_S)
