Vary how long an agent is down in a quick restart

Cause: a successor that starts at once renews some 0.4 s after its predecessor's end, at the lower end of what leaves runs active.

Ruled out: a slower start by load, which can't be repeated.

--- a/src/ferryledge/soak/_processes.py
+++ b/src/ferryledge/soak/_processes.py
@@ -65,13 +65,19 @@
         if process is not None and process.poll() is None:
             process.send_signal(number)
 
-    def restart(self) -> None:
-        """Kill the process and start it again at once."""
+    async def restart(self, down_s: float) -> None:
+        """Kill the process and start it again.
+
+        :param down_s: seconds in between
+        """
         process = self._process
+        if process is None or not self._wanted:
+            return
+        self._wanted = False
         self.signal(signal.SIGKILL)
-        if process is not None:
-            process.wait()
-            self.start()
+        process.wait()
+        await asyncio.sleep(down_s)
+        self.start()
 
     async def pause(self, for_s: float) -> None:
         """Stop the process for a while."""
--- a/src/ferryledge/soak/_wide_strikes.py
+++ b/src/ferryledge/soak/_wide_strikes.py
@@ -13,6 +13,10 @@
 #: Bounds of the bursts of a stutter, and of the time between them, in seconds.
 _BURST_S = (0.02, 0.7)
 _BETWEEN_S = (0.02, 0.4)
+#: Longest time between the end of an agent and the start of its successor,
+#: in seconds. The successor takes a third of a second until it renews, and
+#: finds runs active until 0.65 s after the last renewal.
+_DOWN_S = 0.3
 #: Share of the processes, streams or endpoints that some faults hit.
 _HALF = 0.5
 
@@ -93,7 +97,7 @@
         program = rng.choice(self._deployment.agents)
         proxy = rng.choice(self._deployment.proxies)
         proxy.cut_off(program.name)
-        program.restart()
+        await program.restart(rng.uniform(0.0, _DOWN_S))
         await asyncio.sleep(for_s)
         proxy.restore(program.name)
 
