--- a/src/ferryledge/platform/standin/_endpoint.py
+++ b/src/ferryledge/platform/standin/_endpoint.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import contextlib
+import enum
 import json
 import random
 import typing
@@ -10,6 +11,7 @@
 
 from ferryledge import leases
 from ferryledge import net
+from ferryledge.platform.standin import _connections
 from ferryledge import standin
 from ferryledge import wire
 
@@ -27,6 +29,24 @@
 }
 
 
+class BookEvent(enum.StrEnum):
+    """What an agent told the endpoint about a run."""
+
+    #: The agent ordered a stop of an active run.
+    STOP_ORDERED = "stop ordered"
+    #: The same, but the endpoint doesn't carry it out.
+    STOP_IGNORED = "stop ignored"
+    #: The agent acknowledged the end of the run.
+    ACKNOWLEDGED = "acknowledged"
+
+
+BookWatch = abc.Callable[[BookEvent, leases.RunKey, str], None]
+
+
+def _ignore(what: BookEvent, key: leases.RunKey, endpoint: str) -> None:
+    """Do nothing: nobody watches."""
+
+
 def _parse_run_key(task: str, run: int) -> leases.RunKey:
     job, _, step, index = task.rsplit(".", 3)
     return leases.RunKey(job, int(step), int(index), run)
@@ -45,6 +65,8 @@
     :param agent_url: base URL of the agent
     :param model: the simulated endpoint
     :param rng: selects the calls that are delayed
+    :param watch: called with what the agent tells of a run, the run's key and
+        the endpoint's name
     """
 
     def __init__(
@@ -55,11 +77,14 @@
         agent_url: str,
         model: standin.LeasedEndpoint,
         rng: random.Random,
+        watch: BookWatch = _ignore,
     ) -> None:
         self.model = model
         #: Share of the calls that are executed late and answered only after
         #: their timeout.
         self.late_orders = 0.0
+        #: Whether stops are neither carried out nor answered in time.
+        self.ignores_stops = False
         #: Number of accepted renewals that extended the lease.
         self.renewals = 0
         self._service = service
@@ -67,6 +92,8 @@
         self._port = port
         self._caller = net.HttpClient(agent_url, 1)
         self._rng = rng
+        self._watch = watch
+        self._app = _connections.SilentConnections(net.asgi_app(self.handle))
         #: Start time of the endpoint, and when the agent first answered a
         #: heartbeat of this start that reported draining.
         self._drain_reported: tuple[int, float] | None = None
@@ -87,7 +114,7 @@
         async with anyio.create_task_group() as group:
             await group.start(
                 net.serve_http,
-                net.asgi_app(self.handle),
+                self._app,
                 self._host,
                 self._port,
                 stop,
@@ -95,6 +122,10 @@
             group.start_soon(self._progress)
             group.start_soon(self._send_heartbeats)
 
+    def silence(self) -> None:
+        """Answer nothing on the open connections; new ones work."""
+        self._app.silence()
+
     async def _progress(self) -> None:
         while True:
             self.model.advance(anyio.current_time())
@@ -151,6 +182,12 @@
             await anyio.sleep(self._rng.uniform(1.0, 4.0))
             self._execute(request.path, fields, incarnation)
             await anyio.sleep(_HEARTBEAT_TIMEOUT_S)
+        if request.path == "/run-stop" and self.ignores_stops:
+            key = _parse_run_key(fields["Task"], fields["Run"])
+            if key in self.model.runs:
+                self._watch(BookEvent.STOP_IGNORED, key, self.model.name)
+            await anyio.sleep(_HEARTBEAT_TIMEOUT_S)
+            return net.HttpResponse.json(503, {})
         if request.path == "/hold":
             return await self._renew(fields, incarnation)
         return self._execute(request.path, fields, incarnation)
@@ -168,6 +205,8 @@
         key = _parse_run_key(fields["Task"], fields["Run"])
         token = fields["FencingToken"]
         if path == "/run-stop":
+            if key in self.model.runs:
+                self._watch(BookEvent.STOP_ORDERED, key, self.model.name)
             stop = leases.StopRun(key, incarnation, token)
             done = self.model.stop(now, stop)
             return net.HttpResponse.json(200 if done else 409, clock)
@@ -189,7 +228,11 @@
             fields["AckedUpto"],
             0,
         )
+        listed = self.model.ended
         answer = self.model.renew(now, now, renewal)
+        for end in listed:
+            if end not in self.model.ended:
+                self._watch(BookEvent.ACKNOWLEDGED, end.key, self.model.name)
         if renewal.lease_until_ms and isinstance(answer, leases.LeaseRenewed):
             self.renewals += 1
         wait_until = now + fields.get("WaitMs", 0) / 1000.0
--- a/src/ferryledge/soak/__main__.py
+++ b/src/ferryledge/soak/__main__.py
@@ -17,11 +17,34 @@
 @click.option("--seconds", default=20.0, help="Length of the load.")
 @click.option("--entries", default=3, help="Entry processes.")
 @click.option("--agents", default=5, help="Agent processes.")
+@click.option(
+    "--clients",
+    default=_plan.CLIENTS,
+    show_default=True,
+    help="Clients, each with one job at a time.",
+)
+@click.option(
+    "--work",
+    "work_s",
+    multiple=True,
+    type=float,
+    default=_plan.WORK_S,
+    show_default=True,
+    help="Seconds that the tasks of a job take; may be given several times.",
+)
+@click.option(
+    "--kinds",
+    "kind_set",
+    type=click.Choice([*_plan.KIND_SETS]),
+    default="single",
+    show_default=True,
+    help="Play faults that strike one thing, many at once, or both.",
+)
 @click.option(
     "--only",
     multiple=True,
-    type=click.Choice([kind.value for kind in _plan.FaultKind]),
-    help="Play faults of this kind; may be given several times.",
+    type=click.Choice([kind.value for kind in _plan.KIND_SETS["all"]]),
+    help="Play faults of this kind alone; may be given several times.",
 )
 @click.option(
     "--gap",
@@ -36,6 +59,9 @@
     seconds: float,
     entries: int,
     agents: int,
+    clients: int,
+    work_s: tuple[float, ...],
+    kind_set: str,
     only: tuple[str, ...],
     mean_gap_s: float,
 ) -> None:
@@ -46,8 +72,13 @@
     """
     if seeds > 1:
         sys.exit(_play_each(seed, seeds))
-    kinds = tuple(_plan.FaultKind(one) for one in only)
-    plan = _plan.make_plan(seed, seconds, entries, agents, kinds, mean_gap_s)
+    kinds = tuple(
+        kind for kind in _plan.KIND_SETS["all"] if kind.value in only
+    )
+    kinds = kinds or _plan.KIND_SETS[kind_set]
+    plan = _plan.make_plan(
+        seed, seconds, entries, agents, kinds, mean_gap_s, clients, work_s
+    )
     report = _run.play(plan)
     click.echo(json.dumps(dataclasses.asdict(report)))
     sys.exit(int(bool(report.findings)))
--- a/src/ferryledge/soak/_clients.py
+++ b/src/ferryledge/soak/_clients.py
@@ -12,8 +12,6 @@
 from ferryledge.soak import _workload
 
 QUEUES = ("hold", "quote")
-#: Clients, each with one connection to each entry that it keeps open.
-CLIENTS = 8
 _JOBS_PER_S = 8.0
 _DEADLINE_S = 5.0
 #: A client repeats a job this long after its try broke off.
@@ -81,16 +79,17 @@
         self, rng: random.Random, callers: list[net.HttpClient], job: str
     ) -> None:
         tasks = rng.randint(1, 6)
-        work_s = rng.choice((0.05, 0.2, 0.8))
+        work_s = rng.choice(self._plan.work_s)
         cpu = rng.choice((800, 1600, 2300))
         spec = self._workload.add(job, cpu, work_s)
         if self.deadly_next:
             self.deadly_next = False
             self._judge.deadly(job)
-        for caller in self._turn_to(rng, callers):
-            self._judge.submitted(job, tasks)
+        for entry in self._turn_to(rng, len(callers)):
+            self._judge.now = self._now()
+            self._judge.submitted(job, tasks, entry)
             answer = await platform_standin.submit(
-                caller,
+                callers[entry],
                 rng.choice(QUEUES),
                 job,
                 spec,
@@ -105,13 +104,15 @@
                 return
             await asyncio.sleep(_REPEAT_S)
 
-    def _turn_to(
-        self, rng: random.Random, callers: list[net.HttpClient]
-    ) -> list[net.HttpClient]:
-        """Return the entries to try, in order."""
-        chosen = rng.sample(callers, min(2, len(callers)))
+    def _turn_to(self, rng: random.Random, entries: int) -> list[int]:
+        """Return the numbers of the entries to try, in order.
+
+        :param rng: chooses
+        :param entries: how many there are
+        """
+        chosen = rng.sample(range(entries), min(2, entries))
         if self.crowded is not None:
-            chosen[0] = callers[self.crowded]
+            chosen[0] = self.crowded
         return chosen
 
 
--- a/src/ferryledge/soak/_plan.py
+++ b/src/ferryledge/soak/_plan.py
@@ -6,6 +6,10 @@
 
 #: Seconds at the start and at the end without faults.
 _CALM_S = 2.0
+#: Clients, each with one connection to each entry that it keeps open.
+CLIENTS = 8
+#: Seconds that tasks take, one of these for each job.
+WORK_S = (0.05, 0.2, 0.8)
 #: Mean seconds between faults; they last longer, so they overlap.
 MEAN_GAP_S = 1.2
 
@@ -44,13 +48,66 @@
     DEADLY_JOB = "deadly_job"
 
 
+class WideKind(enum.StrEnum):
+    """What goes wrong at many places at once, or together."""
+
+    #: All agents are killed.
+    KILL_AGENTS = "kill_agents"
+    #: A random half of all processes is killed.
+    KILL_HALF = "kill_half"
+    #: All streams to entries break.
+    RESET_ALL = "reset_all"
+    #: A random half of them breaks.
+    RESET_HALF = "reset_half"
+    #: Nothing passes on open connections to entries, or on those from agents
+    #: to endpoints.
+    SILENCE_ALL = "silence_all"
+    #: Half of the endpoints carry out no stops.
+    STOPS_IGNORED = "stops_ignored"
+    #: The same, and one entry can't reach their agents.
+    STOPS_IGNORED_CUT = "stops_ignored_cut"
+    #: Half of the processes are stopped again and again in short bursts.
+    STUTTER = "stutter"
+    #: An agent is killed and started at once, and one entry can't reach it.
+    QUICK_RESTART = "quick_restart"
+
+
+AnyKind = FaultKind | WideKind
+#: The kinds of faults that a plan may choose from, by name.
+KIND_SETS: dict[str, tuple[AnyKind, ...]] = {
+    "single": tuple(FaultKind),
+    "wide": tuple(WideKind),
+    "all": (*FaultKind, *WideKind),
+}
+
+#: Faults that keep entries and agents from hearing of each other.
+_OUT_OF_TOUCH: frozenset[AnyKind] = frozenset(
+    {
+        *WideKind,
+        FaultKind.KILL_ENTRY,
+        FaultKind.STOP_ENTRY,
+        FaultKind.PAUSE_ENTRY,
+        FaultKind.KILL_AGENT,
+        FaultKind.STOP_AGENT,
+        FaultKind.PAUSE_AGENT,
+        FaultKind.DELAY,
+        FaultKind.RESET,
+        FaultKind.SILENCE,
+        FaultKind.CUT,
+        FaultKind.CUT_ONE_WAY,
+    }
+)
+#: Seconds after such a fault until all are in touch again.
+_REUNION_S = 3.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fault:
     """One fault."""
 
     #: Seconds from the start of the load.
     at: float
-    kind: FaultKind
+    kind: AnyKind
     #: Picks the thing that it strikes, among those of its kind.
     pick: int
     #: Seconds that it lasts.
@@ -66,6 +123,21 @@
     entries: int
     agents: int
     faults: tuple[Fault, ...]
+    clients: int = CLIENTS
+    work_s: tuple[float, ...] = WORK_S
+
+    def is_in_touch(self, since: float, until: float) -> bool:
+        """Return whether entries and agents hear of each other for a while.
+
+        :param since: seconds of the load
+        :param until: seconds of the load
+        """
+        return not any(
+            fault.kind in _OUT_OF_TOUCH
+            and fault.at <= until
+            and since <= fault.at + fault.for_s + _REUNION_S
+            for fault in self.faults
+        )
 
 
 def make_plan(
@@ -73,8 +145,10 @@
     seconds: float = 20.0,
     entries: int = 3,
     agents: int = 5,
-    only: tuple[FaultKind, ...] = (),
+    only: tuple[AnyKind, ...] = (),
     mean_gap_s: float = MEAN_GAP_S,
+    clients: int = CLIENTS,
+    work_s: tuple[float, ...] = WORK_S,
 ) -> Plan:
     """Return the plan of a seed.
 
@@ -82,17 +156,19 @@
     :param seconds: how long load is offered
     :param entries: number of entry processes
     :param agents: number of agent processes, each with an endpoint
-    :param only: kinds of faults; none is all
+    :param only: kinds of faults; none is all that strike one thing at a time
     :param mean_gap_s: mean seconds between faults
+    :param clients: number of clients, each with one job at a time
+    :param work_s: seconds that tasks take, one of these for each job
     """
     rng = random.Random(seed)
     faults = []
     at = _CALM_S
-    kinds = only or tuple(FaultKind)
+    kinds = only or KIND_SETS["single"]
     while at < seconds - 2 * _CALM_S:
         kind = rng.choice(kinds)
         faults.append(
             Fault(at, kind, rng.randrange(1000), rng.uniform(0.2, 3.5))
         )
         at += rng.expovariate(1.0 / mean_gap_s)
-    return Plan(seed, seconds, entries, agents, tuple(faults))
+    return Plan(seed, seconds, entries, agents, tuple(faults), clients, work_s)
--- a/src/ferryledge/soak/_run.py
+++ b/src/ferryledge/soak/_run.py
@@ -38,6 +38,8 @@
     unknown: int
     #: Runs that went on to their end under the successor of their agent.
     adopted: int
+    #: Starts of tasks whose end as done had been acknowledged, which may be.
+    repeated: int
     findings: tuple[_judge.Finding, ...]
     #: Where the logs and settings are; empty if nothing was found.
     logs: str
@@ -51,10 +53,11 @@
     """
 
     def __init__(self, plan: _plan.Plan, folder: pathlib.Path) -> None:
-        self.judge = _judge.Judge()
+        self._plan = plan
+        self.judge = _judge.Judge(plan.is_in_touch)
         self._workload = _workload.Workload()
         self._deployment = _deployment.Deployment(
-            plan, folder, self._workload, self._watch
+            plan, folder, self._workload, self._watch, self._book
         )
         self._clients = _clients.Clients(
             plan, self._workload, self.judge, self._now
@@ -86,6 +89,16 @@
         else:
             self._on_end(key, number)
 
+    def _book(
+        self,
+        what: platform_standin.BookEvent,
+        key: leases.RunKey,
+        endpoint: str,
+    ) -> None:
+        """Tell the judge what an agent told its endpoint."""
+        self.judge.now = self._now()
+        self.judge.book(what, key, endpoint)
+
     def _on_start(self, key: leases.RunKey, number: int) -> None:
         server = self._deployment.endpoints[number]
         model = server.model
@@ -130,7 +143,7 @@
                 self._started_at = asyncio.get_running_loop().time()
                 clients = [
                     group.create_task(self._clients.submit_many(n))
-                    for n in range(_clients.CLIENTS)
+                    for n in range(self._plan.clients)
                 ]
                 strikes = self._strikes.strike_all(group)
                 faults = group.create_task(strikes)
@@ -191,6 +204,7 @@
         judge.count(state.REFUSED),
         judge.count(state.UNKNOWN),
         judge.adopted,
+        judge.repeated,
         tuple(judge.findings),
         str(folder),
     )
