Test that a former incarnation's late Hello is refused over sockets

Cause: only the rule itself was tested for two incarnations.

Change: a test with the relay that holds up a Hello of the first incarnation until the second one is registered.

--- a/src/ferryledge/net/tests/test_mesh.py
+++ b/src/ferryledge/net/tests/test_mesh.py
@@ -36,9 +36,9 @@
 class _Side:
     """The mesh of one process, and the events of its streams."""
 
-    def __init__(self, role: wire.Role, name: str) -> None:
+    def __init__(self, role: wire.Role, name: str, life: int = 1) -> None:
         self.events: list[wire.StreamEvent] = []
-        self._hello = wire.Hello(role, name, f"{name}.1", "north")
+        self._hello = wire.Hello(role, name, f"{name}.{life}", "north")
         self.mesh = net.Mesh(_KEYS, lambda: self._hello, self.events.append)
 
     def count(self, kind: type) -> int:
@@ -296,6 +296,34 @@
         assert pair.agent.mesh.superseded == 1
 
 
+async def test_late_hello_of_a_former_incarnation_is_refused() -> None:
+    async with _relayed() as pair:
+        pair.relay.hold_next(forth=True)
+        pair.group.start_soon(pair.agent.mesh.reopen, "entry-0")
+        await _until(lambda: pair.agent.count(wire.PeerUp) == 2)
+        pair.agent.mesh.stop_dialling("entry-0")
+        successor = _Side(wire.Role.AGENT, "agent-0", 2)
+        address = net.PeerAddress("entry-0", _HOST, pair.relay.port)
+        pair.group.start_soon(successor.mesh.keep_dialling, address)
+        await _until(lambda: pair.entry.count(wire.PeerUp) == 2)
+        pair.relay.release()
+        await _until(
+            lambda: (
+                pair.relay.is_closed_by_receiver
+                or pair.entry.count(wire.PeerUp) == 3
+            )
+        )
+        ups = [
+            event.hello.incarnation
+            for event in pair.entry.events
+            if isinstance(event, wire.PeerUp)
+        ]
+        assert ups == ["agent-0.1", "agent-0.2"]
+        successor.mesh.send("entry-0", wire.GrantRequest(3))
+        await _until(lambda: pair.entry.received(wire.GrantRequest(3)))
+        assert pair.entry.mesh.superseded == 1
+
+
 async def _dial_as_older_build(port: int) -> _stream.Stream:
     """Open a stream whose ``Hello`` has no number."""
     loop = asyncio.get_running_loop()
