Report the end of an adopted run that no entry has claimed yet

What callers saw: jobs without an answer until their deadline, after an agent was restarted.

Cause: an agent that starts again lists what it found. If a run ends before its entry's claim arrives, also by the agent's own stop after 0.15 s, it has no owner, so its end was reported to nobody. The entry went on to wait for it on an open stream.

Evidence: test_run_that_is_over_before_its_claim_is_started_again failed before for 0.2, 0.3 and 0.6 s (no answer), and passes.

Ruled out: to answer a claim of an unknown run: a claim may reach a successor that hasn't listed its endpoint's runs yet.

Change: such an end goes to all entries that the run was listed to, after the list on the same stream. Entries ignore ends of runs that aren't theirs; on a new stream the list lacks the run.

--- a/src/ferryledge/leases/_reports.py
+++ b/src/ferryledge/leases/_reports.py
@@ -84,24 +84,36 @@
             endpoint; 0 if it didn't crash
         """
         self._notes.run_ended(now, row, how)
+        run = row.key.task_run
+        run_s = 0.0
+        if row.confirmed_at is not None:
+            run_s = max(0.0, now - row.confirmed_at)
+        ends = (wire.RunEnd(run, how, run_s, crashed_jobs),)
+        end = wire.RunsEnded(row.key.job, ends)
+        if not row.owner:
+            self._report_unclaimed_end(end)
+            return
         owner = self._owners.find(row.owner)
         if owner is None:
             return
-        run = row.key.task_run
         if not row.is_confirmed and row.release_reason is not None:
             self.report_released(
                 owner, row.key.job, (run,), row.release_reason
             )
             return
-        run_s = 0.0
-        if row.confirmed_at is not None:
-            run_s = max(0.0, now - row.confirmed_at)
-        ends = (wire.RunEnd(run, how, run_s, crashed_jobs),)
-        end = wire.RunsEnded(row.key.job, ends)
         self._owners.keep_unconfirmed(owner, end)
         if owner.connected and not owner.needs_held_report:
             self._send(owner, self._owners.attach_ask(owner, now, end))
 
+    def _report_unclaimed_end(self, end: wire.RunsEnded) -> None:
+        """Report an end to all entries that the run was listed to.
+
+        The claim of its entry may be on its way.
+        """
+        for owner in self._owners.connected:
+            if not owner.needs_held_report:
+                self._send(owner, end)
+
     def report_released(
         self,
         owner: _owners.Owner,
--- a/src/ferryledge/leases/tests/test_adopted_runs.py
+++ b/src/ferryledge/leases/tests/test_adopted_runs.py
@@ -1,8 +1,11 @@
 """Runs go on under the successor of their agent, or are stopped by it."""
 
+import pytest
+
 from ferryledge import leases
 from ferryledge.leases.tests import faults
 from ferryledge import loads as worlds
+from ferryledge import outcomes
 from ferryledge import wire
 
 _JOB = "a" * 16
@@ -62,3 +65,27 @@
     world.submit("entry-1", _JOB, 24, 4.0, deadline_s=12.0)
     world.run(6.0)
     assert not world.violations
+
+
+@pytest.mark.parametrize("paused_s", [0.1, 0.2, 0.3, 0.6])
+def test_run_that_is_over_before_its_claim_is_started_again(
+    paused_s: float,
+) -> None:
+    """Guards against an end that is reported to nobody."""
+    world = worlds.World(seed=3, entries=1, agents=1)
+    world.run(3.0)
+    token = world.submit("entry-0", _JOB, 4, 1.0, deadline_s=9.0)
+    world.run(0.3)
+    world.kill(_AGENT, 0.2)
+    perform = world._perform
+
+    def pause_before_the_list_arrives(name: str, action: object) -> None:
+        perform(name, action)
+        match action:
+            case leases.SendMessage(_, wire.RunsHeld(runs)) if runs:
+                world.pause("entry-0", paused_s)
+
+    world._perform = pause_before_the_list_arrives
+    world.run(4.0)
+    assert isinstance(world.outcome(token), outcomes.Complete)
+    assert not world.violations
