--- a/src/ferryledge/net/_mesh.py
+++ b/src/ferryledge/net/_mesh.py
@@ -25,7 +25,7 @@
 from ferryledge import wire
 
 #: Maximum bytes buffered for a slow peer before its stream is closed: some
-#: 20,000 messages, or two of the largest.
+#: 20,000 messages, or a few of the largest.
 _MAX_UNSENT_BYTES = 16 * 1024 * 1024
 #: Time limit of the handshake in seconds.
 _HANDSHAKE_S = 3.0
