Deliver late greetings in the virtual world to the process they were sent to

Cause: what an agent sends on a late stream also arrives after the stream was closed, as with TCP, but it even reached the successor of an entry that was killed, which has another connection. The successor took the dead agent's list for the newest, and runs counted as lost.

Ruled out: a fault of the processes; the system resets such a connection.

Change: a message on a stream reaches the life that it was sent to.

--- a/src/ferryledge/loads/_world.py
+++ b/src/ferryledge/loads/_world.py
@@ -496,9 +496,10 @@
     ) -> None:
         way = (source, target)
         late_s = stream.late_s if source == stream.agent else 0.0
+        life = self.nodes[target].life
 
         def arrive() -> None:
-            if stream.silent:
+            if stream.silent or self.nodes[target].life != life:
                 return
             if way in self.cuts or self.held[way]:
                 self.held[way].append((stream, act))
