Show that a request held up by the network runs beside its repetition

What callers saw: nothing yet; tasks would run twice at once for as long as a stop takes.

Cause: a cut holds up a request for longer than its client waits. When the cut heals, the request arrives, and the end of its connection a round trip later; its client has repeated the job at another entry. An entry can't tell such a request from a new one.

Ruled out: the waits after a pause and before a body is read, which cover what waits at the entry itself; a hold of each job for a round trip, which would cost every job that much.

Conclusion: open. It was not shown with a real link.

--- a/src/ferryledge/leases/tests/test_requests_read_late.py
+++ b/src/ferryledge/leases/tests/test_requests_read_late.py
@@ -52,3 +52,18 @@
     _submit(world, "entry-0")
     world.run(0.5)
     assert world.started[_JOB] == _TASKS
+
+
+def test_request_that_a_cut_held_up_starts_nothing_beside_its_repetition() -> (
+    None
+):
+    """The request comes late, and the end of its connection just after it."""
+    world = worlds.World(seed=3, entries=2, agents=3)
+    world.run(3.0)
+    _submit(world, "entry-1")
+    world.run(0.5)
+    token = _submit(world, "entry-0")
+    world.run(_END_READ_S)
+    world.post("entry-0", leases.ClientLeft(token, _JOB))
+    world.run(1.0)
+    assert not world.violations
