--- a/src/ferryledge/soak/tests/test_soak.py
+++ b/src/ferryledge/soak/tests/test_soak.py
@@ -30,6 +30,13 @@
     ),
 }
 
+#: The same for faults that strike many things at once.
+WIDE_REGRESSIONS: dict[int, tuple[_plan.WideKind, ...]] = {
+    # Endpoints ignored the stops of runs whose entry was cut off, and their
+    # leases were renewed for other runs.
+    120: (_plan.WideKind.STOPS_IGNORED_CUT,),
+}
+
 
 def test_same_seed_is_the_same_plan() -> None:
     assert soak.make_plan(7) == soak.make_plan(7)
@@ -66,6 +73,22 @@
     assert report.succeeded
 
 
+@pytest.mark.parametrize("seed", WIDE_REGRESSIONS)
+def test_seed_of_wide_faults_that_failed_once_holds(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    plan = soak.make_plan(
+        seed,
+        seconds=8.0,
+        entries=3,
+        agents=6,
+        only=WIDE_REGRESSIONS[seed],
+        clients=32,
+        work_s=(0.2, 0.8, 2.5),
+    )
+    assert not soak.play(plan, tmp_path).findings
+
+
 def test_promises_hold_in_a_short_soak_of_wide_faults(
     tmp_path: pathlib.Path,
 ) -> None:
