Name the times of a run's stop after what happened

`unwanted_at`, `first_stop_at` and `is_overdue` of a run did not say that all three concern its stop: they are `stop_requested_at`, `first_stop_sent_at` and `is_stop_overdue` now. The docs of the lease guard said 'for the sake of other runs' and 'the time that it usually takes', and did not tell that an unclaimed run prevents an extension at once; they tell the rule and its reason.

No behaviour changes.

--- a/src/ferryledge/leases/_agent_notes.py
+++ b/src/ferryledge/leases/_agent_notes.py
@@ -158,15 +158,15 @@
         """
         self._meter.run_ended(how, now - row.ordered_at)
         facts: dict[str, object] = {}
-        if row.first_stop_at is not None:
+        if row.first_stop_sent_at is not None:
             facts["stops"] = row.stops_sent
-            facts["stopping_s"] = round(now - row.first_stop_at, 3)
+            facts["stopping_s"] = round(now - row.first_stop_sent_at, 3)
         self.add(
             outcomes.Step.RUN,
             "run over",
             row.key.job,
             row.owner,
-            how not in _EXPECTED or row.is_overdue or not row.owner,
+            how not in _EXPECTED or row.is_stop_overdue or not row.owner,
             task=row.key.index,
             run=row.key.run,
             how=str(how),
--- a/src/ferryledge/leases/_lease_guard.py
+++ b/src/ferryledge/leases/_lease_guard.py
@@ -1,9 +1,9 @@
 """Decides whether the endpoint's lease may be extended.
 
-The lease covers all runs of the endpoint. A run has to end once its entry's
-grant has expired or the entry has asked for its stop. It is stopped then, but
-the stop may get lost. As a fallback the lease ends the run, so the lease must
-not be extended for the sake of other runs.
+The lease covers all runs of the endpoint. A run has to end once the grant of
+its entry has expired or the entry has requested its stop. It is stopped then,
+but the stop may get lost, and then the run must end with the lease. So the
+lease is not extended for the other runs until the stop is confirmed.
 """
 
 from ferryledge.leases import _owners
@@ -32,20 +32,22 @@
     def may_extend(self, now: float) -> bool:
         """Return whether the lease may be extended.
 
-        A stop has the time that it usually takes before the lease is withheld,
-        so that stops in normal operation do not delay renewals.
+        A run that has to end prevents that only when its stop is overdue, so
+        that ordinary stops do not delay extensions. A run that no entry has
+        claimed prevents it at once: its grant may have expired.
 
         :param now: monotonic seconds
         """
-        since = now - self._timing.stop_s
+        overdue_since = now - self._timing.stop_s
         return all(
-            row.stop_confirmed_at is not None or self._may_go_on(row, since)
+            row.stop_confirmed_at is not None
+            or self._may_go_on(row, overdue_since)
             for row in self._runs
         )
 
     def _may_go_on(self, row: _runs.RunRow, at: float) -> bool:
         """Return whether a run was allowed to go on at a time."""
-        if row.unwanted_at is not None and row.unwanted_at <= at:
+        if row.stop_requested_at is not None and row.stop_requested_at <= at:
             return False
         owner = self._owners.find(row.owner)
         return owner is not None and self._owners.has_grant(owner, at)
--- a/src/ferryledge/leases/_run_stopper.py
+++ b/src/ferryledge/leases/_run_stopper.py
@@ -82,8 +82,8 @@
         if owner is not None:
             if row.owner != owner.incarnation:
                 return
-            if row.unwanted_at is None:
-                row.unwanted_at = now
+            if row.stop_requested_at is None:
+                row.stop_requested_at = now
         if row.state is _runs.RunState.STOPPING:
             return
         row.state = _runs.RunState.STOPPING
@@ -104,12 +104,12 @@
         )
         row.expires_ms = 0
         row.stop_confirmed_at = None
-        row.first_stop_at = None
+        row.first_stop_sent_at = None
         self._send_stop(now, row)
 
     def _send_stop(self, now: float, row: _runs.RunRow) -> None:
-        if row.first_stop_at is None:
-            row.first_stop_at = now
+        if row.first_stop_sent_at is None:
+            row.first_stop_sent_at = now
         row.stop_sent_at = now
         row.stops_sent += 1
         self._unconfirmed[row.key] = row
@@ -192,12 +192,12 @@
 
     def _note_if_overdue(self, now: float, row: _runs.RunRow) -> None:
         """Note once that a stop was not confirmed in time."""
-        first = row.first_stop_at
-        if row.is_overdue or first is None:
+        first = row.first_stop_sent_at
+        if row.is_stop_overdue or first is None:
             return
         if now - first <= self._timing.stop_s:
             return
-        row.is_overdue = True
+        row.is_stop_overdue = True
         owner = self._owners.find(row.owner)
         self._notes.stop_overdue(
             row,
--- a/src/ferryledge/leases/_runs.py
+++ b/src/ferryledge/leases/_runs.py
@@ -62,13 +62,13 @@
     confirmed_at: float | None = None
     #: When the first stop was sent to the endpoint's current incarnation, in
     #: monotonic seconds.
-    first_stop_at: float | None = None
-    #: Whether it was noted that the stop was not confirmed in time.
-    is_overdue: bool = False
+    first_stop_sent_at: float | None = None
+    #: Whether its stop was not confirmed in time, which is noted once.
+    is_stop_overdue: bool = False
     #: When the last stop was sent, in monotonic seconds.
     stop_sent_at: float | None = None
-    #: When its entry first asked for its stop, in monotonic seconds.
-    unwanted_at: float | None = None
+    #: When its entry first requested its stop, in monotonic seconds.
+    stop_requested_at: float | None = None
     #: When a stop was confirmed, in monotonic seconds.
     stop_confirmed_at: float | None = None
     #: The number of stops that were sent.
