Call the extension of a lease what it is

`EndpointLink.lease_until_ms` read like a property but extends the lease; it is `extend_lease` now. The run stopper wrote 'runs that the agent found at its start' and `is_new`; it says adopted runs, and `may_await_grant`.

No behaviour changes.

--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -347,7 +347,7 @@
         order: wire.OrderRuns,
         spec: str,
     ) -> None:
-        lease_until_ms = self._link.lease_until_ms(now)
+        lease_until_ms = self._link.extend_lease(now)
         row = _runs.RunRow(
             key,
             owner.incarnation,
--- a/src/ferryledge/leases/_endpoint.py
+++ b/src/ferryledge/leases/_endpoint.py
@@ -45,8 +45,8 @@
 
     :param timing: durations of leases and grants
     :param now: monotonic seconds
-    :param may_extend: returns whether the lease may be extended at a time;
-        defaults to always
+    :param may_extend: called with monotonic seconds; returns whether the
+        lease may be extended then, by default always
     """
 
     def __init__(
@@ -307,11 +307,13 @@
         self.heartbeat = None
         return True
 
-    def lease_until_ms(self, now: float) -> int:
-        """Return the end of a lease that is sent now.
+    def extend_lease(self, now: float) -> int:
+        """Extend the lease if that is allowed, and return its end.
 
-        It is a time of the endpoint's clock. While the lease may not be
-        extended, it is the end of the last one.
+        The caller sends the end to the endpoint, in milliseconds of the
+        endpoint's clock.
+
+        :param now: monotonic seconds
         """
         if self._may_extend(now):
             self._leased_at = now
@@ -324,7 +326,7 @@
         lease_until_ms = 0
         may_renew = self.synced and not self.is_down
         if self._token and may_renew and not self.is_unresponsive(now):
-            lease_until_ms = self.lease_until_ms(now)
+            lease_until_ms = self.extend_lease(now)
         # Another incarnation may answer, whose ends have the same numbers.
         # Acknowledged unread they would be lost, and their tasks run twice.
         is_reachable = self._fault is None and self.was_renewed_recently(now)
--- a/src/ferryledge/leases/_owners.py
+++ b/src/ferryledge/leases/_owners.py
@@ -44,7 +44,7 @@
     connected: bool = True
     #: When the ask that the last grant answers was sent.
     granted_at: float = float("-inf")
-    #: When it last claimed runs that this agent found at its start.
+    #: When it last claimed adopted runs.
     claimed_at: float = float("-inf")
     #: When each ask without a grant was sent, by its number.
     asks: dict[int, float] = msgspec.field(default_factory=dict)
--- a/src/ferryledge/leases/_run_stopper.py
+++ b/src/ferryledge/leases/_run_stopper.py
@@ -18,9 +18,9 @@
 #: Stops of a run that are repeated as soon as an answer is overdue. Further
 #: ones are sent at longer intervals: the endpoint is probably cut off.
 _FAST_REPEATS = 3
-#: Seconds for which runs that the agent found at its start wait for their
-#: entry's claim, and then for its grant. The lease isn't extended meanwhile,
-#: so a longer wait would end the runs that are claimed.
+#: Seconds for which adopted runs wait for the claim of their entry, and then
+#: for its grant. The lease is not extended meanwhile, so a longer wait would
+#: end the claimed runs too.
 _CLAIM_WAIT_S = 0.15
 
 Act = abc.Callable[[_agent_events.AgentAction], None]
@@ -142,8 +142,8 @@
             entry to claim them
         """
         for owner in self._owners_with_runs():
-            is_new = now < owner.claimed_at + _CLAIM_WAIT_S
-            if not is_new and not self._owners.has_grant(owner, now):
+            may_await_grant = now < owner.claimed_at + _CLAIM_WAIT_S
+            if not may_await_grant and not self._owners.has_grant(owner, now):
                 self._stop_without_grant(now, owner)
         self._forget_disconnected(now)
         if now - unclaimed_since >= _CLAIM_WAIT_S:
