Say reported instead of told of, and was_listed instead of outlived

`PresumedEnd.outlived` was set for any later report of a run, proven or not; what the note needs is whether the agent listed the run as active, so it is `was_listed` and set for that alone. A report of an end removes the entry right after, so nothing else read the flag. The docs of the presumed ends said 'without their agent's word' and 'told of'; the reason for `proven` was a sentence to be read twice.

No behaviour changes.

--- a/src/ferryledge/hosted/_metrics.py
+++ b/src/ferryledge/hosted/_metrics.py
@@ -175,7 +175,7 @@
         self._health.add()
 
     def run_outlived(self, proven: bool) -> None:
-        """Count a run that an agent told of after it counted as over."""
+        """Count a run that its agent reported after it counted as over."""
         self._outlived.add(1, "yes" if proven else "no")
 
     def handover(self, what: str) -> None:
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -261,7 +261,7 @@
         presumed: _presumed_ends.PresumedEnd,
         end: wire.RunEnd | None,
     ) -> None:
-        """An agent told of a run that had been counted as over.
+        """An agent reported a run that had been counted as over.
 
         :param now: monotonic seconds
         :param job: name of the run's job
@@ -274,9 +274,11 @@
         proven = True
         if end is not None:
             facts = {"how": str(end.how), "run_s": round(end.run_s, 3)}
-            # A run starts after its order, and reports of ends come late.
-            proven = presumed.outlived or end.run_s > presumed.held_s
-        if not presumed.outlived:
+            # A run starts after its order. So one that took longer than from
+            # its order to its presumed end went on after that; the end of a
+            # shorter one may only have been reported late.
+            proven = presumed.was_listed or end.run_s > presumed.held_s
+        if not presumed.was_listed:
             self._meter.run_outlived(proven)
         self.add(
             outcomes.Step.LEASE,
--- a/src/ferryledge/leases/_meters.py
+++ b/src/ferryledge/leases/_meters.py
@@ -51,9 +51,9 @@
         """An endpoint was ejected or readmitted."""
 
     def run_outlived(self, proven: bool) -> None:
-        """An agent told of a run that had been counted as over.
+        """An agent reported a run that had been counted as over.
 
-        :param proven: whether the run surely went on for longer; otherwise
+        :param proven: whether the run certainly went on after that; otherwise
             its end may only have been reported late
         """
 
--- a/src/ferryledge/leases/_presumed_ends.py
+++ b/src/ferryledge/leases/_presumed_ends.py
@@ -1,7 +1,7 @@
-"""Remembers the runs that count as over without their agent's word.
+"""Remembers the runs that count as over though no agent reported their end.
 
-An agent that tells of such a run later shows that the run may have been
-repeated too early.
+If the agent of such a run lists it or reports its end later, the run's task
+may have been started again too early.
 """
 
 import enum
@@ -35,8 +35,8 @@
     at: float
     #: Seconds from its order until then.
     held_s: float
-    #: Whether its agent has told of it since.
-    outlived: bool = False
+    #: Whether its agent has listed it as active since.
+    was_listed: bool = False
 
 
 class PresumedEnds:
--- a/src/ferryledge/leases/_run_tracker.py
+++ b/src/ferryledge/leases/_run_tracker.py
@@ -244,7 +244,7 @@
         run: wire.TaskRun,
         end: wire.RunEnd | None = None,
     ) -> None:
-        """Note that an agent told of a run that counted as over.
+        """Note that an agent reported a run that counted as over.
 
         :param now: monotonic seconds
         :param row: the agent
@@ -253,10 +253,11 @@
         :param end: its end; ``None`` if the agent listed it as held
         """
         presumed = self._presumed_ends.find(now, row.name, name, run)
-        if presumed is None or (presumed.outlived and end is None):
+        if presumed is None or (presumed.was_listed and end is None):
             return
         self._notes.outlived(now, name, row, run, presumed, end)
-        presumed.outlived = True
+        if end is None:
+            presumed.was_listed = True
 
     def _unbind(
         self, row: _pool.AgentRow, name: str, run: wire.TaskRun
@@ -389,8 +390,9 @@
     ) -> list[DecidedJob]:
         """Reconcile the runs that an agent holds with those ordered there.
 
-        Ordered runs that the agent does not hold are lost. The list must be
-        the first one on a stream: orders on their way are not in later ones.
+        Ordered runs that the agent does not hold are lost. Only the first
+        list on a stream may be passed: a later one lacks the runs whose orders
+        are in flight. The other runs are claimed or stopped.
 
         :param now: monotonic seconds
         :param row: the agent
