Name the time in which an entry reads its backlog

`_READ_WAITING_S` and `_hold_until` did not say what waits or is held, and the reason took two readings. They are `_BACKLOG_S` and `_placement_resumes_at` now.

No behaviour changes. Run: format, ruff, flake8 and mypy; the tests of requests read late, adopted runs, leases, restarts, suspension and handover.

--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -43,10 +43,10 @@
 _SWEEP_S = 0.1
 #: Delay of a sweep in seconds beyond which the process counts as paused.
 _PAUSE_S = 0.3
-#: Seconds after a pause of this process for which nothing is ordered or
-#: offered. Requests that waited are read before the end of their connections,
-#: and their clients may have repeated the jobs elsewhere.
-_READ_WAITING_S = 0.1
+#: Seconds after a pause of this process in which it reads its backlog and
+#: orders or offers nothing. A request is read before the end of its
+#: connection, and its client may have submitted the job elsewhere since.
+_BACKLOG_S = 0.1
 #: Seconds before the client's deadline at which an unfinished job is answered.
 _DEADLINE_MARGIN_S = 0.05
 #: Seconds within which a grant request is answered. The delay lets answers to
@@ -156,8 +156,8 @@
         self._awaiting_grant: dict[str, _pool.AgentRow] = {}
         self._draining = False
         self._next_sweep = 0.0
-        #: Until when nothing is ordered or offered after a pause.
-        self._hold_until = 0.0
+        #: When jobs may be ordered or offered again after a pause.
+        self._placement_resumes_at = 0.0
         self._placement_due = False
         #: When to tick for the events received since the last tick.
         self._tick_by = _NEVER
@@ -272,7 +272,7 @@
         self._handover.check(now)
         if now >= self._next_sweep:
             self._sweep(now)
-        if now >= self._hold_until:
+        if now >= self._placement_resumes_at:
             self._place(now)
         for row, message in self._scheduler.due_urgency_reports(now):
             self._send(row.name, message)
@@ -586,7 +586,7 @@
         if self._next_sweep and now - self._next_sweep > _PAUSE_S:
             self._pool.reset_silence_timers(now)
             self._peers.reset_silence_timers(now)
-            self._hold_until = now + _READ_WAITING_S
+            self._placement_resumes_at = now + _BACKLOG_S
         self._peers.send_keep_alives(now)
         self._peers.request_newer_config(now)
         self._send_all(self._agent_search.search_if_few(now))
