Say to whom the end of an unclaimed run is reported

OPERATIONS.md still said that the end of an adopted run that no entry claimed is reported to nobody, and the doc of `Reports.ended` that each end is kept until its entry confirms it. Since such ends are reported once to each entry that is connected, both say that now.

Run: format, ruff, flake8 and mypy; the tests of adopted runs, reports across streams, late greetings and restarts.

--- a/src/ferryledge/leases/_reports.py
+++ b/src/ferryledge/leases/_reports.py
@@ -75,7 +75,8 @@
     ) -> None:
         """Report to an entry that a run has ended or wasn't started.
 
-        An end is kept and repeated until the entry confirms it.
+        An end is kept and repeated until the entry confirms it. The end of an
+        adopted run that no entry has claimed is reported once to each entry.
 
         :param now: monotonic seconds
         :param row: the run
@@ -106,9 +107,9 @@
             self._send(owner, self._owners.attach_ask(owner, now, end))
 
     def _report_unclaimed_end(self, end: wire.RunsEnded) -> None:
-        """Report an end to all entries that the run was listed to.
+        """Report the end of an unclaimed run to all entries that know of it.
 
-        The claim of its entry may be on its way.
+        The run was listed to them, and its entry may be about to claim it.
         """
         for owner in self._owners.connected:
             if not owner.needs_held_report:
