Say what is late in the virtual world, and on which stream

Three comments on delayed greetings, and the doc of `World._use`, had to be read twice; its parameters were not described.

--- a/src/ferryledge/loads/_world.py
+++ b/src/ferryledge/loads/_world.py
@@ -60,8 +60,9 @@
     open: bool = True
     #: Whether nothing arrives any more, though neither side is told.
     silent: bool = False
-    #: Seconds by which all that the agent sends is late, its greeting first.
-    #: It then arrives even if the agent has closed the stream, as with TCP.
+    #: Seconds by which the agent's greeting and all that it sends after that
+    #: are delayed. They arrive even if the agent has closed the stream by
+    #: then, as with TCP.
     late_s: float = 0.0
 
 
@@ -141,8 +142,8 @@
         self.reopening: dict[tuple[str, str], Stream] = {}
         #: How often that was tried.
         self.reopened = 0
-        #: By how much the greeting of the next stream that is opened beside
-        #: another is late, and what follows it, in seconds.
+        #: Seconds by which an agent's greeting is delayed, by agent and entry,
+        #: on the next stream that is opened beside another.
         self.late_greetings: dict[tuple[str, str], float] = {}
         #: Which entries each agent keeps dialling.
         self.dialled: set[tuple[str, str]] = set()
@@ -556,9 +557,15 @@
         peer: str,
         up: wire.PeerUp,
     ) -> None:
-        """Use a stream from now on, unless a newer one is known.
+        """Use a stream from now on, and close the one before.
 
-        An older one is closed.
+        If a newer one is used already, this one is closed instead.
+
+        :param stream: the stream
+        :param number: its number at the process that uses it
+        :param own: name of that process
+        :param peer: name of the other one
+        :param up: the event that brings the peer's greeting
         """
         order = self.nodes[own].stream_order
         if not order.admit(up.hello, number, own == stream.agent):
@@ -670,7 +677,7 @@
             self.at(order.answer_timeout_s, lambda: self.post(agent, silent))
 
     def _lose_stop(self, agent: str, order: leases.StopRun) -> None:
-        """Let a stop go unanswered; it is not carried out."""
+        """Report to the agent that a stop got no answer."""
         event = leases.StopAnswered(order.key, order.incarnation, False)
         self.at(order.answer_timeout_s, lambda: self.post(agent, event))
 
