Say notice for what an agent tells its endpoint of a run

The stand-in of the endpoint and the soak called it a book event, and its callback book, a name that means nothing in the field. It is RunNotice now, with on_notice and Judge.notice. The doc of SilentConnections began with 'Falls silent'; it says that requests stay unanswered.

No behaviour changes; the tests changed in these names alone.

--- a/src/ferryledge/platform/standin/__init__.py
+++ b/src/ferryledge/platform/standin/__init__.py
@@ -5,10 +5,10 @@
 from ferryledge.platform.standin import _settings
 from ferryledge.platform.standin import _store
 
-BookEvent = _endpoint.BookEvent
 ClientAnswer = _client.ClientAnswer
 ClientState = _client.ClientState
 EndpointServer = _endpoint.EndpointServer
+RunNotice = _endpoint.RunNotice
 StoreBehaviour = _store.StoreBehaviour
 StoreServer = _store.StoreServer
 cordon_key = _settings.cordon_key
@@ -17,10 +17,10 @@
 submit = _client.submit
 
 __all__ = [
-    "BookEvent",
     "ClientAnswer",
     "ClientState",
     "EndpointServer",
+    "RunNotice",
     "StoreBehaviour",
     "StoreServer",
     "cordon_key",
--- a/src/ferryledge/platform/standin/_connections.py
+++ b/src/ferryledge/platform/standin/_connections.py
@@ -1,4 +1,4 @@
-"""Falls silent on the connections that an HTTP server has open."""
+"""Leaves requests on the open connections of an HTTP server unanswered."""
 
 import time
 import typing
--- a/src/ferryledge/platform/standin/_endpoint.py
+++ b/src/ferryledge/platform/standin/_endpoint.py
@@ -29,22 +29,22 @@
 }
 
 
-class BookEvent(enum.StrEnum):
+class RunNotice(enum.StrEnum):
     """What an agent told the endpoint about a run."""
 
     #: The agent ordered a stop of an active run.
     STOP_ORDERED = "stop ordered"
-    #: The same, but the endpoint doesn't carry it out.
+    #: The agent ordered that, but the endpoint doesn't carry it out.
     STOP_IGNORED = "stop ignored"
     #: The agent acknowledged the end of the run.
     ACKNOWLEDGED = "acknowledged"
 
 
-BookWatch = abc.Callable[[BookEvent, leases.RunKey, str], None]
+OnRunNotice = abc.Callable[[RunNotice, leases.RunKey, str], None]
 
 
-def _ignore(what: BookEvent, key: leases.RunKey, endpoint: str) -> None:
-    """Do nothing: nobody watches."""
+def _ignore(what: RunNotice, key: leases.RunKey, endpoint: str) -> None:
+    """Do nothing, as nobody listens."""
 
 
 def _parse_run_key(task: str, run: int) -> leases.RunKey:
@@ -65,8 +65,8 @@
     :param agent_url: base URL of the agent
     :param model: the simulated endpoint
     :param rng: selects the calls that are delayed
-    :param watch: called with what the agent tells of a run, the run's key and
-        the endpoint's name
+    :param on_notice: called with what the agent tells of a run, the run's
+        key and the endpoint's name
     """
 
     def __init__(
@@ -77,7 +77,7 @@
         agent_url: str,
         model: standin.LeasedEndpoint,
         rng: random.Random,
-        watch: BookWatch = _ignore,
+        on_notice: OnRunNotice = _ignore,
     ) -> None:
         self.model = model
         #: Share of the calls that are executed late and answered only after
@@ -92,7 +92,7 @@
         self._port = port
         self._caller = net.HttpClient(agent_url, 1)
         self._rng = rng
-        self._watch = watch
+        self._on_notice = on_notice
         self._app = _connections.SilentConnections(net.asgi_app(self.handle))
         #: Start time of the endpoint, and when the agent first answered a
         #: heartbeat of this start that reported draining.
@@ -185,7 +185,7 @@
         if request.path == "/run-stop" and self.ignores_stops:
             key = _parse_run_key(fields["Task"], fields["Run"])
             if key in self.model.runs:
-                self._watch(BookEvent.STOP_IGNORED, key, self.model.name)
+                self._on_notice(RunNotice.STOP_IGNORED, key, self.model.name)
             await anyio.sleep(_HEARTBEAT_TIMEOUT_S)
             return net.HttpResponse.json(503, {})
         if request.path == "/hold":
@@ -206,7 +206,7 @@
         token = fields["FencingToken"]
         if path == "/run-stop":
             if key in self.model.runs:
-                self._watch(BookEvent.STOP_ORDERED, key, self.model.name)
+                self._on_notice(RunNotice.STOP_ORDERED, key, self.model.name)
             stop = leases.StopRun(key, incarnation, token)
             done = self.model.stop(now, stop)
             return net.HttpResponse.json(200 if done else 409, clock)
@@ -232,7 +232,9 @@
         answer = self.model.renew(now, now, renewal)
         for end in listed:
             if end not in self.model.ended:
-                self._watch(BookEvent.ACKNOWLEDGED, end.key, self.model.name)
+                self._on_notice(
+                    RunNotice.ACKNOWLEDGED, end.key, self.model.name
+                )
         if renewal.lease_until_ms and isinstance(answer, leases.LeaseRenewed):
             self.renewals += 1
         wait_until = now + fields.get("WaitMs", 0) / 1000.0
--- a/src/ferryledge/platform/tests/test_calls.py
+++ b/src/ferryledge/platform/tests/test_calls.py
@@ -101,7 +101,7 @@
 
 
 def _endpoint(
-    heard: list[tuple[platform_standin.BookEvent, leases.RunKey, str]]
+    heard: list[tuple[platform_standin.RunNotice, leases.RunKey, str]]
     | None = None,
 ) -> platform_standin.EndpointServer:
     model = standin.LeasedEndpoint(
@@ -145,10 +145,10 @@
 
 
 def test_stop_and_acknowledgement_are_told() -> None:
-    heard: list[tuple[platform_standin.BookEvent, leases.RunKey, str]] = []
+    heard: list[tuple[platform_standin.RunNotice, leases.RunKey, str]] = []
     server = _endpoint(heard)
     key = leases.RunKey("j", 0, 3, 1)
-    told = platform_standin.BookEvent
+    told = platform_standin.RunNotice
 
     async def use(port: int) -> None:
         calls = platform.EndpointCalls(f"127.0.0.1:{port}")
@@ -167,7 +167,7 @@
 
 
 def test_stop_that_is_ignored_leaves_the_run_active() -> None:
-    heard: list[tuple[platform_standin.BookEvent, leases.RunKey, str]] = []
+    heard: list[tuple[platform_standin.RunNotice, leases.RunKey, str]] = []
     server = _endpoint(heard)
     key = leases.RunKey("j", 0, 3, 1)
 
@@ -178,7 +178,7 @@
         server.ignores_stops = True
         stopped = await calls.stop(leases.StopRun(key, "e-1", 7, 0.06))
         assert not stopped.confirmed
-        assert heard == [(platform_standin.BookEvent.STOP_IGNORED, key, "e")]
+        assert heard == [(platform_standin.RunNotice.STOP_IGNORED, key, "e")]
         assert server.model.runs[key].stops_at is None
         await calls.close()
 
--- a/src/ferryledge/soak/_deployment.py
+++ b/src/ferryledge/soak/_deployment.py
@@ -29,7 +29,7 @@
 _ZONES = ("north", "south")
 
 Watch = abc.Callable[[str, leases.RunKey, str], None]
-Book = abc.Callable[[platform_standin.BookEvent, leases.RunKey, str], None]
+OnNotice = abc.Callable[[platform_standin.RunNotice, leases.RunKey, str], None]
 
 
 def zone_of(number: int) -> str:
@@ -61,7 +61,7 @@
     :param folder: where settings and logs go
     :param workload: what tasks need and take
     :param watch: called with "start" or "end" of a run at an endpoint
-    :param book: called with what agents tell endpoints of runs
+    :param on_notice: called with what agents tell endpoints of runs
     """
 
     def __init__(
@@ -70,13 +70,13 @@
         folder: pathlib.Path,
         workload: _workload.Workload,
         watch: Watch,
-        book: Book,
+        on_notice: OnNotice,
     ) -> None:
         self._seed = plan.seed
         self._folder = folder
         self._workload = workload
         self._watch = watch
-        self._book = book
+        self._on_notice = on_notice
         self._rng = random.Random(plan.seed + 1)
         self.store = platform_standin.StoreServer()
         self.proxies = [
@@ -129,5 +129,5 @@
             f"http://{_agent_host(number)}:{_CONTROL_PORT}",
             model,
             random.Random(self._seed + number),
-            self._book,
+            self._on_notice,
         )
--- a/src/ferryledge/soak/_judge.py
+++ b/src/ferryledge/soak/_judge.py
@@ -212,9 +212,9 @@
         assert since is not None and until is not None
         return self._is_in_touch(since, until + _task_runs.NOTED_S)
 
-    def book(
+    def notice(
         self,
-        what: platform_standin.BookEvent,
+        what: platform_standin.RunNotice,
         key: leases.RunKey,
         endpoint: str,
     ) -> None:
@@ -223,14 +223,14 @@
         if run is None:
             return
         match what:
-            case platform_standin.BookEvent.STOP_ORDERED:
+            case platform_standin.RunNotice.STOP_ORDERED:
                 if run.stop_ordered_at is None:
                     run.stop_ordered_at = self.now
-            case platform_standin.BookEvent.STOP_IGNORED:
+            case platform_standin.RunNotice.STOP_IGNORED:
                 run.stops_ignored += 1
                 if run.stop_ordered_at is None:
                     run.stop_ordered_at = self.now
-            case platform_standin.BookEvent.ACKNOWLEDGED:
+            case platform_standin.RunNotice.ACKNOWLEDGED:
                 run.acknowledged_at = self.now
 
     def found(self, keys: collections.abc.Iterable[leases.RunKey]) -> None:
--- a/src/ferryledge/soak/_run.py
+++ b/src/ferryledge/soak/_run.py
@@ -57,7 +57,7 @@
         self.judge = _judge.Judge(plan.is_in_touch)
         self._workload = _workload.Workload()
         self._deployment = _deployment.Deployment(
-            plan, folder, self._workload, self._watch, self._book
+            plan, folder, self._workload, self._watch, self._on_notice
         )
         self._clients = _clients.Clients(
             plan, self._workload, self.judge, self._now
@@ -89,15 +89,15 @@
         else:
             self._on_end(key, number)
 
-    def _book(
+    def _on_notice(
         self,
-        what: platform_standin.BookEvent,
+        what: platform_standin.RunNotice,
         key: leases.RunKey,
         endpoint: str,
     ) -> None:
         """Tell the judge what an agent told its endpoint."""
         self.judge.now = self._now()
-        self.judge.book(what, key, endpoint)
+        self.judge.notice(what, key, endpoint)
 
     def _on_start(self, key: leases.RunKey, number: int) -> None:
         server = self._deployment.endpoints[number]
--- a/src/ferryledge/soak/tests/test_soak.py
+++ b/src/ferryledge/soak/tests/test_soak.py
@@ -251,11 +251,11 @@
     judge.submitted(KEY.job, 1, 2)
     _start(judge, 1.0, 1, "endpoint-0")
     judge.now = 1.5
-    judge.book(platform_standin.BookEvent.STOP_ORDERED, KEY, "endpoint-0")
+    judge.notice(platform_standin.RunNotice.STOP_ORDERED, KEY, "endpoint-0")
     _start(judge, 2.0, 2, "endpoint-1")
     _end(judge, 3.0, 1, "endpoint-0", wire.RunOutcome.DONE)
     judge.now = 3.25
-    judge.book(platform_standin.BookEvent.ACKNOWLEDGED, KEY, "endpoint-0")
+    judge.notice(platform_standin.RunNotice.ACKNOWLEDGED, KEY, "endpoint-0")
     assert judge.findings == [
         soak.Finding(
             2.0,
@@ -288,7 +288,7 @@
     _start(judge, 1.0, 1, "endpoint-0")
     _end(judge, 1.5, 1, "endpoint-0", wire.RunOutcome.DONE)
     judge.now = 2.0
-    judge.book(platform_standin.BookEvent.ACKNOWLEDGED, KEY, "endpoint-0")
+    judge.notice(platform_standin.RunNotice.ACKNOWLEDGED, KEY, "endpoint-0")
     return judge
 
 
@@ -357,8 +357,8 @@
     judge.submitted(KEY.job, 1)
     _start(judge, 1.0, 1, "endpoint-0")
     judge.now = 1.5
-    judge.book(platform_standin.BookEvent.STOP_IGNORED, KEY, "endpoint-0")
+    judge.notice(platform_standin.RunNotice.STOP_IGNORED, KEY, "endpoint-0")
     judge.now = 1.6
-    judge.book(platform_standin.BookEvent.STOP_ORDERED, KEY, "endpoint-0")
+    judge.notice(platform_standin.RunNotice.STOP_ORDERED, KEY, "endpoint-0")
     _start(judge, 2.0, 2, "endpoint-1")
     assert "stop ordered 1.500, 1 stops ignored" in judge.findings[0].detail
--- a/src/ferryledge/soak/tests/test_wide_strikes.py
+++ b/src/ferryledge/soak/tests/test_wide_strikes.py
@@ -42,7 +42,7 @@
     plan = _plan.Plan(1, 20.0, _ENTRIES, _AGENTS, ())
     judge = _judge.Judge()
     deployment = _deployment.Deployment(
-        plan, folder, _workload.Workload(), judge.watch, judge.book
+        plan, folder, _workload.Workload(), judge.watch, judge.notice
     )
     strikes = _wide_strikes.WideStrikes(deployment)
     fault = _plan.Fault(1.0, kind, 7, for_s)
