Record runs, not task runs, and say acknowledged, not noted, in the soak

The soak had a TaskRun of its own beside wire.TaskRun; it is RunRecord now, and the module's doc no longer claims to judge. 'Noted' stood for three things: an acknowledged end, an end that the entry must have heard of, and an observation of the judge; the first two are named now. 'In touch' and 'reunion' are connected and reconnect.

No behaviour changes; the tests changed in these names alone.

--- a/src/ferryledge/soak/_judge.py
+++ b/src/ferryledge/soak/_judge.py
@@ -50,8 +50,8 @@
     at: float
     promise: str
     job: "_Job"
-    first: _task_runs.TaskRun
-    second: _task_runs.TaskRun
+    first: _task_runs.RunRecord
+    second: _task_runs.RunRecord
 
     def finding(self) -> Finding:
         """Return what is known of both by now."""
@@ -71,7 +71,7 @@
         default_factory=list
     )
     tries: int = 0
-    #: When it was sent, and to which entry, for people.
+    #: When it was sent and to which entry, for the detail of a finding.
     sent: list[str] = dataclasses.field(default_factory=list)
     starts: int = 0
     done: set[tuple[int, int]] = dataclasses.field(default_factory=set)
@@ -88,22 +88,22 @@
 class Judge:
     """Takes in starts, ends and answers, and notes what must not be.
 
-    :param is_in_touch: tells whether all machines are in touch between two
-        times of the load
+    :param are_connected: tells whether entries and agents are connected from
+        one second of the load to another
     """
 
     def __init__(
         self,
-        is_in_touch: collections.abc.Callable[
+        are_connected: collections.abc.Callable[
             [float, float], bool
         ] = lambda since, until: True,
     ) -> None:
-        self._is_in_touch = is_in_touch
+        self._are_connected = are_connected
         self._findings: list[Finding] = []
         self._excesses: list[_Excess] = []
         self._runs = _task_runs.TaskRuns()
-        #: Starts of tasks whose end had been noted, which may be: the client
-        #: sent the job again, or the entry could not hear of the end.
+        #: Allowed starts of tasks that were done: the client had sent the job
+        #: again, or the entry could not hear of the end.
         self.repeated = 0
         self.now = 0.0
         self._jobs: dict[str, _Job] = {}
@@ -180,10 +180,10 @@
     def _judge_start(
         self,
         job: _Job,
-        run: _task_runs.TaskRun,
-        earlier: list[_task_runs.TaskRun],
+        run: _task_runs.RunRecord,
+        earlier: list[_task_runs.RunRecord],
     ) -> None:
-        """Look for runs of the same task that are active or were noted.
+        """Look for earlier runs of the same task that are active or done.
 
         Clients that send a job again accept that its tasks run again, but
         never side by side.
@@ -193,24 +193,26 @@
             if other.ended_at is None:
                 excess = _Excess(at, "twice", job, other, run)
                 self._excesses.append(excess)
-        noted = [one for one in earlier if _task_runs.was_noted(one, self.now)]
-        if not noted:
+        done = [
+            one for one in earlier if _task_runs.must_be_heard(one, self.now)
+        ]
+        if not done:
             return
-        if job.tries == 1 and self._is_heard(noted[0]):
-            excess = _Excess(at, "again", job, noted[0], run)
+        if job.tries == 1 and self._could_be_heard(done[0]):
+            excess = _Excess(at, "again", job, done[0], run)
             self._excesses.append(excess)
         else:
             self.repeated += 1
 
-    def _is_heard(self, noted: _task_runs.TaskRun) -> bool:
-        """Return whether entries could hear of an end that was noted.
+    def _could_be_heard(self, run: _task_runs.RunRecord) -> bool:
+        """Return whether entries could hear of an acknowledged end.
 
-        An agent acknowledges an end to its endpoint as soon as it knows it
-        itself, and tells it to the entry beside that.
+        An agent acknowledges an end to its endpoint without waiting for the
+        entry, which it tells at the same time.
         """
-        since, until = noted.ended_at, noted.acknowledged_at
+        since, until = run.ended_at, run.acknowledged_at
         assert since is not None and until is not None
-        return self._is_in_touch(since, until + _task_runs.NOTED_S)
+        return self._are_connected(since, until + _task_runs.HEARD_AFTER_S)
 
     def notice(
         self,
--- a/src/ferryledge/soak/_plan.py
+++ b/src/ferryledge/soak/_plan.py
@@ -80,8 +80,9 @@
     "all": (*FaultKind, *WideKind),
 }
 
-#: Faults that keep entries and agents from hearing of each other.
-_OUT_OF_TOUCH: frozenset[AnyKind] = frozenset(
+#: Faults that interrupt the streams between entries and agents, or may be
+#: taken to: all wide ones.
+_DISCONNECTING: frozenset[AnyKind] = frozenset(
     {
         *WideKind,
         FaultKind.KILL_ENTRY,
@@ -97,8 +98,8 @@
         FaultKind.CUT_ONE_WAY,
     }
 )
-#: Seconds after such a fault until all are in touch again.
-_REUNION_S = 3.0
+#: Seconds after such a fault until all streams are open again.
+_RECONNECT_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,16 +127,16 @@
     clients: int = CLIENTS
     work_s: tuple[float, ...] = WORK_S
 
-    def is_in_touch(self, since: float, until: float) -> bool:
-        """Return whether entries and agents hear of each other for a while.
+    def are_connected(self, since: float, until: float) -> bool:
+        """Return whether no fault interrupts any streams for a while.
 
-        :param since: seconds of the load
-        :param until: seconds of the load
+        :param since: start of that time, in seconds of the load
+        :param until: end of that time, in seconds of the load
         """
         return not any(
-            fault.kind in _OUT_OF_TOUCH
+            fault.kind in _DISCONNECTING
             and fault.at <= until
-            and since <= fault.at + fault.for_s + _REUNION_S
+            and since <= fault.at + fault.for_s + _RECONNECT_S
             for fault in self.faults
         )
 
--- a/src/ferryledge/soak/_run.py
+++ b/src/ferryledge/soak/_run.py
@@ -38,7 +38,7 @@
     unknown: int
     #: Runs that went on to their end under the successor of their agent.
     adopted: int
-    #: Starts of tasks whose end as done had been acknowledged, which may be.
+    #: Allowed starts of tasks that were done.
     repeated: int
     findings: tuple[_judge.Finding, ...]
     #: Where the logs and settings are; empty if nothing was found.
@@ -54,7 +54,7 @@
 
     def __init__(self, plan: _plan.Plan, folder: pathlib.Path) -> None:
         self._plan = plan
-        self.judge = _judge.Judge(plan.is_in_touch)
+        self.judge = _judge.Judge(plan.are_connected)
         self._workload = _workload.Workload()
         self._deployment = _deployment.Deployment(
             plan, folder, self._workload, self._watch, self._on_notice
--- a/src/ferryledge/soak/_task_runs.py
+++ b/src/ferryledge/soak/_task_runs.py
@@ -1,4 +1,4 @@
-"""The runs of each task, and which of them should not have been started."""
+"""Records the runs of each task, as endpoints and agents tell of them."""
 
 import collections
 import dataclasses
@@ -6,16 +6,16 @@
 from ferryledge import leases
 from ferryledge import wire
 
-#: Seconds from the acknowledgement of a task's end as done after which it may
-#: not be started again.
-NOTED_S = 1.0
+#: Seconds after an agent acknowledged the end of a run after which its entry
+#: has heard of it too, and may not start its task again.
+HEARD_AFTER_S = 1.0
 
 Task = tuple[str, int, int]
 
 
 @dataclasses.dataclass(slots=True)
-class TaskRun:
-    """A run, in seconds of the load."""
+class RunRecord:
+    """What is known of a run; times are seconds of the load."""
 
     key: leases.RunKey
     endpoint: str
@@ -31,7 +31,7 @@
     acknowledged_at: float | None = None
 
     def describe(self) -> str:
-        """Return what is known of it, for people."""
+        """Return what is known of it, for the detail of a finding."""
         parts = [
             f"run {self.key.run} at {self.endpoint}",
             f"started {self.started_at:.3f}",
@@ -56,31 +56,31 @@
     """All runs of a soak, by task."""
 
     def __init__(self) -> None:
-        self._runs: dict[Task, list[TaskRun]] = collections.defaultdict(list)
+        self._runs: dict[Task, list[RunRecord]] = collections.defaultdict(list)
 
     def start(
         self, now: float, key: leases.RunKey, endpoint: str
-    ) -> tuple[TaskRun, list[TaskRun]]:
+    ) -> tuple[RunRecord, list[RunRecord]]:
         """Add a run; return it and the earlier ones of its task."""
-        run = TaskRun(key, endpoint, now)
+        run = RunRecord(key, endpoint, now)
         runs = self._runs[task_of(key)]
         earlier = list(runs)
         runs.append(run)
         return run, earlier
 
-    def find(self, key: leases.RunKey, endpoint: str) -> TaskRun | None:
+    def find(self, key: leases.RunKey, endpoint: str) -> RunRecord | None:
         """Return the newest run with that key at an endpoint, if any."""
         for run in reversed(self._runs.get(task_of(key), ())):
             if run.key == key and run.endpoint == endpoint:
                 return run
         return None
 
-    def last(self, key: leases.RunKey) -> TaskRun | None:
+    def last(self, key: leases.RunKey) -> RunRecord | None:
         """Return the run that was the last to start of a task, if any."""
         runs = self._runs.get(task_of(key))
         return runs[-1] if runs else None
 
-    def last_ended(self, key: leases.RunKey) -> TaskRun | None:
+    def last_ended(self, key: leases.RunKey) -> RunRecord | None:
         """Return the run with that key that was the last to end, if any."""
         ended = [
             run
@@ -95,10 +95,10 @@
     return (key.job, key.step, key.index)
 
 
-def was_noted(run: TaskRun, now: float) -> bool:
-    """Return whether a run's end as done has been noted for long."""
+def must_be_heard(run: RunRecord, now: float) -> bool:
+    """Return whether its entry must have heard that a run is done."""
     return (
         run.how is wire.RunOutcome.DONE
         and run.acknowledged_at is not None
-        and now - run.acknowledged_at > NOTED_S
+        and now - run.acknowledged_at > HEARD_AFTER_S
     )
--- a/src/ferryledge/soak/tests/test_soak.py
+++ b/src/ferryledge/soak/tests/test_soak.py
@@ -279,10 +279,12 @@
     assert [one.at for one in judge.findings] == [1.1, 1.3]
 
 
-def _judge_of_a_noted_end(tries: int, *faults: _plan.Fault) -> _judge.Judge:
-    """Return a judge of a run that ended as done, noted at second 2."""
+def _judge_of_an_acknowledged_end(
+    tries: int, *faults: _plan.Fault
+) -> _judge.Judge:
+    """Return a judge of a run that ended as done, acknowledged at 2 s."""
     plan = _plan.Plan(1, 60.0, 3, 5, faults)
-    judge = _judge.Judge(plan.is_in_touch)
+    judge = _judge.Judge(plan.are_connected)
     for _ in range(tries):
         judge.submitted(KEY.job, 1)
     _start(judge, 1.0, 1, "endpoint-0")
@@ -293,15 +295,17 @@
 
 
 @pytest.mark.parametrize(("at", "found"), [(2.9, []), (3.1, ["again"])])
-def test_start_after_a_noted_end_is_found(at: float, found: list[str]) -> None:
-    judge = _judge_of_a_noted_end(tries=1)
+def test_start_after_an_acknowledged_end_is_found(
+    at: float, found: list[str]
+) -> None:
+    judge = _judge_of_an_acknowledged_end(tries=1)
     _start(judge, at, 2, "endpoint-1")
     assert [one.promise for one in judge.findings] == found
     assert not judge.repeated
 
 
-def test_start_after_a_noted_end_of_a_job_sent_again_is_counted() -> None:
-    judge = _judge_of_a_noted_end(tries=2)
+def test_start_after_the_end_of_a_job_sent_again_is_counted() -> None:
+    judge = _judge_of_an_acknowledged_end(tries=2)
     _start(judge, 3.1, 2, "endpoint-1")
     assert not judge.findings
     assert judge.repeated == 1
@@ -318,13 +322,13 @@
 def test_start_after_an_end_that_its_entry_could_not_hear_is_counted(
     kind: _plan.FaultKind, at: float, repeated: int
 ) -> None:
-    judge = _judge_of_a_noted_end(1, _plan.Fault(at, kind, 0, 1.0))
+    judge = _judge_of_an_acknowledged_end(1, _plan.Fault(at, kind, 0, 1.0))
     _start(judge, 3.1, 2, "endpoint-1")
     assert judge.repeated == repeated
     assert len(judge.findings) == 1 - repeated
 
 
-def test_start_after_an_end_that_nobody_noted_is_not_found() -> None:
+def test_start_after_an_end_that_nobody_acknowledged_is_not_found() -> None:
     judge = _judge.Judge()
     judge.submitted(KEY.job, 1)
     _start(judge, 1.0, 1, "endpoint-0")
