Describe the soak's wide faults and proxy in plain terms

'Things' that are hit, 'chooses', 'with how many reasons', 'the same', and a burst that was a pause: each is named after what it is now, and bounds and shares say their unit. `_turn_to` is `_entries_to_try`.

No behaviour changes; names of faults and options stay.

--- a/src/ferryledge/soak/_clients.py
+++ b/src/ferryledge/soak/_clients.py
@@ -85,7 +85,7 @@
         if self.deadly_next:
             self.deadly_next = False
             self._judge.deadly(job)
-        for entry in self._turn_to(rng, len(callers)):
+        for entry in self._entries_to_try(rng, len(callers)):
             self._judge.now = self._now()
             self._judge.submitted(job, tasks, entry)
             answer = await platform_standin.submit(
@@ -104,13 +104,13 @@
                 return
             await asyncio.sleep(_REPEAT_S)
 
-    def _turn_to(self, rng: random.Random, entries: int) -> list[int]:
+    def _entries_to_try(self, rng: random.Random, count: int) -> list[int]:
         """Return the numbers of the entries to try, in order.
 
-        :param rng: chooses
-        :param entries: how many there are
+        :param rng: selects the entries
+        :param count: number of all entries
         """
-        chosen = rng.sample(range(entries), min(2, entries))
+        chosen = rng.sample(range(count), min(2, count))
         if self.crowded is not None:
             chosen[0] = self.crowded
         return chosen
--- a/src/ferryledge/soak/_plan.py
+++ b/src/ferryledge/soak/_plan.py
@@ -6,9 +6,9 @@
 
 #: Seconds at the start and at the end without faults.
 _CALM_S = 2.0
-#: Clients, each with one connection to each entry that it keeps open.
+#: Number of clients, each of which keeps one connection to each entry open.
 CLIENTS = 8
-#: Seconds that tasks take, one of these for each job.
+#: Seconds that the tasks of a job take; each job gets one of these.
 WORK_S = (0.05, 0.2, 0.8)
 #: Mean seconds between faults; they last longer, so they overlap.
 MEAN_GAP_S = 1.2
@@ -57,16 +57,17 @@
     KILL_HALF = "kill_half"
     #: All streams to entries break.
     RESET_ALL = "reset_all"
-    #: A random half of them breaks.
+    #: A random half of the streams to entries breaks.
     RESET_HALF = "reset_half"
     #: Nothing passes on open connections to entries, or on those from agents
     #: to endpoints.
     SILENCE_ALL = "silence_all"
     #: Half of the endpoints carry out no stops.
     STOPS_IGNORED = "stops_ignored"
-    #: The same, and one entry can't reach their agents.
+    #: Half of the endpoints carry out no stops, and one entry can't reach
+    #: their agents.
     STOPS_IGNORED_CUT = "stops_ignored_cut"
-    #: Half of the processes are stopped again and again in short bursts.
+    #: Half of the processes are paused again and again for a short time.
     STUTTER = "stutter"
     #: An agent is killed and started at once, and one entry can't reach it.
     QUICK_RESTART = "quick_restart"
@@ -157,10 +158,11 @@
     :param seconds: how long load is offered
     :param entries: number of entry processes
     :param agents: number of agent processes, each with an endpoint
-    :param only: kinds of faults; none is all that strike one thing at a time
+    :param only: kinds of faults; if empty, all that strike a single target
     :param mean_gap_s: mean seconds between faults
     :param clients: number of clients, each with one job at a time
-    :param work_s: seconds that tasks take, one of these for each job
+    :param work_s: seconds that the tasks of a job take; each job gets one of
+        these
     """
     rng = random.Random(seed)
     faults = []
--- a/src/ferryledge/soak/_processes.py
+++ b/src/ferryledge/soak/_processes.py
@@ -68,7 +68,7 @@
     async def restart(self, down_s: float) -> None:
         """Kill the process and start it again.
 
-        :param down_s: seconds in between
+        :param down_s: seconds from its end to its next start
         """
         process = self._process
         if process is None or not self._wanted:
--- a/src/ferryledge/soak/_proxy.py
+++ b/src/ferryledge/soak/_proxy.py
@@ -9,7 +9,7 @@
 
 _READ_BYTES = 64 * 1024
 _POLL_S = 0.005
-#: What a process calls itself at the beginning of a stream.
+#: The name of a process, which its ``Hello`` has in plain text.
 _NAME = re.compile(rb"(?:agent|entry)-\d+")
 #: Seconds that connections get to end.
 _CLOSE_S = 2.0
@@ -28,16 +28,17 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Connection:
-    """A connection that is passed on."""
+    """A connection between a process and the target of the proxy."""
 
-    #: The side that dialled, and the side of the target.
+    #: Writes to the process that dialled.
     near: asyncio.StreamWriter
+    #: Writes to the target.
     far: asyncio.StreamWriter
-    #: The process that dialled; none until it told its name.
+    #: Name of the process that dialled; empty until it has sent it.
     name: str = ""
 
     def read_name(self, data: bytes) -> None:
-        """Learn the name of the process from the first bytes that have it."""
+        """Take the name of the process from the first bytes that have one."""
         if not self.name and (found := _NAME.search(data)):
             self.name = found[0].decode()
 
@@ -56,7 +57,7 @@
         self._target = target
         self._writers: set[asyncio.StreamWriter] = set()
         self._connections: list[_Connection] = []
-        #: Processes whose connections are held up, with how many reasons.
+        #: How many faults hold up the connections of each process, by name.
         self._cut_off: collections.Counter[str] = collections.Counter()
         self._tasks: set[asyncio.Task[None]] = set()
         #: Writers of connections that nothing passes on any more.
@@ -89,10 +90,10 @@
             writer.transport.abort()
 
     def reset_some(self, rng: random.Random, share: float) -> None:
-        """Break each open connection with a certain chance.
+        """Break a random share of the open connections.
 
-        :param rng: chooses
-        :param share: the chance
+        :param rng: selects the connections
+        :param share: the probability that a connection breaks
         """
         for connection in self._connections:
             if rng.random() < share:
--- a/src/ferryledge/soak/_wide_strikes.py
+++ b/src/ferryledge/soak/_wide_strikes.py
@@ -1,4 +1,4 @@
-"""Lets faults strike that hit many things at once."""
+"""Carries out the faults that hit many processes or streams at once."""
 
 import asyncio
 from collections import abc
@@ -10,8 +10,9 @@
 from ferryledge.soak import _plan
 from ferryledge.soak import _processes
 
-#: Bounds of the bursts of a stutter, and of the time between them, in seconds.
-_BURST_S = (0.02, 0.7)
+#: Shortest and longest pause of a stuttering process, in seconds.
+_PAUSE_S = (0.02, 0.7)
+#: Shortest and longest time between two pauses, in seconds.
 _BETWEEN_S = (0.02, 0.4)
 #: Longest time between the end of an agent and the start of its successor,
 #: in seconds. The successor takes a third of a second until it renews, and
@@ -24,7 +25,7 @@
 
 
 class WideStrikes:
-    """Carries out faults that hit many things at once.
+    """Carries out faults that hit many processes or streams at once.
 
     :param deployment: what they strike
     """
@@ -75,8 +76,8 @@
     ) -> None:
         """Let half of the endpoints carry out no stops for a while.
 
-        :param rng: chooses
-        :param for_s: seconds
+        :param rng: selects the endpoints and the entry
+        :param for_s: for how long, in seconds
         :param cut: whether one entry also loses the streams of their agents
         """
         deployment = self._deployment
@@ -117,7 +118,7 @@
     programs: abc.Sequence[_processes.Program],
     for_s: float,
 ) -> None:
-    """Stop half of the processes again and again in short bursts."""
+    """Pause half of the processes again and again, each on its own."""
     async with asyncio.TaskGroup() as group:
         for program in _half(rng, programs):
             own = random.Random(rng.random())
@@ -129,8 +130,8 @@
 ) -> None:
     left_s = for_s
     while left_s > 0:
-        burst_s = rng.uniform(*_BURST_S)
+        pause_s = rng.uniform(*_PAUSE_S)
         between_s = rng.uniform(*_BETWEEN_S)
-        left_s -= burst_s + between_s
-        await program.pause(burst_s)
+        left_s -= pause_s + between_s
+        await program.pause(pause_s)
         await asyncio.sleep(between_s)
