--- a/src/ferryledge/leases/_lease_guard.py
+++ b/src/ferryledge/leases/_lease_guard.py
@@ -1,9 +1,9 @@
 """Decides whether the endpoint's lease may be extended.
 
-The lease covers all runs of the endpoint. A run has to end once its entry's
-grant has expired or the entry has asked for its stop. It is stopped then, but
-the stop may get lost. As a fallback the lease ends the run, so the lease must
-not be extended for the sake of other runs.
+The lease covers all runs of the endpoint. A run has to end once the grant of
+its entry has expired or the entry has requested its stop. It is stopped then,
+but the stop may get lost, and then the run must end with the lease. So the
+lease is not extended for the other runs until the stop is confirmed.
 """
 
 from ferryledge.leases import _owners
@@ -32,10 +32,10 @@
     def may_extend(self, now: float) -> bool:
         """Return whether the lease may be extended.
 
-        A stop that an entry asked for has the time that it usually takes
-        before the lease is withheld, so that stops in normal operation do not
-        delay renewals. A grant that expired has none: its entry may be lost,
-        and its clients come again soon after the lease.
+        A stop that an entry requested prevents that only when it is overdue,
+        so that ordinary stops do not delay extensions. A run without a valid
+        grant prevents it at once: its entry may be lost, and its client may
+        repeat the job soon after the lease.
 
         :param now: monotonic seconds
         """
@@ -46,8 +46,9 @@
 
     def _may_go_on(self, row: _runs.RunRow, now: float) -> bool:
         """Return whether a run may go on."""
-        since = now - self._timing.stop_s
-        if row.unwanted_at is not None and row.unwanted_at <= since:
+        overdue_since = now - self._timing.stop_s
+        requested_at = row.stop_requested_at
+        if requested_at is not None and requested_at <= overdue_since:
             return False
         owner = self._owners.find(row.owner)
         return owner is not None and self._owners.has_grant(owner, now)
--- a/src/ferryledge/soak/_run.py
+++ b/src/ferryledge/soak/_run.py
@@ -38,7 +38,7 @@
     unknown: int
     #: Runs that went on to their end under the successor of their agent.
     adopted: int
-    #: Starts of tasks whose end as done had been acknowledged, which may be.
+    #: Allowed starts of tasks that were done.
     repeated: int
     findings: tuple[_judge.Finding, ...]
     #: Where the logs and settings are; empty if nothing was found.
@@ -54,10 +54,10 @@
 
     def __init__(self, plan: _plan.Plan, folder: pathlib.Path) -> None:
         self._plan = plan
-        self.judge = _judge.Judge(plan.is_in_touch)
+        self.judge = _judge.Judge(plan.are_connected)
         self._workload = _workload.Workload()
         self._deployment = _deployment.Deployment(
-            plan, folder, self._workload, self._watch, self._book
+            plan, folder, self._workload, self._watch, self._on_notice
         )
         self._clients = _clients.Clients(
             plan, self._workload, self.judge, self._now
@@ -89,15 +89,15 @@
         else:
             self._on_end(key, number)
 
-    def _book(
+    def _on_notice(
         self,
-        what: platform_standin.BookEvent,
+        what: platform_standin.RunNotice,
         key: leases.RunKey,
         endpoint: str,
     ) -> None:
         """Tell the judge what an agent told its endpoint."""
         self.judge.now = self._now()
-        self.judge.book(what, key, endpoint)
+        self.judge.notice(what, key, endpoint)
 
     def _on_start(self, key: leases.RunKey, number: int) -> None:
         server = self._deployment.endpoints[number]
