Keep an entry from spinning while placement waits after a pause

What callers saw: nothing; an entry used its processor for up to 0.1 s after a pause, when callers wait.

Cause: nothing is ordered for 0.1 s after a pause, but an order that waited for the link stayed due, so the entry ticked without end meanwhile.

Evidence: test_entry_does_not_spin_while_placement_waits_after_a_pause failed before (wake_at in the past).

Ruled out: nothing further.

Change: the scheduler is due when placement resumes at the soonest.

--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -300,7 +300,7 @@
         return min(
             self._tick_by,
             self._next_sweep,
-            self._scheduler.due_at,
+            max(self._scheduler.due_at, self._placement_resumes_at),
             self._handover.due_at,
         )
 
--- a/src/ferryledge/leases/tests/test_requests_read_late.py
+++ b/src/ferryledge/leases/tests/test_requests_read_late.py
@@ -67,3 +67,14 @@
     world.post("entry-0", leases.ClientLeft(token, _JOB))
     world.run(1.0)
     assert not world.violations
+
+
+def test_entry_does_not_spin_while_placement_waits_after_a_pause() -> None:
+    """An order that waited for the link is overdue when the entry wakes."""
+    world = worlds.World(seed=3, entries=1, agents=3)
+    world.run(3.0)
+    entry = world.nodes["entry-0"].core
+    entry._scheduler._place_at = world.now + 0.5
+    world.pause("entry-0", 2.0)
+    world.run(2.0)
+    assert entry.wake_at() > world.now
