Start no job that another entry runs

Change: an agent that reports the state of its endpoint also names the jobs that run there for other entries, as differences within the stream (no further message; a change that no report brings is sent after 0.45 s with the last report repeated). An entry does not start a job that such an agent names: it answers "may have run" at once, which is true whoever sent the request. If the name was not there yet, the agent refuses the order as a duplicate while the grant of the other entry is valid. Runs that are being stopped, or whose grant expired, don't count, so the repetition of a job whose entry was lost starts as before.

Ruled out: a hold of some ms before each first order, and asking other entries before each start: every caller would pay. The agent's refusal alone: in the test no agent of the second order has a run of the job.

Conclusion: closed where one agent serves both entries, which is always so with up to four entries.

--- a/src/ferryledge/leases/_acceptance.py
+++ b/src/ferryledge/leases/_acceptance.py
@@ -75,8 +75,27 @@
             return wire.RunReleaseReason.LEAVING
         if not self._owners.has_grant(owner, now):
             return wire.RunReleaseReason.NO_ANSWER
+        if owner.detects_duplicates and self._is_duplicate(
+            now, owner, order.job
+        ):
+            return wire.RunReleaseReason.DUPLICATE
         return None
 
+    def _is_duplicate(
+        self, now: float, owner: _owners.Owner, job: str
+    ) -> bool:
+        """Return whether another entry still wants its runs of a job here.
+
+        Runs that are being stopped, or whose grant has expired, don't count:
+        their entry has given up the job or is lost.
+        """
+        return any(
+            row.owner != owner.incarnation
+            and row.state is not _runs.RunState.STOPPING
+            and self._owners.is_granted(row.owner, now)
+            for row in self._runs.of_job(job)
+        )
+
     def is_open(self, now: float) -> bool:
         """Return whether new runs are accepted at all."""
         heartbeat = self._link.heartbeat
--- a/src/ferryledge/leases/_agent.py
+++ b/src/ferryledge/leases/_agent.py
@@ -177,7 +177,11 @@
             case wire.PeerUp(hello):
                 if hello.role is wire.Role.ENTRY:
                     self._owners.join(
-                        now, hello.name, hello.incarnation, hello.zone
+                        now,
+                        hello.name,
+                        hello.incarnation,
+                        hello.zone,
+                        hello.detects_duplicates,
                     )
                     self._entry_selection.join(now, hello.name)
             case wire.PeerDown(name, incarnation):
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -224,6 +224,7 @@
             cordons=True,
             config_deltas=True,
             takes_jobs=self._handover.takes_jobs,
+            detects_duplicates=self._rules.detects_duplicates,
         )
 
     # Events and ticks.
@@ -331,6 +332,10 @@
         if self._jobs.was_complete(request.job):
             self._reply([token], outcomes.Complete(()))
             return
+        other = self._pool.find_other_run(request.job)
+        if other is not None:
+            self._refuse_duplicate(token, request.job, other.name)
+            return
         estimate_s = max(step.estimate_s for step in request.steps)
         expected_s = self._run_times.predict(
             request.job_class.name, estimate_s
@@ -354,6 +359,16 @@
         self._notes.admitted(job, len(self._jobs), self._peers.version)
         self._add_job(now, job)
 
+    def _refuse_duplicate(self, token: int, job: str, peer: str) -> None:
+        """Answer a request for a job that another entry runs.
+
+        Either the network delayed the request and its client has submitted
+        the job elsewhere since, or the other entry does not know yet that the
+        client has left it. Nothing may start in either case.
+        """
+        self._notes.duplicate(job, peer)
+        self._reply([token], _duplicate(peer))
+
     def _add_job(self, now: float, job: _jobs.Job) -> None:
         """Store a job until it is answered and its runs are over."""
         self._jobs.add(job)
@@ -533,6 +548,8 @@
             case wire.RunsReleased(name, runs, reason):
                 for run in runs:
                     self._runs.released(row, name, run, reason)
+                if reason is wire.RunReleaseReason.DUPLICATE:
+                    self._finish_duplicate(now, name, row.name)
             case wire.RunsEnded(name, ends, ask):
                 for end in ends:
                     self._finish_decided(
@@ -550,6 +567,17 @@
                     self._finish_decided(now, decided)
                 row.reconciled = True
 
+    def _finish_duplicate(self, now: float, name: str, peer: str) -> None:
+        """Answer a job that another entry runs; its runs here are stopped.
+
+        :param now: monotonic seconds
+        :param name: the job
+        :param peer: the process that reported the other entry's runs
+        """
+        job = self._jobs.find(name)
+        if job is not None and not job.closed:
+            self._finish(now, job, _duplicate(peer))
+
     def _finish_decided(
         self, now: float, decided: _run_tracker.DecidedJob | None
     ) -> None:
@@ -616,3 +644,12 @@
                 )
         for job, refusal in self._scheduler.review(now):
             self._finish(now, job, refusal)
+
+
+def _duplicate(peer: str) -> outcomes.FailedMayHaveRun:
+    """Return the outcome of a job that another entry runs.
+
+    :param peer: the process that reported it
+    """
+    origin = outcomes.Origin(outcomes.Step.START, peer)
+    return outcomes.FailedMayHaveRun(outcomes.Reason.DUPLICATE, origin)
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -33,6 +33,20 @@
             config=config,
         )
 
+    def duplicate(self, job: str, peer: str) -> None:
+        """A request was not served, since another entry runs its job.
+
+        :param job: the job
+        :param peer: the process that reported the other entry's runs
+        """
+        self.add(
+            outcomes.Step.ADMIT,
+            "answered: failed, another entry runs the job",
+            job,
+            peer,
+            True,
+        )
+
     def task_abandoned(self, job: _jobs.Job, task: _jobs.Task) -> None:
         """A task is not retried, since endpoints crashed while it ran."""
         self.add(
--- a/src/ferryledge/leases/_owners.py
+++ b/src/ferryledge/leases/_owners.py
@@ -41,6 +41,8 @@
     incarnation: str
     #: Availability zone of the entry.
     zone: str = ""
+    #: Whether it handles runs that are refused as duplicates.
+    detects_duplicates: bool = False
     connected: bool = True
     #: When the ask that the last grant answers was sent.
     granted_at: float = float("-inf")
@@ -60,6 +62,10 @@
     #: Free capacity as the entry calculates it, from the last report and its
     #: own orders since; none if that isn't known.
     expected_free: wire.Resources | None = None
+    #: Jobs of other entries that were reported to it on its stream.
+    reported_jobs: frozenset[str] = frozenset()
+    #: When they were last reported.
+    jobs_reported_at: float = float("-inf")
     #: When the last report was sent or an order changed ``expected_free``.
     reported_at: float = float("-inf")
     #: Latest acceptable start of the entry's most urgent waiting job.
@@ -194,20 +200,27 @@
         return True
 
     def join(
-        self, now: float, name: str, incarnation: str, zone: str = ""
+        self,
+        now: float,
+        name: str,
+        incarnation: str,
+        zone: str = "",
+        detects_duplicates: bool = False,
     ) -> Owner:
         """Record that an entry's stream is open."""
         self._current[name] = incarnation
         self.changes += 1
         owner = self._owners.get(incarnation)
         if owner is None:
-            owner = self._owners[incarnation] = Owner(name, incarnation, zone)
+            owner = Owner(name, incarnation, zone, detects_duplicates)
+            self._owners[incarnation] = owner
         owner.connected = True
         owner.heard_at = now
         owner.needs_held_report = True
         owner.orders_seen = 0
         owner.latest_start = float("inf")
         owner.last_report = None
+        owner.reported_jobs = frozenset()
         owner.expected_free = None
         owner.next_ask_at = 0.0
         owner.false_alarms = 0
@@ -274,6 +287,11 @@
             return False
         return now - owner.granted_at < self._timing.grant_s
 
+    def is_granted(self, incarnation: str, now: float) -> bool:
+        """Return whether an entry is known and its grant is valid."""
+        owner = self._owners.get(incarnation)
+        return owner is not None and self.has_grant(owner, now)
+
     def is_silent(self, owner: Owner, now: float) -> bool:
         """Return whether nothing was received from an entry for too long."""
         return now - owner.heard_at > self._timing.redial_s
--- a/src/ferryledge/leases/_pool.py
+++ b/src/ferryledge/leases/_pool.py
@@ -53,6 +53,8 @@
     in_flight: dict[int, wire.Resources] = msgspec.field(default_factory=dict)
     #: Runs of this entry that it may hold, each with the name of its job.
     runs: set[tuple[str, wire.TaskRun]] = msgspec.field(default_factory=set)
+    #: Jobs that run at its endpoint for other entries.
+    other_jobs: set[str] = msgspec.field(default_factory=set)
     #: Whether the health tracker lets its endpoint take work.
     healthy: bool = True
     #: Whether its next task is a probe, whose end decides on its health.
@@ -156,6 +158,7 @@
         row.ask_answered = 0
         row.answered_at = float("-inf")
         row.in_flight.clear()
+        row.other_jobs.clear()
         return row
 
     def leave(self, name: str, incarnation: str) -> None:
@@ -171,10 +174,22 @@
         Orders that the state includes are no longer in flight.
         """
         row.state = state
+        row.other_jobs.difference_update(state.jobs_removed)
+        row.other_jobs.update(state.jobs_added)
         seen = [n for n in row.in_flight if n <= state.orders_seen]
         for number in seen:
             del row.in_flight[number]
 
+    def find_other_run(self, job: str) -> AgentRow | None:
+        """Return an agent that runs a job for another entry, if any does.
+
+        What an agent reported counts while its stream is open.
+        """
+        for row in self._rows.values():
+            if job in row.other_jobs and row.connected:
+                return row
+        return None
+
     def reserve(self, row: AgentRow, need: wire.Resources, count: int) -> int:
         """Reserve resources for an order of equal runs.
 
--- a/src/ferryledge/leases/_reports.py
+++ b/src/ferryledge/leases/_reports.py
@@ -13,6 +13,10 @@
 
 #: Seconds between reports of delayed runs.
 _LATE_S = 0.1
+#: Longest time in seconds until a change of the jobs that run here is
+#: reported. A report of the endpoint's state brings it sooner.
+_JOBS_INTERVAL_S = 0.45
+_NEVER = float("inf")
 
 Send = abc.Callable[[_owners.Owner, wire.Message], None]
 
@@ -46,6 +50,8 @@
         self._state = wire.EndpointState(is_primary=False)
         #: The owners' count of changes at the last report.
         self._changes = -1
+        #: The jobs that run here, by the incarnation of their entry.
+        self._jobs: dict[str, frozenset[str]] = {}
         self._late_reported_at = float("-inf")
         #: When the next report of the endpoint's state is due.
         self.due_at = float("inf")
@@ -152,13 +158,17 @@
         :param now: monotonic seconds
         :param state: the part of the state that all entries share
         """
+        jobs = self._jobs_by_owner(now)
         unchanged = (
-            state == self._state and self._owners.changes == self._changes
+            state == self._state
+            and self._owners.changes == self._changes
+            and jobs == self._jobs
         )
         if unchanged and now < self.due_at:
             return
         if state != self._state:
             self._state = state
+        self._jobs = jobs
         self._changes = self._owners.changes
         self._turns.note_free(now, state.free)
         self.due_at = float("inf")
@@ -178,6 +188,25 @@
                 )
             self._report_to(now, owner, announce_at)
 
+    def _jobs_by_owner(self, now: float) -> dict[str, frozenset[str]]:
+        """Return the jobs whose runs are to go on, by their entry."""
+        return {
+            incarnation: jobs
+            for incarnation in self._runs.owners()
+            if self._owners.is_granted(incarnation, now)
+            and (jobs := self._runs.jobs_of_owner(incarnation))
+        }
+
+    def _jobs_of_others(self, owner: _owners.Owner) -> frozenset[str]:
+        """Return the jobs that run here for other entries."""
+        return frozenset().union(
+            *(
+                jobs
+                for incarnation, jobs in self._jobs.items()
+                if incarnation != owner.incarnation
+            )
+        )
+
     def _choose_primary_entries(
         self, owners: abc.Iterable[_owners.Owner]
     ) -> None:
@@ -189,31 +218,78 @@
     def _report_to(
         self, now: float, owner: _owners.Owner, announce_at: float | None
     ) -> None:
-        if _is_current(owner, self._state, owner.is_primary):
+        due = self._state_due_at(owner, announce_at)
+        if due <= now:
+            owner.last_report = self._state_for(owner)
+            owner.last_shared_state = self._state
+            owner.expected_free = self._state.free
+            owner.reported_at = now
+            self._send_report(now, owner, owner.last_report)
             return
-        if _can_calculate(owner, self._state):
-            return
-        state = msgspec.structs.replace(
+        if owner.last_report is not None and owner.detects_duplicates:
+            due = min(due, self._report_jobs(now, owner, owner.last_report))
+        self.due_at = min(self.due_at, due)
+
+    def _report_jobs(
+        self, now: float, owner: _owners.Owner, report: wire.EndpointState
+    ) -> float:
+        """Send the last report again if it lacks jobs for too long.
+
+        The state in it stays as it was, since free capacity is reported to
+        one entry after the other.
+
+        :return: when that is due next
+        """
+        if self._jobs_of_others(owner) == owner.reported_jobs:
+            return _NEVER
+        due = owner.jobs_reported_at + _JOBS_INTERVAL_S
+        if due > now:
+            return due
+        self._send_report(now, owner, report)
+        return _NEVER
+
+    def _send_report(
+        self, now: float, owner: _owners.Owner, report: wire.EndpointState
+    ) -> None:
+        """Send a report, with the changes of the jobs that run here."""
+        if owner.detects_duplicates:
+            jobs = self._jobs_of_others(owner)
+            report = msgspec.structs.replace(
+                report,
+                jobs_added=tuple(sorted(jobs - owner.reported_jobs)),
+                jobs_removed=tuple(sorted(owner.reported_jobs - jobs)),
+            )
+            owner.reported_jobs = jobs
+            owner.jobs_reported_at = now
+        self._send(owner, report)
+
+    def _state_for(self, owner: _owners.Owner) -> wire.EndpointState:
+        """Return the endpoint's state as it is reported to an entry."""
+        return msgspec.structs.replace(
             self._state,
             orders_seen=owner.orders_seen,
             is_primary=owner.is_primary,
         )
+
+    def _state_due_at(
+        self, owner: _owners.Owner, announce_at: float | None
+    ) -> float:
+        """Return when the endpoint's state is due; infinite if it isn't."""
+        if _is_current(owner, self._state, owner.is_primary):
+            return _NEVER
+        if _can_calculate(owner, self._state):
+            return _NEVER
         last_report = owner.last_report
         if last_report is not None and owner.expected_free is not None:
             last_report = msgspec.structs.replace(
                 last_report, free=owner.expected_free
             )
-        due = _state_reports.due_at(
-            last_report, owner.reported_at, state, announce_at
+        return _state_reports.due_at(
+            last_report,
+            owner.reported_at,
+            self._state_for(owner),
+            announce_at,
         )
-        if due > now:
-            self.due_at = min(self.due_at, due)
-            return
-        owner.last_report = state
-        owner.last_shared_state = self._state
-        owner.expected_free = self._state.free
-        owner.reported_at = now
-        self._send(owner, state)
 
 
 def _is_current(
--- a/src/ferryledge/leases/_rules.py
+++ b/src/ferryledge/leases/_rules.py
@@ -39,3 +39,5 @@
     retry_budget: bool = True
     #: Hand waiting jobs over to entries that can serve them on time.
     hands_on: bool = True
+    #: Start no job that another entry runs.
+    detects_duplicates: bool = True
--- a/src/ferryledge/leases/_runs.py
+++ b/src/ferryledge/leases/_runs.py
@@ -116,6 +116,10 @@
             (row.job, row.step, row.index) == task for row in self._rows
         )
 
+    def of_job(self, job: str) -> list[RunRow]:
+        """Return the runs of a job's tasks."""
+        return [row for row in self._rows.values() if row.key.job == job]
+
     def add(self, row: RunRow) -> None:
         """Add a run and take its resources."""
         self._rows[row.key] = row
@@ -146,6 +150,14 @@
         rows = self._by_owner.get(owner)
         return list(rows.values()) if rows else []
 
+    def jobs_of_owner(self, owner: str) -> frozenset[str]:
+        """Return the jobs of an entry's runs that are not being stopped."""
+        return frozenset(
+            row.key.job
+            for row in self._by_owner.get(owner, {}).values()
+            if row.state is not RunState.STOPPING
+        )
+
     def owners(self) -> list[str]:
         """Return the incarnations of the entries that ordered the runs."""
         return list(self._by_owner)
--- /dev/null
+++ b/src/ferryledge/leases/tests/test_held_up_requests.py
@@ -0,0 +1,115 @@
+"""Requests that the network delays until their clients have repeated them.
+
+The client closes its connection when it gives up, but the entry reads that
+later than the request.
+"""
+
+import dataclasses
+import functools
+
+import pytest
+
+from ferryledge import leases
+from ferryledge.leases.tests import faults
+from ferryledge import loads as worlds
+from ferryledge import outcomes
+
+_JOB = "a" * 16
+#: They fill an endpoint, so the same job would start at another one.
+_TASKS = 8
+_WORK_S = 2.0
+_DEADLINE_S = 5.0
+
+
+@dataclasses.dataclass
+class _Play:
+    """A request that arrives late at the first entry."""
+
+    world: worlds.World
+    #: Seconds from its sending to its arrival.
+    held_s: float = 1.8
+    #: Seconds from its arrival until the entry reads that its client left.
+    end_read_s: float = 0.005
+
+    def run(self) -> worlds.World:
+        """Play the request and its repetition, and return the world."""
+        self.world.run(3.0)
+        self.world.at(faults.REPEAT_S, self._repeat)
+        self.world.at(self.held_s, self._arrive)
+        self.world.run(self.held_s + 3.0)
+        return self.world
+
+    def _submit(self, entry: str, waited_s: float) -> int:
+        deadline_s = _DEADLINE_S - waited_s
+        return self.world.submit(
+            entry, _JOB, _TASKS, _WORK_S, 1000, deadline_s
+        )
+
+    def _repeat(self) -> None:
+        self._submit("entry-1", faults.REPEAT_S)
+
+    def _arrive(self) -> None:
+        token = self._submit("entry-0", 0.0)
+        left = leases.ClientLeft(token, _JOB)
+        leave = functools.partial(self.world.post, "entry-0", left)
+        self.world.at(self.end_read_s, leave)
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("end_read_s", [0.001, 0.005, 0.05, 1.0])
+@pytest.mark.parametrize("held_s", [1.45, 1.6, 2.0, 3.0])
+def test_late_request_starts_nothing_beside_its_repetition(
+    held_s: float, end_read_s: float, seed: int
+) -> None:
+    """Guards against a start by an entry that no other entry talks to."""
+    play = _Play(worlds.World(seed, entries=2, agents=6), held_s, end_read_s)
+    world = play.run()
+    assert not world.violations
+    assert world.started[_JOB] == _TASKS
+
+
+@pytest.mark.parametrize("entries", [2, 3, 4])
+def test_late_request_starts_nothing_at_any_number_of_entries(
+    entries: int,
+) -> None:
+    """Guards against a start at agents that serve all entries."""
+    world = worlds.World(5, entries=entries, agents=6, peers=True)
+    assert not _Play(world).run().violations
+
+
+def test_late_request_is_answered_as_possibly_run() -> None:
+    """Guards against a refusal that claims that the job never runs."""
+    world = worlds.World(seed=3, entries=2, agents=6)
+    world = _Play(world, end_read_s=1.0).run()
+    late = world.outcome(max(world.jobs))
+    assert isinstance(late, outcomes.FailedMayHaveRun)
+    assert late.reason is outcomes.Reason.DUPLICATE
+
+
+def test_repetition_is_served_after_its_first_entry_is_lost() -> None:
+    """Guards against runs of a lost entry that keep a job from starting."""
+    for seed in range(8):
+        world = worlds.World(seed, entries=2, agents=6)
+        world.run(3.0)
+        world.submit("entry-0", _JOB, _TASKS, _WORK_S)
+        world.run(0.2)
+        world.kill("entry-0", down_s=6.0)
+        world.run(faults.REPEAT_S)
+        token = world.submit("entry-1", _JOB, _TASKS, _WORK_S)
+        world.run(3.0)
+        assert isinstance(world.outcome(token), outcomes.Complete)
+        assert not world.violations
+
+
+def test_repetition_is_served_after_its_client_left_another_entry() -> None:
+    """Guards against reports of runs that ended long ago."""
+    for seed in range(8):
+        world = worlds.World(seed, entries=2, agents=6)
+        world.run(3.0)
+        token = world.submit("entry-0", _JOB, _TASKS, _WORK_S)
+        world.run(0.5)
+        world.post("entry-0", leases.ClientLeft(token, _JOB))
+        world.run(0.6)
+        token = world.submit("entry-1", _JOB, _TASKS, _WORK_S)
+        world.run(3.0)
+        assert isinstance(world.outcome(token), outcomes.Complete)
--- a/src/ferryledge/outcomes/_outcomes.py
+++ b/src/ferryledge/outcomes/_outcomes.py
@@ -38,6 +38,8 @@
     CAPACITY = "capacity"
     DEADLINE = "deadline"
     DRAINING = "draining"
+    #: Another entry runs the job, which its client submitted there as well.
+    DUPLICATE = "duplicate"
     ENDPOINT_ERROR = "endpoint_error"
     ENTRY_LOST = "entry_lost"
     IMPOSSIBLE = "impossible"
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -79,6 +79,8 @@
 
     #: The agent's availability zone accepts no new work.
     CORDONED = "cordoned"
+    #: The agent holds runs of the job for another entry.
+    DUPLICATE = "duplicate"
     ENDPOINT = "endpoint"
     FULL = "full"
     LEAVING = "leaving"
@@ -227,6 +229,10 @@
     failing: tuple[ZoneFailures, ...] = ()
     #: Share of its capacity to use; below 1 after repeated outages.
     steady: float = 1.0
+    #: Jobs that run there for other entries, and jobs that no longer do,
+    #: since the last report to the receiver on this stream.
+    jobs_added: tuple[str, ...] = ()
+    jobs_removed: tuple[str, ...] = ()
 
 
 class UrgencyReport(_messages.Model, frozen=True, tag="wanted"):
--- a/src/ferryledge/wire/_messages.py
+++ b/src/ferryledge/wire/_messages.py
@@ -58,6 +58,8 @@
     #: Number of the stream, which rises with each one that the sender dials;
     #: 0 from the side that accepts it.
     stream: int = 0
+    #: Whether the sender handles runs that are refused as duplicates.
+    detects_duplicates: bool = False
 
 
 class KeepAlive(Model, frozen=True, tag="alive"):
