Tell other entries of a job that is submitted again

What callers saw: the same double start as before, where no agent serves both entries, or where the entry was cut off and is just in touch again.

Cause: the entry of the repetition knows that the job may have been submitted before, by its deadline, and told nobody. And an entry that was cut off reads requests from before the cut and orders at the first agent that is back, before other agents and entries could tell it anything.

Change: of two submissions of a job the one with the shorter deadline is newer, since clients state how long they still wait; this needs no clock. An entry that receives a job with an unusually short deadline for its queue (below the median by three times the distance to the lower quartile of the last 40) tells the other entries, within a budget of 100 messages a second. They start no older submission of it, and give up one that they hold; an entry that comes back is told what it missed. A delegate declines the older one as known, and a delegator then answers "may have run" instead of taking the job back to start it. An entry that heard nothing at all for 1.2 s waits for 0.1 s before it orders, as it does after a pause of its own.

Ruled out: announcing every job, at 1,800 workers some 300 kB a second for each of 96 entries. A threshold of two distances: 7 to 9% of first submissions would be announced. An isolation of 1.0 s: that is the interval of keep-alives, and an entry with other entries alone paused for no reason (test_handover).

Conclusion: what remains is a repetition that is not recognized and runs where no agent serves both entries.

--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -27,6 +27,7 @@
 from ferryledge.leases import _placement
 from ferryledge.leases import _pool
 from ferryledge.leases import _presumed_ends
+from ferryledge.leases import _resubmissions
 from ferryledge.leases import _rules
 from ferryledge.leases import _run_tracker
 from ferryledge.leases import _scheduler
@@ -43,9 +44,14 @@
 _SWEEP_S = 0.1
 #: Delay of a sweep in seconds beyond which the process counts as paused.
 _PAUSE_S = 0.3
-#: Seconds after a pause of this process in which it reads its backlog and
-#: orders or offers nothing. A request is read before the end of its
-#: connection, and its client may have submitted the job elsewhere since.
+#: Seconds without any message after which this entry counts as cut off. Other
+#: entries send a message each second, and clients wait for 1.3 s before they
+#: submit a job again.
+_ISOLATION_S = 1.2
+#: Seconds after a pause of this process, or after it was cut off, in which it
+#: reads its backlog and orders or offers nothing. A request is read before the
+#: end of its connection, and its client may have submitted the job elsewhere
+#: since.
 _BACKLOG_S = 0.1
 #: Seconds before the client's deadline at which an unfinished job is answered.
 _DEADLINE_MARGIN_S = 0.05
@@ -106,6 +112,7 @@
             name, self._pool, self._peers, self._notes
         )
         self._jobs = _job_table.JobTable()
+        self._resubmissions = _resubmissions.Resubmissions(self._timing)
         self._runs = _run_tracker.RunTracker(
             self._jobs,
             self._pool,
@@ -150,6 +157,7 @@
             self._finish,
             self._add_job,
             self._client_left,
+            self._runs_elsewhere,
         )
         self._actions: list[_entry_events.EntryAction] = []
         #: Agents whose latest grant request is still to be answered.
@@ -158,6 +166,8 @@
         self._next_sweep = 0.0
         #: When jobs may be ordered or offered again after a pause.
         self._placement_resumes_at = 0.0
+        #: When a message last came, or a stream was opened.
+        self._heard_at = _NEVER
         self._placement_due = False
         #: When to tick for the events received since the last tick.
         self._tick_by = _NEVER
@@ -234,6 +244,7 @@
         self._now = now
         match event:
             case wire.Received(peer, message):
+                self._note_heard(now)
                 self._on_message(now, peer, message)
                 return
             case wire.PeerUp() | wire.PeerDown():
@@ -254,6 +265,14 @@
                 self._on_store_event(event)
         self._tick_by = now
 
+    def _note_heard(self, now: float) -> None:
+        """Record that a message came or a stream was opened."""
+        silent_s = now - self._heard_at
+        self._heard_at = now
+        if silent_s > _ISOLATION_S:
+            self._notes.isolated(silent_s)
+            self._placement_resumes_at = now + _BACKLOG_S
+
     def _on_store_event(self, event: _entry_events.EntryEvent) -> None:
         """Process an event that was read from the store."""
         match event:
@@ -332,9 +351,10 @@
         if self._jobs.was_complete(request.job):
             self._reply([token], outcomes.Complete(()))
             return
-        other = self._pool.find_other_run(request.job)
-        if other is not None:
-            self._refuse_duplicate(token, request.job, other.name)
+        self._announce_if_resubmitted(now, request)
+        other = self._find_other_holder(request)
+        if other:
+            self._refuse_duplicate(token, request.job, other)
             return
         estimate_s = max(step.estimate_s for step in request.steps)
         expected_s = self._run_times.predict(
@@ -359,6 +379,57 @@
         self._notes.admitted(job, len(self._jobs), self._peers.version)
         self._add_job(now, job)
 
+    def _announce_if_resubmitted(
+        self, now: float, request: _jobs.LeasedJob
+    ) -> None:
+        """Tell the other entries of a job that was likely submitted before."""
+        entries = self._peers.detecting_entries()
+        announcement = self._resubmissions.note_submission(
+            now,
+            request.job_class.name,
+            request.job,
+            request.deadline_s,
+            len(entries),
+        )
+        if announcement is not None and self._rules.detects_duplicates:
+            self._notes.resubmitted(request.job, request.deadline_s)
+            for name in entries:
+                self._send(name, announcement)
+
+    def _find_other_holder(self, request: _jobs.LeasedJob) -> str:
+        """Return a process that knows that another entry holds a job.
+
+        :return: its name; empty if none does
+        """
+        row = self._pool.find_other_run(request.job)
+        if row is not None:
+            return row.name
+        other = self._resubmissions.find(request.job)
+        # Requests with the same deadline are copies of one submission.
+        if other is not None and (
+            other.is_newer(request.deadline_s)
+            or other.deadline_s == request.deadline_s
+        ):
+            return other.entry
+        return ""
+
+    def _runs_elsewhere(self, job: str, deadline_s: float) -> bool:
+        """Return whether another entry than its delegator holds a job."""
+        other = self._resubmissions.find(job)
+        if other is not None and other.is_newer(deadline_s):
+            return True
+        return self._pool.find_other_run(job) is not None
+
+    def _learn_resubmitted(
+        self, now: float, peer: str, message: wire.JobsResubmitted
+    ) -> None:
+        """Give up the jobs that their clients submitted again elsewhere."""
+        for resubmitted in message.jobs:
+            other = self._resubmissions.learn(now, peer, resubmitted)
+            job = self._jobs.find(resubmitted.job)
+            if job is not None and other.is_newer(job.request.deadline_s):
+                self._finish_duplicate(now, job.name, peer)
+
     def _refuse_duplicate(self, token: int, job: str, peer: str) -> None:
         """Answer a request for a job that another entry runs.
 
@@ -450,7 +521,9 @@
     ) -> None:
         match event:
             case wire.PeerUp(hello):
+                self._note_heard(now)
                 self._peers.join(now, hello)
+                self._announce_to(now, hello)
                 self._notes.connected(hello)
                 if hello.role is wire.Role.AGENT:
                     self._pool.join(now, hello)
@@ -462,6 +535,15 @@
                 self._handover.leave(name)
                 self._pool.leave(name, incarnation)
 
+    def _announce_to(self, now: float, hello: wire.Hello) -> None:
+        """Tell an entry what it missed while it had no stream to this one."""
+        announced = self._resubmissions.announced(now)
+        if (
+            announced is not None
+            and hello.name in self._peers.detecting_entries()
+        ):
+            self._send(hello.name, announced)
+
     def _apply_cordons(self, has_changed: bool) -> None:
         """Apply the cordoned zones to the pool if they have changed."""
         if not has_changed:
@@ -486,6 +568,11 @@
             self._on_agent_message(now, row, message)
             return
         self._tick_by = now
+        self._on_entry_message(now, peer, message)
+
+    def _on_entry_message(
+        self, now: float, peer: str, message: wire.Message
+    ) -> None:
         match message:
             case wire.KeepAlive(version):
                 self._peers.note_version(peer, version)
@@ -495,6 +582,8 @@
                 self._peers.learn_config(version, data)
             case wire.EntryList(entries):
                 self._peers.learn_entries(entries)
+            case wire.JobsResubmitted():
+                self._learn_resubmitted(now, peer, message)
             case wire.InviteAgents():
                 self._send_all(self._agent_search.invite(now, message))
             case _:
@@ -637,6 +726,7 @@
 
     def _sweep_jobs(self, now: float) -> None:
         self._jobs.expire(now)
+        self._resubmissions.expire(now)
         for job in self._jobs.open:
             if now >= job.deadline_at - _DEADLINE_MARGIN_S:
                 self._finish(
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -47,6 +47,30 @@
             True,
         )
 
+    def resubmitted(self, job: str, deadline_s: float) -> None:
+        """A job was likely submitted before; other entries were told.
+
+        :param job: the job
+        :param deadline_s: how long its client waits
+        """
+        self.add(
+            outcomes.Step.ADMIT,
+            "submitted again: other entries told",
+            job,
+            deadline_s=round(deadline_s, 3),
+        )
+
+    def isolated(self, silent_s: float) -> None:
+        """This entry is in touch again after it was cut off.
+
+        :param silent_s: seconds without any message
+        """
+        self.add(
+            outcomes.Step.HEALTH,
+            "in touch again: nothing is started for a moment",
+            silent_s=round(silent_s, 3),
+        )
+
     def task_abandoned(self, job: _jobs.Job, task: _jobs.Task) -> None:
         """A task is not retried, since endpoints crashed while it ran."""
         self.add(
--- a/src/ferryledge/leases/_handover.py
+++ b/src/ferryledge/leases/_handover.py
@@ -37,6 +37,8 @@
     :param finish: answers a job's clients
     :param add_job: adds a job to those that this entry runs
     :param drop_request: cancels a request for a job, by its token
+    :param runs_elsewhere: returns whether another entry holds a job, given
+        its name and for how long its client waits
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         finish: _outgoing_handovers.Finish,
         add_job: _incoming_handovers.AddJob,
         drop_request: _incoming_handovers.DropRequest,
+        runs_elsewhere: _incoming_handovers.RunsElsewhere,
     ) -> None:
         self._is_enabled = is_enabled
         self._cordons = cordons
@@ -73,6 +76,7 @@
             send,
             add_job,
             drop_request,
+            runs_elsewhere,
         )
         self._is_draining = False
         #: Whether the next tick looks for jobs to offer.
--- a/src/ferryledge/leases/_incoming_handovers.py
+++ b/src/ferryledge/leases/_incoming_handovers.py
@@ -35,6 +35,7 @@
 Send = abc.Callable[[str, wire.Message], None]
 AddJob = abc.Callable[[float, _jobs.Job], None]
 DropRequest = abc.Callable[[float, int, str], None]
+RunsElsewhere = abc.Callable[[str, float], bool]
 
 
 class _Held(msgspec.Struct):
@@ -78,6 +79,8 @@
     :param send: sends a message to an entry
     :param add_job: adds a job to those that this entry runs
     :param drop_request: cancels a request for a job, by its token
+    :param runs_elsewhere: returns whether another entry holds a job, given
+        its name and for how long its client waits
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         send: Send,
         add_job: AddJob,
         drop_request: DropRequest,
+        runs_elsewhere: RunsElsewhere,
     ) -> None:
         self._incarnation = incarnation
         self._jobs = jobs
@@ -99,6 +103,7 @@
         self._send = send
         self._add_job = add_job
         self._drop_request = drop_request
+        self._runs_elsewhere = runs_elsewhere
         #: When each capacity report was sent, by its number.
         self._reported_at: dict[int, float] = {}
         self._last_report = 0
@@ -170,6 +175,8 @@
         name = offer.job
         if self._jobs.find(name) or self._jobs.was_complete(name):
             return reasons.KNOWN
+        if self._runs_elsewhere(name, offer.deadline_s):
+            return reasons.KNOWN
         if not self._spare.can_start(now, job):
             return reasons.ROOM
         return None
--- a/src/ferryledge/leases/_outgoing_handovers.py
+++ b/src/ferryledge/leases/_outgoing_handovers.py
@@ -262,6 +262,12 @@
         self._notes.declined(now, offer.job, peer, answer.declined)
         self._reports.pop((peer, offer.job.request.job_class.service), None)
         self._take_back_unrun(offer)
+        if answer.declined is wire.DeclineReason.KNOWN:
+            # The client has submitted the job at another entry as well.
+            origin = outcomes.Origin(outcomes.Step.MOVE, peer)
+            reason = outcomes.Reason.DUPLICATE
+            outcome = outcomes.FailedMayHaveRun(reason, origin)
+            self._finish(now, offer.job, outcome)
 
     def on_job_handled(
         self, now: float, peer: str, handled: wire.HandoverEnded
--- a/src/ferryledge/leases/_peers.py
+++ b/src/ferryledge/leases/_peers.py
@@ -37,6 +37,8 @@
     takes_cordons: bool = False
     #: Whether it understands differences between configurations.
     takes_config_deltas: bool = False
+    #: Whether it understands messages about jobs that were submitted again.
+    detects_duplicates: bool = False
     #: The version of the newest configuration that it is known to have.
     version: int = 0
     #: When the configuration was last requested from it.
@@ -104,6 +106,7 @@
             now,
             hello.cordons,
             hello.config_deltas,
+            hello.role is wire.Role.ENTRY and hello.detects_duplicates,
             hello.config_version,
         )
         self._peers[hello.name] = peer
@@ -288,6 +291,14 @@
             if peer.role is wire.Role.ENTRY
         ]
 
+    def detecting_entries(self) -> list[str]:
+        """Return the entries that detect jobs that were submitted again."""
+        return [
+            name
+            for name, peer in self._peers.items()
+            if peer.detects_duplicates
+        ]
+
     def _entry_list(self) -> wire.EntryList:
         return wire.EntryList(tuple(self._addresses.values()))
 
--- a/src/ferryledge/leases/tests/test_held_up_requests.py
+++ b/src/ferryledge/leases/tests/test_held_up_requests.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import functools
+import random
 
 import pytest
 
@@ -30,6 +31,8 @@
     held_s: float = 1.8
     #: Seconds from its arrival until the entry reads that its client left.
     end_read_s: float = 0.005
+    #: The entry that gets the repetition.
+    other: str = "entry-1"
 
     def run(self) -> worlds.World:
         """Play the request and its repetition, and return the world."""
@@ -46,7 +49,7 @@
         )
 
     def _repeat(self) -> None:
-        self._submit("entry-1", faults.REPEAT_S)
+        self._submit(self.other, faults.REPEAT_S)
 
     def _arrive(self) -> None:
         token = self._submit("entry-0", 0.0)
@@ -77,6 +80,59 @@
     assert not _Play(world).run().violations
 
 
+def _submit_usual_jobs(world: worlds.World, entry: str) -> None:
+    """Let an entry learn the usual deadlines of first submissions."""
+    rng = random.Random(0)
+    world.run(3.0)
+    for number in range(24):
+        deadline_s = _DEADLINE_S * rng.uniform(0.9, 1.1)
+        world.submit(entry, f"{number:016x}", 1, 0.02, 100, deadline_s)
+        world.run(0.04)
+
+
+@pytest.mark.parametrize("cut_s", [0.0, 1.7])
+@pytest.mark.parametrize("other", ["entry-1", "entry-4", "entry-7"])
+def test_late_request_starts_nothing_where_no_agent_knows_its_job(
+    other: str, cut_s: float
+) -> None:
+    """Guards against a start at agents that serve only one of the entries."""
+    world = worlds.World(1, entries=8, agents=24, peers=True)
+    _submit_usual_jobs(world, other)
+    world.at(3.0, lambda: world.cut("entry-0", other, cut_s))
+    assert not _Play(world, other=other).run().violations
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("held_s", [1.8, 3.2])
+def test_late_request_starts_nothing_after_a_cut_of_its_entry(
+    held_s: float, seed: int
+) -> None:
+    """Guards against a start by an entry that is just in touch again."""
+    world = worlds.World(seed, entries=3, agents=6, peers=True)
+    for name in world.nodes:
+        if name != "entry-0":
+            cut = functools.partial(world.cut, "entry-0", name, held_s)
+            world.at(3.0 - 0.001, cut)
+    assert not _Play(world, held_s, end_read_s=0.08).run().violations
+
+
+def test_first_entry_gives_up_a_job_that_its_client_submitted_again() -> None:
+    """Guards against a run for a client that left without being noticed."""
+    world = worlds.World(2, entries=2, agents=6, peers=True)
+    _submit_usual_jobs(world, "entry-1")
+    first = world.submit("entry-0", _JOB, _TASKS, 4.0, 1000, _DEADLINE_S)
+    for waited_s in (faults.REPEAT_S, 2 * faults.REPEAT_S):
+        world.run(faults.REPEAT_S)
+        deadline_s = _DEADLINE_S - waited_s
+        again = world.submit("entry-1", _JOB, _TASKS, 0.2, 1000, deadline_s)
+    world.run(1.0)
+    given_up = world.outcome(first)
+    assert isinstance(given_up, outcomes.FailedMayHaveRun)
+    assert given_up.reason is outcomes.Reason.DUPLICATE
+    assert isinstance(world.outcome(again), outcomes.Complete)
+    assert not world.violations
+
+
 def test_late_request_is_answered_as_possibly_run() -> None:
     """Guards against a refusal that claims that the job never runs."""
     world = worlds.World(seed=3, entries=2, agents=6)
--- a/src/ferryledge/wire/__init__.py
+++ b/src/ferryledge/wire/__init__.py
@@ -68,6 +68,8 @@
 EntryList = _lease_messages.EntryList
 Invite = _lease_messages.Invite
 InviteAgents = _lease_messages.InviteAgents
+JobsResubmitted = _lease_messages.JobsResubmitted
+ResubmittedJob = _lease_messages.ResubmittedJob
 LeaseGrant = _lease_messages.LeaseGrant
 HeldRun = _lease_messages.HeldRun
 RunOutcome = _lease_messages.RunOutcome
@@ -141,6 +143,7 @@
     "Invite",
     "InviteAgents",
     "JobAnswered",
+    "JobsResubmitted",
     "KeepAlive",
     "LateRun",
     "LateRuns",
@@ -164,6 +167,7 @@
     "ReleaseReason",
     "ReportNow",
     "Resources",
+    "ResubmittedJob",
     "Role",
     "RunEnd",
     "RunOutcome",
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -280,6 +280,21 @@
     entries: tuple[EntryAddress, ...]
 
 
+class ResubmittedJob(_messages.Model, frozen=True):
+    """A job that a client submitted again, as the entry received it."""
+
+    job: str
+    #: Seconds for which the client waits from then on. An earlier submission
+    #: of the job has a longer deadline.
+    deadline_s: float
+
+
+class JobsResubmitted(_messages.Model, frozen=True, tag="resubmitted"):
+    """Jobs that clients submitted at the sender after another entry."""
+
+    jobs: tuple[ResubmittedJob, ...]
+
+
 class InviteAgents(_messages.Model, frozen=True, tag="seek"):
     """Request to invite agents of the receiver to serve the sender too."""
 
@@ -355,6 +370,7 @@
     | GrantRequest
     | LeaseGrant
     | EntryList
+    | JobsResubmitted
     | InviteAgents
     | Invite
     | CordonedZones
--- a/src/ferryledge/wire/_messages.py
+++ b/src/ferryledge/wire/_messages.py
@@ -58,7 +58,8 @@
     #: Number of the stream, which rises with each one that the sender dials;
     #: 0 from the side that accepts it.
     stream: int = 0
-    #: Whether the sender handles runs that are refused as duplicates.
+    #: Whether the sender handles runs that are refused as duplicates, and
+    #: messages about jobs that were submitted again.
     detects_duplicates: bool = False
 
 
