Order the addresses of an entry by the store's log

What callers saw: nothing directly. Two entries that learn two addresses of a third sent them to each other without end, and each swap dialled the entry anew; an old list that was read late took the place of a newer address, at entries and at agents, which then dial a machine that is gone.

Cause: an address had no order, and whatever differed from the known one was taken for newer.

Change: an address carries the position of its record in the store's log. The higher position wins wherever it comes from; addresses that nobody has read there (0) are ordered by their text, so any two processes agree. An address that differs in its position alone is neither dialled nor forwarded. An entry keeps its own address when it reads its record of an earlier start.

Ruled out: the time of the entry's start as the order, as clocks differ between machines and jump. Looked for the same fault in all else that is passed on from peer to peer: configurations go by their version, cordons by the log's end, announced jobs by their deadline; states, reports of capacity and grants come from their source alone, in the order of its stream.

While the store is down, an entry that comes back under its name at another address is known to others only once its record is read.

--- a/src/ferryledge/hosted/_members.py
+++ b/src/ferryledge/hosted/_members.py
@@ -71,7 +71,10 @@
 
     :raises ValueError: if the record holds no valid address of its entry
     """
-    address = msgspec.json.decode(record.value, type=wire.EntryAddress)
+    address = msgspec.structs.replace(
+        msgspec.json.decode(record.value, type=wire.EntryAddress),
+        version=record.offset + 1,
+    )
     ipaddress.ip_address(address.host)
     if address.name != record.key or not 0 < address.port <= _LAST_PORT:
         raise ValueError("the name is not the key, or the port is invalid")
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -106,7 +106,9 @@
         self._health_tracker = health.HealthTracker()
         self._notes = _entry_notes.EntryNotes(meter or _meters.EntryMeter())
         self._peers = _peers.EntryPeers(
-            self._cordons, _config_readers.is_narrow_link(link_bytes_per_s)
+            name,
+            self._cordons,
+            _config_readers.is_narrow_link(link_bytes_per_s),
         )
         self._agent_search = _agent_search.AgentSearch(
             name, self._pool, self._peers, self._notes
--- a/src/ferryledge/leases/_entry_selection.py
+++ b/src/ferryledge/leases/_entry_selection.py
@@ -92,11 +92,18 @@
     def add_addresses(
         self, now: float, entries: abc.Iterable[wire.EntryAddress]
     ) -> None:
-        """Add addresses of entries; a changed one is dialled again."""
+        """Add addresses of entries; a changed one is dialled again.
+
+        An address that is older than the known one is ignored.
+        """
         for address in entries:
             known = self._known.get(address.name)
-            if known is not None and known.address == address:
-                continue
+            if known is not None:
+                if not address.is_newer_than(known.address):
+                    continue
+                if address.is_same_place(known.address):
+                    known.address = address
+                    continue
             added = _KnownEntry(address, address.name in self._connected)
             self._known[address.name] = added
         self._ranked = placement.rank(self._name, tuple(self._known))
--- a/src/ferryledge/leases/_peers.py
+++ b/src/ferryledge/leases/_peers.py
@@ -53,14 +53,19 @@
     The store may be unreachable for this process while others can read it,
     so whatever one entry reads is forwarded to all.
 
+    :param name: name of this entry
     :param cordons: the cordoned availability zones
     :param is_narrow_link: whether a large configuration would block this
         machine's link; an agent then reads configurations for this entry
     """
 
     def __init__(
-        self, cordons: _cordons.Cordons, is_narrow_link: bool = False
+        self,
+        name: str,
+        cordons: _cordons.Cordons,
+        is_narrow_link: bool = False,
     ) -> None:
+        self._name = name
         self._cordons = cordons
         self._exchange = _config_exchange.ConfigExchange()
         self._readers = _config_readers.ConfigReaders(is_narrow_link)
@@ -141,22 +146,36 @@
     def learn_entries(self, entries: tuple[wire.EntryAddress, ...]) -> None:
         """Add or update addresses of entries; dial and forward the new ones.
 
+        An address that is older than the known one is ignored.
+
         :param entries: the addresses, known ones included
         """
         changed = tuple(
-            address
-            for address in entries
-            if self._addresses.get(address.name) != address
+            address for address in entries if self._learn_address(address)
         )
         if not changed:
             return
-        self._addresses.update({address.name: address for address in changed})
         self._actions.append(_entry_events.DialEntries(changed))
         # Peers were sent the known addresses when they joined.
         message = wire.EntryList(changed)
         for peer in self._peers:
             self._send(peer, message)
 
+    def _learn_address(self, address: wire.EntryAddress) -> bool:
+        """Store a newer address; return whether its host or port changed."""
+        known = self._addresses.get(address.name)
+        if known is None:
+            self._addresses[address.name] = address
+            return True
+        if not address.is_newer_than(known):
+            return False
+        has_moved = not address.is_same_place(known)
+        if has_moved and address.name == self._name:
+            # A record of an earlier start, which had another address.
+            return False
+        self._addresses[address.name] = address
+        return has_moved
+
     def learn_config(
         self, version: int, data: bytes, log_end: int = 0
     ) -> None:
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -272,6 +272,25 @@
     name: str
     host: str
     port: int
+    #: Position of its record in the store's log, counted from 1; 0 before it
+    #: was read there.
+    version: int = 0
+
+    def is_newer_than(self, other: "EntryAddress") -> bool:
+        """Return whether this address takes the place of another one.
+
+        Addresses of the same version are ordered by their text, so that
+        processes that learn them in different orders agree.
+        """
+        return self._order > other._order
+
+    def is_same_place(self, other: "EntryAddress") -> bool:
+        """Return whether both name the same host and port."""
+        return (self.host, self.port) == (other.host, other.port)
+
+    @property
+    def _order(self) -> tuple[int, str, int]:
+        return self.version, self.host, self.port
 
 
 class EntryList(_messages.Model, frozen=True, tag="entries"):
