Settle the tickets of jobs that an entry was told to drop

What callers saw: after an entry had stood still for 4.5 s, a planned stop of an agent took 60 s instead of 3 (its time limit), and a client that repeats a job with the same ticket is told "in progress" until the ticket expires (900 s).

Cause: the other entries take over the jobs of an entry that is silent for 4 s and, when it wakes, tell it to drop them. It forgot them without a word to the agent that had authorised them, whose tickets stayed in progress; the same for a permission that arrives after the job was dropped.

Change: dropping a job settles its ticket as "may have run, entry lost", and so does a permission for a job that is not there. The arbiter keeps the first outcome, so nothing that is known is lost.

Ruled out: to return the ticket as unused, since tasks may have started; to settle by the agent when the entry reconnects, since the entry may still run what it was not told to drop.

--- a/src/ferryledge/core/_answering.py
+++ b/src/ferryledge/core/_answering.py
@@ -88,15 +88,46 @@
         self.forget(job)
         self.answer(now, job.front, job.submission, answer)
 
+    def abandon(self, now: float, job: _jobs.Job) -> None:
+        """Settle the ticket of a job that its front recovered; remove it."""
+        if job.ticket_use is _jobs.TicketUse.GRANTED:
+            self.settle_unknown(now, job.message.ticket, job.submission)
+        self.forget(job)
+
+    def settle_unknown(self, now: float, ticket: str, submission: str) -> None:
+        """Settle a ticket for a job whose outcome this entry will not learn.
+
+        Without that its arbiter would wait for the outcome until the ticket
+        expires. An outcome that the arbiter already has is kept.
+
+        :param now: monotonic seconds
+        :param ticket: the ticket
+        :param submission: the submission that it authorised
+        """
+        origin = outcomes.Origin(outcomes.Step.AUTHORISE)
+        reason = outcomes.Reason.ENTRY_LOST
+        lost = outcomes.FailedMayHaveRun(reason, origin)
+        self._send_settlement(
+            now, ticket, submission, _requests.JobAnswer(lost)
+        )
+
     def _settle_ticket(
         self, now: float, job: _jobs.Job, answer: _requests.JobAnswer
     ) -> None:
-        if job.ticket_use is not _jobs.TicketUse.GRANTED:
-            return
-        ticket = job.message.ticket
-        settle = wire.Settle(
-            ticket, job.submission, _convert.outcome_record(answer)
-        )
+        if job.ticket_use is _jobs.TicketUse.GRANTED:
+            self._send_settlement(
+                now, job.message.ticket, job.submission, answer
+            )
+
+    def _send_settlement(
+        self,
+        now: float,
+        ticket: str,
+        submission: str,
+        answer: _requests.JobAnswer,
+    ) -> None:
+        record = _convert.outcome_record(answer)
+        settle = wire.Settle(ticket, submission, record)
         self._state.peers.send(now, ledger.issuer_of(ticket), settle)
 
     def forget(self, job: _jobs.Job) -> None:
--- a/src/ferryledge/core/_scheduler.py
+++ b/src/ferryledge/core/_scheduler.py
@@ -183,7 +183,7 @@
         for job in list(self._state.jobs.values()):
             number = ledger.submission_number(job.submission)
             if job.front == front and number <= through:
-                self.answering.forget(job)
+                self.answering.abandon(now, job)
 
     def share(
         self,
--- a/src/ferryledge/core/_ticketing.py
+++ b/src/ferryledge/core/_ticketing.py
@@ -100,6 +100,11 @@
         """Queue or answer a job by the arbiter's verdict on its ticket."""
         job = self._state.jobs.get(message.submission)
         if job is None:
+            if message.verdict is wire.VerdictTag.GRANTED:
+                # The front recovered the job before the verdict arrived.
+                self._answering.settle_unknown(
+                    now, message.ticket, message.submission
+                )
             return
         self._state.trace.note(
             now, job.submission, _trace.Mechanism.TICKET, message.verdict
--- a/src/ferryledge/core/tests/test_entry.py
+++ b/src/ferryledge/core/tests/test_entry.py
@@ -304,3 +304,49 @@
     driver.agent_up("agent-1")
     actions = driver.send("agent-1", wire.Leaving())
     assert core.Send("agent-1", wire.Leaving(confirms=True)) in actions
+
+
+def _place_with_ticket(driver):
+    """Place a job of another entry that waits for its ticket's arbiter."""
+    driver.configure()
+    driver.agent_up("agent-1", slots=1)
+    driver.agent_up("agent-2", slots=2)
+    hello = wire.Hello(wire.Role.ENTRY, "entry-2", "f", "north")
+    driver.do(core.PeerUp(hello))
+    tasks = (wire.PlacedTask(b"1"),) * 2
+    job = wire.PlaceJob(
+        "f.1", "t", "once", tasks, ticket="agent-1~a~0", repeatable=False
+    )
+    return driver.send("entry-2", job)
+
+
+def settlements(actions):
+    return [
+        (action.peer, action.message.submission, action.message.outcome.reason)
+        for action in actions
+        if isinstance(action, core.Send)
+        and isinstance(action.message, wire.Settle)
+    ]
+
+
+GRANTED = wire.Verdict("agent-1~a~0", "f.1", wire.VerdictTag.GRANTED)
+
+
+def test_abandoned_job_settles_its_ticket():
+    """Guards against an arbiter that waits for it and cannot stop."""
+    driver = Driver()
+    assert _place_with_ticket(driver)
+    assert starts(driver.send("agent-1", GRANTED))
+    actions = driver.send("entry-2", wire.AbandonJobs(1))
+    assert settlements(actions) == [("agent-1", "f.1", "entry_lost")]
+
+
+def test_verdict_on_an_abandoned_job_settles_its_ticket():
+    """Guards against a permission that nobody uses and nobody returns."""
+    driver = Driver()
+    _place_with_ticket(driver)
+    assert not settlements(driver.send("entry-2", wire.AbandonJobs(1)))
+    actions = driver.send("agent-1", GRANTED)
+    assert settlements(actions) == [("agent-1", "f.1", "entry_lost")]
+    refused = wire.Verdict("agent-1~a~0", "f.1", wire.VerdictTag.LOST)
+    assert not settlements(driver.send("agent-1", refused))
