Show that each defence against late requests is needed

Cause: the tests of late requests failed without each of the three mechanisms when these were taken out by hand, but nothing in the repository said so.

Change: three tests take out the reports of agents, the announcements and the pause after a cut, one at a time, and expect the double run that it prevents. The scenarios are those of the tests that pass with them.

--- a/src/ferryledge/leases/tests/test_held_up_requests.py
+++ b/src/ferryledge/leases/tests/test_held_up_requests.py
@@ -11,6 +11,9 @@
 import pytest
 
 from ferryledge import leases
+from ferryledge.leases import _entry
+from ferryledge.leases import _pool
+from ferryledge.leases import _resubmissions
 from ferryledge.leases.tests import faults
 from ferryledge import loads as worlds
 from ferryledge import outcomes
@@ -90,16 +93,35 @@
         world.run(0.04)
 
 
+def _play_beside_other_agents(other: str, cut_s: float) -> worlds.World:
+    """Play a repetition at agents that may not serve the first entry.
+
+    :param other: the entry that gets the repetition
+    :param cut_s: how long the two entries are cut off from each other
+    """
+    world = worlds.World(1, entries=8, agents=24, peers=True)
+    _submit_usual_jobs(world, other)
+    world.at(3.0, lambda: world.cut("entry-0", other, cut_s))
+    return _Play(world, other=other).run()
+
+
 @pytest.mark.parametrize("cut_s", [0.0, 1.7])
 @pytest.mark.parametrize("other", ["entry-1", "entry-4", "entry-7"])
 def test_late_request_starts_nothing_where_no_agent_knows_its_job(
     other: str, cut_s: float
 ) -> None:
     """Guards against a start at agents that serve only one of the entries."""
-    world = worlds.World(1, entries=8, agents=24, peers=True)
-    _submit_usual_jobs(world, other)
-    world.at(3.0, lambda: world.cut("entry-0", other, cut_s))
-    assert not _Play(world, other=other).run().violations
+    assert not _play_beside_other_agents(other, cut_s).violations
+
+
+def _play_after_cut(held_s: float, seed: int) -> worlds.World:
+    """Cut the first entry off from all others until the request arrives."""
+    world = worlds.World(seed, entries=3, agents=6, peers=True)
+    for name in world.nodes:
+        if name != "entry-0":
+            cut = functools.partial(world.cut, "entry-0", name, held_s)
+            world.at(3.0 - 0.001, cut)
+    return _Play(world, held_s, end_read_s=0.08).run()
 
 
 @pytest.mark.parametrize("seed", range(4))
@@ -108,12 +130,7 @@
     held_s: float, seed: int
 ) -> None:
     """Guards against a start by an entry that is just in touch again."""
-    world = worlds.World(seed, entries=3, agents=6, peers=True)
-    for name in world.nodes:
-        if name != "entry-0":
-            cut = functools.partial(world.cut, "entry-0", name, held_s)
-            world.at(3.0 - 0.001, cut)
-    assert not _Play(world, held_s, end_read_s=0.08).run().violations
+    assert not _play_after_cut(held_s, seed).violations
 
 
 def test_first_entry_gives_up_a_job_that_its_client_submitted_again() -> None:
@@ -169,3 +186,25 @@
         token = world.submit("entry-1", _JOB, _TASKS, _WORK_S)
         world.run(3.0)
         assert isinstance(world.outcome(token), outcomes.Complete)
+
+
+def _ignore(*_: object) -> None:
+    """Find nothing."""
+
+
+def test_reports_of_agents_are_needed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_pool.Pool, "find_other_run", _ignore)
+    assert _Play(worlds.World(1, entries=2, agents=6)).run().violations
+
+
+def test_announcements_are_needed(monkeypatch: pytest.MonkeyPatch) -> None:
+    resubmissions = _resubmissions.Resubmissions
+    monkeypatch.setattr(resubmissions, "note_submission", _ignore)
+    assert _play_beside_other_agents("entry-7", 0.0).violations
+
+
+def test_pause_after_a_cut_is_needed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(_entry, "_ISOLATION_S", float("inf"))
+    assert _play_after_cut(1.8, 0).violations
