Count duplicates and resubmissions

Cause: a request that is answered because another entry runs its job was in the log alone, not among the answers that alarms look at; nor did any figure tell how often jobs are submitted again.

Figures: one test, which failed without the counters.

--- a/src/ferryledge/hosted/_metrics.py
+++ b/src/ferryledge/hosted/_metrics.py
@@ -133,6 +133,9 @@
         self._handovers = registry.counter(
             "handovers", "Jobs between this entry and others", ("what",)
         )
+        self._resubmitted = registry.counter(
+            "resubmitted_jobs", "Jobs that were likely submitted before"
+        )
 
     def answered(
         self, outcome: str, reason: str, waited_s: float, slowdown: float
@@ -142,6 +145,10 @@
         self._waited.observe(waited_s)
         self._slowdown.observe(slowdown)
 
+    def resubmitted(self) -> None:
+        """Count a job that was likely submitted before."""
+        self._resubmitted.add()
+
     def first_order(self, waited_s: float) -> None:
         """Count a job's first order."""
         self._first_order.observe(waited_s)
--- a/src/ferryledge/hosted/tests/test_metrics.py
+++ b/src/ferryledge/hosted/tests/test_metrics.py
@@ -1,6 +1,10 @@
 """Tests the rendering of a process's metrics."""
 
+import random
+
 from ferryledge.hosted import _metrics
+from ferryledge import leases
+from ferryledge import wire
 
 
 def test_metrics_are_rendered_in_the_prometheus_format() -> None:
@@ -50,3 +54,31 @@
         "ferryledge_agent_stops_overdue_total 1.0",
     ]
     assert [line for line in expected if line not in lines] == []
+
+
+def test_duplicates_and_resubmissions_are_counted() -> None:
+    registry = _metrics.Registry("entry")
+    metrics = _metrics.EntryMetrics(registry)
+    core = leases.LeaseEntry(
+        "entry-0", "entry-0.1", "north", random.Random(0), meter=metrics
+    )
+    agent = wire.Hello(wire.Role.AGENT, "agent-0", "agent-0.1", "north")
+    peer = wire.Hello(
+        wire.Role.ENTRY, "entry-1", "1", "north", detects_duplicates=True
+    )
+    job_class = leases.JobClass("quick", "desk")
+    step = leases.JobStep(1, wire.Resources(100, 10, 0))
+    core.receive(0.0, wire.PeerUp(agent))
+    core.receive(0.0, wire.PeerUp(peer))
+    state = wire.EndpointState(jobs_added=("a",))
+    core.receive(0.0, wire.Received("agent-0", state))
+    for number in range(20):
+        job = leases.LeasedJob(f"{number}", job_class, "", (step,), 2.0)
+        core.receive(0.0, leases.JobSubmitted(number + 1, job))
+    job = leases.LeasedJob("a", job_class, "", (step,), 0.5)
+    core.receive(0.0, leases.JobSubmitted(21, job))
+    lines = registry.render().decode().splitlines()
+    answers = "ferryledge_entry_answers_total"
+    labels = 'outcome="failed_may_have_run",reason="duplicate"'
+    assert f"{answers}{{{labels}}} 1.0" in lines
+    assert "ferryledge_entry_resubmitted_jobs_total 1.0" in lines
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -439,8 +439,9 @@
         the job elsewhere since, or the other entry does not know yet that the
         client has left it. Nothing may start in either case.
         """
-        self._notes.duplicate(job, peer)
-        self._reply([token], _duplicate(peer))
+        outcome = _duplicate(peer)
+        self._notes.duplicate(job, outcome)
+        self._reply([token], outcome)
 
     def _add_job(self, now: float, job: _jobs.Job) -> None:
         """Store a job until it is answered and its runs are over."""
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -33,17 +33,16 @@
             config=config,
         )
 
-    def duplicate(self, job: str, peer: str) -> None:
-        """A request was not served, since another entry runs its job.
-
-        :param job: the job
-        :param peer: the process that reported the other entry's runs
-        """
+    def duplicate(self, job: str, outcome: outcomes.FailedMayHaveRun) -> None:
+        """A request was not served, since another entry runs its job."""
+        self._meter.answered(
+            outcomes.tag_of(outcome), str(outcome.reason), 0.0, 0.0
+        )
         self.add(
             outcomes.Step.ADMIT,
             "answered: failed, another entry runs the job",
             job,
-            peer,
+            outcome.origin.peer,
             True,
         )
 
@@ -53,6 +52,7 @@
         :param job: the job
         :param deadline_s: how long its client waits
         """
+        self._meter.resubmitted()
         self.add(
             outcomes.Step.ADMIT,
             "submitted again: other entries told",
--- a/src/ferryledge/leases/_meters.py
+++ b/src/ferryledge/leases/_meters.py
@@ -20,6 +20,9 @@
         :param slowdown: ``waited_s`` as a multiple of the objective
         """
 
+    def resubmitted(self) -> None:
+        """A job was likely submitted before, and other entries were told."""
+
     def first_order(self, waited_s: float) -> None:
         """The first runs of a job were ordered.
 
