Bound what an entry that comes back is told

Cause, found by reading the change as a newcomer: with clients that wait for a minute and one other entry, 5,000 announcements are of use at once. A message holds 4,096 elements at the most, so its receiver would close the stream, be told again, and close it again.

Change: the latest 1,000 jobs are told.

Figures: the test sends the announcements of a minute; the decoder refuses them without the bound.

--- a/src/ferryledge/leases/_resubmissions.py
+++ b/src/ferryledge/leases/_resubmissions.py
@@ -26,6 +26,9 @@
 #: saved up for a burst.
 _MESSAGES_PER_S = 100.0
 _MAX_MESSAGES = 400.0
+#: Largest number of jobs that an entry is told of when it comes back, the
+#: latest ones; a message must stay within the limits of the decoder.
+_MAX_JOBS = 1000
 
 
 class _QueueDeadlines(msgspec.Struct):
@@ -125,13 +128,15 @@
         return True
 
     def announced(self, now: float) -> wire.JobsResubmitted | None:
-        """Return all announcements of use to an entry that comes back."""
+        """Return the announcements of use to an entry that comes back."""
         current = tuple(
             resubmitted
             for until, resubmitted in self._announced.values()
             if until > now
         )
-        return wire.JobsResubmitted(current) if current else None
+        if not current:
+            return None
+        return wire.JobsResubmitted(current[-_MAX_JOBS:])
 
     def learn(
         self, now: float, entry: str, resubmitted: wire.ResubmittedJob
--- a/src/ferryledge/leases/tests/test_resubmissions.py
+++ b/src/ferryledge/leases/tests/test_resubmissions.py
@@ -97,3 +97,19 @@
     assert known.is_newer(0.0)
     assert not known.is_newer(0.4)
     assert not known.is_newer(0.2)
+
+
+def test_entry_that_comes_back_is_told_of_the_latest_jobs() -> None:
+    """Guards against a message that its receiver can't decode."""
+    known = _resubmissions.Resubmissions(leases.LeaseTiming())
+    count = 30_000
+    for number in range(count):
+        deadline_s = 60.0 + number % 4
+        if number % 5 == 4:
+            deadline_s = 50.0
+        _submit(known, 0.002 * number, f"{number}", deadline_s, peers=1)
+    announced = known.announced(0.002 * count)
+    assert announced is not None
+    assert announced.jobs[-1].job == f"{count - 1}"
+    (decoded,) = wire.Decoder().feed(wire.encode(announced))
+    assert decoded == announced
