Let the soak send requests that arrive after their repetition

Cause: the late request was known from the virtual world alone.

Which jobs is drawn by the job's name, so all else stays as it is in a seed.

--- a/src/ferryledge/leases/tests/test_endpoint_incarnations.py
+++ b/src/ferryledge/leases/tests/test_endpoint_incarnations.py
@@ -92,3 +92,27 @@
     world.post(_AGENT, msgspec.structs.replace(heartbeat, endpoint_id="next"))
     world.run(1.0)
     assert _endpoint_id(world) == "next"
+
+
+def test_ends_of_an_endpoint_restarted_between_two_renewals_are_heard() -> (
+    None
+):
+    """Guards against an end that is confirmed before it is known.
+
+    The endpoint keeps its id, so it takes the confirmations of its former
+    start for its own.
+    """
+    world = worlds.World(seed=1, entries=1, agents=1)
+    world.run(3.0)
+    for number in range(40):
+        world.submit("entry-0", f"{number:016x}", work_s=0.05)
+        world.run(0.1)
+    world.run(1.0)
+    endpoint = world.endpoints[_AGENT]
+    endpoint.crash()
+    endpoint.restart(world.now, same_id=True)
+    world.run(2.0)
+    token = world.submit("entry-0", "a" * 16, count=4)
+    world.run(3.0)
+    assert isinstance(world.outcome(token), outcomes.Complete)
+    assert world.started["a" * 16] == 4
--- a/src/ferryledge/soak/__main__.py
+++ b/src/ferryledge/soak/__main__.py
@@ -53,6 +53,13 @@
     show_default=True,
     help="Mean seconds between faults.",
 )
+@click.option(
+    "--late-requests",
+    type=click.FloatRange(0.0, 1.0),
+    default=0.0,
+    show_default=True,
+    help="Share of the jobs whose first request arrives after its repetition.",
+)
 def main(
     seed: int,
     seeds: int,
@@ -64,6 +71,7 @@
     kind_set: str,
     only: tuple[str, ...],
     mean_gap_s: float,
+    late_requests: float,
 ) -> None:
     """Play seeded faults against the real programs.
 
@@ -77,7 +85,15 @@
     )
     kinds = kinds or _plan.KIND_SETS[kind_set]
     plan = _plan.make_plan(
-        seed, seconds, entries, agents, kinds, mean_gap_s, clients, work_s
+        seed,
+        seconds,
+        entries,
+        agents,
+        kinds,
+        mean_gap_s,
+        clients,
+        work_s,
+        late_requests,
     )
     report = _run.play(plan)
     click.echo(json.dumps(dataclasses.asdict(report)))
--- a/src/ferryledge/soak/_clients.py
+++ b/src/ferryledge/soak/_clients.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections import abc
+import contextlib
+import dataclasses
 import random
 
 from ferryledge import net
@@ -18,6 +20,22 @@
 _REPEAT_S = 1.3
 #: Seconds between tries to be served after the faults.
 _TRY_S = 0.5
+#: Bounds of the seconds by which a late request arrives after its repetition.
+_LATE_S = (0.05, 0.8)
+#: Seconds from a late request to the end of its connection.
+_END_S = 0.005
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Submission:
+    """A job as its client submits it."""
+
+    job: str
+    spec: str
+    tasks: int
+    #: CPU of one task, in thousandths of a core.
+    cpu: int
+    work_s: float
 
 
 class Clients:
@@ -85,18 +103,48 @@
         if self.deadly_next:
             self.deadly_next = False
             self._judge.deadly(job)
-        for entry in self._entries_to_try(rng, len(callers)):
+        submission = _Submission(job, spec, tasks, cpu, work_s)
+        entries = self._entries_to_try(rng, len(callers))
+        # Drawn by the job, so that the others stay as they are without it.
+        job_rng = random.Random(job)
+        if job_rng.random() < self._plan.late_requests:
+            late_s = job_rng.uniform(*_LATE_S)
+            await asyncio.gather(
+                self._try_each(rng, callers, entries, submission, _REPEAT_S),
+                self._send_late(callers, entries[-1], submission, late_s),
+            )
+        else:
+            await self._try_each(rng, callers, entries, submission, 0.0)
+
+    async def _try_each(
+        self,
+        rng: random.Random,
+        callers: list[net.HttpClient],
+        entries: list[int],
+        submission: _Submission,
+        waited_s: float,
+    ) -> None:
+        """Submit a job to one entry after the other until one answers.
+
+        :param rng: selects the queue and how far the estimate is off
+        :param callers: calls entries
+        :param entries: numbers of the entries to try, in order
+        :param submission: the job
+        :param waited_s: how long the client has waited already, in seconds
+        """
+        job = submission.job
+        for entry in entries:
             self._judge.now = self._now()
-            self._judge.submitted(job, tasks, entry)
+            self._judge.submitted(job, submission.tasks, entry)
             answer = await platform_standin.submit(
                 callers[entry],
                 rng.choice(QUEUES),
                 job,
-                spec,
-                tasks,
-                cpu,
-                int(work_s * 1000 * rng.uniform(0.6, 1.5)),
-                _DEADLINE_S,
+                submission.spec,
+                submission.tasks,
+                submission.cpu,
+                int(submission.work_s * 1000 * rng.uniform(0.6, 1.5)),
+                _DEADLINE_S - waited_s,
             )
             self._judge.now = self._now()
             self._judge.answered(job, answer.state)
@@ -104,6 +152,32 @@
                 return
             await asyncio.sleep(_REPEAT_S)
 
+    async def _send_late(
+        self,
+        callers: list[net.HttpClient],
+        entry: int,
+        submission: _Submission,
+        late_s: float,
+    ) -> None:
+        """Send the first request of a job late, and close the connection."""
+        await asyncio.sleep(late_s)
+        self._judge.now = self._now()
+        self._judge.submitted(submission.job, submission.tasks, entry)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_END_S):
+                await platform_standin.submit(
+                    callers[entry],
+                    QUEUES[0],
+                    submission.job,
+                    submission.spec,
+                    submission.tasks,
+                    submission.cpu,
+                    int(submission.work_s * 1000),
+                    _DEADLINE_S,
+                )
+        unknown = platform_standin.ClientState.UNKNOWN
+        self._judge.answered(submission.job, unknown)
+
     def _entries_to_try(self, rng: random.Random, count: int) -> list[int]:
         """Return the numbers of the entries to try, in order.
 
--- a/src/ferryledge/soak/_plan.py
+++ b/src/ferryledge/soak/_plan.py
@@ -127,6 +127,8 @@
     faults: tuple[Fault, ...]
     clients: int = CLIENTS
     work_s: tuple[float, ...] = WORK_S
+    #: Share of the jobs whose first request arrives after its repetition.
+    late_requests: float = 0.0
 
     def are_connected(self, since: float, until: float) -> bool:
         """Return whether no fault interrupts any streams for a while.
@@ -151,6 +153,7 @@
     mean_gap_s: float = MEAN_GAP_S,
     clients: int = CLIENTS,
     work_s: tuple[float, ...] = WORK_S,
+    late_requests: float = 0.0,
 ) -> Plan:
     """Return the plan of a seed.
 
@@ -163,6 +166,8 @@
     :param clients: number of clients, each with one job at a time
     :param work_s: seconds that the tasks of a job take; each job gets one of
         these
+    :param late_requests: share of the jobs whose first request arrives after
+        its repetition
     """
     rng = random.Random(seed)
     faults = []
@@ -174,4 +179,13 @@
             Fault(at, kind, rng.randrange(1000), rng.uniform(0.2, 3.5))
         )
         at += rng.expovariate(1.0 / mean_gap_s)
-    return Plan(seed, seconds, entries, agents, tuple(faults), clients, work_s)
+    return Plan(
+        seed,
+        seconds,
+        entries,
+        agents,
+        tuple(faults),
+        clients,
+        work_s,
+        late_requests,
+    )
