--- a/src/ferryledge/leases/tests/test_handover.py
+++ b/src/ferryledge/leases/tests/test_handover.py
@@ -80,6 +80,19 @@
     assert isinstance(world.outcome(token), outcomes.Complete)
 
 
+def test_job_that_runs_elsewhere_is_not_handed_over() -> None:
+    """Guards against a delegate that starts a job beside another entry."""
+    world = handovers.make_world(1)
+    world.submit("entry-1", handovers.JOB, 8, 1.0, deadline_s=3.7)
+    world.run(0.3)
+    token = world.submit("entry-0", handovers.JOB, 8, 1.0, deadline_s=5.0)
+    world.run(0.5)
+    late = world.outcome(token)
+    assert isinstance(late, outcomes.FailedMayHaveRun)
+    assert late.reason is outcomes.Reason.DUPLICATE
+    assert not world.violations
+
+
 @pytest.mark.parametrize("seed", range(24))
 def test_faults_in_series(seed: int) -> None:
     """Entries lose their agents while others fail under load."""
--- a/src/ferryledge/leases/tests/test_held_up_requests.py
+++ b/src/ferryledge/leases/tests/test_held_up_requests.py
@@ -188,6 +188,36 @@
         assert isinstance(world.outcome(token), outcomes.Complete)
 
 
+def test_late_request_that_nobody_recognizes_starts_nothing() -> None:
+    """Guards against a start where no agent serves both entries.
+
+    The entry of the repetition knows no usual deadlines yet.
+    """
+    world = worlds.World(1, entries=8, agents=24, peers=True)
+    world.run(4.0)
+    assert not _Play(world, other="entry-7").run().violations
+
+
+def test_late_request_starts_nothing_while_two_entries_are_cut_off() -> None:
+    """Guards against a start where the announcement can't arrive."""
+    assert not _play_beside_other_agents("entry-7", 5.0).violations
+
+
+def test_repetition_starts_nothing_beside_runs_of_its_first_entry() -> None:
+    """Guards against a start before the first entry has stopped its runs.
+
+    The client left the first entry unnoticed, and no agent serves both.
+    """
+    world = worlds.World(1, entries=8, agents=24, peers=True)
+    _submit_usual_jobs(world, "entry-7")
+    world.submit("entry-0", _JOB, _TASKS, _WORK_S, 1000, _DEADLINE_S)
+    world.run(faults.REPEAT_S)
+    deadline_s = _DEADLINE_S - faults.REPEAT_S
+    world.submit("entry-7", _JOB, _TASKS, _WORK_S, 1000, deadline_s)
+    world.run(3.0)
+    assert not world.violations
+
+
 def _ignore(*_: object) -> None:
     """Find nothing."""
 
--- a/src/ferryledge/leases/tests/test_outgoing_handovers.py
+++ b/src/ferryledge/leases/tests/test_outgoing_handovers.py
@@ -144,6 +144,19 @@
     assert not job.is_delegated
 
 
+def test_job_that_the_delegate_knows_is_not_run_here(
+    harness: Harness,
+) -> None:
+    """Guards against a start beside the runs of the job at the delegate."""
+    _, offer = _offered(harness)
+    declined = wire.DeclineReason.KNOWN
+    answer = wire.OfferAnswered(offer.delegator, offer.number, declined)
+    harness.core.on_offer_answered(0.02, "entry-1", answer)
+    (outcome,) = harness.finished
+    assert isinstance(outcome, outcomes.FailedMayHaveRun)
+    assert outcome.reason is outcomes.Reason.DUPLICATE
+
+
 @pytest.mark.parametrize(
     "peer,change",
     [
