--- /dev/null
+++ b/src/ferryledge/leases/_duplicates.py
@@ -0,0 +1,254 @@
+"""Keeps an entry from running a job that another entry runs.
+
+A client that gets no answer submits its job again at another entry, while the
+first one may still run it, or may receive the first request only later. Agents
+tell which jobs they run for other entries, entries announce the submissions
+that they recognize as later ones, and jobs are registered with other entries
+where no agent may serve both.
+"""
+
+from collections import abc
+
+from ferryledge.leases import _entry_notes
+from ferryledge.leases import _entry_selection
+from ferryledge.leases import _job_table
+from ferryledge.leases import _jobs
+from ferryledge.leases import _peers
+from ferryledge.leases import _pool
+from ferryledge.leases import _registration
+from ferryledge.leases import _resubmissions
+from ferryledge.leases import _rules
+from ferryledge.leases import _timing
+from ferryledge import outcomes
+from ferryledge import wire
+
+Send = abc.Callable[[str, wire.Message], None]
+Finish = abc.Callable[[float, _jobs.Job, outcomes.JobOutcome], None]
+
+
+class Duplicates:
+    """Finds jobs that another entry has, and gives up the older submission.
+
+    :param name: name of this entry
+    :param timing: timing of leases
+    :param rules: the rules in force
+    :param jobs: the jobs that this entry holds
+    :param pool: the agents that this entry knows
+    :param peers: the other entries
+    :param notes: records decisions
+    :param send: sends a message to an entry
+    :param finish: answers a job's clients
+    """
+
+    def __init__(
+        self,
+        name: str,
+        timing: _timing.LeaseTiming,
+        rules: _rules.EntryRules,
+        jobs: _job_table.JobTable,
+        pool: _pool.Pool,
+        peers: _peers.EntryPeers,
+        notes: _entry_notes.EntryNotes,
+        send: Send,
+        finish: Finish,
+    ) -> None:
+        self._name = name
+        self._rules = rules
+        self._jobs = jobs
+        self._pool = pool
+        self._peers = peers
+        self._notes = notes
+        self._send = send
+        self._finish = finish
+        self._resubmissions = _resubmissions.Resubmissions(timing)
+        self._register = _registration.JobRegister(timing)
+        self._registrations = _registration.Registrations(name)
+
+    @property
+    def due_at(self) -> float:
+        """When to call :meth:`check`, in monotonic seconds."""
+        return self._registrations.due_at
+
+    # Peers.
+
+    def join(self, now: float, hello: wire.Hello) -> None:
+        """Add an entry whose stream was opened; tell it what it missed."""
+        if hello.registers_jobs:
+            self._registrations.join(hello.name)
+        announced = self._resubmissions.announced(now)
+        if (
+            announced is not None
+            and hello.name in self._peers.detecting_entries()
+        ):
+            self._send(hello.name, announced)
+
+    def leave(self, now: float, name: str) -> None:
+        """Remove an entry whose stream broke."""
+        self._registrations.leave(now, name)
+
+    def receive(self, now: float, peer: str, message: wire.Message) -> None:
+        """Process a message of another entry; unrelated ones are ignored."""
+        match message:
+            case wire.JobsResubmitted(jobs):
+                self._learn_resubmitted(now, peer, jobs)
+            case wire.RegisterJobs(jobs):
+                registered = tuple(
+                    self._register_for(now, peer, submission)
+                    for submission in jobs
+                )
+                self._send(peer, wire.JobsRegistered(registered))
+            case wire.JobsRegistered(jobs):
+                self._learn_registered(now, peer, jobs)
+
+    # Submissions at this entry.
+
+    def find_holder(self, now: float, request: _jobs.LeasedJob) -> str:
+        """Return a process that knows that another entry holds a job.
+
+        If the job was likely submitted before, the other entries are told.
+
+        :param now: monotonic seconds
+        :param request: the job, as it was just submitted here
+        :return: the name of the process; empty if there is none
+        """
+        self._announce_if_resubmitted(now, request)
+        row = self._pool.find_other_run(request.job)
+        if row is not None:
+            return row.name
+        other = self._resubmissions.find(request.job)
+        # Requests with the same deadline are copies of one submission.
+        if other is not None and (
+            other.is_newer(request.deadline_s)
+            or other.deadline_s == request.deadline_s
+        ):
+            return other.entry
+        return ""
+
+    def _announce_if_resubmitted(
+        self, now: float, request: _jobs.LeasedJob
+    ) -> None:
+        entries = self._peers.detecting_entries()
+        announcement = self._resubmissions.note_submission(
+            now,
+            request.job_class.name,
+            request.job,
+            request.deadline_s,
+            len(entries),
+        )
+        if announcement is not None and self._rules.detects_duplicates:
+            self._notes.resubmitted(request.job, request.deadline_s)
+            for name in entries:
+                self._send(name, announcement)
+
+    def runs_elsewhere(self, job: str, deadline_s: float) -> bool:
+        """Return whether another entry than its delegator holds a job.
+
+        :param job: the job
+        :param deadline_s: how long its client waits; 0 if unlimited
+        """
+        other = self._resubmissions.find(job)
+        if other is not None and other.is_newer(deadline_s):
+            return True
+        return self._pool.find_other_run(job) is not None
+
+    def register(self, now: float, job: _jobs.Job) -> None:
+        """Register a job if some other entry may share no agent with this.
+
+        Nothing is ordered for it until its registration is complete.
+        """
+        agents_serve_all = (
+            self._peers.entry_count <= _entry_selection.ENTRIES_PER_AGENT
+        )
+        if self._rules.registers_jobs and not agents_serve_all:
+            self._registrations.start(now, job)
+
+    def check(self, now: float) -> bool:
+        """Give up the jobs that were found elsewhere.
+
+        :param now: monotonic seconds
+        :return: whether the registration of any job was completed
+        """
+        self._registrations.check(now)
+        is_any_registered = False
+        for decision in self._registrations.pop_decisions():
+            match decision:
+                case _registration.Registered():
+                    is_any_registered = True
+                case _registration.HeldElsewhere(job, entry):
+                    self.give_up(now, job.name, entry)
+        return is_any_registered
+
+    def send_registrations(self) -> None:
+        """Send the requests of the jobs that are being registered."""
+        for name, message in self._registrations.pop_messages():
+            self._send(name, message)
+
+    def give_up(self, now: float, name: str, peer: str) -> None:
+        """Answer a job that another entry runs; its runs here are stopped.
+
+        :param now: monotonic seconds
+        :param name: the job
+        :param peer: the process that reported the other entry's runs
+        """
+        job = self._jobs.find(name)
+        if job is not None and not job.closed:
+            self._finish(now, job, outcome(peer))
+
+    def expire(self, now: float) -> None:
+        """Forget submissions whose clients don't wait any more."""
+        self._resubmissions.expire(now)
+        self._register.expire(now)
+
+    # Submissions at other entries.
+
+    def _learn_resubmitted(
+        self, now: float, peer: str, jobs: tuple[wire.Submission, ...]
+    ) -> None:
+        """Give up the jobs that their clients submitted again elsewhere."""
+        for submission in jobs:
+            other = self._resubmissions.learn(now, peer, submission)
+            job = self._jobs.find(submission.job)
+            if job is not None and other.is_newer(job.request.deadline_s):
+                self.give_up(now, job.name, peer)
+
+    def _register_for(
+        self, now: float, peer: str, submission: wire.Submission
+    ) -> wire.RegisteredJob:
+        """Register a job of another entry; give up an older one here."""
+        job = self._jobs.find(submission.job)
+        if job is not None and job.serves_clients:
+            deadline_s = job.request.deadline_s
+            if _registration.is_newer(submission.deadline_s, deadline_s):
+                self.give_up(now, job.name, peer)
+            if self._jobs.find(job.name) is not None:
+                return wire.RegisteredJob(job.name, self._name, deadline_s)
+        registered = self._register.register(now, peer, submission)
+        if registered.entry and _registration.is_newer(
+            submission.deadline_s, registered.deadline_s
+        ):
+            self._notes.superseded(submission, peer, registered)
+            # The entry that registers it may be cut off from the other one.
+            self._send(registered.entry, wire.JobsResubmitted((submission,)))
+        return registered
+
+    def _learn_registered(
+        self, now: float, peer: str, jobs: tuple[wire.RegisteredJob, ...]
+    ) -> None:
+        for registered in jobs:
+            if self._registrations.receive(now, peer, registered):
+                continue
+            # A late answer: the job may have been started without it.
+            job = self._jobs.find(registered.job)
+            if job is not None and _registration.is_newer(
+                registered.deadline_s, job.request.deadline_s
+            ):
+                self.give_up(now, job.name, registered.entry)
+
+
+def outcome(peer: str) -> outcomes.FailedMayHaveRun:
+    """Return the outcome of a job that another entry runs.
+
+    :param peer: the process that reported it
+    """
+    origin = outcomes.Origin(outcomes.Step.START, peer)
+    return outcomes.FailedMayHaveRun(outcomes.Reason.DUPLICATE, origin)
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -14,10 +14,10 @@
 from ferryledge.leases import _agent_search
 from ferryledge.leases import _config_readers
 from ferryledge.leases import _cordons
+from ferryledge.leases import _duplicates
 from ferryledge.leases import _endpoint_history
 from ferryledge.leases import _entry_events
 from ferryledge.leases import _entry_notes
-from ferryledge.leases import _entry_selection
 from ferryledge.leases import _handover
 from ferryledge.leases import _job_ranking
 from ferryledge.leases import _job_table
@@ -28,8 +28,6 @@
 from ferryledge.leases import _placement
 from ferryledge.leases import _pool
 from ferryledge.leases import _presumed_ends
-from ferryledge.leases import _registration
-from ferryledge.leases import _resubmissions
 from ferryledge.leases import _rules
 from ferryledge.leases import _run_tracker
 from ferryledge.leases import _scheduler
@@ -116,9 +114,17 @@
             name, self._pool, self._peers, self._notes
         )
         self._jobs = _job_table.JobTable()
-        self._resubmissions = _resubmissions.Resubmissions(self._timing)
-        self._register = _registration.JobRegister(self._timing)
-        self._registrations = _registration.Registrations(name)
+        self._duplicates = _duplicates.Duplicates(
+            name,
+            self._timing,
+            self._rules,
+            self._jobs,
+            self._pool,
+            self._peers,
+            self._notes,
+            self._send,
+            self._finish,
+        )
         self._runs = _run_tracker.RunTracker(
             self._jobs,
             self._pool,
@@ -163,7 +169,7 @@
             self._finish,
             self._add_job,
             self._client_left,
-            self._runs_elsewhere,
+            self._duplicates.runs_elsewhere,
         )
         self._actions: list[_entry_events.EntryAction] = []
         #: Agents whose latest grant request is still to be answered.
@@ -297,7 +303,8 @@
         self._now = now
         self._tick_by = _NEVER
         self._handover.check(now)
-        self._check_registrations(now)
+        if self._duplicates.check(now):
+            self._placement_due = True
         if now >= self._next_sweep:
             self._sweep(now)
         if now >= self._placement_resumes_at:
@@ -305,8 +312,7 @@
         for row, message in self._scheduler.due_urgency_reports(now):
             self._send(row.name, message)
         self._grant(now)
-        for name, registration in self._registrations.pop_messages():
-            self._send(name, registration)
+        self._duplicates.send_registrations()
         for action in self._peers.pop_actions():
             if isinstance(action, _entry_events.SendMessage):
                 self._send(action.peer, action.message)
@@ -332,7 +338,7 @@
             self._next_sweep,
             max(self._scheduler.due_at, self._placement_resumes_at),
             self._handover.due_at,
-            self._registrations.due_at,
+            self._duplicates.due_at,
         )
 
     def tick_by(self) -> float:
@@ -362,10 +368,14 @@
         if self._jobs.was_complete(request.job):
             self._reply([token], outcomes.Complete(()))
             return
-        self._announce_if_resubmitted(now, request)
-        other = self._find_other_holder(request)
-        if other:
-            self._refuse_duplicate(token, request.job, other)
+        holder = self._duplicates.find_holder(now, request)
+        if holder:
+            # Either the network delayed the request and its client has
+            # submitted the job elsewhere since, or the other entry does not
+            # know yet that the client has left it.
+            outcome = _duplicates.outcome(holder)
+            self._notes.duplicate(request.job, outcome)
+            self._reply([token], outcome)
             return
         estimate_s = max(step.estimate_s for step in request.steps)
         expected_s = self._run_times.predict(
@@ -389,131 +399,7 @@
             return
         self._notes.admitted(job, len(self._jobs), self._peers.version)
         self._add_job(now, job)
-        self._register_if_needed(now, job)
-
-    def _register_if_needed(self, now: float, job: _jobs.Job) -> None:
-        """Register a job if there may be entries that share no agent."""
-        agent_serves_all = (
-            self._peers.entry_count <= _entry_selection.ENTRIES_PER_AGENT
-        )
-        if self._rules.registers_jobs and not agent_serves_all:
-            self._registrations.start(now, job)
-
-    def _check_registrations(self, now: float) -> None:
-        """Start the jobs that are registered, give up those held elsewhere."""
-        self._registrations.check(now)
-        for decision in self._registrations.pop_decisions():
-            match decision:
-                case _registration.Registered():
-                    self._placement_due = True
-                case _registration.HeldElsewhere(job, entry):
-                    self._finish_duplicate(now, job.name, entry)
-
-    def _announce_if_resubmitted(
-        self, now: float, request: _jobs.LeasedJob
-    ) -> None:
-        """Tell the other entries of a job that was likely submitted before."""
-        entries = self._peers.detecting_entries()
-        announcement = self._resubmissions.note_submission(
-            now,
-            request.job_class.name,
-            request.job,
-            request.deadline_s,
-            len(entries),
-        )
-        if announcement is not None and self._rules.detects_duplicates:
-            self._notes.resubmitted(request.job, request.deadline_s)
-            for name in entries:
-                self._send(name, announcement)
-
-    def _find_other_holder(self, request: _jobs.LeasedJob) -> str:
-        """Return a process that knows that another entry holds a job.
-
-        :return: its name; empty if none does
-        """
-        row = self._pool.find_other_run(request.job)
-        if row is not None:
-            return row.name
-        other = self._resubmissions.find(request.job)
-        # Requests with the same deadline are copies of one submission.
-        if other is not None and (
-            other.is_newer(request.deadline_s)
-            or other.deadline_s == request.deadline_s
-        ):
-            return other.entry
-        return ""
-
-    def _runs_elsewhere(self, job: str, deadline_s: float) -> bool:
-        """Return whether another entry than its delegator holds a job."""
-        other = self._resubmissions.find(job)
-        if other is not None and other.is_newer(deadline_s):
-            return True
-        return self._pool.find_other_run(job) is not None
-
-    def _learn_resubmitted(
-        self, now: float, peer: str, message: wire.JobsResubmitted
-    ) -> None:
-        """Give up the jobs that their clients submitted again elsewhere."""
-        for resubmitted in message.jobs:
-            other = self._resubmissions.learn(now, peer, resubmitted)
-            job = self._jobs.find(resubmitted.job)
-            if job is not None and other.is_newer(job.request.deadline_s):
-                self._finish_duplicate(now, job.name, peer)
-
-    def _register_jobs(
-        self, now: float, peer: str, submissions: tuple[wire.Submission, ...]
-    ) -> None:
-        """Answer an entry that registers its jobs with this one."""
-        registered = tuple(
-            self._register_job(now, peer, submission)
-            for submission in submissions
-        )
-        self._send(peer, wire.JobsRegistered(registered))
-
-    def _register_job(
-        self, now: float, peer: str, submission: wire.Submission
-    ) -> wire.RegisteredJob:
-        """Register a job; give up an older submission of it here."""
-        job = self._jobs.find(submission.job)
-        if job is not None and job.serves_clients:
-            deadline_s = job.request.deadline_s
-            if _registration.is_newer(submission.deadline_s, deadline_s):
-                self._finish_duplicate(now, job.name, peer)
-            if self._jobs.find(job.name) is not None:
-                return wire.RegisteredJob(job.name, self._name, deadline_s)
-        registered = self._register.register(now, peer, submission)
-        if registered.entry and _registration.is_newer(
-            submission.deadline_s, registered.deadline_s
-        ):
-            self._notes.superseded(submission, peer, registered)
-            # The entry that registers it may be cut off from the other one.
-            self._send(registered.entry, wire.JobsResubmitted((submission,)))
-        return registered
-
-    def _learn_registered(
-        self, now: float, peer: str, jobs: tuple[wire.RegisteredJob, ...]
-    ) -> None:
-        """Process the answers of an entry that jobs were registered with."""
-        for registered in jobs:
-            if self._registrations.receive(now, peer, registered):
-                continue
-            # A late answer: the job may have been started without it.
-            job = self._jobs.find(registered.job)
-            if job is not None and _registration.is_newer(
-                registered.deadline_s, job.request.deadline_s
-            ):
-                self._finish_duplicate(now, job.name, registered.entry)
-
-    def _refuse_duplicate(self, token: int, job: str, peer: str) -> None:
-        """Answer a request for a job that another entry runs.
-
-        Either the network delayed the request and its client has submitted
-        the job elsewhere since, or the other entry does not know yet that the
-        client has left it. Nothing may start in either case.
-        """
-        outcome = _duplicate(peer)
-        self._notes.duplicate(job, outcome)
-        self._reply([token], outcome)
+        self._duplicates.register(now, job)
 
     def _add_job(self, now: float, job: _jobs.Job) -> None:
         """Store a job until it is answered and its runs are over."""
@@ -537,7 +423,7 @@
             job.arrived_at = now
             for task in job.all_tasks:
                 task.failures = 0
-            self._register_if_needed(now, job)
+            self._duplicates.register(now, job)
         self._placement_due = True
 
     def _client_left(self, now: float, token: int, name: str) -> None:
@@ -599,30 +485,19 @@
             case wire.PeerUp(hello):
                 self._note_heard(now)
                 self._peers.join(now, hello)
-                self._announce_to(now, hello)
                 self._notes.connected(hello)
                 if hello.role is wire.Role.AGENT:
                     self._pool.join(now, hello)
                 else:
                     self._handover.join(now, hello)
-                    if hello.registers_jobs:
-                        self._registrations.join(hello.name)
+                    self._duplicates.join(now, hello)
             case wire.PeerDown(name, incarnation):
                 self._notes.disconnected(name, incarnation)
                 self._peers.leave(name)
                 self._handover.leave(name)
-                self._registrations.leave(now, name)
+                self._duplicates.leave(now, name)
                 self._pool.leave(name, incarnation)
 
-    def _announce_to(self, now: float, hello: wire.Hello) -> None:
-        """Tell an entry what it missed while it had no stream to this one."""
-        announced = self._resubmissions.announced(now)
-        if (
-            announced is not None
-            and hello.name in self._peers.detecting_entries()
-        ):
-            self._send(hello.name, announced)
-
     def _apply_cordons(self, has_changed: bool) -> None:
         """Apply the cordoned zones to the pool if they have changed."""
         if not has_changed:
@@ -661,12 +536,12 @@
                 self._peers.learn_config(version, data)
             case wire.EntryList(entries):
                 self._peers.learn_entries(entries)
-            case wire.JobsResubmitted():
-                self._learn_resubmitted(now, peer, message)
-            case wire.RegisterJobs(jobs):
-                self._register_jobs(now, peer, jobs)
-            case wire.JobsRegistered(jobs):
-                self._learn_registered(now, peer, jobs)
+            case (
+                wire.JobsResubmitted()
+                | wire.RegisterJobs()
+                | wire.JobsRegistered()
+            ):
+                self._duplicates.receive(now, peer, message)
             case wire.InviteAgents():
                 self._send_all(self._agent_search.invite(now, message))
             case _:
@@ -721,7 +596,7 @@
                 for run in runs:
                     self._runs.released(row, name, run, reason)
                 if reason is wire.RunReleaseReason.DUPLICATE:
-                    self._finish_duplicate(now, name, row.name)
+                    self._duplicates.give_up(now, name, row.name)
             case wire.RunsEnded(name, ends, ask):
                 for end in ends:
                     self._finish_decided(
@@ -739,17 +614,6 @@
                     self._finish_decided(now, decided)
                 row.reconciled = True
 
-    def _finish_duplicate(self, now: float, name: str, peer: str) -> None:
-        """Answer a job that another entry runs; its runs here are stopped.
-
-        :param now: monotonic seconds
-        :param name: the job
-        :param peer: the process that reported the other entry's runs
-        """
-        job = self._jobs.find(name)
-        if job is not None and not job.closed:
-            self._finish(now, job, _duplicate(peer))
-
     def _finish_decided(
         self, now: float, decided: _run_tracker.DecidedJob | None
     ) -> None:
@@ -809,8 +673,7 @@
 
     def _sweep_jobs(self, now: float) -> None:
         self._jobs.expire(now)
-        self._resubmissions.expire(now)
-        self._register.expire(now)
+        self._duplicates.expire(now)
         for job in self._jobs.open:
             if now >= job.deadline_at - _DEADLINE_MARGIN_S:
                 self._finish(
@@ -818,12 +681,3 @@
                 )
         for job, refusal in self._scheduler.review(now):
             self._finish(now, job, refusal)
-
-
-def _duplicate(peer: str) -> outcomes.FailedMayHaveRun:
-    """Return the outcome of a job that another entry runs.
-
-    :param peer: the process that reported it
-    """
-    origin = outcomes.Origin(outcomes.Step.START, peer)
-    return outcomes.FailedMayHaveRun(outcomes.Reason.DUPLICATE, origin)
