Log and count registrations that are answered late or supersede others

An operator could not tell a registrar that does not answer from an idle network, nor see that a job was submitted at two entries. Two counters and two log lines tell; the line about a superseded job names both entries and both deadlines, which separates a late request from a repetition.

--- a/src/ferryledge/hosted/_metrics.py
+++ b/src/ferryledge/hosted/_metrics.py
@@ -136,6 +136,14 @@
         self._resubmitted = registry.counter(
             "resubmitted_jobs", "Jobs that were likely submitted before"
         )
+        self._superseded = registry.counter(
+            "superseded_jobs",
+            "Jobs that were registered here after an older submission",
+        )
+        self._registrars_silent = registry.counter(
+            "registrars_silent",
+            "Times that an entry did not answer a registration in time",
+        )
 
     def answered(
         self, outcome: str, reason: str, waited_s: float, slowdown: float
@@ -149,6 +157,14 @@
         """Count a job that was likely submitted before."""
         self._resubmitted.add()
 
+    def superseded(self) -> None:
+        """Count a job whose newer submission was registered here."""
+        self._superseded.add()
+
+    def registrar_silent(self) -> None:
+        """Count an entry that did not answer a registration in time."""
+        self._registrars_silent.add()
+
     def first_order(self, waited_s: float) -> None:
         """Count a job's first order."""
         self._first_order.observe(waited_s)
--- a/src/ferryledge/hosted/tests/test_metrics.py
+++ b/src/ferryledge/hosted/tests/test_metrics.py
@@ -82,3 +82,33 @@
     labels = 'outcome="failed_may_have_run",reason="duplicate"'
     assert f"{answers}{{{labels}}} 1.0" in lines
     assert "ferryledge_entry_resubmitted_jobs_total 1.0" in lines
+
+
+def test_registrations_are_counted() -> None:
+    registry = _metrics.Registry("entry")
+    metrics = _metrics.EntryMetrics(registry)
+    core = leases.LeaseEntry(
+        "entry-0", "entry-0.1", "north", random.Random(0), meter=metrics
+    )
+    names = [f"entry-{number}" for number in range(6)]
+    addresses = tuple(wire.EntryAddress(name, "host", 1) for name in names)
+    core.receive(0.0, leases.EntriesFound(addresses))
+    for name in names[1:]:
+        hello = wire.Hello(
+            wire.Role.ENTRY, name, "1", "north", registers_jobs=True
+        )
+        core.receive(0.0, wire.PeerUp(hello))
+    for name, deadline_s in (("entry-1", 2.0), ("entry-2", 0.7)):
+        jobs = wire.RegisterJobs((wire.Submission("a", deadline_s),))
+        core.receive(0.0, wire.Received(name, jobs))
+    agent = wire.Hello(wire.Role.AGENT, "agent-0", "agent-0.1", "north")
+    core.receive(0.0, wire.PeerUp(agent))
+    step = leases.JobStep(1, wire.Resources(100, 10, 0))
+    job_class = leases.JobClass("quick", "desk")
+    job = leases.LeasedJob("b", job_class, "", (step,), 2.0)
+    core.receive(0.0, leases.JobSubmitted(1, job))
+    core.tick(0.0)
+    core.tick(0.1)
+    lines = registry.render().decode().splitlines()
+    assert "ferryledge_entry_superseded_jobs_total 1.0" in lines
+    assert "ferryledge_entry_registrars_silent_total 2.0" in lines
--- a/src/ferryledge/leases/_duplicates.py
+++ b/src/ferryledge/leases/_duplicates.py
@@ -62,7 +62,9 @@
         self._finish = finish
         self._resubmissions = _resubmissions.Resubmissions(timing)
         self._register = _registration.JobRegister(timing)
-        self._registrations = _registration.Registrations(name)
+        self._registrations = _registration.Registrations(
+            name, notes.registrar_silent
+        )
 
     @property
     def due_at(self) -> float:
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -66,12 +66,13 @@
         entry: str,
         older: wire.RegisteredJob,
     ) -> None:
-        """A job was registered that an older submission of is known.
+        """A job was registered of which an older submission is known.
 
         :param submission: the newer submission
         :param entry: the entry that received it
         :param older: the older one
         """
+        self._meter.superseded()
         self.add(
             outcomes.Step.ADMIT,
             "submitted again: the earlier entry told",
@@ -82,6 +83,15 @@
             earlier_deadline_s=round(older.deadline_s, 3),
         )
 
+    def registrar_silent(self, name: str) -> None:
+        """An entry did not answer in time that jobs were registered with."""
+        self._meter.registrar_silent()
+        self.add(
+            outcomes.Step.ADMIT,
+            "jobs not registered in time, entry passed over",
+            peer=name,
+        )
+
     def isolated(self, silent_s: float) -> None:
         """This entry is in touch again after it was cut off.
 
--- a/src/ferryledge/leases/_meters.py
+++ b/src/ferryledge/leases/_meters.py
@@ -23,6 +23,12 @@
     def resubmitted(self) -> None:
         """A job was likely submitted before, and other entries were told."""
 
+    def superseded(self) -> None:
+        """Another entry registered a newer submission of a known job."""
+
+    def registrar_silent(self) -> None:
+        """An entry that jobs were registered with did not answer in time."""
+
     def first_order(self, waited_s: float) -> None:
         """The first runs of a job were ordered.
 
--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -42,7 +42,7 @@
 _KEY_FACTOR = 0x9E3779B97F4A7C15
 _NEVER = float("inf")
 
-Send = abc.Callable[[str, wire.Message], None]
+NoteUnanswered = abc.Callable[[str], None]
 
 
 def is_newer(deadline_s: float, than_s: float) -> bool:
@@ -158,10 +158,12 @@
     """Registers the jobs of this entry with their registrars.
 
     :param name: name of this entry
+    :param note_unanswered: records an entry that did not answer in time
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, note_unanswered: NoteUnanswered) -> None:
         self._name = name
+        self._note_unanswered = note_unanswered
         #: Hash keys of the entries that register jobs, by name.
         self._keys: dict[str, int] = {}
         #: Until when entries that did not answer are not selected.
@@ -265,13 +267,19 @@
             for name, due_at in list(pending.answer_due.items()):
                 if now >= due_at:
                     del pending.answer_due[name]
-                    self._avoided_until[name] = now + _AVOIDANCE_S
+                    self._avoid(now, name)
             for name, retry_at in list(pending.retry_at.items()):
                 if now >= retry_at:
                     del pending.retry_at[name]
                     self._ask(now, name, pending)
             self._advance(now, pending)
 
+    def _avoid(self, now: float, name: str) -> None:
+        """Select an entry no more for a while, since it did not answer."""
+        if now >= self._avoided_until.get(name, 0.0):
+            self._note_unanswered(name)
+        self._avoided_until[name] = now + _AVOIDANCE_S
+
     def pop_decisions(self) -> list[Decision]:
         """Return the decisions since the last call."""
         decisions = self._decisions
--- a/src/ferryledge/leases/tests/test_registration.py
+++ b/src/ferryledge/leases/tests/test_registration.py
@@ -30,7 +30,7 @@
 def _make_registrations(
     name: str = "entry-0", peers: tuple[str, ...] = _ENTRIES
 ) -> _registration.Registrations:
-    registrations = _registration.Registrations(name)
+    registrations = _registration.Registrations(name, lambda _: None)
     for peer in peers:
         if peer != name:
             registrations.join(peer)
