Name the message of a submitted job after the job

"Submission" already means the part of a job that an entry sends to one scheduler (docs/glossary.md). No change on the wire: messages are arrays.

--- a/src/ferryledge/hosted/tests/test_metrics.py
+++ b/src/ferryledge/hosted/tests/test_metrics.py
@@ -99,7 +99,7 @@
         )
         core.receive(0.0, wire.PeerUp(hello))
     for name, deadline_s in (("entry-1", 2.0), ("entry-2", 0.7)):
-        jobs = wire.RegisterJobs((wire.Submission("a", deadline_s),))
+        jobs = wire.RegisterJobs((wire.SubmittedJob("a", deadline_s),))
         core.receive(0.0, wire.Received(name, jobs))
     agent = wire.Hello(wire.Role.AGENT, "agent-0", "agent-0.1", "north")
     core.receive(0.0, wire.PeerUp(agent))
--- a/src/ferryledge/leases/_duplicates.py
+++ b/src/ferryledge/leases/_duplicates.py
@@ -204,7 +204,7 @@
     # Submissions at other entries.
 
     def _learn_resubmitted(
-        self, now: float, peer: str, jobs: tuple[wire.Submission, ...]
+        self, now: float, peer: str, jobs: tuple[wire.SubmittedJob, ...]
     ) -> None:
         """Give up the jobs that their clients submitted again elsewhere."""
         for submission in jobs:
@@ -214,7 +214,7 @@
                 self.give_up(now, job.name, peer)
 
     def _register_for(
-        self, now: float, peer: str, submission: wire.Submission
+        self, now: float, peer: str, submission: wire.SubmittedJob
     ) -> wire.RegisteredJob:
         """Register a job of another entry; give up an older one here."""
         job = self._jobs.find(submission.job)
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -62,7 +62,7 @@
 
     def superseded(
         self,
-        submission: wire.Submission,
+        submission: wire.SubmittedJob,
         entry: str,
         older: wire.RegisteredJob,
     ) -> None:
--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -78,7 +78,7 @@
         return len(self._jobs)
 
     def register(
-        self, now: float, entry: str, submission: wire.Submission
+        self, now: float, entry: str, submission: wire.SubmittedJob
     ) -> wire.RegisteredJob:
         """Record a submission, unless a newer one of its job is known.
 
@@ -97,7 +97,7 @@
         return wire.RegisteredJob(job, known.entry, known.deadline_s)
 
     def _record(
-        self, now: float, entry: str, submission: wire.Submission
+        self, now: float, entry: str, submission: wire.SubmittedJob
     ) -> None:
         deadline_s = submission.deadline_s
         until = now + deadline_s + self._over_after_s
@@ -173,7 +173,7 @@
             _LONGEST_ANSWER_S, _SHORTEST_ANSWER_S
         )
         #: Submissions to send, by registrar.
-        self._outgoing: dict[str, list[wire.Submission]] = {}
+        self._outgoing: dict[str, list[wire.SubmittedJob]] = {}
         self._decisions: list[Decision] = []
 
     @property
@@ -334,7 +334,7 @@
 
     def _ask(self, now: float, name: str, pending: _Pending) -> None:
         request = pending.job.request
-        submission = wire.Submission(request.job, request.deadline_s)
+        submission = wire.SubmittedJob(request.job, request.deadline_s)
         self._outgoing.setdefault(name, []).append(submission)
         pending.asked_at[name] = now
         pending.answer_due[name] = now + self._answer_times.limit_s
--- a/src/ferryledge/leases/_resubmissions.py
+++ b/src/ferryledge/leases/_resubmissions.py
@@ -85,7 +85,7 @@
         self._queues: dict[str, _QueueDeadlines] = {}
         #: Announcements of this entry by job, with the time until which they
         #: are of use in monotonic seconds.
-        self._announced: dict[str, tuple[float, wire.Submission]] = {}
+        self._announced: dict[str, tuple[float, wire.SubmittedJob]] = {}
         #: Announcements of other entries by job.
         self._learned: dict[str, OtherSubmission] = {}
         self._budget = _MAX_MESSAGES
@@ -112,7 +112,7 @@
             deadlines = self._queues[queue] = _QueueDeadlines()
         if not deadlines.note(deadline_s) or not self._take(now, peers):
             return None
-        resubmitted = wire.Submission(job, deadline_s)
+        resubmitted = wire.SubmittedJob(job, deadline_s)
         until = now + deadline_s + self._over_after_s
         self._announced[job] = (until, resubmitted)
         return wire.JobsResubmitted((resubmitted,))
@@ -139,7 +139,7 @@
         return wire.JobsResubmitted(current[-_MAX_JOBS:])
 
     def learn(
-        self, now: float, entry: str, resubmitted: wire.Submission
+        self, now: float, entry: str, resubmitted: wire.SubmittedJob
     ) -> OtherSubmission:
         """Record a job that was submitted again at another entry.
 
--- a/src/ferryledge/leases/tests/test_registration.py
+++ b/src/ferryledge/leases/tests/test_registration.py
@@ -66,8 +66,8 @@
     entry: str,
 ) -> None:
     """Guards against two entries that are both told to start a job."""
-    register.register(0.0, entry, wire.Submission(_JOB, known_s))
-    submission = wire.Submission(_JOB, deadline_s)
+    register.register(0.0, entry, wire.SubmittedJob(_JOB, known_s))
+    submission = wire.SubmittedJob(_JOB, deadline_s)
     answer = register.register(0.1, "entry-0", submission)
     assert answer == wire.RegisteredJob(_JOB, entry, known_s)
 
@@ -76,9 +76,9 @@
     register: _registration.JobRegister,
 ) -> None:
     """Guards against a late request that hides the repetition."""
-    register.register(0.0, "entry-7", wire.Submission(_JOB, 3.7))
+    register.register(0.0, "entry-7", wire.SubmittedJob(_JOB, 3.7))
     for _ in range(2):
-        late = wire.Submission(_JOB, 5.0)
+        late = wire.SubmittedJob(_JOB, 5.0)
         answer = register.register(0.5, "entry-0", late)
         assert answer.entry == "entry-7"
 
@@ -87,7 +87,7 @@
     register: _registration.JobRegister,
 ) -> None:
     for _ in range(2):
-        submission = wire.Submission(_JOB, 5.0)
+        submission = wire.SubmittedJob(_JOB, 5.0)
         answer = register.register(0.0, "entry-0", submission)
         assert not answer.entry
 
@@ -95,7 +95,7 @@
 def test_registrar_forgets_jobs_whose_runs_are_over(
     register: _registration.JobRegister,
 ) -> None:
-    register.register(0.0, "entry-7", wire.Submission(_JOB, 5.0))
+    register.register(0.0, "entry-7", wire.SubmittedJob(_JOB, 5.0))
     register.expire(6.0)
     assert len(register) == 1
     register.expire(7.0)
--- a/src/ferryledge/leases/tests/test_resubmissions.py
+++ b/src/ferryledge/leases/tests/test_resubmissions.py
@@ -34,7 +34,7 @@
     resubmissions: _resubmissions.Resubmissions,
 ) -> None:
     announcement = _submit(resubmissions)
-    expected = wire.JobsResubmitted((wire.Submission("a", 0.9),))
+    expected = wire.JobsResubmitted((wire.SubmittedJob("a", 0.9),))
     assert announcement == expected
     assert resubmissions.announced(1.0) == expected
 
@@ -71,7 +71,7 @@
     resubmissions: _resubmissions.Resubmissions,
 ) -> None:
     _submit(resubmissions)
-    resubmissions.learn(0.0, "entry-1", wire.Submission("b", 0.9))
+    resubmissions.learn(0.0, "entry-1", wire.SubmittedJob("b", 0.9))
     resubmissions.expire(1.0)
     assert resubmissions.find("b") is not None
     resubmissions.expire(3.0)
@@ -88,7 +88,7 @@
     for entry, deadline_s in zip(
         ("entry-1", "entry-2"), deadlines, strict=True
     ):
-        resubmitted = wire.Submission("a", deadline_s)
+        resubmitted = wire.SubmittedJob("a", deadline_s)
         resubmissions.learn(0.0, entry, resubmitted)
     known = resubmissions.find("a")
     assert known is not None
--- a/src/ferryledge/wire/__init__.py
+++ b/src/ferryledge/wire/__init__.py
@@ -87,7 +87,7 @@
 RunsHeld = _lease_messages.RunsHeld
 RunsReleased = _lease_messages.RunsReleased
 StopRuns = _lease_messages.StopRuns
-Submission = _lease_messages.Submission
+SubmittedJob = _lease_messages.SubmittedJob
 TaskRun = _lease_messages.TaskRun
 ZoneFailures = _lease_messages.ZoneFailures
 
@@ -185,7 +185,7 @@
     "StopRuns",
     "StreamEvent",
     "StreamOrder",
-    "Submission",
+    "SubmittedJob",
     "TaskRun",
     "TasksFinished",
     "TasksReleased",
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -299,7 +299,7 @@
     entries: tuple[EntryAddress, ...]
 
 
-class Submission(_messages.Model, frozen=True):
+class SubmittedJob(_messages.Model, frozen=True):
     """A job that a client submitted, as the entry received it."""
 
     job: str
@@ -311,7 +311,7 @@
 class JobsResubmitted(_messages.Model, frozen=True, tag="resubmitted"):
     """Jobs that clients submitted at the sender after another entry."""
 
-    jobs: tuple[Submission, ...]
+    jobs: tuple[SubmittedJob, ...]
 
 
 class RegisterJobs(_messages.Model, frozen=True, tag="register"):
@@ -321,7 +321,7 @@
     submission of a job itself, it gives that up.
     """
 
-    jobs: tuple[Submission, ...]
+    jobs: tuple[SubmittedJob, ...]
 
 
 class RegisteredJob(_messages.Model, frozen=True):
