Wait for an entry that has an older submission of a job

Cause: the registrars name the entry of the older submission, which is asked whether its runs are over. If it did not answer within the usual time (60 ms at the most), it counted as a registrar that is silent, and the job started.

Change: such an entry is asked again until it confirms that its runs are over, for 0.2 s at the most. After that the job is answered 504, unless nothing was heard of the entry for 1.2 s: then it was lost, and its runs are over before the client repeats the job.

--- a/src/ferryledge/leases/_duplicates.py
+++ b/src/ferryledge/leases/_duplicates.py
@@ -63,7 +63,7 @@
         self._resubmissions = _resubmissions.Resubmissions(timing)
         self._register = _registration.JobRegister(timing)
         self._registrations = _registration.Registrations(
-            name, notes.registrar_silent
+            name, peers.silent_for, notes.registrar_silent
         )
 
     @property
--- a/src/ferryledge/leases/_peers.py
+++ b/src/ferryledge/leases/_peers.py
@@ -286,6 +286,15 @@
         if peer is not None:
             peer.received_at = now
 
+    def silent_for(self, now: float, name: str) -> float:
+        """Return the seconds since a peer's last message; infinite if lost.
+
+        :param now: monotonic seconds
+        :param name: the peer
+        """
+        peer = self._peers.get(name)
+        return float("inf") if peer is None else now - peer.received_at
+
     def send_keep_alives(self, now: float) -> None:
         """Send due keep-alive messages; close silent streams of entries."""
         for name in self.entry_names():
--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -34,6 +34,9 @@
 _RETRY_S = 0.02
 #: Longest time in seconds to wait for such an entry.
 _RELEASE_WAIT_S = 0.2
+#: Seconds without any message after which an entry counts as lost. Entries
+#: send one each second.
+_LOST_AFTER_S = 1.2
 #: Seconds for which a job without a deadline is kept.
 _UNLIMITED_KEEP_S = 10.0
 #: Seconds between removals of outdated registrations.
@@ -44,6 +47,7 @@
 _KEY_FACTOR = 0x9E3779B97F4A7C15
 _NEVER = float("inf")
 
+SilentFor = abc.Callable[[float, str], float]
 NoteUnanswered = abc.Callable[[str], None]
 
 
@@ -142,31 +146,47 @@
     answer_due: dict[str, float] = msgspec.field(default_factory=dict)
     #: When each request was sent.
     asked_at: dict[str, float] = msgspec.field(default_factory=dict)
-    #: When to ask entries again that stop their runs of the job.
-    retry_at: dict[str, float] = msgspec.field(default_factory=dict)
-    is_answered: bool = False
+    #: Entries that have answered.
+    answered: set[str] = msgspec.field(default_factory=set)
+    #: Entries with an older submission of the job which have not confirmed
+    #: yet that its runs are over, and when to ask each again.
+    holders: dict[str, float] = msgspec.field(default_factory=dict)
+    #: When to stop waiting for them.
+    release_by: float = _NEVER
     rounds: int = 0
     #: Earliest time of completion, in monotonic seconds.
     not_before: float = 0.0
-    #: When to stop waiting for an entry that stops its runs.
-    release_by: float = _NEVER
 
     @property
     def due_at(self) -> float:
         """When to look at it again, in monotonic seconds."""
-        times = [*self.answer_due.values(), *self.retry_at.values()]
-        return min(times, default=self.not_before)
+        if not self.answer_due and not self.holders:
+            return self.not_before
+        retries = [
+            retry_at
+            for name, retry_at in self.holders.items()
+            if name not in self.answer_due
+        ]
+        return min([self.release_by, *self.answer_due.values(), *retries])
 
 
 class Registrations:
     """Registers the jobs of this entry with their registrars.
 
     :param name: name of this entry
+    :param silent_for: returns the seconds since the last message of an entry,
+        given the time and its name
     :param note_unanswered: records an entry that did not answer in time
     """
 
-    def __init__(self, name: str, note_unanswered: NoteUnanswered) -> None:
+    def __init__(
+        self,
+        name: str,
+        silent_for: SilentFor,
+        note_unanswered: NoteUnanswered,
+    ) -> None:
         self._name = name
+        self._silent_for = silent_for
         self._note_unanswered = note_unanswered
         #: Hash keys of the entries that register jobs, by name.
         self._keys: dict[str, int] = {}
@@ -197,8 +217,11 @@
         """Remove an entry whose stream broke."""
         self._keys.pop(name, None)
         for pending in list(self._pending.values()):
-            pending.retry_at.pop(name, None)
-            if pending.answer_due.pop(name, None) is not None:
+            was_asked = pending.answer_due.pop(name, None) is not None
+            is_holder = pending.holders.pop(name, None) is not None
+            if is_holder:
+                pending.not_before = now + _RELEASE_WAIT_S
+            if was_asked or is_holder:
                 self._advance(now, pending)
 
     def start(self, now: float, job: _jobs.Job) -> None:
@@ -206,6 +229,7 @@
         job.is_registering = True
         pending = _Pending(job)
         self._pending[job.name] = pending
+        self._ask_registrars(now, pending)
         self._advance(now, pending)
 
     def receive(
@@ -224,7 +248,9 @@
         if pending.answer_due.pop(peer, None) is not None:
             self._answer_times.note(now - pending.asked_at[peer])
         self._avoided_until.pop(peer, None)
-        pending.is_answered = True
+        pending.answered.add(peer)
+        if registered.entry != peer:
+            pending.holders.pop(peer, None)
         if registered.entry and registered.entry != self._name:
             self._on_holder(now, peer, registered, pending)
         if registered.job in self._pending:
@@ -244,24 +270,29 @@
         if is_newer(registered.deadline_s, deadline_s):
             self._decide(HeldElsewhere(pending.job, holder))
         elif holder != peer:
-            self._ask_holder(now, holder, pending)
+            self._await_holder(now, holder, pending)
         elif is_newer(deadline_s, registered.deadline_s):
             # The holder has given the job up, and stops its runs.
-            pending.retry_at[holder] = now + _RETRY_S
+            pending.holders[holder] = now + _RETRY_S
             pending.release_by = min(pending.release_by, now + _RELEASE_WAIT_S)
         else:
             self._decide(HeldElsewhere(pending.job, holder))
 
-    def _ask_holder(self, now: float, holder: str, pending: _Pending) -> None:
-        """Ask an entry that registered an older submission of a job."""
-        if holder in pending.asked_at:
+    def _await_holder(
+        self, now: float, holder: str, pending: _Pending
+    ) -> None:
+        """Wait for an entry that registered an older submission of a job."""
+        if holder in pending.answered:
             return
-        if holder in self._keys:
-            self._ask(now, holder, pending)
-        else:
+        if holder not in self._keys:
             # Its runs are over if it was lost. If it is only cut off from
             # here, the registrar tells it to give the job up.
             pending.not_before = now + _RELEASE_WAIT_S
+            return
+        pending.holders[holder] = now
+        pending.release_by = min(pending.release_by, now + _RELEASE_WAIT_S)
+        if holder not in pending.answer_due:
+            self._ask(now, holder, pending)
 
     def check(self, now: float) -> None:
         """Handle missing answers, and repeat the requests that are due."""
@@ -272,9 +303,8 @@
                 if now >= due_at:
                     del pending.answer_due[name]
                     self._avoid(now, name)
-            for name, retry_at in list(pending.retry_at.items()):
-                if now >= retry_at:
-                    del pending.retry_at[name]
+            for name, retry_at in pending.holders.items():
+                if name not in pending.answer_due and now >= retry_at:
                     self._ask(now, name, pending)
             self._advance(now, pending)
 
@@ -304,16 +334,31 @@
         if pending.job.closed:
             self._pending.pop(pending.job.name, None)
             return
-        if pending.retry_at and now >= pending.release_by:
-            holder = next(iter(pending.retry_at))
-            self._decide(HeldElsewhere(pending.job, holder))
+        if pending.holders and now >= pending.release_by:
+            self._decide_by_holder(now, pending)
             return
-        if not pending.is_answered and not pending.answer_due:
+        if not pending.answered and not pending.answer_due:
             self._ask_registrars(now, pending)
-        is_waiting = bool(pending.answer_due or pending.retry_at)
+        is_waiting = bool(pending.answer_due or pending.holders)
         if not is_waiting and now >= pending.not_before:
             self._decide(Registered(pending.job))
 
+    def _decide_by_holder(self, now: float, pending: _Pending) -> None:
+        """Decide on a job whose earlier entry does not confirm its end.
+
+        The runs of a lost entry are over before its client submits the job
+        again. An entry that was heard of may be slow, and still run it.
+        """
+        heard = [
+            name
+            for name in pending.holders
+            if self._silent_for(now, name) < _LOST_AFTER_S
+        ]
+        if heard:
+            self._decide(HeldElsewhere(pending.job, heard[0]))
+        else:
+            self._decide(Registered(pending.job))
+
     def _ask_registrars(self, now: float, pending: _Pending) -> None:
         """Ask registrars that were not asked, if there are any left."""
         if pending.rounds >= _MAX_ROUNDS:
--- a/src/ferryledge/leases/tests/test_registration.py
+++ b/src/ferryledge/leases/tests/test_registration.py
@@ -28,9 +28,13 @@
 
 
 def _make_registrations(
-    name: str = "entry-0", peers: tuple[str, ...] = _ENTRIES
+    name: str = "entry-0",
+    peers: tuple[str, ...] = _ENTRIES,
+    silent_s: float = 0.0,
 ) -> _registration.Registrations:
-    registrations = _registration.Registrations(name, lambda _: None)
+    registrations = _registration.Registrations(
+        name, lambda now, peer: silent_s, lambda peer: None
+    )
     for peer in peers:
         if peer != name:
             registrations.join(peer)
@@ -279,6 +283,48 @@
     assert decisions == [_registration.HeldElsewhere(job, "entry-1")]
 
 
+def test_newer_submission_waits_for_a_holder_that_answers_late() -> None:
+    """Guards against a start beside runs of an entry that is slow to answer.
+
+    The registrars name it, so its runs may be active.
+    """
+    registrations = _make_registrations()
+    job = _make_job(deadline_s=3.7)
+    registrations.start(0.0, job)
+    holder = next(
+        name
+        for name in _ENTRIES[1:]
+        if name not in _registrars("entry-0", _JOB, _ENTRIES)
+    )
+    _answer_all(registrations, holder)
+    registrations.check(0.1)
+    assert job.is_registering
+    registrations.receive(0.11, holder, _free())
+    assert registrations.pop_decisions() == [_registration.Registered(job)]
+
+
+@pytest.mark.parametrize(
+    ("silent_s", "decision"),
+    [(0.5, _registration.HeldElsewhere), (2.0, _registration.Registered)],
+)
+def test_holder_that_never_answers_keeps_a_job_back_unless_it_is_lost(
+    silent_s: float, decision: type[_registration.Decision]
+) -> None:
+    """Guards against clients that get nothing since their entry was lost."""
+    registrations = _make_registrations(silent_s=silent_s)
+    registrations.start(0.0, _make_job(deadline_s=3.7))
+    holder = next(
+        name
+        for name in _ENTRIES[1:]
+        if name not in _registrars("entry-0", _JOB, _ENTRIES)
+    )
+    _answer_all(registrations, holder)
+    for _ in range(20):
+        registrations.check(min(registrations.due_at, 0.3))
+    (decided,) = registrations.pop_decisions()
+    assert isinstance(decided, decision)
+
+
 def test_closed_job_is_not_registered_further() -> None:
     registrations = _make_registrations()
     job = _make_job()
