Look into the own register before a job is started

Cause: an entry read its register for other entries alone. So two entries met at a registrar that was neither of them, or at the entry of the first submission, but not at that of the second.

Change: what the own register holds counts as the answer of one more registrar, at no cost.

--- a/src/ferryledge/leases/_duplicates.py
+++ b/src/ferryledge/leases/_duplicates.py
@@ -162,7 +162,8 @@
             self._peers.entry_count <= _entry_selection.ENTRIES_PER_AGENT
         )
         if self._rules.registers_jobs and not agents_serve_all:
-            self._registrations.start(now, job)
+            known = self._register.find(now, job.name)
+            self._registrations.start(now, job, known)
 
     def check(self, now: float) -> bool:
         """Give up the jobs that were found elsewhere.
--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -102,6 +102,13 @@
             self._record(now, entry, submission)
         return wire.RegisteredJob(job, known.entry, known.deadline_s)
 
+    def find(self, now: float, job: str) -> wire.RegisteredJob | None:
+        """Return the submission of a job that another entry registered."""
+        known = self._jobs.get(job)
+        if known is None or known.until <= now:
+            return None
+        return wire.RegisteredJob(job, known.entry, known.deadline_s)
+
     def _record(
         self, now: float, entry: str, submission: wire.SubmittedJob
     ) -> None:
@@ -224,13 +231,26 @@
             if was_asked or is_holder:
                 self._advance(now, pending)
 
-    def start(self, now: float, job: _jobs.Job) -> None:
-        """Register a job; it is marked until its registration is complete."""
+    def start(
+        self,
+        now: float,
+        job: _jobs.Job,
+        known: wire.RegisteredJob | None = None,
+    ) -> None:
+        """Register a job; it is marked until its registration is complete.
+
+        :param now: monotonic seconds
+        :param job: the job
+        :param known: another submission that this entry knows as a registrar
+        """
         job.is_registering = True
         pending = _Pending(job)
         self._pending[job.name] = pending
         self._ask_registrars(now, pending)
-        self._advance(now, pending)
+        if known is not None:
+            self._on_holder(now, self._name, known, pending)
+        if job.name in self._pending:
+            self._advance(now, pending)
 
     def receive(
         self, now: float, peer: str, registered: wire.RegisteredJob
--- a/src/ferryledge/leases/tests/test_registration.py
+++ b/src/ferryledge/leases/tests/test_registration.py
@@ -325,6 +325,16 @@
     assert isinstance(decided, decision)
 
 
+def test_entry_looks_into_its_own_register() -> None:
+    """Guards against a registrar that starts a job which it knows."""
+    registrations = _make_registrations()
+    job = _make_job(deadline_s=5.0)
+    known = wire.RegisteredJob(_JOB, "entry-7", 3.7)
+    registrations.start(0.0, job, known)
+    decisions = registrations.pop_decisions()
+    assert decisions == [_registration.HeldElsewhere(job, "entry-7")]
+
+
 def test_closed_job_is_not_registered_further() -> None:
     registrations = _make_registrations()
     job = _make_job()
@@ -419,6 +429,30 @@
     assert not world.violations
 
 
+@pytest.mark.parametrize("number", range(8))
+def test_late_request_starts_nothing_at_a_registrar_of_its_repetition(
+    number: int,
+) -> None:
+    """Guards against an entry that does not look into its own register.
+
+    The other registrar that it would ask has just started again.
+    """
+    job = next(
+        job
+        for job in (f"{number:08x}{n:08x}" for n in range(1000))
+        if "entry-0" in _registrars("entry-7", job, _ENTRIES[:8])
+    )
+    world = _make_world()
+    world.submit("entry-7", job, 8, 2.0, 1000, 3.7)
+    world.run(0.1)
+    for name in _registrars("entry-7", job, _ENTRIES[:8]) - {"entry-0"}:
+        world.kill(name, down_s=0.1)
+    world.run(0.4)
+    world.submit("entry-0", job, 8, 2.0, 1000, 5.0)
+    world.run(3.0)
+    assert not world.violations
+
+
 def test_registration_is_needed() -> None:
     world = _make_world(rules=_UNREGISTERED)
     _repeat(world, "entry-0", "entry-7")
