Confirm only the ends that the last answer listed

What callers saw: nothing of a job at an endpoint that had restarted under its id between two renewals of its agent; its tasks ran again and again.

Cause: each renewal confirmed all ends so far, also when nothing was left to confirm. An endpoint that restarts keeps its id and numbers its ends from 1, so it took the confirmations of its former start and dropped the ends of the new one unheard. Found beside it, the same for a successor of any id: after an announced shutdown calls name no incarnation, and the second one that the successor answered before its first heartbeat confirmed its predecessor's ends.

Ruled out: a confirmation that only the right start takes. /hold is refused for another id or for a token below the highest one seen; a new start has the same id and has seen no token. Listing before each confirmation: an answer tells which start gave it and not which one takes the next call, and no least time between two starts is promised.

Change: a renewal confirms ends only if the answer before it listed some, and nothing once the endpoint has announced its shutdown. Calls that list runs beside a waiting renewal confirm nothing.

What is left: a restart between an answer that lists ends and the carrying out of the call that confirms them.

The mutation of failed renewals needs an end that waits for its confirmation at the restart, since nothing is confirmed at rest any more; its scenario was an idle endpoint, which test_restarts.py still plays. One mutation for the new rule.

--- a/src/ferryledge/leases/_endpoint.py
+++ b/src/ferryledge/leases/_endpoint.py
@@ -63,6 +63,9 @@
         self.synced = False
         #: Number of the last end that was processed.
         self.acknowledged = 0
+        #: Whether the last answer listed ends. The endpoint lists an end
+        #: until it is acknowledged.
+        self._lists_ends = False
         self._clock_ms = 0
         self._clock_at = now
         self._token = 0
@@ -288,6 +291,7 @@
     def _reset(self) -> None:
         """Reset what is known of the previous incarnation."""
         self.acknowledged = 0
+        self._lists_ends = False
         self.synced = False
         self._clock_ms = 0
         self._lease_until_ms = 0
@@ -304,6 +308,7 @@
             return False
         self._shut_down_incarnation = incarnation
         self._incarnation = ""
+        self._lists_ends = False
         self.heartbeat = None
         return True
 
@@ -327,19 +332,27 @@
         may_renew = self.synced and not self.is_down
         if self._token and may_renew and not self.is_unresponsive(now):
             lease_until_ms = self.extend_lease(now)
-        # Another incarnation may answer, whose ends have the same numbers.
-        # Acknowledged unread they would be lost, and their tasks run twice.
         is_reachable = self._fault is None and self.was_renewed_recently(now)
         return _agent_events.Renewal(
             self.incarnation,
             lease_until_ms,
             self._token,
-            self.acknowledged if is_reachable else 0,
+            self._acknowledgement() if is_reachable else 0,
             _WAIT_MS if self.synced and is_reachable else 0,
             self._answer_times.limit_s,
             self._retry_s,
         )
 
+    def _acknowledgement(self) -> int:
+        """Return up to which number the next renewal acknowledges ends.
+
+        A restarted endpoint accepts what is meant for its predecessor. Its
+        own ends have the same numbers; acknowledged unread they would be
+        lost, and their tasks run twice. So nothing is acknowledged but what
+        the last answer listed.
+        """
+        return self.acknowledged if self._lists_ends else 0
+
     def failed(self, fault: _agent_events.CallFault) -> None:
         """Record that a renewal failed."""
         self._fault = fault
@@ -348,8 +361,16 @@
         else:
             self._retry_s = _RETRY_S
 
-    def renewed(self, sent_at: float, now: float) -> None:
-        """Record a successful renewal that was sent at ``sent_at``."""
+    def renewed(
+        self, sent_at: float, now: float, lists_ends: bool = False
+    ) -> None:
+        """Record a successful renewal.
+
+        :param sent_at: when it was sent, in monotonic seconds
+        :param now: monotonic seconds
+        :param lists_ends: whether its answer listed ends
+        """
+        self._lists_ends = lists_ends
         beyond_s = now - sent_at - _WAIT_MS / 1000.0
         if beyond_s > 0.0:
             # An earlier answer was sent because a run ended, so it says
--- a/src/ferryledge/leases/_endpoint_watch.py
+++ b/src/ferryledge/leases/_endpoint_watch.py
@@ -241,7 +241,7 @@
         self._link.note_clock(event.clock_ms, now)
         if not had_token:
             return
-        self._link.renewed(event.sent_at, now)
+        self._link.renewed(event.sent_at, now, bool(event.ended))
         self._note_recovery(now)
         self._save_heartbeat()
         self._notes.renewed()
--- a/src/ferryledge/leases/_run_stopper.py
+++ b/src/ferryledge/leases/_run_stopper.py
@@ -221,7 +221,11 @@
         self._list_at = float("inf")
         if any(self._is_list_needed(row) for row in self._runs):
             self._list_at = now + self._answer_times.limit_s
-        renewal = msgspec.structs.replace(self._link.renewal(now), wait_ms=0)
+        # Regular renewals acknowledge ends. This call may be sent long after
+        # the last answer, if one of them is waiting.
+        renewal = msgspec.structs.replace(
+            self._link.renewal(now), acknowledged=0, wait_ms=0
+        )
         self._act(_agent_events.ListRuns(renewal))
 
     def _is_list_needed(self, row: _runs.RunRow) -> bool:
--- a/src/ferryledge/leases/tests/faults.py
+++ b/src/ferryledge/leases/tests/faults.py
@@ -254,6 +254,20 @@
 }
 
 
+def run_until_end_is_listed(world: worlds.World, agent: str) -> None:
+    """Run until an agent knows an end that its endpoint still lists.
+
+    It has not acknowledged this end yet.
+    """
+    endpoint = world.endpoints[agent]
+    link = world.nodes[agent].core.link
+    for _ in range(2000):
+        if any(end.number <= link.acknowledged for end in endpoint.ended):
+            return
+        world.run(0.001)
+    raise AssertionError("the agent learned of no end")
+
+
 def play_stale_entry() -> worlds.World:
     """Cordon a zone while an entry can't learn of it, and submit jobs there.
 
--- a/src/ferryledge/leases/tests/test_endpoint_incarnations.py
+++ b/src/ferryledge/leases/tests/test_endpoint_incarnations.py
@@ -4,6 +4,7 @@
 import pytest
 
 from ferryledge import leases
+from ferryledge.leases.tests import faults
 from ferryledge import loads as worlds
 from ferryledge import outcomes
 
@@ -116,3 +117,98 @@
     world.run(3.0)
     assert isinstance(world.outcome(token), outcomes.Complete)
     assert world.started["a" * 16] == 4
+
+
+@pytest.fixture
+def busy_world() -> worlds.World:
+    """Return a world whose only endpoint has ended 80 runs."""
+    made = worlds.World(seed=1, entries=1, agents=1)
+    made.run(3.0)
+    for number in range(40):
+        made.submit("entry-0", f"{number:016x}", work_s=0.05)
+        made.run(0.1)
+    made.run(1.0)
+    return made
+
+
+def _assert_ends_are_heard(world: worlds.World) -> None:
+    """Assert that the tasks of a job end and start only once."""
+    token = world.submit("entry-0", "a" * 16, count=4)
+    world.run(3.0)
+    assert isinstance(world.outcome(token), outcomes.Complete)
+    assert world.started["a" * 16] == 4
+
+
+@pytest.mark.parametrize("same_id", [False, True])
+def test_ends_after_an_announced_shutdown_are_heard(
+    busy_world: worlds.World, same_id: bool
+) -> None:
+    """Guards against ends that are confirmed to a successor.
+
+    It may answer calls before its first heartbeat.
+    """
+    heartbeat = busy_world.report_of(_AGENT, 1)
+    left = leases.EndpointLeft(heartbeat.endpoint_id, heartbeat.born_ms)
+    busy_world.post(_AGENT, left)
+    endpoint = busy_world.endpoints[_AGENT]
+    endpoint.crash()
+    busy_world.run(0.2)
+    endpoint.restart(busy_world.now, same_id)
+    busy_world.run(2.0)
+    _assert_ends_are_heard(busy_world)
+
+
+@pytest.mark.parametrize("same_id", [False, True])
+def test_ends_after_a_shutdown_announced_at_an_end_are_heard(
+    busy_world: worlds.World, same_id: bool
+) -> None:
+    """Guards against the last listed end being confirmed to a successor."""
+    heartbeat = busy_world.report_of(_AGENT, 1)
+    busy_world.submit("entry-0", "b" * 16, count=1)
+    faults.run_until_end_is_listed(busy_world, _AGENT)
+    left = leases.EndpointLeft(heartbeat.endpoint_id, heartbeat.born_ms)
+    busy_world.post(_AGENT, left)
+    endpoint = busy_world.endpoints[_AGENT]
+    endpoint.crash()
+    endpoint.restart(busy_world.now, same_id)
+    busy_world.run(2.0)
+    _assert_ends_are_heard(busy_world)
+
+
+def test_lists_between_two_renewals_confirm_no_ends() -> None:
+    """Guards against a confirmation that is sent long after an answer.
+
+    The renewal under way may wait, and the endpoint restart meanwhile.
+    """
+    world = worlds.World(seed=4)
+    confirmed: list[int] = []
+    list_runs = world._list_runs
+
+    def note(agent: str, renewal: leases.Renewal) -> None:
+        confirmed.append(renewal.acknowledged)
+        list_runs(agent, renewal)
+
+    world._list_runs = note
+    world.run(3.0)
+    world.late_orders = 0.2
+    for number in range(60):
+        world.submit("entry-0", f"{number:016x}", work_s=0.05)
+        world.run(0.05)
+    assert len(confirmed) > 20
+    assert not any(confirmed)
+
+
+def test_ends_of_an_endpoint_restarted_before_a_confirmation_are_heard(
+    busy_world: worlds.World,
+) -> None:
+    """Guards against confirming to one start what another has listed.
+
+    Nothing in the call tells the endpoint which start it is meant for.
+    """
+    busy_world.submit("entry-0", "b" * 16, count=1)
+    faults.run_until_end_is_listed(busy_world, _AGENT)
+    endpoint = busy_world.endpoints[_AGENT]
+    endpoint.crash()
+    endpoint.restart(busy_world.now, same_id=True)
+    busy_world.run(2.0)
+    _assert_ends_are_heard(busy_world)
--- a/src/ferryledge/leases/tests/test_mutations.py
+++ b/src/ferryledge/leases/tests/test_mutations.py
@@ -134,13 +134,19 @@
     return _silent_streams(work_s=2.0)
 
 
-def _endpoint_restarted(down_s: float = 1.0) -> worlds.World:
-    """Return a world whose only endpoint restarted under the same id."""
+def _busy_endpoint() -> worlds.World:
+    """Return a world whose only endpoint has ended 24 runs."""
     world = worlds.World(seed=5, agents=1)
     world.run(4.0)
     for number in range(6):
         world.submit("entry-0", f"{number:016x}", 4, 0.05)
         world.run(0.3)
+    return world
+
+
+def _endpoint_restarted(down_s: float = 1.0) -> worlds.World:
+    """Return a world whose only endpoint restarted under the same id."""
+    world = _busy_endpoint()
     world.crash_endpoint("agent-0", down_s, same_id=True)
     world.run(down_s + 1.0)
     return world
@@ -156,8 +162,8 @@
     return world
 
 
-def _jobs_after_a_restart() -> worlds.World:
-    world = _endpoint_restarted(down_s=0.2)
+def _run_a_job_once(world: worlds.World) -> worlds.World:
+    """Submit a job; record a violation if its tasks start again."""
     world.submit("entry-0", _JOB, count=4, work_s=0.05)
     world.run(1.0)
     if world.started[_JOB] != 4:
@@ -165,6 +171,20 @@
     return world
 
 
+def _jobs_after_a_restart_at_an_end() -> worlds.World:
+    """Restart the endpoint before the agent acknowledges an end."""
+    world = _busy_endpoint()
+    world.submit("entry-0", "b" * 16, 1, 0.05)
+    faults.run_until_end_is_listed(world, "agent-0")
+    world.crash_endpoint("agent-0", 0.2, same_id=True)
+    world.run(1.2)
+    return _run_a_job_once(world)
+
+
+def _jobs_after_an_unnoticed_restart() -> worlds.World:
+    return _run_a_job_once(_endpoint_restarted(down_s=0.0))
+
+
 def _restarted_before_a_start_call() -> worlds.World:
     world = worlds.World(seed=5, agents=2)
     world.run(2.0)
@@ -390,7 +410,13 @@
         _endpoint.EndpointLink,
         "failed",
         _do_nothing,
-        _jobs_after_a_restart,
+        _jobs_after_a_restart_at_an_end,
+    ),
+    "ends are acknowledged that the last answer did not list": Mutation(
+        _endpoint.EndpointLink,
+        "_acknowledgement",
+        lambda link: link.acknowledged,
+        _jobs_after_an_unnoticed_restart,
     ),
     "unlisted runs are not stopped after a restart": Mutation(
         _endpoint_watch.EndpointWatch,
