Let clients replace a ticket whose issuer stopped before its verdict

What callers saw: a job that must not run twice failed with "agent_lost, may have run" beside a planned stop of an agent, at its first attempt.

Cause: a client keeps spare tickets for up to 120 s, longer than an agent that stops honours them (2 s). An entry asks the agent for permission; if the agent has read its last message by then, no verdict comes, and the job failed with "agent_lost" after 2 s. Clients take another ticket after "ticket_lost" only, which is what they are told once the entry has noticed the end. So what a client got depended on whether its job or the end of the stream came first.

Ruled out: an order on its way (the entry had confirmed the announcement and orders nothing then); a longer time for tickets, which only moves the moment. The change makes no job run twice: a job without a verdict starts nowhere, and the outcome stays "may have run", since an earlier submission may have used the ticket. A client that has used it before still gets the failure.

Change: jobs that wait for the verdict of an agent that is gone fail with "ticket_lost".

The test failed before with "agent_lost".

Whether the listed failure was this one is not known.

--- a/src/ferryledge/core/_endpoints.py
+++ b/src/ferryledge/core/_endpoints.py
@@ -93,12 +93,24 @@
     def agent_gone(self, now: float, row: placement.EndpointRow) -> None:
         """Remove a lost endpoint and fail the jobs that depend on it."""
         submissions = {binding.submission for binding in row.bound.values()}
-        for job in self._state.jobs.values():
-            is_pending = job.ticket_use is _jobs.TicketUse.PENDING
-            if is_pending and ledger.issuer_of(job.message.ticket) == row.name:
-                submissions.add(job.submission)
+        unauthorised = [
+            job
+            for job in self._state.jobs.values()
+            if job.ticket_use is _jobs.TicketUse.PENDING
+            and ledger.issuer_of(job.message.ticket) == row.name
+        ]
         self._state.table.drop(row.name)
         self._state.health_tracker.leave(row.name)
+        for job in unauthorised:
+            # Nothing runs before the verdict, so a client that has not used
+            # the ticket before may take another one.
+            self._answering.fail(
+                now,
+                job,
+                outcomes.Reason.TICKET_LOST,
+                outcomes.Step.AUTHORISE,
+                row.name,
+            )
         for submission in submissions:
             lost_job = self._state.jobs.get(submission)
             if lost_job is not None:
--- a/src/ferryledge/core/tests/test_entry.py
+++ b/src/ferryledge/core/tests/test_entry.py
@@ -332,6 +332,24 @@
 GRANTED = wire.Verdict("agent-1~a~0", "f.1", wire.VerdictTag.GRANTED)
 
 
+def test_client_may_replace_a_ticket_whose_issuer_gave_no_verdict():
+    """Guards against a ticket that is used just as its issuer stops."""
+    driver = Driver()
+    _place_with_ticket(driver)
+    driver.do(core.PeerDown("agent-1", "a"))
+    driver.now += 3.0
+    actions = driver.do()
+    assert starts(actions) == []
+    (answered,) = [
+        action.message.outcome
+        for action in actions
+        if isinstance(action, core.Send)
+        and isinstance(action.message, wire.JobAnswered)
+    ]
+    assert answered.tag == "failed_may_have_run"
+    assert (answered.reason, answered.step) == ("ticket_lost", "authorise")
+
+
 def test_abandoned_job_settles_its_ticket():
     """Guards against an arbiter that waits for it and cannot stop."""
     driver = Driver()
