Let a stopping agent wait for entries that connect meanwhile

What callers would see: a job that fails with "agent_lost, may have run" beside a planned stop of an agent, if an entry connects again just before the agent announces its stop and then stands still.

Cause: an agent waits once until all connected entries have read that it stops. An entry whose stream opens during the time for tickets is told again, since its greeting may be older than the stop, but the agent ended without its confirmation. An order of such an entry goes to an agent that is gone.

It was not provoked with whole processes: streams on one machine do not break by load.

--- a/src/ferryledge/agent/_daemon.py
+++ b/src/ferryledge/agent/_daemon.py
@@ -126,16 +126,27 @@
         self._driver.post(core.DrainRequested())
         with anyio.move_on_after(self._settings.drain_s):
             # An order may be in flight from an entry that does not know yet.
-            with anyio.move_on_after(_KNOWN_AFTER_S):
-                while not self._core.is_drain_known:
-                    await anyio.sleep(_DRAIN_POLL_S)
+            all_know = await self._wait_until_known()
             # Clients may still use the tickets that this agent arbitrates.
             await anyio.sleep(self._settings.ticket_linger_s)
             while self._is_busy():
                 await anyio.sleep(_DRAIN_POLL_S)
+            if all_know:
+                # Others may have connected since.
+                await self._wait_until_known()
         await anyio.sleep(_FLUSH_DELAY_S)
         loguru.logger.info("agent stopped", step="drain")
 
+    async def _wait_until_known(self) -> bool:
+        """Wait until all connected entries know that this agent drains.
+
+        :return: whether they do; false if one takes too long
+        """
+        with anyio.move_on_after(_KNOWN_AFTER_S):
+            while not self._core.is_drain_known:
+                await anyio.sleep(_DRAIN_POLL_S)
+        return self._core.is_drain_known
+
     def _is_busy(self) -> bool:
         tickets_in_use = bool(self._core.tickets_in_use)
         return tickets_in_use or not self._core.idle or bool(self._calls)
