Let a stopping agent wait for entries whose streams broke

What callers saw: jobs that had run failed with "agent_lost, may have run" beside a planned stop of an agent whose streams broke for 1.4 s. An entry gives an agent 2 s to come back, and asks then for the results that it lacks.

Cause: a stopping agent did not count entries without a stream. It ended once no task ran, with results that could not be sent.

Ruled out: keeping count of results that were not sent. A result can also be lost within a stream that breaks, which the agent does not learn.

Change: the agent stays until every entry whose stream broke is back or has been gone for its time to reconnect (5 s, checked each second). Entries that leave themselves are not awaited, since their jobs have ended. A stop beside an entry that was killed takes up to 6 s.

The test of the process failed before; those of the core are of the new property.

--- a/src/ferryledge/agent/_daemon.py
+++ b/src/ferryledge/agent/_daemon.py
@@ -148,8 +148,12 @@
         return self._core.is_drain_known
 
     def _is_busy(self) -> bool:
-        tickets_in_use = bool(self._core.tickets_in_use)
-        return tickets_in_use or not self._core.idle or bool(self._calls)
+        return (
+            bool(self._core.tickets_in_use)
+            or self._core.awaits_schedulers
+            or not self._core.idle
+            or bool(self._calls)
+        )
 
     def _perform(self, action: core.Action) -> None:
         match action:
--- a/src/ferryledge/agent/tests/test_daemon.py
+++ b/src/ferryledge/agent/tests/test_daemon.py
@@ -163,3 +163,30 @@
         stop.entry.confirm()
         with anyio.fail_after(_LIMIT_S):
             await stop.ended.wait()
+
+
+async def test_stop_waits_for_an_entry_that_lacks_a_result():
+    """Guards against a result that is lost with the agent."""
+    async with _running() as stop:
+        await stop.start_task()
+        stop.drain.set()
+        await _until(lambda: stop.entry.count(wire.Leaving) == 1)
+        await stop.disconnect()
+        stop.endpoint.release.set()
+        await anyio.sleep(_STOP_S)
+        await stop.connect()
+        stop.entry.send(wire.Reconcile((0,), ("e1.1",)))
+        await _until(lambda: stop.entry.count(wire.TasksFinished) == 1)
+        with anyio.fail_after(_LIMIT_S):
+            await stop.ended.wait()
+
+
+async def test_stop_does_not_wait_for_an_entry_that_left():
+    async with _running() as stop:
+        stop.entry.send(wire.Leaving())
+        stop.drain.set()
+        await _until(lambda: stop.entry.count(wire.Leaving) == 1)
+        await stop.disconnect()
+        # Less than a stop waits for an entry that may come back.
+        with anyio.fail_after(_LIMIT_S - 1.0):
+            await stop.ended.wait()
--- a/src/ferryledge/core/_agent.py
+++ b/src/ferryledge/core/_agent.py
@@ -38,6 +38,8 @@
     reported_version: int = 0
     #: Whether it is known to have read that this agent drains.
     knows_of_drain: bool = False
+    #: Whether it is draining itself; its stream closes once its work is done.
+    leaving: bool = False
 
 
 class AgentCore:
@@ -95,6 +97,14 @@
             if owner.connected
         )
 
+    @property
+    def awaits_schedulers(self) -> bool:
+        """Whether a scheduler may reconnect, to ask for results it lacks."""
+        return any(
+            not (owner.connected or owner.leaving)
+            for owner in self._owners.values()
+        )
+
     @property
     def idle(self) -> bool:
         """Whether no task runs and no batch is open."""
@@ -273,8 +283,8 @@
                 self._on_reconcile(now, owner, message)
             case wire.FenceOwner():
                 self._on_fence(now, owner, message)
-            case wire.Leaving(confirms=True):
-                self._owners[owner].knows_of_drain = True
+            case wire.Leaving(confirms):
+                self._on_leaving(owner, confirms)
             case _:
                 self._arbiter.on_message(now, owner, message)
 
@@ -571,6 +581,12 @@
 
     # Draining.
 
+    def _on_leaving(self, owner: str, confirms: bool) -> None:
+        if confirms:
+            self._owners[owner].knows_of_drain = True
+        else:
+            self._owners[owner].leaving = True
+
     def _on_drain(self) -> None:
         if self._draining:
             return
--- a/src/ferryledge/core/tests/test_agent.py
+++ b/src/ferryledge/core/tests/test_agent.py
@@ -137,6 +137,23 @@
     assert not driver.agent.is_drain_known
 
 
+def test_lost_scheduler_is_awaited_for_its_grace_period():
+    """Guards against a drain that takes results along."""
+    driver = Driver(owner_grace_s=5.0)
+    assert not driver.agent.awaits_schedulers
+    driver.process(core.PeerDown("e", "e1"))
+    assert driver.agent.awaits_schedulers
+    driver.now = 6.0
+    driver.process()
+    assert not driver.agent.awaits_schedulers
+
+
+def test_scheduler_that_left_is_not_awaited(driver):
+    driver.receive_message(wire.Leaving())
+    driver.process(core.PeerDown("e", "e1"))
+    assert not driver.agent.awaits_schedulers
+
+
 def test_results_are_batched_until_the_last_or_a_failure(driver):
     driver.start_tasks(0, tasks=3, report_each=False)
     assert sent(driver.end_task(0), wire.TasksFinished) == []
