Settle tickets whose outcome was lost with a stream

What callers saw: a planned stop of an agent took 60 s, and a client that repeated its job, which had ended, was told "in progress".

Cause: an entry sends the outcome of a job to the agent that issued its ticket. If the stream is broken then, or breaks before the agent reads that, nobody sends it again. The agent takes the job for running until the ticket ends after 900 s, and waits for it when it stops.

Change: an agent repeats its verdicts on the open tickets of an entry that reconnects. The entry settles those of jobs that it no longer has as "may have run", as it does for jobs that its front took back. Tickets of jobs that run on the agent itself are left out, since it settles them.

Ruled out: entries that keep outcomes until they are confirmed. That would save the answer of such a job, but needs a message that older agents do not send.

--- a/src/ferryledge/core/_agent.py
+++ b/src/ferryledge/core/_agent.py
@@ -198,6 +198,8 @@
             # The greeting may have been sent before the drain.
             owner.knows_of_drain = False
             self._send(now, hello.incarnation, wire.Leaving())
+        running = {batch.submission for batch in self._batches.values()}
+        self._arbiter.repeat_verdicts(now, hello.incarnation, running)
         self._update_config_version(hello.config_version)
 
     def _on_peer_down(self, now: float, name: str, incarnation: str) -> None:
--- a/src/ferryledge/core/_arbiter.py
+++ b/src/ferryledge/core/_arbiter.py
@@ -119,6 +119,26 @@
             message.ticket, message.submission, message.outcome
         )
 
+    def repeat_verdicts(
+        self, now: float, owner: str, running: abc.Set[str]
+    ) -> None:
+        """Repeat the authorisations of a scheduler that reconnected.
+
+        It settles those of jobs that it has no longer, whose outcome may have
+        been lost with the stream.
+
+        :param now: monotonic seconds
+        :param owner: incarnation of the scheduler
+        :param running: submissions that run on this agent, which settles them
+        """
+        granted: ledger.TicketVerdict[wire.OutcomeRecord] = (
+            ledger.TicketVerdict(ledger.TicketStatus.GRANTED)
+        )
+        for ticket, submission in self._tickets.open_uses(owner):
+            if submission not in running:
+                message = _convert.verdict(ticket, submission, granted)
+                self._send(now, owner, message)
+
     def settle_lost_owner(self, owner: str) -> None:
         """Settle a lost scheduler's open tickets: the jobs may have run."""
         lost = wire.OutcomeRecord(
--- a/src/ferryledge/core/tests/test_agent.py
+++ b/src/ferryledge/core/tests/test_agent.py
@@ -232,6 +232,24 @@
     assert verdict.outcome.results == (b"1",)
 
 
+def test_open_tickets_are_told_to_a_scheduler_that_reconnects(driver):
+    """Guards against an outcome that is lost with the stream."""
+    (tickets,) = sent(
+        driver.receive_message(wire.TicketRequest(3)), wire.Tickets
+    )
+    elsewhere, here, done = tickets.tickets
+    for ticket, submission in ((elsewhere, "f.90"), (done, "f.91")):
+        driver.receive_message(wire.Authorise(ticket, submission, "d"))
+    complete = wire.OutcomeRecord("complete")
+    driver.receive_message(wire.Settle(done, "f.91", complete))
+    assert started_seqs(driver.start_tasks(0, label="d", ticket=here)) == [0]
+    hello = wire.Hello(wire.Role.ENTRY, "e", "e1", "north")
+    actions = driver.process(core.PeerDown("e", "e1"), core.PeerUp(hello))
+    (verdict,) = sent(actions, wire.Verdict)
+    assert (verdict.ticket, verdict.submission) == (elsewhere, "f.90")
+    assert verdict.verdict is wire.VerdictTag.GRANTED
+
+
 def test_tickets_of_lost_scheduler_are_settled_after_grace_period(driver):
     (minted,) = sent(
         driver.receive_message(wire.TicketRequest(1)), wire.Tickets
--- a/src/ferryledge/ledger/_tickets.py
+++ b/src/ferryledge/ledger/_tickets.py
@@ -153,6 +153,18 @@
         if use and use.submission == submission and use.outcome is None:
             del self._uses[serial]
 
+    def open_uses(self, owner: str) -> list[tuple[str, str]]:
+        """Return the tickets that a scheduler has in progress.
+
+        :param owner: incarnation of the scheduler
+        :return: each ticket with the submission that it authorised
+        """
+        return [
+            (f"{self._prefix}{serial}", use.submission)
+            for serial, use in self._uses.items()
+            if use.owner == owner and use.outcome is None
+        ]
+
     def settle_owner(self, owner: str, outcome: OutcomeT) -> None:
         """Settle the tickets that a lost scheduler left in progress."""
         for use in self._uses.values():
