Issue no tickets while an agent stops

What callers would see: "ticket_lost" for tickets that an entry has just handed out, and retries taken from their budget.

Cause: an entry drops an agent's tickets when it reads that the agent stops. A request of the entry that is on its way then was still served, and the tickets arrived after that message. The entry hands them out until the stream closes, so also just before the agent ends.

Change: an agent that stops answers requests for tickets with none.

Evidence: the test of the core failed before.

--- a/src/ferryledge/core/_agent.py
+++ b/src/ferryledge/core/_agent.py
@@ -287,6 +287,9 @@
                 self._on_fence(now, owner, message)
             case wire.Leaving(confirms):
                 self._on_leaving(owner, confirms)
+            case wire.TicketRequest() if self._draining:
+                # An empty answer, so that the entry asks others.
+                self._send(now, owner, wire.Tickets(()))
             case _:
                 self._arbiter.on_message(now, owner, message)
 
--- a/src/ferryledge/core/tests/test_agent.py
+++ b/src/ferryledge/core/tests/test_agent.py
@@ -108,6 +108,13 @@
     assert released(driver.start_tasks(0)) == [((0,), REASON.LEAVING)]
 
 
+def test_draining_agent_issues_no_tickets(driver):
+    """Guards against tickets that are handed out when it is gone."""
+    driver.process(core.DrainRequested())
+    actions = driver.receive_message(wire.TicketRequest(2))
+    assert sent(actions, wire.Tickets) == [wire.Tickets(())]
+
+
 def test_drain_is_known_once_every_scheduler_confirmed_it(driver):
     """Guards against an agent that ends while an order is on its way."""
     second = wire.Hello(wire.Role.ENTRY, "f", "f1", "north")
