Let a stopping agent wait until its results are taken

What callers would see: a job with large results fails with "agent_lost, may have run" beside a planned stop of its agent, if its entry is slow to read.

Cause: the agent closed its streams 0.1 s after the last result, and with them dropped the bytes that the entry had not taken yet.

Evidence: a test with 14 results of 1 MB and a stream that stands still for 0.8 s.

--- a/src/ferryledge/agent/_daemon.py
+++ b/src/ferryledge/agent/_daemon.py
@@ -134,6 +134,10 @@
             if all_know:
                 # Others may have connected since.
                 await self._wait_until_known()
+            # The last results are on the streams by then.
+            await anyio.sleep(_DRAIN_POLL_S)
+            while self._mesh.unsent:
+                await anyio.sleep(_DRAIN_POLL_S)
         await anyio.sleep(_FLUSH_DELAY_S)
         loguru.logger.info("agent stopped", step="drain")
 
--- a/src/ferryledge/agent/tests/test_daemon.py
+++ b/src/ferryledge/agent/tests/test_daemon.py
@@ -8,6 +8,7 @@
 
 from ferryledge import agent
 from ferryledge import net
+from ferryledge.soak import _proxy
 from ferryledge import wire
 
 pytestmark = pytest.mark.anyio
@@ -20,6 +21,9 @@
 _STOP_S = _LINGER_S + 0.5
 #: Shorter than an agent waits for an entry that confirms nothing.
 _LIMIT_S = 5.0
+#: So many of the largest results do not fit the buffers of sockets.
+_TASKS = 14
+_LARGE_RESULT = b'"' + b"x" * 1_000_000 + b'"'
 
 
 @pytest.fixture
@@ -76,10 +80,11 @@
 
     entry: _Entry
     endpoint: _Endpoint
+    proxy: _proxy.Proxy
     address: net.PeerAddress
     group: anyio.abc.TaskGroup
-    drain: anyio.Event = dataclasses.field(default_factory=anyio.Event)
-    ended: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    drain: anyio.Event
+    ended: anyio.Event
 
     async def connect(self):
         ups = self.entry.count(wire.PeerUp)
@@ -91,11 +96,17 @@
         self.entry.mesh.close("agent-1")
         await anyio.sleep(0.05)
 
-    async def start_task(self):
+    async def start_tasks(self, count=1):
         (up,) = [e for e in self.entry.events if isinstance(e, wire.PeerUp)]
         self.entry.send(
             wire.StartTasks(
-                up.hello.incarnation, "e1.1", "s", 5.0, 0, (0,), (b"1",)
+                up.hello.incarnation,
+                "e1.1",
+                "s",
+                5.0,
+                0,
+                tuple(range(count)),
+                (b"1",) * count,
             )
         )
         with anyio.fail_after(_LIMIT_S):
@@ -126,20 +137,26 @@
                 zone="north",
                 peer_keys=_KEY,
                 endpoint_url=f"http://{_HOST}:{port}",
+                slots=_TASKS,
                 ticket_linger_s=_LINGER_S,
             )
         )
-        stop = _Stop(_Entry(), endpoint, None, group)
+        drain = anyio.Event()
+        ended = anyio.Event()
 
         async def run(*, task_status):
-            await daemon.run(stop.drain, task_status=task_status)
-            stop.ended.set()
+            await daemon.run(drain, task_status=task_status)
+            ended.set()
 
         await group.start(run)
-        stop.address = net.PeerAddress("agent-1", _HOST, daemon.peer_port)
+        proxy = _proxy.Proxy((_HOST, 0), (_HOST, daemon.peer_port))
+        await proxy.start()
+        address = net.PeerAddress("agent-1", _HOST, proxy.port)
+        stop = _Stop(_Entry(), endpoint, proxy, address, group, drain, ended)
         await stop.connect()
         yield stop
         group.cancel_scope.cancel()
+    await proxy.close()
 
 
 async def test_stop_ends_once_entries_know_of_it():
@@ -168,7 +185,7 @@
 async def test_stop_waits_for_an_entry_that_lacks_a_result():
     """Guards against a result that is lost with the agent."""
     async with _running() as stop:
-        await stop.start_task()
+        await stop.start_tasks()
         stop.drain.set()
         await _until(lambda: stop.entry.count(wire.Leaving) == 1)
         await stop.disconnect()
@@ -190,3 +207,20 @@
         # Less than a stop waits for an entry that may come back.
         with anyio.fail_after(_LIMIT_S - 1.0):
             await stop.ended.wait()
+
+
+async def test_stop_waits_until_a_slow_entry_has_taken_all_results():
+    """Guards against results that are dropped with the stream."""
+    async with _running() as stop:
+        stop.endpoint.result = _LARGE_RESULT
+        await stop.start_tasks(_TASKS)
+        stop.drain.set()
+        await _until(lambda: stop.entry.count(wire.Leaving) == 1)
+        await anyio.sleep(_LINGER_S)
+        stop.proxy.weather.cut_back = True
+        stop.endpoint.release.set()
+        await anyio.sleep(_STOP_S)
+        stop.proxy.weather.cut_back = False
+        await _until(lambda: stop.entry.count(wire.TasksFinished) == _TASKS)
+        with anyio.fail_after(_LIMIT_S):
+            await stop.ended.wait()
--- a/src/ferryledge/net/_mesh.py
+++ b/src/ferryledge/net/_mesh.py
@@ -50,6 +50,11 @@
         #: Set when the stream is closed or replaced.
         self.closed = anyio.Event()
 
+    @property
+    def unsent(self) -> int:
+        """The number of bytes that the peer is too slow to take."""
+        return self._stream.unsent
+
     def send(self, data: bytes) -> None:
         """Send bytes; closes the stream if too many are unsent."""
         self._stream.write(data)
@@ -110,6 +115,11 @@
         """The number of bytes sent to peers so far."""
         return self._bytes_sent
 
+    @property
+    def unsent(self) -> int:
+        """The number of bytes that would be lost if all streams closed now."""
+        return sum(each.unsent for each in self._connections.values())
+
     @property
     def refused(self) -> int:
         """The number of streams refused for a failed handshake."""
