--- a/src/ferryledge/core/_agent.py
+++ b/src/ferryledge/core/_agent.py
@@ -38,6 +38,8 @@
     reported_version: int = 0
     #: Whether it is known to have read that this agent drains.
     knows_of_drain: bool = False
+    #: Whether it is draining itself; its stream closes once its work is done.
+    leaving: bool = False
 
 
 class AgentCore:
@@ -95,6 +97,14 @@
             if owner.connected
         )
 
+    @property
+    def awaits_schedulers(self) -> bool:
+        """Whether a scheduler may reconnect, to ask for results it lacks."""
+        return any(
+            not (owner.connected or owner.leaving)
+            for owner in self._owners.values()
+        )
+
     @property
     def idle(self) -> bool:
         """Whether no task runs and no batch is open."""
@@ -188,6 +198,8 @@
             # The greeting may have been sent before the drain.
             owner.knows_of_drain = False
             self._send(now, hello.incarnation, wire.Leaving())
+        running = {batch.submission for batch in self._batches.values()}
+        self._arbiter.repeat_verdicts(now, hello.incarnation, running)
         self._update_config_version(hello.config_version)
 
     def _on_peer_down(self, now: float, name: str, incarnation: str) -> None:
@@ -273,8 +285,11 @@
                 self._on_reconcile(now, owner, message)
             case wire.FenceOwner():
                 self._on_fence(now, owner, message)
-            case wire.Leaving(confirms=True):
-                self._owners[owner].knows_of_drain = True
+            case wire.Leaving(confirms):
+                self._on_leaving(owner, confirms)
+            case wire.TicketRequest() if self._draining:
+                # An empty answer, so that the entry asks others.
+                self._send(now, owner, wire.Tickets(()))
             case _:
                 self._arbiter.on_message(now, owner, message)
 
@@ -571,6 +586,12 @@
 
     # Draining.
 
+    def _on_leaving(self, owner: str, confirms: bool) -> None:
+        if confirms:
+            self._owners[owner].knows_of_drain = True
+        else:
+            self._owners[owner].leaving = True
+
     def _on_drain(self) -> None:
         if self._draining:
             return
--- a/src/ferryledge/core/tests/test_agent.py
+++ b/src/ferryledge/core/tests/test_agent.py
@@ -108,6 +108,13 @@
     assert released(driver.start_tasks(0)) == [((0,), REASON.LEAVING)]
 
 
+def test_draining_agent_issues_no_tickets(driver):
+    """Guards against tickets that are handed out when it is gone."""
+    driver.process(core.DrainRequested())
+    actions = driver.receive_message(wire.TicketRequest(2))
+    assert sent(actions, wire.Tickets) == [wire.Tickets(())]
+
+
 def test_drain_is_known_once_every_scheduler_confirmed_it(driver):
     """Guards against an agent that ends while an order is on its way."""
     second = wire.Hello(wire.Role.ENTRY, "f", "f1", "north")
@@ -137,6 +144,23 @@
     assert not driver.agent.is_drain_known
 
 
+def test_lost_scheduler_is_awaited_for_its_grace_period():
+    """Guards against a drain that takes results along."""
+    driver = Driver(owner_grace_s=5.0)
+    assert not driver.agent.awaits_schedulers
+    driver.process(core.PeerDown("e", "e1"))
+    assert driver.agent.awaits_schedulers
+    driver.now = 6.0
+    driver.process()
+    assert not driver.agent.awaits_schedulers
+
+
+def test_scheduler_that_left_is_not_awaited(driver):
+    driver.receive_message(wire.Leaving())
+    driver.process(core.PeerDown("e", "e1"))
+    assert not driver.agent.awaits_schedulers
+
+
 def test_results_are_batched_until_the_last_or_a_failure(driver):
     driver.start_tasks(0, tasks=3, report_each=False)
     assert sent(driver.end_task(0), wire.TasksFinished) == []
@@ -215,6 +239,24 @@
     assert verdict.outcome.results == (b"1",)
 
 
+def test_open_tickets_are_told_to_a_scheduler_that_reconnects(driver):
+    """Guards against an outcome that is lost with the stream."""
+    (tickets,) = sent(
+        driver.receive_message(wire.TicketRequest(3)), wire.Tickets
+    )
+    elsewhere, here, done = tickets.tickets
+    for ticket, submission in ((elsewhere, "f.90"), (done, "f.91")):
+        driver.receive_message(wire.Authorise(ticket, submission, "d"))
+    complete = wire.OutcomeRecord("complete")
+    driver.receive_message(wire.Settle(done, "f.91", complete))
+    assert started_seqs(driver.start_tasks(0, label="d", ticket=here)) == [0]
+    hello = wire.Hello(wire.Role.ENTRY, "e", "e1", "north")
+    actions = driver.process(core.PeerDown("e", "e1"), core.PeerUp(hello))
+    (verdict,) = sent(actions, wire.Verdict)
+    assert (verdict.ticket, verdict.submission) == (elsewhere, "f.90")
+    assert verdict.verdict is wire.VerdictTag.GRANTED
+
+
 def test_tickets_of_lost_scheduler_are_settled_after_grace_period(driver):
     (minted,) = sent(
         driver.receive_message(wire.TicketRequest(1)), wire.Tickets
