Replace a silent stream between entries before clients repeat jobs

What callers saw: a job ran twice at once after open connections had gone silent for good. A client whose connection is among them submits its job again at another entry after 1.3 s, and the first entry, which notices nothing, runs it on.

Cause: entries noticed a silent stream to another entry only after 2.2 s, so the repetition could not be registered anywhere.

Change: keep-alives each 0.5 s instead of 1 s, and after 1.05 s without any message, or 0.6 s if a registration was not answered either, the entry that dials opens a second stream beside the first, as agents do. A message on the first one cancels that.

--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -230,6 +230,10 @@
                 self._mesh.send(peer, message)
             case leases.CloseStream(peer):
                 self._mesh.close(peer)
+            case leases.ReopenStream(peer):
+                self._group.start_soon(self._mesh.reopen, peer)
+            case leases.CancelReopen(peer):
+                self._mesh.cancel_reopen(peer)
             case leases.DialEntries(entries):
                 self._dial(entries)
             case leases.ApplyConfig():
--- a/src/ferryledge/leases/_duplicates.py
+++ b/src/ferryledge/leases/_duplicates.py
@@ -63,7 +63,7 @@
         self._resubmissions = _resubmissions.Resubmissions(timing)
         self._register = _registration.JobRegister(timing)
         self._registrations = _registration.Registrations(
-            name, peers.silent_for, notes.registrar_silent
+            name, peers.silent_for, self._note_unanswered
         )
 
     @property
@@ -71,6 +71,11 @@
         """When to call :meth:`check`, in monotonic seconds."""
         return self._registrations.due_at
 
+    def _note_unanswered(self, now: float, name: str) -> None:
+        """Record an entry that did not answer a registration in time."""
+        self._notes.registrar_silent(name)
+        self._peers.note_unanswered(now, name)
+
     # Peers.
 
     def join(self, now: float, hello: wire.Hello) -> None:
--- a/src/ferryledge/leases/_entry_events.py
+++ b/src/ferryledge/leases/_entry_events.py
@@ -78,8 +78,10 @@
     outcome: outcomes.JobOutcome
 
 
+CancelReopen = _agent_events.CancelReopen
 CloseStream = _agent_events.CloseStream
 DialEntries = _agent_events.DialEntries
+ReopenStream = _agent_events.ReopenStream
 SendMessage = _agent_events.SendMessage
 
 
@@ -92,4 +94,12 @@
     log_end: int = 0
 
 
-EntryAction = AnswerJob | SendMessage | CloseStream | ApplyConfig | DialEntries
+EntryAction = (
+    AnswerJob
+    | SendMessage
+    | CloseStream
+    | ReopenStream
+    | CancelReopen
+    | ApplyConfig
+    | DialEntries
+)
--- a/src/ferryledge/leases/_peers.py
+++ b/src/ferryledge/leases/_peers.py
@@ -21,9 +21,18 @@
 _STORE_WAIT_S = 0.3
 #: Seconds between keep-alive messages to another entry. They carry the version
 #: of the configuration, which must be in force within two to three seconds.
-_KEEP_ALIVE_INTERVAL_S = 1.0
+_KEEP_ALIVE_INTERVAL_S = 0.5
+#: Seconds of silence after which a second stream to another entry is opened:
+#: two keep-alive messages are missing. A client whose connection went silent
+#: together with the stream submits its job again after 1.3 s, and the entries
+#: must be in touch by then.
+_SUSPICION_S = 1.05
+#: The same if the entry also left a request unanswered.
+_UNANSWERED_SUSPICION_S = 0.6
+#: Seconds between attempts to open a second stream.
+_REOPEN_INTERVAL_S = 0.3
 #: Seconds of silence after which the stream to another entry is closed and
-#: dialled again: two keep-alive messages are missing.
+#: dialled again.
 _SILENCE_S = 2.2
 
 
@@ -45,6 +54,10 @@
     requested_at: float = float("-inf")
     #: When the last keep-alive message was sent to it.
     keep_alive_at: float = float("-inf")
+    #: Whether a second stream is being opened.
+    is_suspected: bool = False
+    #: Earliest time of the next attempt to open one.
+    reopen_at: float = float("-inf")
 
 
 class EntryPeers:
@@ -283,8 +296,29 @@
     def note_received(self, now: float, name: str) -> None:
         """Record that a message came from a peer."""
         peer = self._peers.get(name)
+        if peer is None:
+            return
+        peer.received_at = now
+        if peer.is_suspected:
+            # It was only slow.
+            peer.is_suspected = False
+            self._actions.append(_agent_events.CancelReopen(name))
+
+    def note_unanswered(self, now: float, name: str) -> None:
+        """Record that another entry did not answer a request in time."""
+        peer = self._peers.get(name)
         if peer is not None:
-            peer.received_at = now
+            self._reopen_if_silent(now, name, peer, _UNANSWERED_SUSPICION_S)
+
+    def _reopen_if_silent(
+        self, now: float, name: str, peer: _Peer, silence_s: float
+    ) -> None:
+        """Open a second stream beside a silent one, if this entry dials it."""
+        is_silent = now - peer.received_at > silence_s
+        if is_silent and self._name < name and now >= peer.reopen_at:
+            peer.is_suspected = True
+            peer.reopen_at = now + _REOPEN_INTERVAL_S
+            self._actions.append(_agent_events.ReopenStream(name))
 
     def silent_for(self, now: float, name: str) -> float:
         """Return the seconds since a peer's last message; infinite if lost.
@@ -302,7 +336,9 @@
             if now - peer.received_at > _SILENCE_S:
                 self._actions.append(_agent_events.CloseStream(name))
                 self.leave(name)
-            elif now - peer.keep_alive_at >= _KEEP_ALIVE_INTERVAL_S:
+                continue
+            self._reopen_if_silent(now, name, peer, _SUSPICION_S)
+            if now - peer.keep_alive_at >= _KEEP_ALIVE_INTERVAL_S:
                 peer.keep_alive_at = now
                 self._send(name, self._keep_alive())
 
--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -48,7 +48,7 @@
 _NEVER = float("inf")
 
 SilentFor = abc.Callable[[float, str], float]
-NoteUnanswered = abc.Callable[[str], None]
+NoteUnanswered = abc.Callable[[float, str], None]
 
 
 def is_newer(deadline_s: float, than_s: float) -> bool:
@@ -331,7 +331,7 @@
     def _avoid(self, now: float, name: str) -> None:
         """Select an entry no more for a while, since it did not answer."""
         if now >= self._avoided_until.get(name, 0.0):
-            self._note_unanswered(name)
+            self._note_unanswered(now, name)
         self._avoided_until[name] = now + _AVOIDANCE_S
 
     def pop_decisions(self) -> list[Decision]:
--- a/src/ferryledge/loads/_world.py
+++ b/src/ferryledge/loads/_world.py
@@ -584,6 +584,8 @@
         key = (agent, entry)
         if key in self.reopening:
             return
+        if agent in self.entries and entry < agent:
+            return  # The other entry dials.
         self.reopened += 1
         stream = self.reopening[key] = Stream(agent, entry)
         stream.late_s = self.late_greetings.pop(key, 0.0)
