Let clients of the soak repeat jobs without being noticed

Cause: the soak had no client that leaves its first entry unnoticed.

It is drawn by the job, after the draw of late requests, so plans without it stay as they were. Late requests and these share the sending of a request whose answer nobody reads.

Run: the tests of the soak without its plays, and make lint.

--- a/src/ferryledge/soak/__main__.py
+++ b/src/ferryledge/soak/__main__.py
@@ -60,6 +60,16 @@
     show_default=True,
     help="Share of the jobs whose first request arrives after its repetition.",
 )
+@click.option(
+    "--silent-clients",
+    type=click.FloatRange(0.0, 1.0),
+    default=0.0,
+    show_default=True,
+    help=(
+        "Share of the other jobs whose client repeats them without closing"
+        " the connection to their first entry."
+    ),
+)
 def main(
     seed: int,
     seeds: int,
@@ -72,6 +82,7 @@
     only: tuple[str, ...],
     mean_gap_s: float,
     late_requests: float,
+    silent_clients: float,
 ) -> None:
     """Play seeded faults against the real programs.
 
@@ -94,6 +105,7 @@
         clients,
         work_s,
         late_requests,
+        silent_clients,
     )
     report = _run.play(plan)
     click.echo(json.dumps(dataclasses.asdict(report)))
--- a/src/ferryledge/soak/_clients.py
+++ b/src/ferryledge/soak/_clients.py
@@ -113,6 +113,11 @@
                 self._try_each(rng, callers, entries, submission, _REPEAT_S),
                 self._send_late(callers, entries[-1], submission, late_s),
             )
+        elif job_rng.random() < self._plan.silent_clients:
+            await asyncio.gather(
+                self._send_unheard(callers, entries[-1], submission),
+                self._repeat_silently(rng, callers, entries, submission),
+            )
         else:
             await self._try_each(rng, callers, entries, submission, 0.0)
 
@@ -161,22 +166,47 @@
     ) -> None:
         """Send the first request of a job late, and close the connection."""
         await asyncio.sleep(late_s)
-        self._judge.now = self._now()
-        self._judge.submitted(submission.job, submission.tasks, entry)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_END_S):
-                await platform_standin.submit(
-                    callers[entry],
-                    QUEUES[0],
-                    submission.job,
-                    submission.spec,
-                    submission.tasks,
-                    submission.cpu,
-                    int(submission.work_s * 1000),
-                    _DEADLINE_S,
-                )
+                await self._send_unheard(callers, entry, submission)
+        unknown = platform_standin.ClientState.UNKNOWN
+        self._judge.answered(submission.job, unknown)
+
+    async def _send_unheard(
+        self,
+        callers: list[net.HttpClient],
+        entry: int,
+        submission: _Submission,
+    ) -> None:
+        """Submit a job whose client does not read the answer.
+
+        The connection stays open for as long as this waits.
+        """
+        self._judge.now = self._now()
+        self._judge.submitted(submission.job, submission.tasks, entry)
+        await platform_standin.submit(
+            callers[entry],
+            QUEUES[0],
+            submission.job,
+            submission.spec,
+            submission.tasks,
+            submission.cpu,
+            int(submission.work_s * 1000),
+            _DEADLINE_S,
+        )
+
+    async def _repeat_silently(
+        self,
+        rng: random.Random,
+        callers: list[net.HttpClient],
+        entries: list[int],
+        submission: _Submission,
+    ) -> None:
+        """Submit a job again whose first entry can't know that."""
+        await asyncio.sleep(_REPEAT_S)
         unknown = platform_standin.ClientState.UNKNOWN
         self._judge.answered(submission.job, unknown)
+        await self._try_each(rng, callers, entries, submission, _REPEAT_S)
 
     def _entries_to_try(self, rng: random.Random, count: int) -> list[int]:
         """Return the numbers of the entries to try, in order.
--- a/src/ferryledge/soak/_plan.py
+++ b/src/ferryledge/soak/_plan.py
@@ -129,6 +129,9 @@
     work_s: tuple[float, ...] = WORK_S
     #: Share of the jobs whose first request arrives after its repetition.
     late_requests: float = 0.0
+    #: Share of the other jobs whose client repeats them without closing the
+    #: connection to their first entry.
+    silent_clients: float = 0.0
 
     def are_connected(self, since: float, until: float) -> bool:
         """Return whether no fault interrupts any streams for a while.
@@ -154,6 +157,7 @@
     clients: int = CLIENTS,
     work_s: tuple[float, ...] = WORK_S,
     late_requests: float = 0.0,
+    silent_clients: float = 0.0,
 ) -> Plan:
     """Return the plan of a seed.
 
@@ -168,6 +172,8 @@
         these
     :param late_requests: share of the jobs whose first request arrives after
         its repetition
+    :param silent_clients: share of the other jobs whose client repeats them
+        without closing the connection to their first entry
     """
     rng = random.Random(seed)
     faults = []
@@ -188,4 +194,5 @@
         clients,
         work_s,
         late_requests,
+        silent_clients,
     )
--- a/src/ferryledge/soak/tests/test_soak.py
+++ b/src/ferryledge/soak/tests/test_soak.py
@@ -44,8 +44,15 @@
 
 
 def test_other_clients_and_jobs_leave_the_faults_as_they_are() -> None:
-    plan = soak.make_plan(7, clients=64, work_s=(0.2, 2.0))
+    plan = soak.make_plan(
+        7,
+        clients=64,
+        work_s=(0.2, 2.0),
+        late_requests=0.25,
+        silent_clients=0.5,
+    )
     assert (plan.clients, plan.work_s) == (64, (0.2, 2.0))
+    assert (plan.late_requests, plan.silent_clients) == (0.25, 0.5)
     assert plan.faults == soak.make_plan(7).faults
 
 
