Reword what a newcomer stumbled on, check more in four tests

Names and doc comments say what the code does now; finding a holder and announcing a repetition are two calls. Four tests assert more: the gain of a rule for every seed, registrations in the test of their delay, the outcome of a job whose older submission ran. No behaviour changes.

--- a/src/ferryledge/capacity/_page.py
+++ b/src/ferryledge/capacity/_page.py
@@ -235,7 +235,8 @@
 Where there are more than four entries a job is registered with two of them:
 four messages of about 40 bytes a job, 30.3 instead of 26.0 messages with 10
 entries, 62 agents and 100 jobs a second (virtual time). Jobs that arrive
-together share messages. The number does not depend on that of the entries.
+together share messages. The number of these messages a job does not depend on
+the number of entries.
 
 **Where it breaks first.** One scheduler a pool: beyond {ten:,.0f} starts a
 second in jobs of ten, a pool must be smaller (`pool_size`). The memory
--- a/src/ferryledge/leases/_duplicates.py
+++ b/src/ferryledge/leases/_duplicates.py
@@ -74,7 +74,7 @@
     def _note_unanswered(self, now: float, name: str) -> None:
         """Record an entry that did not answer a registration in time."""
         self._notes.registrar_silent(name)
-        self._peers.note_unanswered(now, name)
+        self._peers.reopen_if_unanswering(now, name)
 
     # Peers.
 
@@ -121,16 +121,12 @@
 
     # Submissions at this entry.
 
-    def find_holder(self, now: float, request: _jobs.LeasedJob) -> str:
+    def find_holder(self, request: _jobs.LeasedJob) -> str:
         """Return a process that knows that another entry holds a job.
 
-        If the job was likely submitted before, the other entries are told.
-
-        :param now: monotonic seconds
         :param request: the job, as it was just submitted here
         :return: the name of the process; empty if there is none
         """
-        self._announce_if_resubmitted(now, request)
         row = self._pool.find_other_run(request.job)
         if row is not None:
             return row.name
@@ -143,9 +139,10 @@
             return other.entry
         return ""
 
-    def _announce_if_resubmitted(
+    def announce_if_resubmitted(
         self, now: float, request: _jobs.LeasedJob
     ) -> None:
+        """Tell the other entries of a job that was likely submitted before."""
         entries = self._peers.detecting_entries()
         announcement = self._resubmissions.note_submission(
             now,
@@ -171,7 +168,7 @@
         return self._pool.find_other_run(job) is not None
 
     def register(self, now: float, job: _jobs.Job) -> None:
-        """Register a job if some other entry may share no agent with this.
+        """Register a job, unless agents serve all entries.
 
         Nothing is ordered for it until its registration is complete.
         """
@@ -188,7 +185,7 @@
         return self._rules.registers_jobs and not agents_serve_all
 
     def check(self, now: float) -> bool:
-        """Give up the jobs that were found elsewhere.
+        """Decide on registrations; give up jobs that other entries hold.
 
         :param now: monotonic seconds
         :return: whether the registration of any job was completed
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -369,7 +369,8 @@
         if self._jobs.was_complete(request.job):
             self._reply([token], outcomes.Complete(()))
             return
-        holder = self._duplicates.find_holder(now, request)
+        self._duplicates.announce_if_resubmitted(now, request)
+        holder = self._duplicates.find_holder(request)
         if holder:
             # Either the network delayed the request and its client has
             # submitted the job elsewhere since, or the other entry does not
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -84,7 +84,7 @@
         )
 
     def registrar_silent(self, name: str) -> None:
-        """An entry did not answer in time that jobs were registered with."""
+        """An entry that jobs were registered with did not answer in time."""
         self._meter.registrar_silent()
         self.add(
             outcomes.Step.ADMIT,
--- a/src/ferryledge/leases/_peers.py
+++ b/src/ferryledge/leases/_peers.py
@@ -304,8 +304,11 @@
             peer.is_suspected = False
             self._actions.append(_agent_events.CancelReopen(name))
 
-    def note_unanswered(self, now: float, name: str) -> None:
-        """Record that another entry did not answer a request in time."""
+    def reopen_if_unanswering(self, now: float, name: str) -> None:
+        """Open a second stream to an entry that left a request unanswered.
+
+        Only if it is silent as well, and this entry dials it.
+        """
         peer = self._peers.get(name)
         if peer is not None:
             self._reopen_if_silent(now, name, peer, _UNANSWERED_SUSPICION_S)
@@ -321,7 +324,7 @@
             self._actions.append(_agent_events.ReopenStream(name))
 
     def silent_for(self, now: float, name: str) -> float:
-        """Return the seconds since a peer's last message; infinite if lost.
+        """Return the seconds since a peer's last message; infinite if closed.
 
         :param now: monotonic seconds
         :param name: the peer
--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -3,10 +3,11 @@
 An agent tells its entries which jobs it runs for others, but with many entries
 no agent may serve both of two entries that received the same job. So an entry
 registers each job with a few entries that the job's name selects by
-rendezvous hashing (its registrars), and orders nothing before they answered.
-Two entries select at least one registrar in common, or each other, while their
-views of the other entries differ by one. Registrars keep a job only for as
-long as its client waits.
+rendezvous hashing (its registrars). It orders nothing until each of them has
+answered, or has been passed over for being late. Two entries select at least
+one registrar in common, or each other, while their views of the other entries
+differ by one. Registrars keep a job until its client's deadline, and then for
+as long as a lease may last.
 """
 
 from collections import abc
@@ -42,8 +43,8 @@
 _RETRY_S = 0.02
 #: Longest time in seconds to wait for such an entry.
 _RELEASE_WAIT_S = 0.2
-#: Seconds without any message after which an entry counts as lost. Entries
-#: send one each second.
+#: Seconds without any message after which an entry counts as lost: two
+#: keep-alive messages are missing.
 _LOST_AFTER_S = 1.2
 #: Seconds for which a job without a deadline is kept.
 _UNLIMITED_KEEP_S = 10.0
@@ -62,6 +63,8 @@
 def is_newer(deadline_s: float, than_s: float) -> bool:
     """Return whether a submission of a job is newer than another one.
 
+    Without a deadline the order of two submissions is unknown.
+
     :param deadline_s: how long its client waits, in seconds; 0 if unlimited
     :param than_s: the same for the other submission
     """
@@ -171,7 +174,7 @@
     rounds: int = 0
     #: Earliest time of completion, in monotonic seconds.
     not_before: float = 0.0
-    #: The same while no entry was asked.
+    #: Until when to wait for a stream to any entry, while none was asked.
     join_by: float = 0.0
 
     @property
@@ -385,14 +388,14 @@
                     pending.answer_due[name] = now + _SHORTEST_ANSWER_S
                 elif now >= due_at:
                     del pending.answer_due[name]
-                    self._avoid(now, name)
+                    self._pass_over(now, name)
             for name, retry_at in pending.holders.items():
                 if name not in pending.answer_due and now >= retry_at:
                     self._ask(now, name, pending)
             self._advance(now, pending)
 
-    def _avoid(self, now: float, name: str) -> None:
-        """Wait for an entry no more for a while, since it did not answer."""
+    def _pass_over(self, now: float, name: str) -> None:
+        """Report an entry that did not answer, and wait for it no more."""
         if now >= self._avoided_until.get(name, 0.0):
             self._note_unanswered(now, name)
         self._avoided_until[name] = now + _AVOIDANCE_S
--- a/src/ferryledge/leases/tests/test_overload.py
+++ b/src/ferryledge/leases/tests/test_overload.py
@@ -60,6 +60,7 @@
         without = loads.play(load, seed, loads.without(rule))
         gains.append(results.worth - without.worth)
     assert statistics.mean(gains) > 0.02
+    assert min(gains) > 0.0, gains
 
 
 def test_lost_answers_leave_a_third_in_time() -> None:
--- a/src/ferryledge/leases/tests/test_registration.py
+++ b/src/ferryledge/leases/tests/test_registration.py
@@ -249,7 +249,7 @@
     assert registrations.pop_decisions() == [_registration.Registered(job)]
 
 
-def test_lost_stream_counts_as_an_answer() -> None:
+def test_registrar_whose_stream_broke_is_not_waited_for() -> None:
     registrations = registering.make_registrations()
     job = registering.make_job()
     registrations.start(0.0, job)
@@ -442,7 +442,7 @@
     assert isinstance(world.outcome(again), outcomes.Complete)
 
 
-def test_repetition_starts_nothing_while_cut_off_from_its_first_entry() -> (
+def test_repetition_runs_beside_nothing_while_cut_off_from_first_entry() -> (
     None
 ):
     """Guards against a first entry that only the registrars reach."""
@@ -498,7 +498,7 @@
 
 @pytest.mark.parametrize("seed", range(4))
 @pytest.mark.parametrize("share", [0.5, 0.8, 1.0])
-def test_repetition_starts_nothing_after_connections_went_silent(
+def test_repetition_runs_beside_nothing_after_connections_went_silent(
     share: float, seed: int
 ) -> None:
     """Guards against a client whose connection goes silent with streams.
@@ -544,6 +544,7 @@
         world.run(1.0)
         assert isinstance(world.outcome(token), outcomes.Complete)
         started[rules] = world.answered_at[token]
+        assert bool(world.sent[wire.RegisterJobs]) == (rules is None)
     delay_s = started[None] - started[_UNREGISTERED]
     # Endpoints are advanced in steps of 5 ms.
     assert delay_s <= 2 * worlds.HOP_S + 0.005
--- a/src/ferryledge/leases/tests/test_registration_faults.py
+++ b/src/ferryledge/leases/tests/test_registration_faults.py
@@ -215,7 +215,7 @@
     world.run(0.3)
     again = world.submit("entry-7", registering.JOB, 8, 2.0, 1000, 3.7)
     world.run(3.6)
-    assert not isinstance(world.outcome(again), outcomes.Refused)
+    assert isinstance(world.outcome(again), outcomes.FailedMayHaveRun)
 
 
 def test_open_jobs_are_registered_with_entries_that_restarted() -> None:
