Ask registrars that are not reached through other entries

What callers saw: both of two submissions of a job run at once.

Cause: an entry chose its registrars among the entries that it reaches. If a stream was cut or silent it registered the job with the next ones by rank, which the other submission's entry never asks. One entry that is cut off from two others is enough, while everybody else reaches everybody.

Change: the registrars rank among all entries whose addresses are known (leases/_registrars.py). One that ranks before the last registrar and has no stream, or does not answer, is asked through two others (wire.Relay). A relay that does not reach it either says so at once, so a lost entry delays nothing. An entry with an older submission is asked the same way. An entry that was lost for over 10 s is asked for once a second.

Why it works: two entries go down the same ranking, and each tells every entry before its last registrar that anyone it asks reaches. So both tell the first one that is up.

Weighed: to register with every entry that is reached. It leaves two entries without a common one, and its messages grow with the number of entries.

--- a/src/ferryledge/hosted/_metrics.py
+++ b/src/ferryledge/hosted/_metrics.py
@@ -144,6 +144,10 @@
             "registrars_silent",
             "Times that an entry did not answer a registration in time",
         )
+        self._relayed = registry.counter(
+            "relayed_registrations",
+            "Requests to entries that are not reached, sent through others",
+        )
 
     def answered(
         self, outcome: str, reason: str, waited_s: float, slowdown: float
@@ -165,6 +169,10 @@
         """Count an entry that did not answer a registration in time."""
         self._registrars_silent.add()
 
+    def registrations_relayed(self) -> None:
+        """Count a request that is sent through another entry."""
+        self._relayed.add()
+
     def first_order(self, waited_s: float) -> None:
         """Count a job's first order."""
         self._first_order.observe(waited_s)
--- a/src/ferryledge/hosted/tests/test_metrics.py
+++ b/src/ferryledge/hosted/tests/test_metrics.py
@@ -112,3 +112,31 @@
     lines = registry.render().decode().splitlines()
     assert "ferryledge_entry_superseded_jobs_total 1.0" in lines
     assert "ferryledge_entry_registrars_silent_total 2.0" in lines
+
+
+def test_relayed_registrations_are_counted() -> None:
+    registry = _metrics.Registry("entry")
+    metrics = _metrics.EntryMetrics(registry)
+    core = leases.LeaseEntry(
+        "entry-0", "entry-0.1", "north", random.Random(0), meter=metrics
+    )
+    names = [f"entry-{number}" for number in range(6)]
+    addresses = tuple(wire.EntryAddress(name, "host", 1) for name in names)
+    core.receive(0.0, leases.EntriesFound(addresses))
+    hello = wire.Hello(
+        wire.Role.ENTRY,
+        "entry-1",
+        "1",
+        "north",
+        registers_jobs=True,
+        relays_registrations=True,
+    )
+    core.receive(0.0, wire.PeerUp(hello))
+    step = leases.JobStep(1, wire.Resources(100, 10, 0))
+    job_class = leases.JobClass("quick", "desk")
+    job = leases.LeasedJob("b", job_class, "", (step,), 2.0)
+    core.receive(0.5, leases.JobSubmitted(1, job))
+    core.tick(0.5)
+    lines = registry.render().decode().splitlines()
+    # One for each of the four other entries.
+    assert "ferryledge_entry_relayed_registrations_total 4.0" in lines
--- a/src/ferryledge/leases/_duplicates.py
+++ b/src/ferryledge/leases/_duplicates.py
@@ -80,7 +80,9 @@
 
     def join(self, now: float, hello: wire.Hello) -> None:
         """Add an entry whose stream was opened; tell it what it missed."""
-        self._registrations.join(now, hello.name, hello.registers_jobs)
+        self._registrations.join(
+            now, hello.name, hello.registers_jobs, hello.relays_registrations
+        )
         self._register_open_jobs(now, hello.name)
         announced = self._resubmissions.announced(now)
         if (
@@ -93,31 +95,79 @@
         """Register the open jobs with an entry that may not know them."""
         if not self._registers:
             return
-        jobs = [job for job in self._jobs.open if job.serves_clients]
+        jobs = self._registered_jobs()
         self._registrations.announce_to(
             name, [job for job in jobs if job.is_dispatched]
         )
         for job in jobs:
-            if not job.is_dispatched and not job.is_registering:
+            if not job.is_dispatched:
                 self.register(now, job)
 
+    def _registered_jobs(self) -> list[_jobs.Job]:
+        """Return the open jobs whose registration is complete."""
+        return [
+            job
+            for job in self._jobs.open
+            if job.serves_clients and not job.is_registering
+        ]
+
     def leave(self, now: float, name: str) -> None:
         """Remove an entry whose stream broke."""
         self._registrations.leave(now, name)
 
+    def learn_entries(self, now: float, names: list[str]) -> None:
+        """Learn which entries there are, this one included."""
+        self._registrations.learn_entries(now, names)
+
     def receive(self, now: float, peer: str, message: wire.Message) -> None:
         """Process a message of another entry; unrelated ones are ignored."""
         match message:
             case wire.JobsResubmitted(jobs):
                 self._learn_resubmitted(now, peer, jobs)
             case wire.RegisterJobs(jobs):
-                registered = tuple(
-                    self._register_for(now, peer, submission)
-                    for submission in jobs
-                )
-                self._send(peer, wire.JobsRegistered(registered))
+                self._send(peer, self._register_all(now, peer, jobs))
             case wire.JobsRegistered(jobs):
                 self._learn_registered(now, peer, jobs)
+            case wire.Relay(_, target) if target == self._name:
+                self._receive_relayed(now, peer, message)
+            case wire.Relay():
+                self._relay(now, peer, message)
+            case wire.RelayFailed():
+                self._registrations.receive_failure(now, peer, message)
+
+    def _receive_relayed(
+        self, now: float, peer: str, relayed: wire.Relay
+    ) -> None:
+        """Process a message that another entry relayed."""
+        match relayed.message:
+            case wire.RegisterJobs(jobs):
+                answer = self._register_all(now, relayed.source, jobs)
+                back = wire.Relay(self._name, relayed.source, answer)
+                self._send(peer, back)
+            case wire.JobsRegistered(jobs):
+                self._learn_registered(now, relayed.source, jobs)
+
+    def _relay(self, now: float, peer: str, relayed: wire.Relay) -> None:
+        """Relay a message between two other entries."""
+        if self._registrations.relays_to(now, relayed.target):
+            self._send(relayed.target, relayed)
+            return
+        match relayed.message:
+            case wire.RegisterJobs(jobs):
+                names = tuple(submission.job for submission in jobs)
+                self._send(peer, wire.RelayFailed(relayed.target, names))
+            case _:
+                # The source of the request stops waiting for it.
+                pass
+
+    def _register_all(
+        self, now: float, source: str, jobs: tuple[wire.SubmittedJob, ...]
+    ) -> wire.JobsRegistered:
+        """Register jobs of another entry, and return the answer to it."""
+        registered = tuple(
+            self._register_for(now, source, submission) for submission in jobs
+        )
+        return wire.JobsRegistered(registered)
 
     # Submissions at this entry.
 
@@ -203,6 +253,8 @@
     def send_registrations(self) -> None:
         """Send the requests of the jobs that are being registered."""
         for name, message in self._registrations.pop_messages():
+            if isinstance(message, wire.Relay):
+                self._notes.registrations_relayed()
             self._send(name, message)
 
     def give_up(self, now: float, name: str, peer: str) -> None:
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -249,6 +249,7 @@
             takes_jobs=self._handover.takes_jobs,
             detects_duplicates=self._rules.detects_duplicates,
             registers_jobs=self._rules.registers_jobs,
+            relays_registrations=self._rules.registers_jobs,
         )
 
     # Events and ticks.
@@ -291,7 +292,7 @@
         """Process an event that was read from the store."""
         match event:
             case _agent_events.EntriesFound(entries):
-                self._peers.learn_entries(entries)
+                self._learn_entries(entries)
             case _entry_events.ConfigRead(version, data, log_end):
                 self._peers.learn_config(version, data, log_end)
             case _entry_events.ConfigFetchFailed():
@@ -508,6 +509,13 @@
                 self._duplicates.leave(now, name)
                 self._pool.leave(name, incarnation)
 
+    def _learn_entries(self, entries: tuple[wire.EntryAddress, ...]) -> None:
+        """Learn the addresses of entries."""
+        self._peers.learn_entries(entries)
+        self._duplicates.learn_entries(
+            self._now, [address.name for address in entries]
+        )
+
     def _apply_cordons(self, has_changed: bool) -> None:
         """Apply the cordoned zones to the pool if they have changed."""
         if not has_changed:
@@ -545,11 +553,13 @@
             case wire.ConfigReply(version, data):
                 self._peers.learn_config(version, data)
             case wire.EntryList(entries):
-                self._peers.learn_entries(entries)
+                self._learn_entries(entries)
             case (
                 wire.JobsResubmitted()
                 | wire.RegisterJobs()
                 | wire.JobsRegistered()
+                | wire.Relay()
+                | wire.RelayFailed()
             ):
                 self._duplicates.receive(now, peer, message)
             case wire.InviteAgents():
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -92,6 +92,10 @@
             peer=name,
         )
 
+    def registrations_relayed(self) -> None:
+        """Jobs were registered through an entry that may reach another one."""
+        self._meter.registrations_relayed()
+
     def isolated(self, silent_s: float) -> None:
         """This entry is in touch again after it was cut off.
 
--- a/src/ferryledge/leases/_meters.py
+++ b/src/ferryledge/leases/_meters.py
@@ -29,6 +29,9 @@
     def registrar_silent(self) -> None:
         """An entry that jobs were registered with did not answer in time."""
 
+    def registrations_relayed(self) -> None:
+        """Jobs were registered through an entry that may reach another one."""
+
     def first_order(self, waited_s: float) -> None:
         """The first runs of a job were ordered.
 
--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -2,28 +2,25 @@
 
 An agent tells its entries which jobs it runs for others, but with many entries
 no agent may serve both of two entries that received the same job. So an entry
-registers each job with a few entries that the job's name selects by
-rendezvous hashing (its registrars). It orders nothing until each of them has
-answered, or has been passed over for being late. Two entries select at least
-one registrar in common, or each other, while their views of the other entries
-differ by one. Registrars keep a job until its client's deadline, and then for
-as long as a lease may last.
+registers each job with a few entries that the job's name selects (its
+registrars). It orders nothing until each of them has answered, or has been
+passed over for being late. A registrar that this entry doesn't reach is asked
+through others, so that two entries register a job in one place even if each
+reaches other entries. Registrars keep a job until its client's deadline, and
+then for as long as a lease may last.
 """
 
 from collections import abc
 import dataclasses
-import hashlib
-import heapq
 
 import msgspec
 
 from ferryledge.leases import _answer_times
 from ferryledge.leases import _jobs
+from ferryledge.leases import _registrars
 from ferryledge.leases import _timing
 from ferryledge import wire
 
-#: Number of registrars of a job.
-_REGISTRARS = 2
 #: Most times that further registrars are selected if none answers.
 _MAX_ROUNDS = 3
 #: Bounds in seconds of the time after which an answer counts as missing.
@@ -32,8 +29,6 @@
 #: Delay of a check in seconds beyond which this process was late itself, so
 #: that it may have unread answers.
 _OWN_DELAY_S = 0.02
-#: Seconds for which an entry that did not answer is not waited for.
-_AVOIDANCE_S = 1.0
 #: Seconds without any stream to another entry after which this entry counts
 #: as the only one.
 _ALONE_AFTER_S = 1.0
@@ -50,10 +45,6 @@
 _UNLIMITED_KEEP_S = 10.0
 #: Seconds between removals of outdated registrations.
 _EXPIRY_INTERVAL_S = 1.0
-_KEY_BYTES = 8
-_KEY_MASK = 2 ** (8 * _KEY_BYTES) - 1
-#: An odd factor that mixes the bits of two keys.
-_KEY_FACTOR = 0x9E3779B97F4A7C15
 _NEVER = float("inf")
 
 SilentFor = abc.Callable[[float, str], float]
@@ -176,25 +167,35 @@
     not_before: float = 0.0
     #: Until when to wait for a stream to any entry, while none was asked.
     join_by: float = 0.0
+    #: For each entry that is asked through others, those that may reach it.
+    relays: dict[str, set[str]] = msgspec.field(default_factory=dict)
 
     @property
     def ready_at(self) -> float:
         """Earliest time of completion as it stands, in monotonic seconds."""
-        if self.asked_at:
+        if self.rounds:
             return self.not_before
         return max(self.not_before, self.join_by)
 
+    @property
+    def retries(self) -> dict[str, float]:
+        """When to ask each entry again whose answer was not final."""
+        return {
+            name: retry_at
+            for name, retry_at in self.holders.items()
+            if name not in self.answer_due
+        }
+
     @property
     def due_at(self) -> float:
         """When to look at it again, in monotonic seconds."""
-        if not self.answer_due and not self.holders:
+        if not (self.answer_due or self.holders):
             return self.ready_at
-        retries = [
-            retry_at
-            for name, retry_at in self.holders.items()
-            if name not in self.answer_due
-        ]
-        return min([self.release_by, *self.answer_due.values(), *retries])
+        return min(
+            self.release_by if self.holders else _NEVER,
+            *self.answer_due.values(),
+            *self.retries.values(),
+        )
 
 
 class Registrations:
@@ -215,14 +216,9 @@
         self._name = name
         self._silent_for = silent_for
         self._note_unanswered = note_unanswered
-        #: Hash keys of the entries that register jobs, by name.
-        self._keys: dict[str, int] = {}
-        #: Until when entries that did not answer are not waited for.
-        self._avoided_until: dict[str, float] = {}
-        #: Entries whose stream is open, those of earlier releases too.
-        self._connected: set[str] = set()
-        #: Since when there are none; ``None`` if there are, or if no job was
-        #: registered yet.
+        self._registrars = _registrars.Registrars(name)
+        #: Since when no entry is connected; ``None`` if any is, or if no job
+        #: was registered yet.
         self._alone_since: float | None = None
         self._pending: dict[str, _Pending] = {}
         self._answer_times = _answer_times.AnswerTimes(
@@ -230,6 +226,8 @@
         )
         #: Submissions to send, by registrar.
         self._outgoing: dict[str, list[wire.SubmittedJob]] = {}
+        #: Submissions to send through others, by relay and registrar.
+        self._relayed: dict[tuple[str, str], list[wire.SubmittedJob]] = {}
         self._decisions: list[Decision] = []
 
     @property
@@ -240,35 +238,56 @@
             default=_NEVER,
         )
 
-    def join(self, now: float, name: str, registers_jobs: bool) -> None:
+    def learn_entries(self, now: float, names: abc.Iterable[str]) -> None:
+        """Learn which entries there are, connected or not."""
+        self._registrars.learn(now, names)
+
+    def join(
+        self,
+        now: float,
+        name: str,
+        registers_jobs: bool,
+        relays: bool = False,
+    ) -> None:
         """Add an entry whose stream was opened.
 
         :param now: monotonic seconds
         :param name: the entry
         :param registers_jobs: whether it answers registrations
+        :param relays: whether it relays registrations
         """
-        if registers_jobs:
-            self._keys[name] = _key(name)
-        self._connected.add(name)
-        self._avoided_until.pop(name, None)
+        self._registrars.join(name, registers_jobs, relays)
         self._alone_since = None
+        self._advance_unasked(now)
+
+    def _advance_unasked(self, now: float) -> None:
+        """Look again at the jobs that wait for streams."""
         for pending in list(self._pending.values()):
-            if not pending.asked_at:
+            if not pending.rounds:
                 self._advance(now, pending)
 
     def leave(self, now: float, name: str) -> None:
         """Remove an entry whose stream broke."""
-        self._keys.pop(name, None)
-        self._connected.discard(name)
-        if not self._connected and self._alone_since is None:
+        self._registrars.leave(now, name)
+        if self._registrars.is_alone and self._alone_since is None:
             self._alone_since = now
         for pending in list(self._pending.values()):
-            was_asked = pending.answer_due.pop(name, None) is not None
-            is_holder = pending.holders.pop(name, None) is not None
-            if is_holder:
-                pending.not_before = now + _RELEASE_WAIT_S
-            if was_asked or is_holder:
-                self._advance(now, pending)
+            self._remove(now, name, pending)
+
+    def _remove(self, now: float, name: str, pending: _Pending) -> None:
+        """Remove an entry whose stream broke from a registration."""
+        for target in list(pending.relays):
+            self._lose_relay(now, name, target, pending)
+        if name in pending.relays:
+            return
+        was_asked = pending.answer_due.pop(name, None) is not None
+        is_holder = name in pending.holders
+        if was_asked or is_holder:
+            self._ask_through_others(now, name, pending)
+        if is_holder and name not in pending.relays:
+            self._lose_holder(now, name, pending)
+        if was_asked or is_holder:
+            self._advance(now, pending)
 
     def start(
         self,
@@ -285,7 +304,7 @@
         job.is_registering = True
         pending = _Pending(job)
         self._pending[job.name] = pending
-        if not self._connected:
+        if self._registrars.is_alone:
             self._wait_for_entries(now, pending)
         self._ask_registrars(now, pending)
         if known is not None:
@@ -298,12 +317,17 @@
 
         Its answers are not waited for.
         """
-        if name not in self._keys:
+        if not self._registrars.reaches(name):
             return
+        names = self._registrars.reached()
         for job in jobs:
-            if name in self._rank(job.name, self._keys):
+            if name in self._registrars.rank(job.name, names):
                 self._queue(name, job)
 
+    def relays_to(self, now: float, name: str) -> bool:
+        """Return whether this entry can relay a message to another one."""
+        return self._registrars.relays_to(now, name)
+
     def _wait_for_entries(self, now: float, pending: _Pending) -> None:
         """Let a job wait for a stream, unless there was none for long.
 
@@ -324,11 +348,12 @@
         :param registered: its answer for one job
         :return: whether the registration of the job was pending
         """
-        self._avoided_until.pop(peer, None)
+        self._registrars.note_answer(peer)
         pending = self._pending.get(registered.job)
         if pending is None:
             return False
-        if pending.answer_due.pop(peer, None) is not None:
+        was_due = pending.answer_due.pop(peer, None) is not None
+        if was_due and peer not in pending.relays:
             self._answer_times.note(now - pending.asked_at[peer])
         pending.answered.add(peer)
         if registered.entry != peer:
@@ -339,6 +364,44 @@
             self._advance(now, pending)
         return True
 
+    def receive_failure(
+        self, now: float, relay: str, failed: wire.RelayFailed
+    ) -> None:
+        """Process that an entry could not relay requests.
+
+        :param now: monotonic seconds
+        :param relay: the entry
+        :param failed: names the jobs, and the entry that was to be asked
+        """
+        for job in failed.jobs:
+            pending = self._pending.get(job)
+            if pending is not None and failed.target in pending.relays:
+                self._lose_relay(now, relay, failed.target, pending)
+
+    def _lose_relay(
+        self, now: float, relay: str, target: str, pending: _Pending
+    ) -> None:
+        """Expect no answer of an entry through a relay any more."""
+        if relay not in pending.relays[target]:
+            return
+        pending.relays[target].discard(relay)
+        if pending.relays[target]:
+            return
+        self._registrars.note_absent(now, target)
+        pending.answer_due.pop(target, None)
+        if target in pending.holders:
+            self._lose_holder(now, target, pending)
+        self._advance(now, pending)
+
+    def _lose_holder(self, now: float, holder: str, pending: _Pending) -> None:
+        """Wait for an entry with an older submission that nobody reaches.
+
+        Its runs are over if it was lost. If it is only cut off, a registrar
+        that reaches it has told it to give the job up.
+        """
+        del pending.holders[holder]
+        pending.not_before = now + _RELEASE_WAIT_S
+
     def _on_holder(
         self,
         now: float,
@@ -346,7 +409,7 @@
         registered: wire.RegisteredJob,
         pending: _Pending,
     ) -> None:
-        """Process an answer that names another entry which has the job."""
+        """Process an answer that names another entry that has the job."""
         holder = registered.entry
         deadline_s = pending.job.newest_deadline_s
         if is_newer(registered.deadline_s, deadline_s):
@@ -366,17 +429,14 @@
         self, now: float, holder: str, pending: _Pending
     ) -> None:
         """Wait for an entry that registered an older submission of a job."""
-        if holder in pending.answered:
-            return
-        if holder not in self._keys:
-            # Its runs are over if it was lost. If it is only cut off from
-            # here, the registrar tells it to give the job up.
-            pending.not_before = now + _RELEASE_WAIT_S
+        if holder in pending.answered or holder in pending.holders:
             return
         pending.holders[holder] = now
         pending.release_by = min(pending.release_by, now + _RELEASE_WAIT_S)
         if holder not in pending.answer_due:
             self._ask(now, holder, pending)
+        if holder not in pending.answer_due:
+            self._lose_holder(now, holder, pending)
 
     def check(self, now: float) -> None:
         """Handle missing answers, and repeat the requests that are due."""
@@ -388,17 +448,28 @@
                     pending.answer_due[name] = now + _SHORTEST_ANSWER_S
                 elif now >= due_at:
                     del pending.answer_due[name]
-                    self._pass_over(now, name)
-            for name, retry_at in pending.holders.items():
-                if name not in pending.answer_due and now >= retry_at:
-                    self._ask(now, name, pending)
+                    self._on_missing_answer(now, name, pending)
+            for name, retry_at in pending.retries.items():
+                if now >= retry_at:
+                    self._ask_again(now, name, pending)
             self._advance(now, pending)
 
-    def _pass_over(self, now: float, name: str) -> None:
-        """Report an entry that did not answer, and wait for it no more."""
-        if now >= self._avoided_until.get(name, 0.0):
+    def _ask_again(self, now: float, name: str, pending: _Pending) -> None:
+        """Repeat a request whose answer was not final."""
+        pending.holders[name] = now + _RETRY_S
+        self._ask(now, name, pending)
+
+    def _on_missing_answer(
+        self, now: float, name: str, pending: _Pending
+    ) -> None:
+        """Wait for an entry no more, or ask it through others."""
+        if name in pending.relays:
+            self._registrars.avoid_through_others(now, name)
+            return
+        if not self._registrars.is_avoided(now, name):
             self._note_unanswered(now, name)
-        self._avoided_until[name] = now + _AVOIDANCE_S
+        self._registrars.avoid(now, name)
+        self._ask_through_others(now, name, pending)
 
     def pop_decisions(self) -> list[Decision]:
         """Return the decisions since the last call."""
@@ -406,13 +477,19 @@
         self._decisions = []
         return decisions
 
-    def pop_messages(self) -> list[tuple[str, wire.RegisterJobs]]:
+    def pop_messages(
+        self,
+    ) -> list[tuple[str, wire.RegisterJobs | wire.Relay]]:
         """Return the requests to send, each with its receiver."""
-        messages = [
+        messages: list[tuple[str, wire.RegisterJobs | wire.Relay]] = [
             (name, wire.RegisterJobs(tuple(submissions)))
             for name, submissions in self._outgoing.items()
         ]
+        for (relay, target), submissions in self._relayed.items():
+            request = wire.RegisterJobs(tuple(submissions))
+            messages.append((relay, wire.Relay(self._name, target, request)))
         self._outgoing.clear()
+        self._relayed.clear()
         return messages
 
     def _advance(self, now: float, pending: _Pending) -> None:
@@ -420,10 +497,13 @@
         if pending.job.closed:
             self._pending.pop(pending.job.name, None)
             return
+        if pending.job.name not in self._pending:
+            return
         if pending.holders and now >= pending.release_by:
             self._decide_by_holder(now, pending)
             return
-        if not pending.answered and not pending.answer_due:
+        is_unanswered = not pending.answered and not pending.answer_due
+        if is_unanswered or not pending.rounds:
             self._ask_registrars(now, pending)
         is_waiting = bool(pending.answer_due or pending.holders)
         if not is_waiting and now >= pending.ready_at:
@@ -438,7 +518,8 @@
         heard = [
             name
             for name in pending.holders
-            if self._silent_for(now, name) < _LOST_AFTER_S
+            if name in pending.answered
+            or self._silent_for(now, name) < _LOST_AFTER_S
         ]
         if heard:
             self._decide(HeldElsewhere(pending.job, heard[0]))
@@ -448,43 +529,52 @@
     def _ask_registrars(self, now: float, pending: _Pending) -> None:
         """Ask registrars that were not asked, if there are any left.
 
-        The first ones by rank are told also if they are not waited for.
+        The first ones by rank are told also if they are not waited for, and
+        asked through others if they are not reached.
         """
-        if pending.rounds >= _MAX_ROUNDS or not self._keys:
+        registrars = self._registrars
+        if pending.rounds >= _MAX_ROUNDS or not registrars.reached():
             return
         pending.rounds += 1
-        if pending.rounds == 1:
-            for name in self._select(pending, list(self._keys)):
-                if now < self._avoided_until.get(name, 0.0):
+        if pending.rounds == 1 and registrars.avoided(now):
+            for name in self._select(pending, registrars.reached()):
+                if registrars.is_avoided(now, name):
                     self._tell(now, name, pending)
-        responsive = [
-            name
-            for name in self._keys
-            if now >= self._avoided_until.get(name, 0.0)
-        ]
-        for name in self._select(pending, responsive):
+        for name in self._select(pending, registrars.responsive(now)):
             self._ask(now, name, pending)
+        for name in registrars.missing(now, pending.job.name):
+            if name not in pending.relays:
+                self._ask_through_others(now, name, pending)
 
     def _select(self, pending: _Pending, names: list[str]) -> list[str]:
         """Return the first entries by rank that were not asked."""
         names = [name for name in names if name not in pending.asked_at]
-        return self._rank(pending.job.name, names)
-
-    def _rank(self, job: str, names: abc.Iterable[str]) -> list[str]:
-        """Return the entries that rank first for a job."""
-        job_key = _key(job)
-        return heapq.nsmallest(
-            _REGISTRARS,
-            names,
-            key=lambda name: (
-                (job_key ^ self._keys[name]) * _KEY_FACTOR & _KEY_MASK
-            ),
-        )
+        return self._registrars.rank(pending.job.name, names)
 
     def _ask(self, now: float, name: str, pending: _Pending) -> None:
         """Send a request, and wait for its answer."""
-        self._tell(now, name, pending)
-        pending.answer_due[name] = now + self._answer_times.limit_s
+        is_reached = self._registrars.reaches(name)
+        if is_reached:
+            self._tell(now, name, pending)
+            pending.answer_due[name] = now + self._answer_times.limit_s
+        if not is_reached or name in pending.relays:
+            self._ask_through_others(now, name, pending)
+
+    def _ask_through_others(
+        self, now: float, name: str, pending: _Pending
+    ) -> None:
+        """Ask an entry that is not reached, if others may reach it."""
+        job = pending.job
+        relays = self._registrars.relays(now, job.name, name)
+        if not relays:
+            return
+        for relay in relays:
+            submissions = self._relayed.setdefault((relay, name), [])
+            submissions.append(_submission(job))
+        pending.relays[name] = set(relays)
+        if not self._registrars.is_avoided_through_others(now, name):
+            answer_s = 2 * self._answer_times.limit_s
+            pending.answer_due[name] = now + answer_s
 
     def _tell(self, now: float, name: str, pending: _Pending) -> None:
         """Send a request."""
@@ -492,8 +582,7 @@
         pending.asked_at[name] = now
 
     def _queue(self, name: str, job: _jobs.Job) -> None:
-        submission = wire.SubmittedJob(job.name, job.newest_deadline_s)
-        self._outgoing.setdefault(name, []).append(submission)
+        self._outgoing.setdefault(name, []).append(_submission(job))
 
     def _decide(self, decision: Decision) -> None:
         decision.job.is_registering = False
@@ -501,7 +590,6 @@
         self._decisions.append(decision)
 
 
-def _key(text: str) -> int:
-    """Return the hash key of a job's or an entry's name."""
-    digest = hashlib.blake2b(text.encode(), digest_size=_KEY_BYTES).digest()
-    return int.from_bytes(digest, "big")
+def _submission(job: _jobs.Job) -> wire.SubmittedJob:
+    """Return the newest submission of a job here, to be registered."""
+    return wire.SubmittedJob(job.name, job.newest_deadline_s)
--- /dev/null
+++ b/src/ferryledge/leases/tests/test_unreached_registrars.py
@@ -0,0 +1,378 @@
+"""Jobs whose registrars are not reached by one of their two entries.
+
+A request arrives after its client has submitted the job again at another
+entry. Each of the two registers the job, and one of them reaches few entries,
+or those that the other one chose have just started.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+import functools
+import random
+
+import pytest
+
+from ferryledge import leases
+from ferryledge.leases import _registration
+from ferryledge.leases.tests import faults
+from ferryledge.leases.tests import registering
+from ferryledge import loads as worlds
+from ferryledge import outcomes
+from ferryledge import wire
+
+#: Seconds from the sending of the first request to its arrival.
+_HELD_S = 1.8
+_TASKS = 8
+_DEADLINE_S = 5.0
+
+
+@dataclasses.dataclass
+class _Play:
+    """A late request beside its repetition, which starts first."""
+
+    seed: int
+    number: int
+    entries: int
+
+    def __post_init__(self) -> None:
+        self.job = f"{self.number:016x}"
+        self.names = tuple(f"entry-{n}" for n in range(self.entries))
+        rng = random.Random(self.seed * 1000 + self.number)
+        #: The entries of the late request and of the repetition.
+        self.late, self.other = rng.sample(self.names, 2)
+        self.again = 0
+        self.world = worlds.World(
+            self.seed,
+            entries=self.entries,
+            agents=3 * self.entries,
+            peers=True,
+        )
+        self.world.run(7.0)
+
+    @property
+    def registrars(self) -> list[str]:
+        """The registrars that both would choose, without the two."""
+        both = registering.registrars(self.late, self.job, self.names)
+        both |= registering.registrars(self.other, self.job, self.names)
+        return sorted(both - {self.late, self.other})
+
+    @property
+    def rest(self) -> list[str]:
+        """All entries but the two."""
+        return [n for n in self.names if n not in (self.late, self.other)]
+
+    def cut(self, one: str, others: abc.Iterable[str]) -> None:
+        """Cut an entry off from others before the repetition comes."""
+        for other in others:
+            self.world.at(
+                0.5, functools.partial(self.world.cut, one, other, 4.0)
+            )
+
+    def run(self) -> None:
+        """Play both requests, and check that one of them was served."""
+        self.world.at(faults.REPEAT_S, self._repeat)
+        self.world.at(_HELD_S, self._arrive)
+        self.world.run(_HELD_S + 3.0)
+        assert not self.world.violations
+        assert self.world.started[self.job] == _TASKS
+        assert isinstance(self.world.outcome(self.again), outcomes.Complete)
+
+    def _submit(self, entry: str, waited_s: float) -> int:
+        deadline_s = _DEADLINE_S - waited_s
+        return self.world.submit(
+            entry, self.job, _TASKS, 2.0, 1000, deadline_s
+        )
+
+    def _repeat(self) -> None:
+        self.again = self._submit(self.other, faults.REPEAT_S)
+
+    def _arrive(self) -> None:
+        token = self._submit(self.late, 0.0)
+        left = leases.ClientLeft(token, self.job)
+        self.world.at(
+            0.005, functools.partial(self.world.post, self.late, left)
+        )
+
+
+# Requests through others.
+
+
+def _make_registrations(
+    missing: abc.Collection[str],
+) -> _registration.Registrations:
+    """Return those of an entry that knows all entries but misses some."""
+    peers = tuple(n for n in registering.ENTRIES if n not in missing)
+    registrations = registering.make_registrations(peers=())
+    registrations.learn_entries(0.0, registering.ENTRIES)
+    for name in peers[1:]:
+        registrations.join(0.0, name, registers_jobs=True, relays=True)
+    return registrations
+
+
+def _first_registrar(job: str = registering.JOB) -> str:
+    names = registering.ENTRIES
+    return sorted(registering.registrars("entry-0", job, names))[0]
+
+
+def _split(
+    registrations: _registration.Registrations,
+) -> tuple[list[str], list[tuple[str, wire.Relay]]]:
+    """Return the entries that are asked directly, and the relayed requests."""
+    messages = registrations.pop_messages()
+    relayed = [
+        (name, message)
+        for name, message in messages
+        if isinstance(message, wire.Relay)
+    ]
+    direct = [
+        name
+        for name, message in messages
+        if not isinstance(message, wire.Relay)
+    ]
+    return direct, relayed
+
+
+def test_nothing_is_relayed_while_all_entries_are_reached() -> None:
+    """Guards against a cost on calm days."""
+    registrations = _make_registrations(missing=())
+    for number in range(100):
+        registrations.start(0.0, registering.make_job(f"{number:016x}"))
+    direct, relayed = _split(registrations)
+    assert direct
+    assert not relayed
+
+
+def test_unreached_registrar_is_asked_through_two_others() -> None:
+    """Guards against a start that its registrar is not told of."""
+    missing = _first_registrar()
+    registrations = _make_registrations([missing])
+    job = registering.make_job()
+    registrations.start(1.0, job)
+    direct, relayed = _split(registrations)
+    assert len(direct) == 2
+    assert [name for name, _ in relayed] == direct
+    request = wire.RegisterJobs((wire.SubmittedJob(job.name, 5.0),))
+    for _, message in relayed:
+        assert message == wire.Relay("entry-0", missing, request)
+    for name in direct:
+        registrations.receive(1.001, name, wire.RegisteredJob(job.name))
+    assert job.is_registering
+    newer = wire.RegisteredJob(job.name, "entry-9", 3.7)
+    registrations.receive(1.002, missing, newer)
+    decisions = registrations.pop_decisions()
+    assert decisions == [_registration.HeldElsewhere(job, "entry-9")]
+
+
+def test_registrar_that_nobody_reaches_is_not_waited_for() -> None:
+    """Guards against jobs that wait for an entry that was lost."""
+    missing = _first_registrar()
+    registrations = _make_registrations([missing])
+    job = registering.make_job()
+    registrations.start(1.0, job)
+    direct, relayed = _split(registrations)
+    for name in direct:
+        registrations.receive(1.001, name, wire.RegisteredJob(job.name))
+    failed = wire.RelayFailed(missing, (job.name,))
+    for name, _ in relayed:
+        assert job.is_registering
+        registrations.receive_failure(1.001, name, failed)
+    assert registrations.pop_decisions() == [_registration.Registered(job)]
+
+
+def test_answer_through_others_is_waited_for_a_bounded_time() -> None:
+    """Guards against jobs that wait for a relay that lost a message."""
+    registrations = _make_registrations([_first_registrar()])
+    job = registering.make_job()
+    registrations.start(1.0, job)
+    for name in _split(registrations)[0]:
+        registrations.receive(1.001, name, wire.RegisteredJob(job.name))
+    assert registrations.due_at <= 1.12
+    registrations.check(registrations.due_at)
+    assert registrations.pop_decisions() == [_registration.Registered(job)]
+
+
+def test_registrar_that_does_not_answer_is_asked_through_others() -> None:
+    """Guards against an entry that takes its own cut for another's loss."""
+    registrations = _make_registrations(missing=())
+    job = registering.make_job()
+    registrations.start(1.0, job)
+    (one, silent), _ = _split(registrations)
+    registrations.receive(1.001, one, wire.RegisteredJob(job.name))
+    registrations.check(registrations.due_at)
+    _, relayed = _split(registrations)
+    assert {message.target for _, message in relayed} == {silent}
+    assert job.is_registering
+
+
+def test_entries_lost_for_long_are_asked_for_once_a_second() -> None:
+    """Guards against messages about entries that were removed for good."""
+    missing = registering.ENTRIES[5:]
+    registrations = _make_registrations(missing)
+    counts: collections.Counter[str] = collections.Counter()
+    for number in range(300):
+        now = 20.0 + number / 100
+        job = registering.make_job(f"{number:016x}")
+        registrations.start(now, job)
+        for relay, message in _split(registrations)[1]:
+            counts[message.target] += 1
+            failed = wire.RelayFailed(message.target, (job.name,))
+            registrations.receive_failure(now, relay, failed)
+    assert set(counts) == set(missing)
+    # Each time through two others.
+    assert max(counts.values()) <= 2 * 3
+
+
+def test_unreached_holder_is_asked_at_intervals() -> None:
+    """Guards against requests without a pause while no answer comes."""
+    missing = _first_registrar()
+    registrations = _make_registrations([missing])
+    job = registering.make_job(deadline_s=3.7)
+    registrations.start(1.0, job)
+    held = wire.RegisteredJob(job.name, missing, 5.0)
+    for name in _split(registrations)[0]:
+        registrations.receive(1.001, name, held)
+    registrations.receive(1.002, missing, held)
+    # One answer is missed, so that the next ones are not waited for.
+    registrations.check(registrations.due_at)
+    now = registrations.due_at
+    requests = 0
+    while job.is_registering:
+        registrations.check(now)
+        requests += len(_split(registrations)[1])
+        if job.is_registering:
+            assert registrations.due_at > now
+            now = registrations.due_at
+    assert now <= 1.25
+    assert requests <= 2 * 10
+    decisions = registrations.pop_decisions()
+    assert decisions == [_registration.HeldElsewhere(job, missing)]
+
+
+def test_entry_relays_requests_and_their_answers() -> None:
+    """Guards against an entry that keeps what is meant for another one."""
+    entry = leases.LeaseEntry("entry-0", "0.1", "north", random.Random(1))
+    for name in registering.ENTRIES[1:6]:
+        hello = wire.Hello(
+            wire.Role.ENTRY,
+            name,
+            "1",
+            "north",
+            registers_jobs=True,
+            relays_registrations=name != "entry-5",
+        )
+        entry.receive(0.0, wire.PeerUp(hello))
+    entry.tick(0.0)
+    submission = wire.SubmittedJob(registering.JOB, 5.0)
+    request = wire.RegisterJobs((submission,))
+    answer = wire.JobsRegistered((wire.RegisteredJob(registering.JOB),))
+    there = wire.Relay("entry-1", "entry-2", request)
+    back = wire.Relay("entry-2", "entry-1", answer)
+    to_old = wire.Relay("entry-1", "entry-5", request)
+    to_lost = wire.Relay("entry-1", "entry-9", request)
+    for peer, message, receiver, expected in (
+        ("entry-1", there, "entry-2", there),
+        ("entry-2", back, "entry-1", back),
+        (
+            "entry-1",
+            to_old,
+            "entry-1",
+            wire.RelayFailed("entry-5", (registering.JOB,)),
+        ),
+        (
+            "entry-1",
+            to_lost,
+            "entry-1",
+            wire.RelayFailed("entry-9", (registering.JOB,)),
+        ),
+    ):
+        entry.receive(1.0, wire.Received(peer, message))
+        sent = [
+            (action.peer, action.message)
+            for action in entry.tick(1.0)
+            if isinstance(action, leases.SendMessage)
+            and not isinstance(action.message, wire.KeepAlive)
+        ]
+        assert sent == [(receiver, expected)]
+
+
+def test_relayed_request_is_answered_through_its_relay() -> None:
+    """Guards against an answer that its entry can't be sent directly."""
+    entry = leases.LeaseEntry("entry-0", "0.1", "north", random.Random(1))
+    hello = wire.Hello(
+        wire.Role.ENTRY, "entry-1", "1", "north", registers_jobs=True
+    )
+    entry.receive(0.0, wire.PeerUp(hello))
+    entry.tick(0.0)
+    for source, deadline_s, holder, held_s in (
+        ("entry-8", 5.0, "", 0.0),
+        ("entry-9", 3.7, "entry-8", 5.0),
+    ):
+        submission = wire.SubmittedJob(registering.JOB, deadline_s)
+        request = wire.RegisterJobs((submission,))
+        relayed = wire.Relay(source, "entry-0", request)
+        entry.receive(1.0, wire.Received("entry-1", relayed))
+        registered = wire.RegisteredJob(registering.JOB, holder, held_s)
+        answer = wire.JobsRegistered((registered,))
+        sent = [
+            action.message
+            for action in entry.tick(1.0)
+            if isinstance(action, leases.SendMessage)
+            and isinstance(action.message, wire.Relay)
+        ]
+        assert sent == [wire.Relay("entry-0", source, answer)]
+
+
+# Whole entries.
+
+
+@pytest.mark.parametrize(
+    ("seed", "number", "entries"), [(4, 3, 8), (1, 0, 10), (6, 12, 10)]
+)
+def test_repetition_meets_late_request_without_its_registrars(
+    seed: int, number: int, entries: int
+) -> None:
+    """Guards against an entry that starts a job at other registrars.
+
+    It is cut off from those that everybody else reaches.
+    """
+    play = _Play(seed, number, entries)
+    play.cut(play.other, play.registrars)
+    play.run()
+
+
+@pytest.mark.parametrize(
+    ("seed", "number", "entries"), [(1, 0, 8), (1, 0, 10), (4, 3, 10)]
+)
+def test_the_same_while_the_two_entries_are_cut_off_from_each_other(
+    seed: int, number: int, entries: int
+) -> None:
+    """Guards against two entries that only a third one connects."""
+    play = _Play(seed, number, entries)
+    play.cut(play.other, [*play.registrars, play.late])
+    play.run()
+
+
+@pytest.mark.parametrize(
+    ("seed", "number", "entries"), [(1, 0, 8), (1, 0, 10), (4, 3, 10)]
+)
+def test_late_request_meets_repetition_without_its_registrars(
+    seed: int, number: int, entries: int
+) -> None:
+    """Guards against a late request that asks only those it reaches."""
+    play = _Play(seed, number, entries)
+    play.cut(play.late, [*play.registrars, play.other])
+    play.run()
+
+
+@pytest.mark.parametrize(
+    ("seed", "number", "entries"), [(1, 0, 8), (1, 0, 10), (4, 3, 10)]
+)
+def test_late_request_meets_repetition_in_a_split(
+    seed: int, number: int, entries: int
+) -> None:
+    """Guards against two entries that reach no common one."""
+    play = _Play(seed, number, entries)
+    play.cut(play.late, [*play.rest[::2], play.other])
+    play.cut(play.other, play.rest[1::2])
+    play.run()
--- a/src/ferryledge/wire/__init__.py
+++ b/src/ferryledge/wire/__init__.py
@@ -79,6 +79,8 @@
 RunReleaseReason = _lease_messages.RunReleaseReason
 OrderRuns = _lease_messages.OrderRuns
 RegisterJobs = _lease_messages.RegisterJobs
+Relay = _lease_messages.Relay
+RelayFailed = _lease_messages.RelayFailed
 RegisteredJob = _lease_messages.RegisteredJob
 Resources = _lease_messages.Resources
 UrgencyReport = _lease_messages.UrgencyReport
@@ -170,6 +172,8 @@
     "Reconcile",
     "RegisterJobs",
     "RegisteredJob",
+    "Relay",
+    "RelayFailed",
     "ReleaseReason",
     "ReportNow",
     "Resources",
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -342,6 +342,26 @@
     jobs: tuple[RegisteredJob, ...]
 
 
+class Relay(_messages.Model, frozen=True, tag="relay"):
+    """A message to an entry that its source has no working stream to.
+
+    The receiver sends it on to the target, or answers a request with
+    :class:`RelayFailed` if it has no such stream either.
+    """
+
+    source: str
+    target: str
+    message: RegisterJobs | JobsRegistered
+
+
+class RelayFailed(_messages.Model, frozen=True, tag="relay-failed"):
+    """Requests that the sender could not relay."""
+
+    target: str
+    #: Names of the jobs that were to be registered with the target.
+    jobs: tuple[str, ...]
+
+
 class InviteAgents(_messages.Model, frozen=True, tag="seek"):
     """Request to invite agents of the receiver to serve the sender too."""
 
@@ -420,6 +440,8 @@
     | JobsResubmitted
     | RegisterJobs
     | JobsRegistered
+    | Relay
+    | RelayFailed
     | InviteAgents
     | Invite
     | CordonedZones
--- a/src/ferryledge/wire/_messages.py
+++ b/src/ferryledge/wire/_messages.py
@@ -63,6 +63,8 @@
     detects_duplicates: bool = False
     #: Whether the sender registers jobs, and answers those who do.
     registers_jobs: bool = False
+    #: Whether the sender accepts relayed registrations, and passes them on.
+    relays_registrations: bool = False
 
 
 class KeepAlive(Model, frozen=True, tag="alive"):
