Let entries that have just started wait for streams before they register

What callers saw: a late request at an entry that had just started ran beside its repetition.

Cause, two sides of it: (a) an entry registers jobs with those whose streams are open; 5 to 100 ms after its start these are few, or it does not know yet how many entries there are and registers nothing. (b) a registrar that has just started answers that nobody has the job, before the others have registered their jobs with it again. Both are one fault: what a new process doesn't know yet counts as what isn't.

Change: a job at an entry that started less than 0.2 s ago waits until the streams to its registrars are open, or until that time is over. It waits for 0.05 s to learn which entries there are. A registrar that started less than 0.2 s ago and whose streams are not all open says so (RegisteredJob.is_starting), and is asked again each 20 ms.

Cost: in the first 0.2 s of an entry a job waits for streams that take longer to open, at the most for the rest of it.

--- a/src/ferryledge/leases/_duplicates.py
+++ b/src/ferryledge/leases/_duplicates.py
@@ -9,6 +9,8 @@
 
 from collections import abc
 
+import msgspec
+
 from ferryledge.leases import _entry_notes
 from ferryledge.leases import _entry_selection
 from ferryledge.leases import _job_table
@@ -71,6 +73,10 @@
         """When to call :meth:`check`, in monotonic seconds."""
         return self._registrations.due_at
 
+    def note_started(self, now: float) -> None:
+        """Record that this process has just started, at the first call."""
+        self._registrations.note_started(now)
+
     def _note_unanswered(self, now: float, name: str) -> None:
         """Record an entry that did not answer a registration in time."""
         self._notes.registrar_silent(name)
@@ -93,7 +99,7 @@
 
     def _register_open_jobs(self, now: float, name: str) -> None:
         """Register the open jobs with an entry that may not know them."""
-        if not self._registers:
+        if not self._registers(now):
             return
         jobs = self._registered_jobs()
         self._registrations.announce_to(
@@ -118,6 +124,8 @@
     def learn_entries(self, now: float, names: list[str]) -> None:
         """Learn which entries there are, this one included."""
         self._registrations.learn_entries(now, names)
+        if not self._registers(now):
+            self._registrations.complete_all()
 
     def receive(self, now: float, peer: str, message: wire.Message) -> None:
         """Process a message of another entry; unrelated ones are ignored."""
@@ -167,6 +175,11 @@
         registered = tuple(
             self._register_for(now, source, submission) for submission in jobs
         )
+        if self._registrations.is_starting(now):
+            registered = tuple(
+                msgspec.structs.replace(row, is_starting=True)
+                for row in registered
+            )
         return wire.JobsRegistered(registered)
 
     # Submissions at this entry.
@@ -222,17 +235,22 @@
 
         Nothing is ordered for it until its registration is complete.
         """
-        if self._registers:
+        if self._registers(now):
             known = self._register.find(now, job.name)
             self._registrations.start(now, job, known)
 
-    @property
-    def _registers(self) -> bool:
-        """Whether jobs are registered: agents may not serve all entries."""
-        agents_serve_all = (
-            self._peers.entry_count <= _entry_selection.ENTRIES_PER_AGENT
-        )
-        return self._rules.registers_jobs and not agents_serve_all
+    def _registers(self, now: float) -> bool:
+        """Return whether jobs are registered.
+
+        They are where agents may not serve all entries, and in an entry that
+        has just started and doesn't know how many there are.
+        """
+        if not self._rules.registers_jobs:
+            return False
+        if not self._registrations.knows_entries:
+            return self._registrations.awaits_entries(now)
+        entries = self._peers.entry_count
+        return entries > _entry_selection.ENTRIES_PER_AGENT
 
     def check(self, now: float) -> bool:
         """Decide on registrations; give up jobs that other entries hold.
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -257,6 +257,7 @@
     def receive(self, now: float, event: _entry_events.EntryEvent) -> None:
         """Process an event."""
         self._now = now
+        self._duplicates.note_started(now)
         match event:
             case wire.Received(peer, message):
                 self._note_heard(now)
--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -34,7 +34,17 @@
 _ALONE_AFTER_S = 1.0
 #: Longest time in seconds to wait for the first stream to another entry.
 _JOIN_WAIT_S = 0.1
-#: Seconds between requests to an entry that stops its runs of a job.
+#: Longest time in seconds that an entry waits after its start to learn which
+#: other entries there are.
+_LIST_WAIT_S = 0.05
+#: Seconds from then on in which the streams of an entry are opened, and others
+#: register their jobs with it again.
+_START_S = 0.2
+#: Seconds from the opening of a stream until the other entry has registered
+#: its jobs again.
+_REPEAT_S = 0.02
+#: Seconds between requests to an entry that stops its runs of a job, or that
+#: has just started.
 _RETRY_S = 0.02
 #: Longest time in seconds to wait for such an entry.
 _RELEASE_WAIT_S = 0.2
@@ -165,10 +175,14 @@
     rounds: int = 0
     #: Earliest time of completion, in monotonic seconds.
     not_before: float = 0.0
-    #: Until when to wait for a stream to any entry, while none was asked.
+    #: Until when to wait for streams to entries, while none was asked.
     join_by: float = 0.0
     #: For each entry that is asked through others, those that may reach it.
     relays: dict[str, set[str]] = msgspec.field(default_factory=dict)
+    #: Entries that have just started, and when to ask each again.
+    starting: dict[str, float] = msgspec.field(default_factory=dict)
+    #: When to stop waiting for them.
+    started_by: float = _NEVER
 
     @property
     def ready_at(self) -> float:
@@ -182,17 +196,18 @@
         """When to ask each entry again whose answer was not final."""
         return {
             name: retry_at
-            for name, retry_at in self.holders.items()
+            for name, retry_at in (self.holders | self.starting).items()
             if name not in self.answer_due
         }
 
     @property
     def due_at(self) -> float:
         """When to look at it again, in monotonic seconds."""
-        if not (self.answer_due or self.holders):
+        if not (self.answer_due or self.holders or self.starting):
             return self.ready_at
         return min(
             self.release_by if self.holders else _NEVER,
+            self.started_by if self.starting else _NEVER,
             *self.answer_due.values(),
             *self.retries.values(),
         )
@@ -220,6 +235,11 @@
         #: Since when no entry is connected; ``None`` if any is, or if no job
         #: was registered yet.
         self._alone_since: float | None = None
+        self._has_started = False
+        #: When a stream was last opened.
+        self._joined_at = 0.0
+        #: Until when this entry counts as just started.
+        self._starting_until = 0.0
         self._pending: dict[str, _Pending] = {}
         self._answer_times = _answer_times.AnswerTimes(
             _LONGEST_ANSWER_S, _SHORTEST_ANSWER_S
@@ -238,9 +258,44 @@
             default=_NEVER,
         )
 
+    def note_started(self, now: float) -> None:
+        """Record that this process has just started, at the first call."""
+        if not self._has_started:
+            self._has_started = True
+            self._starting_until = now + _LIST_WAIT_S
+
     def learn_entries(self, now: float, names: abc.Iterable[str]) -> None:
         """Learn which entries there are, connected or not."""
+        if self._has_started and not self._registrars.knows_entries:
+            self._starting_until = now + _START_S
         self._registrars.learn(now, names)
+        self._advance_unasked(now)
+
+    @property
+    def knows_entries(self) -> bool:
+        """Whether it was learned which entries there are."""
+        return self._registrars.knows_entries
+
+    def awaits_entries(self, now: float) -> bool:
+        """Return whether this entry may soon learn which entries there are."""
+        return not self._registrars.knows_entries and self.is_starting(now)
+
+    def complete_all(self) -> None:
+        """Complete all registrations: they turned out not to be needed."""
+        for pending in list(self._pending.values()):
+            self._decide(Registered(pending.job))
+
+    def is_starting(self, now: float) -> bool:
+        """Return whether other entries may not know this one yet.
+
+        It has just started, and not all streams are open, or one was opened
+        a moment ago.
+        """
+        if now >= self._starting_until:
+            return False
+        registrars = self._registrars
+        is_joined = registrars.knows_entries and registrars.reaches_all
+        return not is_joined or now < self._joined_at + _REPEAT_S
 
     def join(
         self,
@@ -256,6 +311,7 @@
         :param registers_jobs: whether it answers registrations
         :param relays: whether it relays registrations
         """
+        self._joined_at = now
         self._registrars.join(name, registers_jobs, relays)
         self._alone_since = None
         self._advance_unasked(now)
@@ -281,6 +337,7 @@
         if name in pending.relays:
             return
         was_asked = pending.answer_due.pop(name, None) is not None
+        pending.starting.pop(name, None)
         is_holder = name in pending.holders
         if was_asked or is_holder:
             self._ask_through_others(now, name, pending)
@@ -304,8 +361,7 @@
         job.is_registering = True
         pending = _Pending(job)
         self._pending[job.name] = pending
-        if self._registrars.is_alone:
-            self._wait_for_entries(now, pending)
+        self._wait_for_entries(now, pending)
         self._ask_registrars(now, pending)
         if known is not None:
             self._on_holder(now, self._name, known, pending)
@@ -329,14 +385,30 @@
         return self._registrars.relays_to(now, name)
 
     def _wait_for_entries(self, now: float, pending: _Pending) -> None:
-        """Let a job wait for a stream, unless there was none for long.
+        """Let a job wait for the streams to its registrars.
 
-        An entry that has just started, or that stood still, has none.
+        An entry that has just started, or that stood still, has none. One
+        that has had none for long is the only one.
         """
-        if self._alone_since is None:
-            self._alone_since = now
-        if now - self._alone_since < _ALONE_AFTER_S:
-            pending.join_by = now + _JOIN_WAIT_S
+        if self.is_starting(now):
+            pending.join_by = self._starting_until
+        elif self._registrars.is_alone:
+            if self._alone_since is None:
+                self._alone_since = now
+            if now - self._alone_since < _ALONE_AFTER_S:
+                pending.join_by = now + _JOIN_WAIT_S
+
+    def _is_joining(self, now: float, pending: _Pending) -> bool:
+        """Return whether a job still waits for streams."""
+        if pending.rounds or now >= pending.join_by:
+            return False
+        registrars = self._registrars
+        if not registrars.knows_entries:
+            return self.awaits_entries(now) or registrars.is_alone
+        first = registrars.first(pending.job.name)
+        if self.is_starting(now):
+            return any(map(registrars.lacks, first))
+        return registrars.is_alone and bool(first)
 
     def receive(
         self, now: float, peer: str, registered: wire.RegisteredJob
@@ -358,12 +430,27 @@
         pending.answered.add(peer)
         if registered.entry != peer:
             pending.holders.pop(peer, None)
+        self._note_starting(now, peer, registered, pending)
         if registered.entry and registered.entry != self._name:
             self._on_holder(now, peer, registered, pending)
         if registered.job in self._pending:
             self._advance(now, pending)
         return True
 
+    def _note_starting(
+        self,
+        now: float,
+        peer: str,
+        registered: wire.RegisteredJob,
+        pending: _Pending,
+    ) -> None:
+        """Ask an entry again that has just started."""
+        if not registered.is_starting:
+            pending.starting.pop(peer, None)
+            return
+        pending.starting[peer] = now + _RETRY_S
+        pending.started_by = min(pending.started_by, now + _START_S)
+
     def receive_failure(
         self, now: float, relay: str, failed: wire.RelayFailed
     ) -> None:
@@ -389,6 +476,7 @@
             return
         self._registrars.note_absent(now, target)
         pending.answer_due.pop(target, None)
+        pending.starting.pop(target, None)
         if target in pending.holders:
             self._lose_holder(now, target, pending)
         self._advance(now, pending)
@@ -456,13 +544,16 @@
 
     def _ask_again(self, now: float, name: str, pending: _Pending) -> None:
         """Repeat a request whose answer was not final."""
-        pending.holders[name] = now + _RETRY_S
+        for retries in (pending.holders, pending.starting):
+            if name in retries:
+                retries[name] = now + _RETRY_S
         self._ask(now, name, pending)
 
     def _on_missing_answer(
         self, now: float, name: str, pending: _Pending
     ) -> None:
         """Wait for an entry no more, or ask it through others."""
+        pending.starting.pop(name, None)
         if name in pending.relays:
             self._registrars.avoid_through_others(now, name)
             return
@@ -502,10 +593,18 @@
         if pending.holders and now >= pending.release_by:
             self._decide_by_holder(now, pending)
             return
+        if self._is_joining(now, pending):
+            return
+        if not pending.rounds:
+            pending.join_by = 0.0
+        if now >= pending.started_by:
+            pending.starting.clear()
         is_unanswered = not pending.answered and not pending.answer_due
         if is_unanswered or not pending.rounds:
             self._ask_registrars(now, pending)
-        is_waiting = bool(pending.answer_due or pending.holders)
+        is_waiting = bool(
+            pending.answer_due or pending.holders or pending.starting
+        )
         if not is_waiting and now >= pending.ready_at:
             self._decide(Registered(pending.job))
 
@@ -535,6 +634,8 @@
         registrars = self._registrars
         if pending.rounds >= _MAX_ROUNDS or not registrars.reached():
             return
+        if self._is_joining(now, pending):
+            return
         pending.rounds += 1
         if pending.rounds == 1 and registrars.avoided(now):
             for name in self._select(pending, registrars.reached()):
--- a/src/ferryledge/leases/tests/test_unreached_registrars.py
+++ b/src/ferryledge/leases/tests/test_unreached_registrars.py
@@ -69,6 +69,14 @@
                 0.5, functools.partial(self.world.cut, one, other, 4.0)
             )
 
+    def restart(self, names: abc.Iterable[str], up_s: float) -> None:
+        """Restart entries; they are up shortly before the late request."""
+        for name in names:
+            self.world.at(
+                _HELD_S - 0.2 - up_s,
+                functools.partial(self.world.kill, name, 0.2),
+            )
+
     def run(self) -> None:
         """Play both requests, and check that one of them was served."""
         self.world.at(faults.REPEAT_S, self._repeat)
@@ -376,3 +384,25 @@
     play.cut(play.late, [*play.rest[::2], play.other])
     play.cut(play.other, play.rest[1::2])
     play.run()
+
+
+@pytest.mark.parametrize("up_s", [0.002, 0.005, 0.02, 0.05, 0.1])
+@pytest.mark.parametrize(("seed", "number"), [(3, 2), (5, 7)])
+def test_entry_that_just_started_starts_no_repeated_job(
+    seed: int, number: int, up_s: float
+) -> None:
+    """Guards against an entry that asks before its streams are open."""
+    play = _Play(seed, number, entries=10)
+    play.restart([play.late], up_s)
+    play.run()
+
+
+@pytest.mark.parametrize("up_s", [0.005, 0.02, 0.05])
+@pytest.mark.parametrize(("seed", "number"), [(3, 2), (5, 7)])
+def test_registrars_that_just_started_are_asked_again(
+    seed: int, number: int, up_s: float
+) -> None:
+    """Guards against the word of a registrar that knows nothing yet."""
+    play = _Play(seed, number, entries=10)
+    play.restart([play.late, *play.registrars], up_s)
+    play.run()
