Register open jobs anew when a registrar is lost

What callers saw: a late request ran beside its repetition after the registrars of the job were lost.

Cause: a job was registered once, and again with entries that connect. Nobody knew it any more after both of its registrars were lost for good, and the entry of the late request asked the next ones by rank.

Change: when the stream of a registrar breaks, the open jobs that it was told of are registered with the entry that takes its place, in one message.

--- a/src/ferryledge/leases/_duplicates.py
+++ b/src/ferryledge/leases/_duplicates.py
@@ -119,7 +119,8 @@
 
     def leave(self, now: float, name: str) -> None:
         """Remove an entry whose stream broke."""
-        self._registrations.leave(now, name)
+        jobs = self._registered_jobs() if self._registers(now) else []
+        self._registrations.leave(now, name, jobs)
 
     def learn_entries(self, now: float, names: list[str]) -> None:
         """Learn which entries there are, this one included."""
--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -322,9 +322,28 @@
             if not pending.rounds:
                 self._advance(now, pending)
 
-    def leave(self, now: float, name: str) -> None:
-        """Remove an entry whose stream broke."""
+    def leave(
+        self, now: float, name: str, jobs: abc.Iterable[_jobs.Job] = ()
+    ) -> None:
+        """Remove an entry whose stream broke.
+
+        :param now: monotonic seconds
+        :param name: the entry
+        :param jobs: started jobs, which are registered with another entry if
+            this one was a registrar of theirs
+        """
+        reached = self._registrars.reached()
+        lost = [
+            job
+            for job in jobs
+            if name in self._registrars.rank(job.name, reached)
+        ]
         self._registrars.leave(now, name)
+        for job in lost:
+            for registrar in self._registrars.rank(
+                job.name, self._registrars.reached()
+            )[1:]:
+                self._queue(registrar, job)
         if self._registrars.is_alone and self._alone_since is None:
             self._alone_since = now
         for pending in list(self._pending.values()):
--- a/src/ferryledge/leases/tests/test_unreached_registrars.py
+++ b/src/ferryledge/leases/tests/test_unreached_registrars.py
@@ -406,3 +406,17 @@
     play = _Play(seed, number, entries=10)
     play.restart([play.late, *play.registrars], up_s)
     play.run()
+
+
+@pytest.mark.parametrize(
+    ("seed", "number"), [(11, 27), (18, 26), (21, 47), (24, 18)]
+)
+def test_jobs_are_registered_anew_when_their_registrars_are_lost(
+    seed: int, number: int
+) -> None:
+    """Guards against a job that nobody knows after its registrars are lost."""
+    play = _Play(seed, number, entries=10)
+    for name in play.registrars:
+        kill = functools.partial(play.world.kill, name, 10.0)
+        play.world.at(faults.REPEAT_S + 0.15, kill)
+    play.run()
