Keep all submissions of a job at its registrars

What callers saw: a third submission of a job ran beside the first one.

Cause: a registrar kept the newest submission. The third entry was told of the second one, which had given the job up, while runs of the first one went on: its stops were not answered.

Ruled out: that the second entry starts it (it waits for the first one, and then answers 504).

Change: a registrar keeps the submissions of all entries until their runs are over, and names the earlier ones with its answer (RegisteredJob.earlier).

Before: test_third_submission_waits_for_runs_of_the_first[True] runs tasks twice.

--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -73,7 +73,7 @@
 
 
 class _Registration(msgspec.Struct, frozen=True):
-    """The newest submission of a job that a registrar was told of."""
+    """A submission of a job that a registrar was told of."""
 
     entry: str
     deadline_s: float
@@ -89,7 +89,9 @@
 
     def __init__(self, timing: _timing.LeaseTiming) -> None:
         self._over_after_s = timing.over_after_s
-        self._jobs: dict[str, _Registration] = {}
+        #: Submissions by job, those at other entries than the last one only
+        #: while their runs may be alive; the newest one is last.
+        self._jobs: dict[str, list[_Registration]] = {}
         self._next_expiry = 0.0
 
     def __len__(self) -> int:
@@ -106,39 +108,53 @@
         :return: the answer to the entry
         """
         job = submission.job
-        known = self._jobs.get(job)
-        if known is None or known.entry == entry or known.until <= now:
-            self._record(now, entry, submission)
-            return wire.RegisteredJob(job)
-        if not is_newer(known.deadline_s, submission.deadline_s):
-            self._record(now, entry, submission)
-        return wire.RegisteredJob(job, known.entry, known.deadline_s)
+        others = [
+            row
+            for row in self._jobs.get(job, ())
+            if row.until > now and row.entry != entry
+        ]
+        newest = others[-1] if others else None
+        if newest is None or not is_newer(
+            newest.deadline_s, submission.deadline_s
+        ):
+            self._jobs[job] = [*others, self._record(now, entry, submission)]
+        return _answer(job, others)
 
     def find(self, now: float, job: str) -> wire.RegisteredJob | None:
-        """Return the submission of a job that another entry registered."""
-        known = self._jobs.get(job)
-        if known is None or known.until <= now:
-            return None
-        return wire.RegisteredJob(job, known.entry, known.deadline_s)
+        """Return the submissions of a job that other entries registered."""
+        rows = [row for row in self._jobs.get(job, ()) if row.until > now]
+        return _answer(job, rows) if rows else None
 
     def _record(
         self, now: float, entry: str, submission: wire.SubmittedJob
-    ) -> None:
+    ) -> _Registration:
         deadline_s = submission.deadline_s
         keep_s = (deadline_s or _UNLIMITED_KEEP_S) + self._over_after_s
-        self._jobs[submission.job] = _Registration(
-            entry, deadline_s, now + keep_s
-        )
+        return _Registration(entry, deadline_s, now + keep_s)
 
     def expire(self, now: float) -> None:
         """Remove the registrations whose runs are over."""
         if now < self._next_expiry:
             return
         self._next_expiry = now + _EXPIRY_INTERVAL_S
-        for job in [j for j, row in self._jobs.items() if row.until <= now]:
+        outdated = [
+            job
+            for job, rows in self._jobs.items()
+            if all(row.until <= now for row in rows)
+        ]
+        for job in outdated:
             del self._jobs[job]
 
 
+def _answer(job: str, others: list[_Registration]) -> wire.RegisteredJob:
+    """Return the answer that names the submissions at other entries."""
+    if not others:
+        return wire.RegisteredJob(job)
+    earlier = tuple(row.entry for row in others[:-1])
+    newest = others[-1]
+    return wire.RegisteredJob(job, newest.entry, newest.deadline_s, earlier)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Registered:
     """No other entry holds the job; its runs may be ordered."""
@@ -516,13 +532,16 @@
         registered: wire.RegisteredJob,
         pending: _Pending,
     ) -> None:
-        """Process an answer that names another entry that has the job."""
+        """Process an answer that names other entries which have the job."""
         holder = registered.entry
         deadline_s = pending.job.newest_deadline_s
         if is_newer(registered.deadline_s, deadline_s):
             self._decide(HeldElsewhere(pending.job, holder))
             return
         pending.job.may_have_run_elsewhere = True
+        for name in registered.earlier:
+            if name not in (self._name, peer):
+                self._await_holder(now, name, pending)
         if holder != peer:
             self._await_holder(now, holder, pending)
         elif is_newer(deadline_s, registered.deadline_s):
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -334,6 +334,8 @@
     #: Seconds for which the client waited from its submission there on; 0 if
     #: unlimited.
     deadline_s: float = 0.0
+    #: Further entries that received the job before, and may still run it.
+    earlier: tuple[str, ...] = ()
     #: Whether the sender of the answer has just started, and other entries
     #: may still have to register the job with it again.
     is_starting: bool = False
