Register jobs to which a client is attached at a delegate

What callers saw: a submission of a job ran beside an earlier one that its client had made at the delegate of a handed-over job.

Cause: a job is registered by the entry that took it from a client, the delegator. If another client is attached at the delegate, and the first one leaves the delegator, then the delegate's job is registered by nobody: the registrars name the delegator, which has nothing any more.

Ruled out: that the delegate's agents tell of it (no agent serves both).

Change: the delegate registers the job as the client is attached. It goes on meanwhile, since the delegator registered it before.

--- a/src/ferryledge/leases/_duplicates.py
+++ b/src/ferryledge/leases/_duplicates.py
@@ -240,6 +240,11 @@
             known = self._register.find(now, job.name)
             self._registrations.start(now, job, known)
 
+    def announce(self, now: float, job: _jobs.Job) -> None:
+        """Register a job that is under way with its registrars."""
+        if self._registers(now):
+            self._registrations.announce(job)
+
     def _registers(self, now: float) -> bool:
         """Return whether jobs are registered.
 
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -425,6 +425,9 @@
             request.deadline_s, job.newest_deadline_s
         ):
             job.newest_deadline_s = request.deadline_s
+        if job.is_incoming and not job.closed:
+            # The delegator registered it, and may leave it.
+            self._duplicates.announce(now, job)
         if job.closed:
             job.closed = False
             job.request = request
--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -403,6 +403,12 @@
         if job.name in self._pending:
             self._advance(now, pending)
 
+    def announce(self, job: _jobs.Job) -> None:
+        """Register a started job anew; the answers are not waited for."""
+        names = self._registrars.reached()
+        for name in self._registrars.rank(job.name, names):
+            self._queue(name, job)
+
     def announce_to(self, name: str, jobs: abc.Iterable[_jobs.Job]) -> None:
         """Register started jobs with an entry that is a registrar of theirs.
 
