Relay answers to entries that this one avoids

Cause: a relay kept back every message to an entry that had not answered its own registrations recently, the answers of others among them. The asking entry then waited for as long as answers take, and started the job without the word of its registrar.

Ruled out: that such an answer would be sent to an entry that doesn't understand it; it goes to the source of a relayed request.

Change: only requests are kept back from an avoided entry.

Before: test_relay_keeps_back_requests_alone_from_an_entry_it_avoids fails; after, it passes. The test of relays and their failures is split into cases, each as strict as before.

--- a/src/ferryledge/leases/_duplicates.py
+++ b/src/ferryledge/leases/_duplicates.py
@@ -158,16 +158,14 @@
 
     def _relay(self, now: float, peer: str, relayed: wire.Relay) -> None:
         """Relay a message between two other entries."""
-        if self._registrations.relays_to(now, relayed.target):
+        request = relayed.message
+        if isinstance(
+            request, wire.RegisterJobs
+        ) and not self._registrations.relays_to(now, relayed.target):
+            names = tuple(submission.job for submission in request.jobs)
+            self._send(peer, wire.RelayFailed(relayed.target, names))
+        else:
             self._send(relayed.target, relayed)
-            return
-        match relayed.message:
-            case wire.RegisterJobs(jobs):
-                names = tuple(submission.job for submission in jobs)
-                self._send(peer, wire.RelayFailed(relayed.target, names))
-            case _:
-                # The source of the request stops waiting for it.
-                pass
 
     def _register_all(
         self, now: float, source: str, jobs: tuple[wire.SubmittedJob, ...]
--- a/src/ferryledge/leases/tests/test_unreached_registrars.py
+++ b/src/ferryledge/leases/tests/test_unreached_registrars.py
@@ -257,10 +257,14 @@
     assert decisions == [_registration.HeldElsewhere(job, missing)]
 
 
-def test_entry_relays_requests_and_their_answers() -> None:
-    """Guards against an entry that keeps what is meant for another one."""
+def _make_entry(peers: abc.Iterable[str]) -> leases.LeaseEntry:
+    """Return an entry that knows six, with streams to some of them."""
     entry = leases.LeaseEntry("entry-0", "0.1", "north", random.Random(1))
-    for name in registering.ENTRIES[1:6]:
+    addresses = tuple(
+        wire.EntryAddress(name, "host", 1) for name in registering.ENTRIES[:6]
+    )
+    entry.receive(0.0, leases.EntriesFound(addresses))
+    for name in peers:
         hello = wire.Hello(
             wire.Role.ENTRY,
             name,
@@ -271,37 +275,68 @@
         )
         entry.receive(0.0, wire.PeerUp(hello))
     entry.tick(0.0)
-    submission = wire.SubmittedJob(registering.JOB, 5.0)
-    request = wire.RegisterJobs((submission,))
-    answer = wire.JobsRegistered((wire.RegisteredJob(registering.JOB),))
-    there = wire.Relay("entry-1", "entry-2", request)
-    back = wire.Relay("entry-2", "entry-1", answer)
-    to_old = wire.Relay("entry-1", "entry-5", request)
-    to_lost = wire.Relay("entry-1", "entry-9", request)
-    for peer, message, receiver, expected in (
-        ("entry-1", there, "entry-2", there),
-        ("entry-2", back, "entry-1", back),
-        (
-            "entry-1",
-            to_old,
-            "entry-1",
-            wire.RelayFailed("entry-5", (registering.JOB,)),
-        ),
-        (
-            "entry-1",
-            to_lost,
-            "entry-1",
-            wire.RelayFailed("entry-9", (registering.JOB,)),
-        ),
-    ):
-        entry.receive(1.0, wire.Received(peer, message))
-        sent = [
-            (action.peer, action.message)
-            for action in entry.tick(1.0)
-            if isinstance(action, leases.SendMessage)
-            and not isinstance(action.message, wire.KeepAlive)
-        ]
-        assert sent == [(receiver, expected)]
+    return entry
+
+
+def _sent(
+    entry: leases.LeaseEntry, now: float
+) -> list[tuple[str, wire.Relay | wire.RelayFailed]]:
+    return [
+        (action.peer, action.message)
+        for action in entry.tick(now)
+        if isinstance(action, leases.SendMessage)
+        and isinstance(action.message, wire.Relay | wire.RelayFailed)
+    ]
+
+
+_REQUEST = wire.RegisterJobs((wire.SubmittedJob(registering.JOB, 5.0),))
+_ANSWER = wire.JobsRegistered((wire.RegisteredJob(registering.JOB),))
+
+
+@pytest.mark.parametrize(
+    ("source", "target", "message"),
+    [
+        ("entry-1", "entry-2", _REQUEST),
+        ("entry-2", "entry-1", _ANSWER),
+    ],
+)
+def test_entry_relays_requests_and_their_answers(
+    source: str, target: str, message: wire.RegisterJobs | wire.JobsRegistered
+) -> None:
+    """Guards against an entry that keeps what is meant for another one."""
+    entry = _make_entry(registering.ENTRIES[1:6])
+    relayed = wire.Relay(source, target, message)
+    entry.receive(1.0, wire.Received(source, relayed))
+    assert _sent(entry, 1.0) == [(target, relayed)]
+
+
+@pytest.mark.parametrize("target", ["entry-5", "entry-9"])
+def test_relay_says_that_it_does_not_reach_an_entry(target: str) -> None:
+    """Guards against jobs that wait for an earlier release or a lost entry."""
+    entry = _make_entry(registering.ENTRIES[1:6])
+    relayed = wire.Relay("entry-1", target, _REQUEST)
+    entry.receive(1.0, wire.Received("entry-1", relayed))
+    failed = wire.RelayFailed(target, (registering.JOB,))
+    assert _sent(entry, 1.0) == [("entry-1", failed)]
+
+
+def test_relay_keeps_back_requests_alone_from_an_entry_it_avoids() -> None:
+    """Guards against an answer that is lost since its entry was slow."""
+    entry = _make_entry(["entry-1", "entry-2"])
+    step = leases.JobStep(1, wire.Resources(100))
+    job = leases.LeasedJob("b", worlds.JOB_CLASS, "spec", (step,), 2.0)
+    entry.receive(1.0, leases.JobSubmitted(1, job))
+    _sent(entry, 1.0)
+    # Neither of the two has answered.
+    _sent(entry, 1.07)
+    for message in (_REQUEST, _ANSWER):
+        relayed = wire.Relay("entry-2", "entry-1", message)
+        entry.receive(1.1, wire.Received("entry-2", relayed))
+    failed = wire.RelayFailed("entry-1", (registering.JOB,))
+    answer = wire.Relay("entry-2", "entry-1", _ANSWER)
+    sent = _sent(entry, 1.1)
+    assert ("entry-2", failed) in sent
+    assert ("entry-1", answer) in sent
 
 
 def test_relayed_request_is_answered_through_its_relay() -> None:
