Calculate when a registration is due only when it changes

Cause: each tick asks every pending registration when it is due, twice. An entry that falls behind has more of them.

Change: the time is kept, and calculated when a registration changes.

--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -199,6 +199,8 @@
     starting: dict[str, float] = msgspec.field(default_factory=dict)
     #: When to stop waiting for them.
     started_by: float = _NEVER
+    #: When to look at it again, in monotonic seconds.
+    due_at: float = 0.0
 
     @property
     def ready_at(self) -> float:
@@ -216,12 +218,15 @@
             if name not in self.answer_due
         }
 
-    @property
-    def due_at(self) -> float:
-        """When to look at it again, in monotonic seconds."""
+    def schedule(self) -> None:
+        """Set when to look at it again.
+
+        Each tick asks for it, while it changes with answers alone.
+        """
         if not (self.answer_due or self.holders or self.starting):
-            return self.ready_at
-        return min(
+            self.due_at = self.ready_at
+            return
+        self.due_at = min(
             self.release_by if self.holders else _NEVER,
             self.started_by if self.starting else _NEVER,
             *self.answer_due.values(),
@@ -628,6 +633,11 @@
         return messages
 
     def _advance(self, now: float, pending: _Pending) -> None:
+        """Go on with a registration after any change of it."""
+        self._complete_or_ask(now, pending)
+        pending.schedule()
+
+    def _complete_or_ask(self, now: float, pending: _Pending) -> None:
         """Complete a registration, or select registrars if none answered."""
         if pending.job.closed:
             self._pending.pop(pending.job.name, None)
