Ask silent entries through others, not slow ones

Cause: an entry that did not answer a registration in 20 to 60 ms was asked again through two others, though its stream works. Where all entries are slow that is twice the messages, which makes them slower.

Change: an entry is asked through others if it has no stream, or if nothing came from it for 0.3 s. Entries exchange a message each 0.5 s, and registrations more often, so one that is cut off is silent soon.

What it leaves: a cut within the 0.3 s before a registration.

--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -51,6 +51,10 @@
 #: Seconds without any message after which an entry counts as lost: two
 #: keep-alive messages are missing.
 _LOST_AFTER_S = 1.2
+#: Seconds without any message after which an entry that does not answer may
+#: be cut off from this one. Until then it is only slow, and the same request
+#: through others would make it slower.
+_SILENT_AFTER_S = 0.3
 #: Seconds for which a job without a deadline is kept.
 _UNLIMITED_KEEP_S = 10.0
 #: Seconds between removals of outdated registrations.
@@ -609,7 +613,12 @@
         if not self._registrars.is_avoided(now, name):
             self._note_unanswered(now, name)
         self._registrars.avoid(now, name)
-        self._ask_through_others(now, name, pending)
+        if self._is_silent(now, name):
+            self._ask_through_others(now, name, pending)
+
+    def _is_silent(self, now: float, name: str) -> bool:
+        """Return whether an entry may be cut off from this one."""
+        return self._silent_for(now, name) >= _SILENT_AFTER_S
 
     def pop_decisions(self) -> list[Decision]:
         """Return the decisions since the last call."""
@@ -698,7 +707,7 @@
         for name in self._select(pending, registrars.responsive(now)):
             self._ask(now, name, pending)
         for name in registrars.missing(now, pending.job.name):
-            if name not in pending.relays:
+            if name not in pending.relays and self._is_silent(now, name):
                 self._ask_through_others(now, name, pending)
 
     def _select(self, pending: _Pending, names: list[str]) -> list[str]:
--- a/src/ferryledge/leases/tests/test_unreached_registrars.py
+++ b/src/ferryledge/leases/tests/test_unreached_registrars.py
@@ -107,11 +107,15 @@
 
 
 def _make_registrations(
-    missing: abc.Collection[str],
+    missing: abc.Collection[str], silent_s: float = 1.0
 ) -> _registration.Registrations:
-    """Return those of an entry that knows all entries but misses some."""
+    """Return those of an entry that knows all entries but misses some.
+
+    :param missing: entries without a stream
+    :param silent_s: seconds since the last message of the others
+    """
     peers = tuple(n for n in registering.ENTRIES if n not in missing)
-    registrations = registering.make_registrations(peers=())
+    registrations = registering.make_registrations(peers=(), silent_s=silent_s)
     registrations.learn_entries(0.0, registering.ENTRIES)
     for name in peers[1:]:
         registrations.join(0.0, name, registers_jobs=True, relays=True)
@@ -213,6 +217,20 @@
     assert job.is_registering
 
 
+def test_slow_registrar_is_not_asked_through_others() -> None:
+    """Guards against more messages to entries that have too many already."""
+    registrations = _make_registrations(missing=(), silent_s=0.1)
+    for number in range(20):
+        registrations.start(1.0, registering.make_job(f"{number:016x}"))
+    registrations.pop_messages()
+    while registrations.due_at < float("inf"):
+        registrations.check(registrations.due_at)
+        assert not _split(registrations)[1]
+    assert len(registrations.pop_decisions()) == 20
+    registrations.start(1.5, registering.make_job())
+    assert not _split(registrations)[1]
+
+
 def test_entries_lost_for_long_are_asked_for_once_a_second() -> None:
     """Guards against messages about entries that were removed for good."""
     missing = registering.ENTRIES[5:]
