--- a/src/ferryledge/capacity/_page.py
+++ b/src/ferryledge/capacity/_page.py
@@ -251,6 +251,14 @@
 | 96 | 1 | 4.08 | 166 | 4.03 | 164 |
 | 96 | 24 | 6.62 | 297 | 4.70 | 198 |
 
+Target: registration lowers the worth of a deployment's day by 0.03 at most.
+Reached at full size in the two pairs that were played, trouble-1 with seed 5:
+gp-checkin-grown 0.859 (0.870 before registration), zhuqiao-hq-grown 0.848
+(0.847). Not reached on the small twin of spokewell-cork-large, scale-1 with
+seed 5, whose five entries are short of processor time at a machine load of 15
+to 20: 0.432 instead of 0.646 (means of four plays; entries take 0.059 instead
+of 0.054 of a core), and 0.898 instead of 0.917 without processor time.
+
 **Where it breaks first.** One scheduler a pool: beyond {ten:,.0f} starts a
 second in jobs of ten, a pool must be smaller (`pool_size`). The memory
 floor: the libraries alone take {costs.entry_floor_mb:.0f} of the 64 MB. The
