Remember each complete job, also without a client or handed over

What callers saw: a job whose answer was lost ran a second time at the entry that had run it.

Cause: only a job with a waiting client, whose last run ended at an agent of its own entry, was remembered as complete. Not one whose last task ended after its client's connection had broken, and not one that another entry ran for it.

Ruled out: the retention time; 10 s had not passed.

Change: whatever finishes a job as complete records it.

Before, 8 tasks start again after the client left, and 4 at the delegator; after, none. At the delegate nothing was started again before either.

Conclusion: at the same entry a complete job runs once.

--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -474,6 +474,8 @@
         self, now: float, job: _jobs.Job, outcome: outcomes.JobOutcome
     ) -> None:
         """Answer a job's clients and close it."""
+        if isinstance(outcome, outcomes.Complete):
+            self._jobs.note_complete(job.name, now)
         if job.may_have_run_elsewhere and isinstance(
             outcome, outcomes.Refused
         ):
@@ -644,10 +646,7 @@
         """Answer a job whose outcome was decided by the end of a run."""
         if decided is None:
             return
-        job = decided.job
-        if isinstance(decided.outcome, outcomes.Complete) and not job.closed:
-            self._jobs.note_complete(job.name, now)
-        self._finish(now, job, decided.outcome)
+        self._finish(now, decided.job, decided.outcome)
 
     def _on_state(
         self, now: float, row: _pool.AgentRow, state: wire.EndpointState
