Keep complete jobs until their clients' deadlines

What callers saw: a job with a long deadline, submitted again more than 10 s after its end, ran a second time at the same entry.

Cause: complete jobs were kept for 10 s from their end, whatever their client may still send.

Change: they are kept until the client's deadline, 10 s at the least since the network may deliver a submission late, and for 60 s without a deadline.

Cost: a table row a job as before; with deadlines up to 10 s nothing changes.

Conclusion: a job without a deadline that comes again after a minute still runs. That is left: nothing tells how long its client waits.

--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -475,7 +475,7 @@
     ) -> None:
         """Answer a job's clients and close it."""
         if isinstance(outcome, outcomes.Complete):
-            self._jobs.note_complete(job.name, now)
+            self._jobs.note_complete(now, job)
         if job.may_have_run_elsewhere and isinstance(
             outcome, outcomes.Refused
         ):
--- a/src/ferryledge/leases/_job_table.py
+++ b/src/ferryledge/leases/_job_table.py
@@ -4,8 +4,13 @@
 
 from ferryledge.leases import _jobs
 
-#: Seconds for which a complete job is remembered for repeated submissions.
-_KEEP_COMPLETE_S = 10.0
+#: Least time in seconds for which a complete job is remembered, since the
+#: network may deliver a submission after its client's deadline.
+_KEEP_S = 10.0
+#: The same for a job without a deadline.
+_UNLIMITED_KEEP_S = 60.0
+#: Seconds between removals of complete jobs.
+_EXPIRY_INTERVAL_S = 1.0
 
 
 class JobTable:
@@ -13,7 +18,9 @@
 
     def __init__(self) -> None:
         self._jobs: dict[str, _jobs.Job] = {}
+        #: Until when each complete job is remembered, in monotonic seconds.
         self._complete: dict[str, float] = {}
+        self._next_expiry = 0.0
         #: Start of this entry's authority to run each job of another entry, in
         #: monotonic seconds by job name.
         self.authorised_at: dict[str, float] = {}
@@ -59,17 +66,24 @@
         if job.closed and not job.is_delegated and not job.bound():
             self._jobs.pop(job.name, None)
 
-    def note_complete(self, name: str, now: float) -> None:
-        """Remember that a job was answered as complete."""
-        self._complete[name] = now
+    def note_complete(self, now: float, job: _jobs.Job) -> None:
+        """Remember that all tasks of a job are done."""
+        keep_s = _KEEP_S
+        if not job.request.deadline_s:
+            keep_s = _UNLIMITED_KEEP_S
+        elif job.deadline_at > now:
+            keep_s = max(keep_s, job.deadline_at - now)
+        self._complete[job.name] = now + keep_s
 
     def was_complete(self, name: str) -> bool:
-        """Return whether a job was recently answered as complete."""
+        """Return whether all tasks of a job are known to be done."""
         return name in self._complete
 
     def expire(self, now: float) -> None:
         """Forget complete jobs after the retention time."""
-        for name, completed_at in list(self._complete.items()):
-            if now - completed_at < _KEEP_COMPLETE_S:
-                return
+        if now < self._next_expiry:
+            return
+        self._next_expiry = now + _EXPIRY_INTERVAL_S
+        outdated = [n for n, until in self._complete.items() if until <= now]
+        for name in outdated:
             del self._complete[name]
--- a/src/ferryledge/leases/tests/test_complete_jobs.py
+++ b/src/ferryledge/leases/tests/test_complete_jobs.py
@@ -42,6 +42,20 @@
     _assert_ran_once(world, again)
 
 
+@pytest.mark.parametrize("name", ["entry-0"])
+@pytest.mark.parametrize("deadline_s", [30.0, 0.0])
+def test_complete_job_is_kept_while_its_client_may_repeat_it(
+    name: str, deadline_s: float
+) -> None:
+    """Guards against forgetting a job before its client's deadline."""
+    world = registering.make_world()
+    _submit(world, "entry-0", deadline_s)
+    world.run(25.0)
+    again = _submit(world, name, deadline_s and deadline_s - 25.0)
+    world.run(2.0)
+    _assert_ran_once(world, again)
+
+
 @pytest.mark.parametrize("again_at", ["delegator", "delegate"])
 def test_complete_job_that_was_handed_over_is_not_run_again(
     again_at: str,
