Answer complete jobs at entries that register them

What callers saw: a job whose answer was lost, submitted again at another entry after its end, ran a second time.

Cause: registrations name the first entry, and the second one asks it. That entry holds the job no more, and answered as if it had never had it.

Change: an entry that is asked about a complete job says so, and the asking one answers its client as complete at once. A late answer of that kind ends runs that were started without it. A log line and the counter already_complete_jobs tell such jobs from others.

Cost: no message; a byte in an answer.

--- a/src/ferryledge/hosted/_metrics.py
+++ b/src/ferryledge/hosted/_metrics.py
@@ -136,6 +136,10 @@
         self._resubmitted = registry.counter(
             "resubmitted_jobs", "Jobs that were likely submitted before"
         )
+        self._already_complete = registry.counter(
+            "already_complete_jobs",
+            "Jobs that were submitted again although they are complete",
+        )
         self._superseded = registry.counter(
             "superseded_jobs",
             "Jobs that were registered here after an older submission",
@@ -161,6 +165,10 @@
         """Count a job that was likely submitted before."""
         self._resubmitted.add()
 
+    def already_complete(self) -> None:
+        """Count a complete job that was submitted again."""
+        self._already_complete.add()
+
     def superseded(self) -> None:
         """Count a job whose newer submission was registered here."""
         self._superseded.add()
--- a/src/ferryledge/hosted/tests/test_metrics.py
+++ b/src/ferryledge/hosted/tests/test_metrics.py
@@ -4,6 +4,7 @@
 
 from ferryledge.hosted import _metrics
 from ferryledge import leases
+from ferryledge import outcomes
 from ferryledge import wire
 
 
@@ -140,3 +141,33 @@
     lines = registry.render().decode().splitlines()
     # One for each of the four other entries.
     assert "ferryledge_entry_relayed_registrations_total 4.0" in lines
+
+
+def test_complete_jobs_that_come_again_are_counted() -> None:
+    registry = _metrics.Registry("entry")
+    metrics = _metrics.EntryMetrics(registry)
+    core = leases.LeaseEntry(
+        "entry-0", "1", "north", random.Random(1), meter=metrics
+    )
+    names = [f"entry-{n}" for n in range(6)]
+    addresses = tuple(wire.EntryAddress(name, "", 1) for name in names)
+    core.receive(0.0, leases.EntriesFound(addresses))
+    hello = wire.Hello(
+        wire.Role.ENTRY, "entry-1", "1", "north", registers_jobs=True
+    )
+    core.receive(0.0, wire.PeerUp(hello))
+    agent = wire.Hello(wire.Role.AGENT, "agent-0", "agent-0.1", "north")
+    core.receive(0.0, wire.PeerUp(agent))
+    step = leases.JobStep(1, wire.Resources(100, 10, 0))
+    job_class = leases.JobClass("quick", "desk")
+    job = leases.LeasedJob("b", job_class, "", (step,), 2.0)
+    core.receive(1.0, leases.JobSubmitted(1, job))
+    core.tick(1.0)
+    known = wire.RegisteredJob("b", "entry-1", is_complete=True)
+    answer = wire.JobsRegistered((known,))
+    core.receive(1.0, wire.Received("entry-1", answer))
+    actions = core.tick(1.0)
+    assert leases.AnswerJob(1, outcomes.Complete(())) in actions
+    core.receive(1.1, leases.JobSubmitted(2, job))
+    lines = registry.render().decode().splitlines()
+    assert "ferryledge_entry_already_complete_jobs_total 2.0" in lines
--- a/src/ferryledge/leases/_duplicates.py
+++ b/src/ferryledge/leases/_duplicates.py
@@ -270,6 +270,8 @@
                     is_any_registered = True
                 case _registration.HeldElsewhere(job, entry):
                     self.give_up(now, job.name, entry)
+                case _registration.CompleteElsewhere(job, entry):
+                    self._answer_complete(now, job, entry)
         return is_any_registered
 
     def send_registrations(self) -> None:
@@ -290,6 +292,17 @@
         if job is not None and not job.closed:
             self._finish(now, job, outcome(peer))
 
+    def _answer_complete(self, now: float, job: _jobs.Job, peer: str) -> None:
+        """Answer a job of which another entry knows that it is complete.
+
+        :param now: monotonic seconds
+        :param job: the job
+        :param peer: the other entry
+        """
+        if not job.closed:
+            self._notes.already_complete(job.name, peer)
+            self._finish(now, job, outcomes.Complete(()))
+
     def expire(self, now: float) -> None:
         """Forget submissions whose clients don't wait any more."""
         self._resubmissions.expire(now)
@@ -311,6 +324,10 @@
         self, now: float, peer: str, submission: wire.SubmittedJob
     ) -> wire.RegisteredJob:
         """Register a job of another entry; give up an older one here."""
+        if self._jobs.was_complete(submission.job):
+            return wire.RegisteredJob(
+                submission.job, self._name, is_complete=True
+            )
         job = self._jobs.find(submission.job)
         if job is not None and (job.serves_clients or job.closed):
             deadline_s = job.newest_deadline_s
@@ -335,7 +352,11 @@
                 continue
             # A late answer: the job may have been started without it.
             job = self._jobs.find(registered.job)
-            if job is not None and _registration.is_newer(
+            if job is None:
+                continue
+            if registered.is_complete:
+                self._answer_complete(now, job, peer)
+            elif _registration.is_newer(
                 registered.deadline_s, job.newest_deadline_s
             ):
                 self.give_up(now, job.name, registered.entry)
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -365,12 +365,14 @@
         self, now: float, token: int, request: _jobs.LeasedJob
     ) -> None:
         known = self._jobs.find(request.job)
+        is_open = known is not None and not known.closed
+        if not is_open and self._jobs.was_complete(request.job):
+            self._notes.already_complete(request.job)
+            self._reply([token], outcomes.Complete(()))
+            return
         if known is not None:
             self._attach(now, known, token, request)
             return
-        if self._jobs.was_complete(request.job):
-            self._reply([token], outcomes.Complete(()))
-            return
         self._duplicates.announce_if_resubmitted(now, request)
         holder = self._duplicates.find_holder(request)
         if holder:
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -46,6 +46,20 @@
             True,
         )
 
+    def already_complete(self, job: str, peer: str = "") -> None:
+        """A job was submitted again of which all tasks are done.
+
+        :param job: the job
+        :param peer: the entry that knows; empty for this one
+        """
+        self._meter.already_complete()
+        self.add(
+            outcomes.Step.ADMIT,
+            "submitted again: already complete",
+            job,
+            peer,
+        )
+
     def resubmitted(self, job: str, deadline_s: float) -> None:
         """A job was likely submitted before; other entries were told.
 
--- a/src/ferryledge/leases/_meters.py
+++ b/src/ferryledge/leases/_meters.py
@@ -23,6 +23,9 @@
     def resubmitted(self) -> None:
         """A job was likely submitted before, and other entries were told."""
 
+    def already_complete(self) -> None:
+        """A job was submitted again of which all tasks are done."""
+
     def superseded(self) -> None:
         """Another entry registered a newer submission of a known job."""
 
--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -174,7 +174,16 @@
     entry: str
 
 
-Decision = Registered | HeldElsewhere
+@dataclasses.dataclass(frozen=True, slots=True)
+class CompleteElsewhere:
+    """All tasks of the job are done; nothing of it may start again."""
+
+    job: _jobs.Job
+    #: The entry that knows.
+    entry: str
+
+
+Decision = Registered | HeldElsewhere | CompleteElsewhere
 
 
 class _Pending(msgspec.Struct):
@@ -478,6 +487,9 @@
         if was_due and peer not in pending.relays:
             self._answer_times.note(now - pending.asked_at[peer])
         pending.answered.add(peer)
+        if registered.is_complete:
+            self._decide(CompleteElsewhere(pending.job, peer))
+            return True
         if registered.entry != peer:
             pending.holders.pop(peer, None)
         self._note_starting(now, peer, registered, pending)
--- a/src/ferryledge/leases/tests/test_complete_jobs.py
+++ b/src/ferryledge/leases/tests/test_complete_jobs.py
@@ -26,7 +26,23 @@
     assert not world.violations
 
 
-@pytest.mark.parametrize("name", ["entry-0"])
+@pytest.mark.parametrize("entries", [5, 8, 10])
+@pytest.mark.parametrize(
+    ("first_s", "again_s"), [(5.0, 3.7), (5.0, 5.0), (0.0, 0.0)]
+)
+def test_complete_job_is_answered_by_another_entry(
+    entries: int, first_s: float, again_s: float
+) -> None:
+    """Guards against a second run of a complete job at another entry."""
+    world = registering.make_world(entries=entries)
+    _submit(world, "entry-0", first_s)
+    world.run(1.3)
+    again = _submit(world, f"entry-{entries - 1}", again_s)
+    world.run(2.0)
+    _assert_ran_once(world, again)
+
+
+@pytest.mark.parametrize("name", ["entry-0", "entry-7"])
 def test_job_that_ends_after_its_client_left_is_not_run_again(
     name: str,
 ) -> None:
@@ -42,8 +58,10 @@
     _assert_ran_once(world, again)
 
 
-@pytest.mark.parametrize("name", ["entry-0"])
-@pytest.mark.parametrize("deadline_s", [30.0, 0.0])
+@pytest.mark.parametrize(
+    ("name", "deadline_s"),
+    [("entry-0", 30.0), ("entry-7", 30.0), ("entry-0", 0.0)],
+)
 def test_complete_job_is_kept_while_its_client_may_repeat_it(
     name: str, deadline_s: float
 ) -> None:
@@ -56,7 +74,7 @@
     _assert_ran_once(world, again)
 
 
-@pytest.mark.parametrize("again_at", ["delegator", "delegate"])
+@pytest.mark.parametrize("again_at", ["delegator", "delegate", "other"])
 def test_complete_job_that_was_handed_over_is_not_run_again(
     again_at: str,
 ) -> None:
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -339,6 +339,8 @@
     #: Whether the sender of the answer has just started, and other entries
     #: may still have to register the job with it again.
     is_starting: bool = False
+    #: Whether all tasks of the job are done, so that none may start again.
+    is_complete: bool = False
 
 
 class JobsRegistered(_messages.Model, frozen=True, tag="registered"):
