Tell registrars of completions, or all entries where there are few

What callers saw: a job whose answer was lost ran a second time, where its first entry was lost or restarted after its end; with up to four entries, always.

Cause: only the first entry knew that the job is complete. Up to four entries register nothing, so nobody was asked, and agents tell only what still runs.

Ruled out: registrars that were not told of the job; they named the first entry, which was gone or, after its restart, knew nothing.

Change: an entry tells the registrars of each job that it completed, or all other entries where there are up to four. An entry that connects is told of the jobs that it should know, also of those that others completed, so that restarts in turn leave none out. Whoever was told answers a repetition as complete, and stops what it started of the job meanwhile. An entry that stops sends its last notices before. Entries of an earlier release are not told.

--- a/src/ferryledge/leases/_duplicates.py
+++ b/src/ferryledge/leases/_duplicates.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from ferryledge.leases import _completion_notices
 from ferryledge.leases import _entry_notes
 from ferryledge.leases import _entry_selection
 from ferryledge.leases import _job_table
@@ -63,6 +64,9 @@
         self._send = send
         self._finish = finish
         self._resubmissions = _resubmissions.Resubmissions(timing)
+        self._completions = _completion_notices.CompletionNotices()
+        #: Entries that accept notices of complete jobs.
+        self._learning: set[str] = set()
         self._register = _registration.JobRegister(timing)
         self._registrations = _registration.Registrations(
             name, peers.silent_for, self._note_unanswered
@@ -71,7 +75,7 @@
     @property
     def due_at(self) -> float:
         """When to call :meth:`check`, in monotonic seconds."""
-        return self._registrations.due_at
+        return min(self._registrations.due_at, self._completions.due_at)
 
     def note_started(self, now: float) -> None:
         """Record that this process has just started, at the first call."""
@@ -90,6 +94,9 @@
             now, hello.name, hello.registers_jobs, hello.relays_registrations
         )
         self._register_open_jobs(now, hello.name)
+        if hello.learns_completions and self._rules.registers_jobs:
+            self._learning.add(hello.name)
+            self._tell_of_complete_jobs(now, hello.name)
         announced = self._resubmissions.announced(now)
         if (
             announced is not None
@@ -117,8 +124,27 @@
             if job.serves_clients and not job.is_registering
         ]
 
+    def _tell_of_complete_jobs(self, now: float, name: str) -> None:
+        """Tell an entry of the complete jobs that it may not know."""
+        complete = {
+            job: until
+            for job, until in self._jobs.complete.items()
+            if until > now and self._is_told_of(name, job)
+        }
+        if complete:
+            notice = _completion_notices.make_notice(now, complete)
+            self._send(name, notice)
+
+    def _is_told_of(self, name: str, job: str) -> bool:
+        """Return whether an entry is told when a job is complete."""
+        return self._has_few_entries or self._registrations.is_registrar(
+            job, name
+        )
+
     def leave(self, now: float, name: str) -> None:
         """Remove an entry whose stream broke."""
+        self._learning.discard(name)
+        self._completions.drop(name)
         jobs = self._registered_jobs() if self._registers(now) else []
         self._registrations.leave(now, name, jobs)
 
@@ -133,10 +159,15 @@
         match message:
             case wire.JobsResubmitted(jobs):
                 self._learn_resubmitted(now, peer, jobs)
-            case wire.RegisterJobs(jobs):
-                self._send(peer, self._register_all(now, peer, jobs))
-            case wire.JobsRegistered(jobs):
+            case wire.RegisterJobs(jobs, completed):
+                self._learn_complete(now, peer, completed)
+                answer = self._register_all(now, peer, jobs)
+                self._send_with_completions(now, peer, answer)
+            case wire.JobsRegistered(jobs, completed):
+                self._learn_complete(now, peer, completed)
                 self._learn_registered(now, peer, jobs)
+            case wire.JobsCompleted():
+                self._learn_complete(now, peer, message)
             case wire.Relay(_, target) if target == self._name:
                 self._receive_relayed(now, peer, message)
             case wire.Relay():
@@ -253,8 +284,13 @@
             return False
         if not self._registrations.knows_entries:
             return self._registrations.awaits_entries(now)
+        return not self._has_few_entries
+
+    @property
+    def _has_few_entries(self) -> bool:
+        """Whether each agent serves all entries."""
         entries = self._peers.entry_count
-        return entries > _entry_selection.ENTRIES_PER_AGENT
+        return entries <= _entry_selection.ENTRIES_PER_AGENT
 
     def check(self, now: float) -> bool:
         """Decide on registrations; give up jobs that other entries hold.
@@ -274,12 +310,49 @@
                     self._answer_complete(now, job, entry)
         return is_any_registered
 
-    def send_registrations(self) -> None:
-        """Send the requests of the jobs that are being registered."""
+    def send_due(self, now: float) -> None:
+        """Send the requests of registrations, and notices of completions."""
         for name, message in self._registrations.pop_messages():
             if isinstance(message, wire.Relay):
                 self._notes.registrations_relayed()
-            self._send(name, message)
+                self._send(name, message)
+            else:
+                self._send_with_completions(now, name, message)
+        for name, notice in self._completions.pop_due(now):
+            self._send(name, notice)
+
+    def _send_with_completions(
+        self,
+        now: float,
+        peer: str,
+        message: wire.RegisterJobs | wire.JobsRegistered,
+    ) -> None:
+        """Send a message, and the completions that wait for one."""
+        completed = self._completions.pop(now, peer)
+        if completed is not None:
+            message = msgspec.structs.replace(message, completed=completed)
+        self._send(peer, message)
+
+    def note_complete(self, now: float, job: _jobs.Job) -> None:
+        """Remember a complete job, and let others know of it.
+
+        They are its registrars, or all entries where there are few. The
+        delegate of a job leaves that to its delegator.
+        """
+        until = self._jobs.note_complete(now, job)
+        if not job.serves_clients or not self._learning:
+            return
+        if self._has_few_entries:
+            names: abc.Iterable[str] = self._learning
+        else:
+            names = self._registrations.registrars(job.name)
+        for name in names:
+            if name in self._learning:
+                self._completions.add(now, name, job.name, until)
+
+    def send_all_completions(self) -> None:
+        """Let all notices of completions be sent, since this process ends."""
+        self._completions.send_all()
 
     def give_up(self, now: float, name: str, peer: str) -> None:
         """Answer a job that another entry runs; its runs here are stopped.
@@ -344,6 +417,21 @@
             self._send(registered.entry, wire.JobsResubmitted((submission,)))
         return registered
 
+    def _learn_complete(
+        self, now: float, peer: str, completed: wire.JobsCompleted | None
+    ) -> None:
+        """Remember jobs that are complete at another entry.
+
+        One that was started here as well is answered, and its runs stopped.
+        """
+        if completed is None:
+            return
+        for name in completed.jobs:
+            self._jobs.keep_complete(name, now + completed.keep_s)
+            job = self._jobs.find(name)
+            if job is not None:
+                self._answer_complete(now, job, peer)
+
     def _learn_registered(
         self, now: float, peer: str, jobs: tuple[wire.RegisteredJob, ...]
     ) -> None:
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -250,6 +250,7 @@
             detects_duplicates=self._rules.detects_duplicates,
             registers_jobs=self._rules.registers_jobs,
             relays_registrations=self._rules.registers_jobs,
+            learns_completions=self._rules.registers_jobs,
         )
 
     # Events and ticks.
@@ -277,6 +278,7 @@
                 self._handover.drain()
             case _entry_events.EntryStop():
                 self._answer_all(now)
+                self._duplicates.send_all_completions()
             case _:
                 self._on_store_event(event)
         self._tick_by = now
@@ -315,7 +317,7 @@
         for row, message in self._scheduler.due_urgency_reports(now):
             self._send(row.name, message)
         self._grant(now)
-        self._duplicates.send_registrations()
+        self._duplicates.send_due(now)
         for action in self._peers.pop_actions():
             if isinstance(action, _entry_events.SendMessage):
                 self._send(action.peer, action.message)
@@ -477,7 +479,7 @@
     ) -> None:
         """Answer a job's clients and close it."""
         if isinstance(outcome, outcomes.Complete):
-            self._jobs.note_complete(now, job)
+            self._duplicates.note_complete(now, job)
         if job.may_have_run_elsewhere and isinstance(
             outcome, outcomes.Refused
         ):
@@ -565,6 +567,7 @@
             case (
                 wire.JobsResubmitted()
                 | wire.RegisterJobs()
+                | wire.JobsCompleted()
                 | wire.JobsRegistered()
                 | wire.Relay()
                 | wire.RelayFailed()
--- a/src/ferryledge/leases/_job_table.py
+++ b/src/ferryledge/leases/_job_table.py
@@ -66,19 +66,36 @@
         if job.closed and not job.is_delegated and not job.bound():
             self._jobs.pop(job.name, None)
 
-    def note_complete(self, now: float, job: _jobs.Job) -> None:
-        """Remember that all tasks of a job are done."""
+    def note_complete(self, now: float, job: _jobs.Job) -> float:
+        """Remember that all tasks of a job are done.
+
+        :return: until when, in monotonic seconds
+        """
         keep_s = _KEEP_S
         if not job.request.deadline_s:
             keep_s = _UNLIMITED_KEEP_S
         elif job.deadline_at > now:
             keep_s = max(keep_s, job.deadline_at - now)
-        self._complete[job.name] = now + keep_s
+        return self.keep_complete(job.name, now + keep_s)
+
+    def keep_complete(self, name: str, until: float) -> float:
+        """Remember a complete job until a time, or longer if it already is.
+
+        :return: until when, in monotonic seconds
+        """
+        until = max(until, self._complete.get(name, 0.0))
+        self._complete[name] = until
+        return until
 
     def was_complete(self, name: str) -> bool:
         """Return whether all tasks of a job are known to be done."""
         return name in self._complete
 
+    @property
+    def complete(self) -> abc.Mapping[str, float]:
+        """The complete jobs, and until when each is remembered."""
+        return self._complete
+
     def expire(self, now: float) -> None:
         """Forget complete jobs after the retention time."""
         if now < self._next_expiry:
--- a/src/ferryledge/leases/_registrars.py
+++ b/src/ferryledge/leases/_registrars.py
@@ -9,6 +9,7 @@
 from collections import abc
 import hashlib
 import heapq
+import itertools
 
 #: Number of registrars of a job.
 REGISTRARS = 2
@@ -219,6 +220,21 @@
             }
         return self.rank(job, candidates, _MAX_UNREACHED)
 
+    def is_first(self, job: str, name: str) -> bool:
+        """Return whether an entry ranks first among those that are reached.
+
+        :param job: the job
+        :param name: an entry that is reached
+        """
+        job_key = hash_key(job)
+        score = self._score(job_key, name)
+        before = (
+            other
+            for other in self._reached
+            if self._score(job_key, other) < score
+        )
+        return len(list(itertools.islice(before, REGISTRARS))) < REGISTRARS
+
     def first(self, job: str) -> list[str]:
         """Return the registrars of a job if all known entries are reached."""
         return self.rank(job, self._known.union(self._reached))
--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -423,8 +423,7 @@
 
     def announce(self, job: _jobs.Job) -> None:
         """Register a started job anew; the answers are not waited for."""
-        names = self._registrars.reached()
-        for name in self._registrars.rank(job.name, names):
+        for name in self.registrars(job.name):
             self._queue(name, job)
 
     def announce_to(self, name: str, jobs: abc.Iterable[_jobs.Job]) -> None:
@@ -439,6 +438,14 @@
             if name in self._registrars.rank(job.name, names):
                 self._queue(name, job)
 
+    def registrars(self, job: str) -> list[str]:
+        """Return the registrars of a job among the entries in reach."""
+        return self._registrars.rank(job, self._registrars.reached())
+
+    def is_registrar(self, job: str, name: str) -> bool:
+        """Return whether an entry in reach is a registrar of a job."""
+        return self._registrars.is_first(job, name)
+
     def relays_to(self, now: float, name: str) -> bool:
         """Return whether this entry can relay a message to another one."""
         return self._registrars.relays_to(now, name)
--- a/src/ferryledge/leases/tests/test_complete_jobs.py
+++ b/src/ferryledge/leases/tests/test_complete_jobs.py
@@ -26,7 +26,7 @@
     assert not world.violations
 
 
-@pytest.mark.parametrize("entries", [5, 8, 10])
+@pytest.mark.parametrize("entries", [2, 3, 4, 5, 8, 10])
 @pytest.mark.parametrize(
     ("first_s", "again_s"), [(5.0, 3.7), (5.0, 5.0), (0.0, 0.0)]
 )
@@ -42,6 +42,68 @@
     _assert_ran_once(world, again)
 
 
+@pytest.mark.parametrize("entries", [2, 3, 5, 10])
+@pytest.mark.parametrize("down_s", [0.3, 60.0])
+def test_complete_job_of_a_lost_entry_is_not_run_again(
+    entries: int, down_s: float
+) -> None:
+    """Guards against completions that only the first entry knows."""
+    world = registering.make_world(entries=entries)
+    _submit(world, "entry-0", 5.0)
+    world.run(0.6)
+    world.kill("entry-0", down_s)
+    world.run(0.7)
+    again = _submit(world, f"entry-{entries - 1}", 3.7)
+    world.run(2.0)
+    _assert_ran_once(world, again)
+
+
+@pytest.mark.parametrize("entries", [2, 3, 5, 10])
+def test_restarted_entry_does_not_run_its_complete_job_again(
+    entries: int,
+) -> None:
+    """Guards against an entry that forgets its own jobs with a restart."""
+    world = registering.make_world(entries=entries)
+    _submit(world, "entry-0", 5.0)
+    world.run(0.6)
+    world.kill("entry-0", 0.2)
+    world.run(1.0)
+    again = _submit(world, "entry-0", 3.4)
+    world.run(2.0)
+    _assert_ran_once(world, again)
+
+
+@pytest.mark.parametrize("entries", [5, 8, 10])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_complete_job_outlasts_restarts_in_turn(
+    entries: int, seed: int
+) -> None:
+    """Guards against registrars that forget completions one by one."""
+    world = registering.make_world(seed, entries)
+    _submit(world, "entry-0", 9.0)
+    world.run(0.6)
+    for name in world.entries:
+        world.kill(name, 0.1)
+        world.run(0.5)
+    again = _submit(world, world.entries[-1], 3.0)
+    world.run(2.0)
+    _assert_ran_once(world, again)
+
+
+def test_late_completion_stops_a_second_run() -> None:
+    """Guards against runs that go on although the job is complete."""
+    world = registering.make_world(entries=2)
+    world.cut("entry-0", "entry-1", 1.5)
+    for agent in world.agents:
+        world.cut("entry-1", agent, 0.3, both=False)
+    _submit(world, "entry-0", 5.0)
+    world.run(0.35)
+    again = world.submit("entry-1", registering.JOB, TASKS, 9.0, 1000, 3.7)
+    world.run(2.0)
+    assert isinstance(world.outcome(again), outcomes.Complete)
+    assert not any(world.alive_runs.values())
+
+
 @pytest.mark.parametrize("name", ["entry-0", "entry-7"])
 def test_job_that_ends_after_its_client_left_is_not_run_again(
     name: str,
@@ -60,7 +122,12 @@
 
 @pytest.mark.parametrize(
     ("name", "deadline_s"),
-    [("entry-0", 30.0), ("entry-7", 30.0), ("entry-0", 0.0)],
+    [
+        ("entry-0", 30.0),
+        ("entry-7", 30.0),
+        ("entry-0", 0.0),
+        ("entry-7", 0.0),
+    ],
 )
 def test_complete_job_is_kept_while_its_client_may_repeat_it(
     name: str, deadline_s: float
--- a/src/ferryledge/wire/__init__.py
+++ b/src/ferryledge/wire/__init__.py
@@ -68,6 +68,7 @@
 EntryList = _lease_messages.EntryList
 Invite = _lease_messages.Invite
 InviteAgents = _lease_messages.InviteAgents
+JobsCompleted = _lease_messages.JobsCompleted
 JobsRegistered = _lease_messages.JobsRegistered
 JobsResubmitted = _lease_messages.JobsResubmitted
 LeaseGrant = _lease_messages.LeaseGrant
@@ -148,6 +149,7 @@
     "Invite",
     "InviteAgents",
     "JobAnswered",
+    "JobsCompleted",
     "JobsRegistered",
     "JobsResubmitted",
     "KeepAlive",
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -314,6 +314,14 @@
     jobs: tuple[SubmittedJob, ...]
 
 
+class JobsCompleted(_messages.Model, frozen=True, tag="completed"):
+    """Jobs of which all tasks are done, so that none may start again."""
+
+    jobs: tuple[str, ...]
+    #: Seconds for which the receiver remembers them.
+    keep_s: float
+
+
 class RegisterJobs(_messages.Model, frozen=True, tag="register"):
     """Jobs that the sender is about to start.
 
@@ -322,6 +330,8 @@
     """
 
     jobs: tuple[SubmittedJob, ...]
+    #: Completions that the receiver was not told of before.
+    completed: JobsCompleted | None = None
 
 
 class RegisteredJob(_messages.Model, frozen=True):
@@ -347,6 +357,8 @@
     """Answer to :class:`RegisterJobs`."""
 
     jobs: tuple[RegisteredJob, ...]
+    #: Completions that the receiver was not told of before.
+    completed: JobsCompleted | None = None
 
 
 class Relay(_messages.Model, frozen=True, tag="relay"):
@@ -446,6 +458,7 @@
     | EntryList
     | JobsResubmitted
     | RegisterJobs
+    | JobsCompleted
     | JobsRegistered
     | Relay
     | RelayFailed
--- a/src/ferryledge/wire/_messages.py
+++ b/src/ferryledge/wire/_messages.py
@@ -65,6 +65,8 @@
     registers_jobs: bool = False
     #: Whether the sender accepts relayed registrations, and passes them on.
     relays_registrations: bool = False
+    #: Whether the sender accepts messages about complete jobs.
+    learns_completions: bool = False
 
 
 class KeepAlive(Model, frozen=True, tag="alive"):
