--- a/src/ferryledge/leases/_duplicates.py
+++ b/src/ferryledge/leases/_duplicates.py
@@ -397,7 +397,7 @@
         self, now: float, peer: str, submission: wire.SubmittedJob
     ) -> wire.RegisteredJob:
         """Register a job of another entry; give up an older one here."""
-        if self._jobs.was_complete(submission.job):
+        if submission.job in self._jobs.complete:
             return wire.RegisteredJob(
                 submission.job, self._name, is_complete=True
             )
@@ -427,7 +427,7 @@
         if completed is None:
             return
         for name in completed.jobs:
-            self._jobs.keep_complete(name, now + completed.keep_s)
+            self._jobs.complete.keep(name, now + completed.keep_s)
             job = self._jobs.find(name)
             if job is not None:
                 self._answer_complete(now, job, peer)
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -368,7 +368,7 @@
     ) -> None:
         known = self._jobs.find(request.job)
         is_open = known is not None and not known.closed
-        if not is_open and self._jobs.was_complete(request.job):
+        if not is_open and request.job in self._jobs.complete:
             self._notes.already_complete(request.job)
             self._reply([token], outcomes.Complete(()))
             return
@@ -700,7 +700,7 @@
         self._placement_due = self._placement_due or len(self._jobs) > 0
 
     def _sweep_jobs(self, now: float) -> None:
-        self._jobs.expire(now)
+        self._jobs.complete.expire(now)
         self._duplicates.expire(now)
         for job in self._jobs.open:
             if now >= job.deadline_at - _DEADLINE_MARGIN_S:
--- a/src/ferryledge/leases/_job_table.py
+++ b/src/ferryledge/leases/_job_table.py
@@ -3,14 +3,13 @@
 from collections import abc
 
 from ferryledge.leases import _jobs
+from ferryledge.leases import _recent_names
 
 #: Least time in seconds for which a complete job is remembered, since the
 #: network may deliver a submission after its client's deadline.
 _KEEP_S = 10.0
 #: The same for a job without a deadline.
 _UNLIMITED_KEEP_S = 60.0
-#: Seconds between removals of complete jobs.
-_EXPIRY_INTERVAL_S = 1.0
 
 
 class JobTable:
@@ -18,9 +17,8 @@
 
     def __init__(self) -> None:
         self._jobs: dict[str, _jobs.Job] = {}
-        #: Until when each complete job is remembered, in monotonic seconds.
-        self._complete: dict[str, float] = {}
-        self._next_expiry = 0.0
+        #: Jobs of which all tasks are done, here or at other entries.
+        self.complete = _recent_names.RecentNames()
         #: Start of this entry's authority to run each job of another entry, in
         #: monotonic seconds by job name.
         self.authorised_at: dict[str, float] = {}
@@ -76,31 +74,4 @@
             keep_s = _UNLIMITED_KEEP_S
         elif job.deadline_at > now:
             keep_s = max(keep_s, job.deadline_at - now)
-        return self.keep_complete(job.name, now + keep_s)
-
-    def keep_complete(self, name: str, until: float) -> float:
-        """Remember a complete job until a time, or longer if it already is.
-
-        :return: until when, in monotonic seconds
-        """
-        until = max(until, self._complete.get(name, 0.0))
-        self._complete[name] = until
-        return until
-
-    def was_complete(self, name: str) -> bool:
-        """Return whether all tasks of a job are known to be done."""
-        return name in self._complete
-
-    @property
-    def complete(self) -> abc.Mapping[str, float]:
-        """The complete jobs, and until when each is remembered."""
-        return self._complete
-
-    def expire(self, now: float) -> None:
-        """Forget complete jobs after the retention time."""
-        if now < self._next_expiry:
-            return
-        self._next_expiry = now + _EXPIRY_INTERVAL_S
-        outdated = [n for n, until in self._complete.items() if until <= now]
-        for name in outdated:
-            del self._complete[name]
+        return self.complete.keep(job.name, now + keep_s)
