--- a/src/ferryledge/capacity/_page.py
+++ b/src/ferryledge/capacity/_page.py
@@ -238,6 +238,16 @@
 together share messages. The number of these messages a job does not depend on
 the number of entries.
 
+A registrar is told of each completion, 17 bytes a job, with these messages if
+they come soon. Messages of its own for that, and of all kinds, a job (two
+tasks, 600 jobs, 100 a second over all entries, virtual time):
+
+| entries | notices | all messages | before |
+| --- | --- | --- | --- |
+| 3 | 0.58 | 6.78 | 6.20 |
+| 5 | 0.03 | 14.85 | 14.82 |
+| 10 | 0.73 | 24.17 | 23.44 |
+
 While known entries are lost, jobs that they would register are offered to them
 through others (an entry's registrations alone, 2,000 jobs, 100 a second after
 the first 10 s):
--- a/src/ferryledge/leases/_duplicates.py
+++ b/src/ferryledge/leases/_duplicates.py
@@ -4,7 +4,8 @@
 first one may still run it, or may receive the first request only later. Agents
 tell which jobs they run for other entries, entries announce the submissions
 that they recognize as later ones, and jobs are registered with other entries
-where no agent may serve both.
+where no agent may serve both, or where one may have run them. Entries tell
+each other which jobs are complete.
 """
 
 from collections import abc
--- a/src/ferryledge/leases/_registrars.py
+++ b/src/ferryledge/leases/_registrars.py
@@ -237,8 +237,8 @@
             }
         return self.rank(job, candidates, _MAX_UNREACHED)
 
-    def is_first(self, job: str, name: str) -> bool:
-        """Return whether an entry ranks first among those that are reached.
+    def is_registrar(self, job: str, name: str) -> bool:
+        """Return whether an entry is a registrar among those in reach.
 
         :param job: the job
         :param name: an entry that is reached
--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -450,7 +450,7 @@
 
     def is_registrar(self, job: str, name: str) -> bool:
         """Return whether an entry in reach is a registrar of a job."""
-        return self._registrars.is_first(job, name)
+        return self._registrars.is_registrar(job, name)
 
     def relays_to(self, now: float, name: str) -> bool:
         """Return whether this entry can relay a message to another one."""
--- a/src/ferryledge/leases/tests/test_registration_faults.py
+++ b/src/ferryledge/leases/tests/test_registration_faults.py
@@ -298,3 +298,16 @@
     world.submit("entry-7", registering.JOB, 8, 0.3, 1000, 3.7)
     world.run(2.0)
     assert world.started[registering.JOB] == 8
+
+
+def test_job_of_a_lost_entry_is_not_refused_for_capacity() -> None:
+    """Guards against a refusal while a job waits for an entry that is lost."""
+    world = registering.make_world()
+    world.submit("entry-0", registering.JOB, 8, 0.3, 1000, 5.0)
+    world.run(0.1)
+    world.kill("entry-0", 60.0)
+    world.run(1.2)
+    again = world.submit("entry-7", registering.JOB, 8, 0.3, 1000, 3.7)
+    world.run(3.0)
+    assert not world.violations
+    assert isinstance(world.outcome(again), outcomes.Complete)
