--- a/review/harness/store.py
+++ b/review/harness/store.py
@@ -118,10 +118,11 @@
         records = self._topics[log]
         body = len(records).to_bytes(_OFFSET_BYTES, "big")
         body += (0).to_bytes(_OFFSET_BYTES, "big")
-        for key, value in records[offset:]:
-            if left <= 0:
-                break
+        for number, (key, value) in enumerate(records[offset:]):
             record = bytes([len(key)]) + key.encode() + value
+            # The first record is returned whatever its size.
+            if number and len(record) > left:
+                break
             body += len(record).to_bytes(_LENGTH_BYTES, "big") + record
             left -= len(record)
         return http.Response(200, body)
