--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import json
-import os
-import pathlib
 import sys
 
 from harness import deployment
+from harness import main
 from harness import store
 
 _ENTRIES = 3
@@ -54,7 +53,7 @@
         world.write_config(1, _OLD_QUEUES)
         if not await world.wait_until_ready(range(_ENTRIES)):
             record.write("case", "the entries are not ready")
-            return 2
+            return main.EXIT_NOT_RUN
         await asyncio.sleep(2.0)
         if trouble:
             world.store.slowness = _SLOW_X
@@ -83,7 +82,7 @@
             answer = await world.call(number, "GET", f"/{_NEW_QUEUE}/")
             if answer is None:
                 record.write("case", "a count was not answered")
-                return 2
+                return main.EXIT_NOT_RUN
             if answer.status == 404:
                 broken = True
                 record.write(
@@ -101,17 +100,5 @@
     return 1 if broken else 0
 
 
-def main() -> int:
-    """Play the case and return the exit code."""
-    record = deployment.Record(pathlib.Path("record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    record.write("case", f"with{'' if trouble else 'out'} the disruption")
-    try:
-        return asyncio.run(_play(record, trouble))
-    except OSError as exc:
-        record.write("case", f"could not run: {exc}")
-        return 2
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main.run(_play))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import json
-import os
-import pathlib
 import sys
 
 from harness import deployment
+from harness import main
 
 _JOB = "5c0e7a21d94b36f8"
 _QUEUE = "part-hold"
@@ -44,7 +43,7 @@
         world.write_config(1, [_QUEUE])
         if not await world.wait_until_ready(range(_ENTRIES)):
             record.write("case", "the entries are not ready")
-            return 2
+            return main.EXIT_NOT_RUN
         path = f"/{_QUEUE}/{_JOB}"
         submission = asyncio.create_task(
             world.call(0, "POST", path, _job(), _DEADLINE_S)
@@ -52,7 +51,7 @@
         await asyncio.sleep(1.0)
         if not any(what == "start" for _, what, _, _ in world.events):
             record.write("case", "the job did not start")
-            return 2
+            return main.EXIT_NOT_RUN
         chosen = 0
         if trouble:
             # add_nodes: the platform passes the client's next connection to
@@ -63,12 +62,12 @@
             chosen = _ENTRIES
             if not await world.wait_until_ready([chosen]):
                 record.write("case", "the added entry is not ready")
-                return 2
+                return main.EXIT_NOT_RUN
             record.write("platform", "front-3 is ready and in")
         answer = await world.call(chosen, "DELETE", path)
         if answer is None or answer.status not in (200, 410):
             record.write("case", "the cancel was not acknowledged")
-            return 2
+            return main.EXIT_NOT_RUN
         acked_at = record.now()
         await asyncio.wait([submission], timeout=_WORK_MS[0] / 1000.0 + 6.0)
         await asyncio.sleep(1.0)
@@ -102,17 +101,5 @@
     return 1 if broken else 0
 
 
-def main() -> int:
-    """Play the case and return the exit code."""
-    record = deployment.Record(pathlib.Path("record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    record.write("case", f"with{'' if trouble else 'out'} the disruption")
-    try:
-        return asyncio.run(_play(record, trouble))
-    except OSError as exc:
-        record.write("case", f"could not run: {exc}")
-        return 2
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main.run(_play))
