--- a/review/2/case.py
+++ b/review/2/case.py
@@ -26,7 +26,9 @@
 _SLOW_X = 60.0
 #: Seconds from the first record to the outage, and its length.
 _OUTAGE_AT_S = 0.84
-_OUTAGE_S = 4.5
+_OUTAGE_S = 4.2
+#: How long a zone is evacuated.
+_EVACUATED_S = 8.0
 #: Seconds after the outage at which every bound has passed: ``ContactMs``,
 #: ``ConfigApplyMs`` and ``MaxSkewMs`` one after the other.
 _BOUND_S = 13.0
@@ -37,9 +39,9 @@
 async def _write(
     world: deployment.Deployment, record: deployment.Record
 ) -> None:
-    """Write what the operator writes: a cordon, a configuration, a cordon."""
-    world.write_record("evacuate/hall-a", b"{}")
-    record.write("operator", "evacuation of hall-a written")
+    """Take one zone back, change the configuration, evacuate another zone."""
+    world.write_record("evacuate/hall-a", b"")
+    record.write("operator", "hall-a taken back")
     await asyncio.sleep(0.1)
     world.write_config(2, [*_OLD_QUEUES, _NEW_QUEUE])
     await asyncio.sleep(0.1)
@@ -54,11 +56,14 @@
         if not await world.wait_until_ready(range(_ENTRIES)):
             record.write("case", "the entries are not ready")
             return main.EXIT_NOT_RUN
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(1.0)
+        world.write_record("evacuate/hall-a", b"{}")
+        record.write("operator", "evacuation of hall-a written")
+        await asyncio.sleep(_EVACUATED_S - 0.5)
         if trouble:
             world.store.slowness = _SLOW_X
             record.write("platform", f"the store is slow, {_SLOW_X:g} times")
-            await asyncio.sleep(0.5)
+        await asyncio.sleep(0.5)
         await _write(world, record)
         await asyncio.sleep(_OUTAGE_AT_S - 0.2)
         if trouble:
@@ -68,7 +73,11 @@
         world.store.outage = store.Outage.NONE
         world.store.slowness = 1.0
         record.write("platform", "the store is well")
-        await asyncio.sleep(_BOUND_S)
+        left_s = _EVACUATED_S - _OUTAGE_AT_S - _OUTAGE_S
+        await asyncio.sleep(left_s)
+        world.write_record("evacuate/hall-b", b"")
+        record.write("operator", "hall-b taken back")
+        await asyncio.sleep(_BOUND_S - left_s)
         return await _judge(world, record)
 
 
