Log how an entry answers a cancel

No log line told of a cancel, so these could not be told apart:

The asked entry answers from its own table alone. 2. It asks others, and the question or the answer is lost. 3. The cancel reaches the job's entry, and its stops are lost.

The answers themselves are unchanged.

--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -295,7 +295,13 @@
 
     def _cancel(self, job: str) -> net.HttpResponse:
         if not self._core.holds(job):
+            loguru.logger.info(
+                "cancel answered: no such job here", step="cancel", job=job
+            )
             return net.HttpResponse.json(410, {"error": "no such job"})
+        loguru.logger.info(
+            "cancel answered: job held here", step="cancel", job=job
+        )
         self._driver.post(leases.JobCancelled(job))
         return net.HttpResponse.json(200, {})
 
