Let both sides of a cut close their stream in the virtual world

Needed for the tests of cancels, which depend on when an entry counts another one as missing.

Cause: a stream that one process closed was forgotten for both. The other one, which a cut kept from learning of it, closed a silent stream in vain: it never got PeerDown, and counted the entry as connected for good. A real mesh reports the end of a stream to whoever closes it.

Ruled out: a fault of the entry.

No check was changed.

--- a/src/ferryledge/leases/tests/test_silence.py
+++ b/src/ferryledge/leases/tests/test_silence.py
@@ -57,6 +57,17 @@
     assert closed == ["entry-1"]
 
 
+def test_both_sides_of_a_cut_close_their_stream() -> None:
+    world = worlds.World(seed=2, entries=2, peers=True)
+    world.run(2.0)
+    world.cut("entry-0", "entry-1", 10.0)
+    world.run(4.0)
+    for name in world.entries:
+        assert world.nodes[
+            name
+        ].core._duplicates._registrations._registrars.is_alone
+
+
 def test_stream_to_an_entry_that_sends_messages_stays_open() -> None:
     core = _entry()
     actions: list[object] = []
--- a/src/ferryledge/loads/_world.py
+++ b/src/ferryledge/loads/_world.py
@@ -608,18 +608,18 @@
     def break_stream(self, one: str, other: str) -> None:
         """Break the stream between two processes, for both."""
         key = self._key(one, other)
-        stream = self.streams.pop(key, None)
+        stream = self.streams.pop(key, None) or self.used.get((one, other))
         if stream is None:
             return
         stream.open = False
         for name, peer in (key, key[::-1]):
-            self.used.pop((name, peer), None)
-            incarnation = f"{peer}.{self.nodes[peer].life}"
-            event = wire.PeerDown(peer, incarnation)
             unheard = (peer, name) in self.cuts or stream.silent
             if unheard and name != one:
                 continue  # The other side does not learn of it.
-            self.post(name, event)
+            if self.used.pop((name, peer), None) is None:
+                continue  # It closed the stream before.
+            incarnation = f"{peer}.{self.nodes[peer].life}"
+            self.post(name, wire.PeerDown(peer, incarnation))
 
     def silence_stream(self, agent: str, entry: str) -> None:
         """Let nothing arrive on an open stream any more; new ones work."""
