Ask the entries that must know of a job before a cancel is answered

What callers saw: a cancel that reached another entry than its job was answered 410, which binds, and stopped nothing. Tasks ran up to 5.0 s longer and started up to 4.5 s later than the acknowledgement allowed.

Cause: HostedEntry._cancel answered from the asked entry's own table (LeaseEntry.holds). No message asked any other entry.

Change: an entry that doesn't hold the job asks its registrars (all others up to four entries, else two), and whom they name, through others where they are not reached. Each stops the job if it has it and remembers the cancel. 200 is answered once the job's entry has stopped it, 410 once all have answered, 503 with Retry-After after 1.5 s otherwise; the cancel is delivered for 60 s nevertheless. An entry that ended its streams counts as lost after 1.2 s, a silent one after 10 s. A delegate doesn't answer for its delegator.

Why it works: a job's entry is among those that are asked, or has registered the job with them; silence is no answer.

--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -14,6 +14,7 @@
 from ferryledge.hosted import _config_pace
 from ferryledge.hosted import _entry_config
 from ferryledge.hosted import _first_answer
+from ferryledge.hosted import _job_queries
 from ferryledge.hosted import _listening
 from ferryledge.hosted import _members
 from ferryledge.hosted import _metrics
@@ -101,6 +102,9 @@
         self._group: anyio_abc.TaskGroup | None = None
         self._tokens = itertools.count(1)
         self._pending: dict[int, _PendingRequest] = {}
+        self._queries = _job_queries.JobQueries(
+            self._driver, self._tokens, self._registry
+        )
         #: Whether new connections are directed to other entries.
         self._draining = False
         #: Whether new jobs are refused.
@@ -188,7 +192,9 @@
             await anyio.sleep(_CONNECTION_LINGER_S)
             release.set()
             # Incoming handovers of other entries count as open jobs, too.
-            while self._pending or self._core.open_jobs:
+            while (
+                self._pending or self._queries.waiting or self._core.open_jobs
+            ):
                 await anyio.sleep(_DRAIN_POLL_S)
         self._refusing = True
         self._driver.post(leases.EntryStop())
@@ -238,6 +244,8 @@
                 self._dial(entries)
             case leases.ApplyConfig():
                 self._config.apply(action)
+            case leases.AnswerQuery(token, result):
+                self._queries.resolve(token, result)
             case leases.AnswerJob(token, outcome):
                 pending = self._pending.get(token)
                 if pending is not None:
@@ -279,7 +287,7 @@
                     self._core.pending(route.job_class.name)
                 )
             case "DELETE" if job:
-                return self._cancel(job)
+                return await self._cancel(job)
         return net.HttpResponse.json(405, {"error": "no such call"})
 
     def _readiness(self) -> net.HttpResponse:
@@ -291,19 +299,15 @@
     def _look_up(self, job: str) -> net.HttpResponse:
         if self._core.holds(job):
             return platform.render_running()
-        return net.HttpResponse.json(410, {"error": "no such job"})
-
-    def _cancel(self, job: str) -> net.HttpResponse:
-        if not self._core.holds(job):
-            loguru.logger.info(
-                "cancel answered: no such job here", step="cancel", job=job
-            )
-            return net.HttpResponse.json(410, {"error": "no such job"})
-        loguru.logger.info(
-            "cancel answered: job held here", step="cancel", job=job
-        )
-        self._driver.post(leases.JobCancelled(job))
-        return net.HttpResponse.json(200, {})
+        return platform.render_absent()
+
+    async def _cancel(self, job: str) -> net.HttpResponse:
+        match await self._queries.cancel(job):
+            case leases.QueryResult.FOUND:
+                return net.HttpResponse.json(200, {})
+            case leases.QueryResult.ABSENT:
+                return platform.render_absent()
+        return platform.render_unconfirmed(_RETRY_S)
 
     async def _submit(
         self, request: net.Request, route: platform.Route, name: str
--- a/src/ferryledge/leases/__init__.py
+++ b/src/ferryledge/leases/__init__.py
@@ -17,6 +17,7 @@
     from ferryledge.leases import _entry
     from ferryledge.leases import _entry_events
     from ferryledge.leases import _incarnations
+    from ferryledge.leases import _job_queries
     from ferryledge.leases import _jobs
     from ferryledge.leases import _meters
     from ferryledge.leases import _rules
@@ -28,6 +29,7 @@
     AgentMeter = _meters.AgentMeter
     AgentEvent = _agent_events.AgentEvent
     AnswerJob = _entry_events.AnswerJob
+    AnswerQuery = _entry_events.AnswerQuery
     ApplyConfig = _entry_events.ApplyConfig
     CallFault = _agent_events.CallFault
     ClientLeft = _entry_events.ClientLeft
@@ -63,6 +65,7 @@
     ListedEnd = _agent_events.ListedEnd
     ListedRun = _agent_events.ListedRun
     SaveEndpoint = _agent_events.SaveEndpoint
+    QueryResult = _job_queries.QueryResult
     Renewal = _agent_events.Renewal
     ReopenStream = _agent_events.ReopenStream
     RunKey = _runs.RunKey
@@ -114,6 +117,7 @@
             "_entry": ("LeaseEntry",),
             "_entry_events": (
                 "AnswerJob",
+                "AnswerQuery",
                 "ApplyConfig",
                 "ClientLeft",
                 "ConfigFetchFailed",
@@ -131,6 +135,7 @@
                 "JobStep",
                 "LeasedJob",
             ),
+            "_job_queries": ("QueryResult",),
             "_incarnations": (
                 "endpoint_id_of",
                 "incarnation_of",
@@ -151,6 +156,7 @@
     "AgentEvent",
     "AgentMeter",
     "AnswerJob",
+    "AnswerQuery",
     "ApplyConfig",
     "CallFault",
     "CancelReopen",
@@ -185,6 +191,7 @@
     "ListRuns",
     "ListedEnd",
     "ListedRun",
+    "QueryResult",
     "Renewal",
     "ReopenStream",
     "RunKey",
--- a/src/ferryledge/leases/_duplicates.py
+++ b/src/ferryledge/leases/_duplicates.py
@@ -20,6 +20,7 @@
 from ferryledge.leases import _peers
 from ferryledge.leases import _pool
 from ferryledge.leases import _recent_names
+from ferryledge.leases import _registrars
 from ferryledge.leases import _registration
 from ferryledge.leases import _resubmissions
 from ferryledge.leases import _rules
@@ -79,6 +80,11 @@
             name, peers.silent_for, self._note_unanswered
         )
 
+    @property
+    def registrars(self) -> _registrars.Registrars:
+        """The other entries, as registrars of jobs and as relays."""
+        return self._registrations.entries
+
     @property
     def due_at(self) -> float:
         """When to call :meth:`check`, in monotonic seconds."""
@@ -136,24 +142,33 @@
         complete = {
             job: until
             for job, until in self._jobs.complete.items()
-            if until > now and self._is_told_of(name, job)
+            if until > now and self.is_told_of(name, job)
         }
         if complete:
             notice = _completion_notices.make_notice(now, complete)
             self._send(name, notice)
 
-    def _is_told_of(self, name: str, job: str) -> bool:
-        """Return whether an entry is told when a job is complete."""
+    def is_told_of(self, name: str, job: str) -> bool:
+        """Return whether an entry is told that a job is over.
+
+        :param name: an entry that is connected
+        :param job: name of a job that is complete or cancelled
+        """
         return self._has_few_entries or self._registrations.is_registrar(
             job, name
         )
 
-    def leave(self, now: float, name: str) -> None:
-        """Remove an entry whose stream broke."""
+    def leave(self, now: float, name: str, by_peer: bool = False) -> None:
+        """Remove an entry whose stream broke.
+
+        :param now: monotonic seconds
+        :param name: the entry
+        :param by_peer: whether the other side ended the stream
+        """
         self._learning.discard(name)
         self._completions.drop(name)
         jobs = self._registered_jobs() if self._registers(now) else []
-        self._registrations.leave(now, name, jobs)
+        self._registrations.leave(now, name, jobs, by_peer)
 
     def learn_entries(self, now: float, names: list[str]) -> None:
         """Learn which entries there are, this one included."""
@@ -315,6 +330,19 @@
         entries = self._peers.entry_count
         return entries <= _entry_selection.ENTRIES_PER_AGENT
 
+    def registered_at(self, now: float, job: str) -> set[str]:
+        """Return the other entries that registered a job with this one."""
+        known = self._register.find(now, job)
+        if known is None:
+            return set()
+        return {known.entry, *known.earlier} - {self._name}
+
+    def is_starting(self, now: float) -> bool:
+        """Return whether jobs may still have to be registered here again."""
+        if self._has_few_entries:
+            return False
+        return self._registrations.is_starting(now)
+
     def check(self, now: float) -> bool:
         """Decide on registrations; give up jobs that other entries hold.
 
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -12,6 +12,8 @@
 from ferryledge import health
 from ferryledge.leases import _agent_events
 from ferryledge.leases import _agent_search
+from ferryledge.leases import _cancel_outcomes
+from ferryledge.leases import _cancellations
 from ferryledge.leases import _config_readers
 from ferryledge.leases import _cordons
 from ferryledge.leases import _duplicates
@@ -19,6 +21,7 @@
 from ferryledge.leases import _entry_events
 from ferryledge.leases import _entry_notes
 from ferryledge.leases import _handover
+from ferryledge.leases import _job_queries
 from ferryledge.leases import _job_ranking
 from ferryledge.leases import _job_table
 from ferryledge.leases import _jobs
@@ -172,6 +175,18 @@
             self._client_left,
             self._duplicates.runs_elsewhere,
         )
+        self._cancellations = _cancellations.Cancellations(
+            name,
+            self._jobs,
+            self._pool,
+            self._peers,
+            self._duplicates,
+            self._handover.delegator_of,
+            self._notes,
+            self._send,
+            self._finish,
+            self._answer_query,
+        )
         self._actions: list[_entry_events.EntryAction] = []
         #: Agents whose latest grant request is still to be answered.
         self._awaiting_grant: dict[str, _pool.AgentRow] = {}
@@ -251,6 +266,7 @@
             registers_jobs=self._rules.registers_jobs,
             relays_registrations=self._rules.registers_jobs,
             learns_completions=self._rules.registers_jobs,
+            finds_jobs=True,
         )
 
     # Events and ticks.
@@ -270,8 +286,8 @@
                 self._submit(now, token, request)
             case _entry_events.ClientLeft(token, name):
                 self._client_left(now, token, name)
-            case _entry_events.JobCancelled(name):
-                self._cancel(now, name)
+            case _entry_events.JobCancelled(name, token):
+                self._cancellations.cancel(now, token, name)
             case _entry_events.EntryDrain(until):
                 self._draining = True
                 self._scheduler.admission.drain(until)
@@ -279,6 +295,7 @@
             case _entry_events.EntryStop():
                 self._answer_all(now)
                 self._duplicates.send_all_completions()
+                self._cancellations.stop()
             case _:
                 self._on_store_event(event)
         self._tick_by = now
@@ -318,6 +335,7 @@
             self._send(row.name, message)
         self._grant(now)
         self._duplicates.send_due(now)
+        self._cancellations.check(now)
         for action in self._peers.pop_actions():
             if isinstance(action, _entry_events.SendMessage):
                 self._send(action.peer, action.message)
@@ -344,6 +362,7 @@
             max(self._scheduler.due_at, self._placement_resumes_at),
             self._handover.due_at,
             self._duplicates.due_at,
+            self._cancellations.due_at,
         )
 
     def tick_by(self) -> float:
@@ -451,13 +470,6 @@
                 self._notes.client_left(now, job)
             self._close(job)
 
-    def _cancel(self, now: float, name: str) -> None:
-        job = self._jobs.find(name)
-        if job is not None and not job.closed:
-            origin = outcomes.Origin(outcomes.Step.CANCEL, self._name)
-            reason = outcomes.Reason.CANCELLED
-            self._finish(now, job, outcomes.FailedMayHaveRun(reason, origin))
-
     def _answer_all(self, now: float) -> None:
         """Answer all open jobs before the process ends."""
         for job in self._jobs.open:
@@ -474,12 +486,22 @@
             self._link.note_sent(self._now, _uplink.ANSWER_BYTES)
             self._actions.append(_entry_events.AnswerJob(token, outcome))
 
+    def _answer_query(
+        self, token: int, result: _job_queries.QueryResult
+    ) -> None:
+        """Answer a client that cancelled or looked up a job."""
+        if token:
+            self._link.note_sent(self._now, _uplink.ANSWER_BYTES)
+            self._actions.append(_entry_events.AnswerQuery(token, result))
+
     def _finish(
         self, now: float, job: _jobs.Job, outcome: outcomes.JobOutcome
     ) -> None:
         """Answer a job's clients and close it."""
         if isinstance(outcome, outcomes.Complete):
             self._duplicates.note_complete(now, job)
+        elif _cancel_outcomes.is_cancelled(outcome):
+            self._jobs.note_cancelled(now, job.name)
         if job.may_have_run_elsewhere and isinstance(
             outcome, outcomes.Refused
         ):
@@ -512,11 +534,15 @@
                 else:
                     self._handover.join(now, hello)
                     self._duplicates.join(now, hello)
+                    self._cancellations.join(now, hello)
             case wire.PeerDown(name, incarnation):
                 self._notes.disconnected(name, incarnation)
+                # A silent stream was closed by this side, which left it then.
+                by_peer = self._peers.is_connected(name)
                 self._peers.leave(name)
                 self._handover.leave(name)
-                self._duplicates.leave(now, name)
+                self._duplicates.leave(now, name, by_peer)
+                self._cancellations.leave(name)
                 self._pool.leave(name, incarnation)
 
     def _learn_entries(self, entries: tuple[wire.EntryAddress, ...]) -> None:
@@ -564,6 +590,13 @@
                 self._peers.learn_config(version, data)
             case wire.EntryList(entries):
                 self._learn_entries(entries)
+            case (
+                wire.FindJobs()
+                | wire.JobsFound()
+                | wire.JobsCancelled()
+                | wire.Relay(message=wire.FindJobs() | wire.JobsFound())
+            ):
+                self._cancellations.receive(now, peer, message)
             case (
                 wire.JobsResubmitted()
                 | wire.RegisterJobs()
@@ -701,7 +734,7 @@
         self._placement_due = self._placement_due or len(self._jobs) > 0
 
     def _sweep_jobs(self, now: float) -> None:
-        self._jobs.complete.expire(now)
+        self._jobs.expire(now)
         self._duplicates.expire(now)
         for job in self._jobs.open:
             if now >= job.deadline_at - _DEADLINE_MARGIN_S:
--- a/src/ferryledge/leases/_entry_events.py
+++ b/src/ferryledge/leases/_entry_events.py
@@ -1,6 +1,7 @@
 """Events that an entry's core receives, and actions that it returns."""
 
 from ferryledge.leases import _agent_events
+from ferryledge.leases import _job_queries
 from ferryledge.leases import _jobs
 from ferryledge import outcomes
 from ferryledge import wire
@@ -24,6 +25,8 @@
     """A client cancelled a job by name."""
 
     job: str
+    #: Identifies the request that waits for the result; 0 for none.
+    token: int = 0
 
 
 class ConfigRead(wire.Event, frozen=True):
@@ -78,6 +81,13 @@
     outcome: outcomes.JobOutcome
 
 
+class AnswerQuery(wire.Event, frozen=True):
+    """Answer a cancel or a look-up, once for each token."""
+
+    token: int
+    result: _job_queries.QueryResult
+
+
 CancelReopen = _agent_events.CancelReopen
 CloseStream = _agent_events.CloseStream
 DialEntries = _agent_events.DialEntries
@@ -96,6 +106,7 @@
 
 EntryAction = (
     AnswerJob
+    | AnswerQuery
     | SendMessage
     | CloseStream
     | ReopenStream
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -60,6 +60,27 @@
             peer,
         )
 
+    def cancel_received(self, job: str, presence: wire.JobPresence) -> None:
+        """A client cancelled a job at this entry.
+
+        :param job: the job
+        :param presence: what this entry knew of it
+        """
+        self.add(
+            outcomes.Step.CANCEL,
+            "cancel received",
+            job,
+            presence=str(presence),
+        )
+
+    def cancelled_for(self, job: str, peer: str) -> None:
+        """A job was stopped here, since it was cancelled at another entry.
+
+        :param job: the job
+        :param peer: the other entry
+        """
+        self.add(outcomes.Step.CANCEL, "cancelled at another entry", job, peer)
+
     def resubmitted(self, job: str, deadline_s: float) -> None:
         """A job was likely submitted before; other entries were told.
 
--- a/src/ferryledge/leases/_handover.py
+++ b/src/ferryledge/leases/_handover.py
@@ -169,6 +169,10 @@
         """Report a job's result to its delegator."""
         self._incoming.answer(token, outcome)
 
+    def delegator_of(self, name: str) -> str:
+        """Return the entry for which a job is held; empty if there is none."""
+        return self._incoming.delegator_of(name)
+
     def withdraw(self, job: _jobs.Job) -> None:
         """Stop a job at the entry that it was handed over to, if any."""
         if job.is_delegated:
--- a/src/ferryledge/leases/_incoming_handovers.py
+++ b/src/ferryledge/leases/_incoming_handovers.py
@@ -222,6 +222,13 @@
             self._delegators[peer] = _Delegator(peer, offer.delegator, due)
         self._add_job(now, job)
 
+    def delegator_of(self, name: str) -> str:
+        """Return the entry for which a job is held; empty if there is none."""
+        for held in self._held.values():
+            if held.job.name == name:
+                return held.peer
+        return ""
+
     def on_withdrawal(self, now: float, message: wire.WithdrawJob) -> None:
         """Stop a job that its delegator withdrew."""
         self._drop_matching(
--- a/src/ferryledge/leases/_job_table.py
+++ b/src/ferryledge/leases/_job_table.py
@@ -1,15 +1,19 @@
 """Table of the jobs that an entry holds."""
 
 from collections import abc
+import math
 
 from ferryledge.leases import _jobs
 from ferryledge.leases import _recent_names
+from ferryledge import wire
 
 #: Least time in seconds for which a complete job is remembered, since the
 #: network may deliver a submission after its client's deadline.
 _KEEP_S = 10.0
 #: The same for a job without a deadline.
 _UNLIMITED_KEEP_S = 60.0
+#: The same for a cancelled job. Its deadline is known only where it is held.
+CANCELLED_KEEP_S = 60.0
 
 
 class JobTable:
@@ -19,6 +23,10 @@
         self._jobs: dict[str, _jobs.Job] = {}
         #: Jobs of which all tasks are done, here or at other entries.
         self.complete = _recent_names.RecentNames()
+        #: Jobs that clients cancelled, here or at other entries.
+        self.cancelled = _recent_names.RecentNames()
+        #: Those of them that clients had submitted here.
+        self._cancelled_here = _recent_names.RecentNames()
         #: Start of this entry's authority to run each job of another entry, in
         #: monotonic seconds by job name.
         self.authorised_at: dict[str, float] = {}
@@ -75,3 +83,34 @@
         elif job.deadline_at > now:
             keep_s = max(keep_s, job.deadline_at - now)
         return self.complete.keep(job.name, now + keep_s)
+
+    def note_cancelled(
+        self, now: float, name: str, keep_s: float = CANCELLED_KEEP_S
+    ) -> None:
+        """Remember that a job is cancelled, so that none of it starts."""
+        job = self._jobs.get(name)
+        if job is not None and not math.isinf(job.deadline_at):
+            keep_s = max(keep_s, job.deadline_at - now)
+        self.cancelled.keep(name, now + keep_s)
+        if job is not None and not job.closed and not job.serves_entry:
+            self._cancelled_here.keep(name, now + keep_s)
+
+    def presence(self, name: str) -> wire.JobPresence:
+        """Return what this entry knows of a job.
+
+        The delegate of a job doesn't count as its holder: its delegator
+        answers the client.
+        """
+        if name in self.complete:
+            return wire.JobPresence.COMPLETE
+        if name in self._cancelled_here:
+            return wire.JobPresence.CANCELLED
+        job = self._jobs.get(name)
+        if job is None or job.closed or job.serves_entry:
+            return wire.JobPresence.ABSENT
+        return wire.JobPresence.OPEN
+
+    def expire(self, now: float) -> None:
+        """Forget the jobs that are complete or cancelled for long."""
+        for names in (self.complete, self.cancelled, self._cancelled_here):
+            names.expire(now)
--- a/src/ferryledge/leases/_jobs.py
+++ b/src/ferryledge/leases/_jobs.py
@@ -222,6 +222,11 @@
         """Whether clients submitted the job here, not only another entry."""
         return not self.is_incoming or any(token > 0 for token in self.tokens)
 
+    @property
+    def serves_entry(self) -> bool:
+        """Whether the job runs for the entry that handed it over."""
+        return any(token < 0 for token in self.tokens)
+
     @property
     def is_deferred(self) -> bool:
         """Whether the job waits behind all jobs that can be on time."""
--- a/src/ferryledge/leases/_peers.py
+++ b/src/ferryledge/leases/_peers.py
@@ -141,6 +141,10 @@
             # The agent dropped the request when its former stream closed.
             self._request_from_reader()
 
+    def is_connected(self, name: str) -> bool:
+        """Return whether a peer's stream is open."""
+        return name in self._peers
+
     def leave(self, name: str) -> None:
         """Remove a peer whose stream broke."""
         self._peers.pop(name, None)
@@ -363,6 +367,12 @@
         """Number of known entries, this one included."""
         return len(self._addresses.keys() | {self._name})
 
+    @property
+    def has_entry_list(self) -> bool:
+        """Whether the list of entries was read, or received from a peer."""
+        is_read = any(address.version for address in self._addresses.values())
+        return is_read or self.entry_count > 1
+
     def detecting_entries(self) -> list[str]:
         """Return the entries that detect jobs that were submitted again."""
         return [
--- a/src/ferryledge/leases/_registrars.py
+++ b/src/ferryledge/leases/_registrars.py
@@ -24,6 +24,9 @@
 _AVOIDANCE_S = 1.0
 #: Seconds without a stream after which an entry counts as lost for long.
 _LONG_LOST_S = 10.0
+#: The same if it ended the stream itself, as a process does that ends. One
+#: whose connections were only reset dials again much sooner.
+_ENDED_LOST_S = 1.2
 _KEY_BYTES = 8
 _KEY_MASK = 2 ** (8 * _KEY_BYTES) - 1
 #: An odd factor that mixes the bits of two keys.
@@ -46,6 +49,8 @@
         self._known: set[str] = set()
         #: Those of them without a stream to this one, and since when.
         self._unreached: dict[str, float] = {}
+        #: Those of them that ended the stream themselves.
+        self._ended: set[str] = set()
         #: Until when those that were lost for long are not asked for.
         self._absent_until: dict[str, float] = {}
         #: Entries whose stream is open, those of earlier releases too.
@@ -77,6 +82,11 @@
             return others
         return REGISTRARS
 
+    @property
+    def has_others(self) -> bool:
+        """Whether any other entry is known."""
+        return bool(self._known or self._connected)
+
     @property
     def is_alone(self) -> bool:
         """Whether there is no stream to any entry."""
@@ -107,6 +117,7 @@
         self._keys.setdefault(name, hash_key(name))
         self._connected.add(name)
         self._unreached.pop(name, None)
+        self._ended.discard(name)
         self._absent_until.pop(name, None)
         if registers_jobs:
             self._reached[name] = None
@@ -114,8 +125,15 @@
             self._relays.add(name)
         self._avoided_until.pop(name, None)
 
-    def leave(self, now: float, name: str) -> None:
-        """Remove an entry whose stream broke."""
+    def leave(self, now: float, name: str, by_peer: bool = False) -> None:
+        """Remove an entry whose stream broke.
+
+        :param now: monotonic seconds
+        :param name: the entry
+        :param by_peer: whether the other side ended the stream
+        """
+        if by_peer:
+            self._ended.add(name)
         self._connected.discard(name)
         self._reached.pop(name, None)
         self._relays.discard(name)
@@ -156,6 +174,29 @@
         if now - lost_at > _LONG_LOST_S:
             self._absent_until[name] = now + _AVOIDANCE_S
 
+    def required(self, now: float, job: str) -> list[str]:
+        """Return the entries that must know a job if any entry holds it.
+
+        They are its registrars among all entries that may be up, reached or
+        not.
+        """
+        names = self._known.union(self._reached)
+        return self.rank(job, self.exclude_lost(now, names))
+
+    def exclude_lost(self, now: float, names: abc.Iterable[str]) -> list[str]:
+        """Return those of some entries that may be up, reached or not."""
+        return [name for name in names if not self._is_lost(now, name)]
+
+    def _is_lost(self, now: float, name: str) -> bool:
+        """Return whether an entry must have ended.
+
+        One that fell silent may be cut off, which takes longer to tell.
+        """
+        if name not in self._unreached:
+            return False
+        lost_s = _ENDED_LOST_S if name in self._ended else _LONG_LOST_S
+        return now - self._unreached[name] > lost_s
+
     def note_answer(self, name: str) -> None:
         """Record that an entry answered, directly or through others."""
         self._avoided_until.pop(name, None)
--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -292,6 +292,11 @@
             default=_NEVER,
         )
 
+    @property
+    def entries(self) -> _registrars.Registrars:
+        """The other entries, as registrars and relays."""
+        return self._registrars
+
     def note_started(self, now: float) -> None:
         """Record that this process has just started, at the first call."""
         if not self._has_started:
@@ -363,7 +368,11 @@
                 self._advance(now, pending)
 
     def leave(
-        self, now: float, name: str, jobs: abc.Iterable[_jobs.Job] = ()
+        self,
+        now: float,
+        name: str,
+        jobs: abc.Iterable[_jobs.Job] = (),
+        by_peer: bool = False,
     ) -> None:
         """Remove an entry whose stream broke.
 
@@ -371,6 +380,7 @@
         :param name: the entry
         :param jobs: started jobs, which are registered with another entry if
             this one was a registrar of theirs
+        :param by_peer: whether the other side ended the stream
         """
         reached = self._registrars.reached()
         lost = [
@@ -378,7 +388,7 @@
             for job in jobs
             if name in self._registrars.rank(job.name, reached)
         ]
-        self._registrars.leave(now, name)
+        self._registrars.leave(now, name, by_peer)
         for job in lost:
             for registrar in self._registrars.rank(
                 job.name, self._registrars.reached()
--- a/src/ferryledge/loads/_world.py
+++ b/src/ferryledge/loads/_world.py
@@ -160,7 +160,9 @@
         self.on_answer: abc.Callable[[int, outcomes.JobOutcome], None] = (
             _pass_over
         )
-        #: When each job's client was answered first.
+        #: Results of cancels and look-ups, by token.
+        self.results: dict[int, leases.QueryResult] = {}
+        #: When each client was answered first.
         self.answered_at: dict[int, float] = {}
         self.jobs: dict[int, leases.LeasedJob] = {}
         self.alive_runs: dict[tuple[str, int, int], set[str]] = (
@@ -430,6 +432,9 @@
                 self._list_runs(name, renewal)
             case leases.AnswerJob(token, outcome):
                 self._note_answer(token, outcome)
+            case leases.AnswerQuery(token, result):
+                self.results[token] = result
+                self.answered_at[token] = self.now
             case leases.SaveEndpoint(seen):
                 self.stored_heartbeats[name] = seen
             case _:
@@ -807,6 +812,15 @@
         self.post(entry, leases.JobSubmitted(token, job))
         return token
 
+    def cancel(self, entry: str, name: str) -> int:
+        """Cancel a job at an entry.
+
+        :return: the token of the request
+        """
+        token = next(self._tokens)
+        self.post(entry, leases.JobCancelled(name, token))
+        return token
+
     def outcome(self, token: int) -> outcomes.JobOutcome | None:
         """Return the answer to a job, if there is one."""
         answers = self.answers[token]
--- a/src/ferryledge/platform/__init__.py
+++ b/src/ferryledge/platform/__init__.py
@@ -43,10 +43,12 @@
     parse_job = _jobs.parse_job
     parse_settings = _settings.parse_settings
     read_settings = _settings.read_settings
+    render_absent = _jobs.render_absent
     render_refusal = _jobs.render_refusal
     render_outcome = _jobs.render_outcome
     render_pending = _jobs.render_pending
     render_running = _jobs.render_running
+    render_unconfirmed = _jobs.render_unconfirmed
     split_address = _settings.split_address
 else:
     # Loaded on first use: an agent doesn't need the modules for jobs and
@@ -76,10 +78,12 @@
                 "UnsupportedJobError",
                 "parse_deadline",
                 "parse_job",
+                "render_absent",
                 "render_refusal",
                 "render_outcome",
                 "render_pending",
                 "render_running",
+                "render_unconfirmed",
             ),
             "_settings": (
                 "Settings",
@@ -127,9 +131,11 @@
     "parse_job",
     "parse_settings",
     "read_settings",
+    "render_absent",
     "render_outcome",
     "render_pending",
     "render_refusal",
     "render_running",
+    "render_unconfirmed",
     "split_address",
 ]
--- a/src/ferryledge/platform/_jobs.py
+++ b/src/ferryledge/platform/_jobs.py
@@ -201,6 +201,24 @@
     return net.HttpResponse.json(503, content, headers)
 
 
+def render_absent() -> net.HttpResponse:
+    """Return the response for a job that does not exist."""
+    return net.HttpResponse.json(410, {"error": "no such job"})
+
+
+def render_unconfirmed(retry_after_s: float) -> net.HttpResponse:
+    """Return the response if it is not known whether a job exists.
+
+    :param retry_after_s: seconds after which the client may ask again
+    """
+    headers = (("retry-after", str(max(1, round(retry_after_s)))),)
+    content = {
+        "error": "unconfirmed",
+        "detail": "an entry that may hold the job has not answered",
+    }
+    return net.HttpResponse.json(503, content, headers)
+
+
 def render_running() -> net.HttpResponse:
     """Return the response for a job that has not ended."""
     return _JobState("running").response()
--- a/src/ferryledge/platform/tests/test_formats.py
+++ b/src/ferryledge/platform/tests/test_formats.py
@@ -160,6 +160,24 @@
     assert response.status == status
 
 
+@pytest.mark.parametrize(
+    ("reason", "state"),
+    [
+        (outcomes.Reason.TASK_FAILED, "failed"),
+    ],
+)
+def test_job_that_has_ended_is_answered_with_its_state(
+    reason: outcomes.Reason, state: str
+) -> None:
+    """Guards against an answer after which a client submits again."""
+    origin = outcomes.Origin(outcomes.Step.CANCEL)
+    response = platform.render_outcome(
+        outcomes.FailedMayHaveRun(reason, origin)
+    )
+    assert response.status == 200
+    assert json.loads(response.body) == {"State": state}
+
+
 _HEARTBEAT: dict[str, object] = {
     "Backend": "desk", "Address": "a:1", "Zone": "north", "Version": "v1",
     "Slots": 8, "State": "draining", "ColdMs": 0, "RemainingMs": 1500,
--- a/src/ferryledge/wire/__init__.py
+++ b/src/ferryledge/wire/__init__.py
@@ -67,8 +67,13 @@
 EntryAddress = _lease_messages.EntryAddress
 EntryList = _lease_messages.EntryList
 Invite = _lease_messages.Invite
+FindJobs = _lease_messages.FindJobs
+FoundJob = _lease_messages.FoundJob
 InviteAgents = _lease_messages.InviteAgents
+JobPresence = _lease_messages.JobPresence
+JobsCancelled = _lease_messages.JobsCancelled
 JobsCompleted = _lease_messages.JobsCompleted
+JobsFound = _lease_messages.JobsFound
 JobsRegistered = _lease_messages.JobsRegistered
 JobsResubmitted = _lease_messages.JobsResubmitted
 LeaseGrant = _lease_messages.LeaseGrant
@@ -137,7 +142,9 @@
     "FenceOwner",
     "FenceReport",
     "FencedJob",
+    "FindJobs",
     "FinishedTask",
+    "FoundJob",
     "GrantRequest",
     "HandoverEnded",
     "HandoverGrant",
@@ -149,7 +156,10 @@
     "Invite",
     "InviteAgents",
     "JobAnswered",
+    "JobPresence",
+    "JobsCancelled",
     "JobsCompleted",
+    "JobsFound",
     "JobsRegistered",
     "JobsResubmitted",
     "KeepAlive",
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -361,6 +361,59 @@
     completed: JobsCompleted | None = None
 
 
+class FindJobs(_messages.Model, frozen=True, tag="find-jobs"):
+    """Query for jobs that a client cancels or looks up at the sender.
+
+    The receiver answers with :class:`JobsFound`.
+    """
+
+    jobs: tuple[str, ...]
+    #: Whether the jobs are cancelled. The receiver then stops those that it
+    #: holds, and remembers all of them, so that none starts later.
+    cancels: bool
+
+
+class JobPresence(enum.StrEnum):
+    """What an entry knows of a job."""
+
+    #: It doesn't hold the job.
+    ABSENT = "absent"
+    #: It held the job for a client until a client cancelled it.
+    CANCELLED = "cancelled"
+    #: All tasks of the job are done.
+    COMPLETE = "complete"
+    #: It holds the job.
+    OPEN = "open"
+
+
+class FoundJob(_messages.Model, frozen=True):
+    """The answer for one job of :class:`FindJobs`."""
+
+    job: str
+    presence: JobPresence
+    #: Other entries that may hold the job.
+    entries: tuple[str, ...] = ()
+    #: Whether the sender has just started, and other entries may still have
+    #: to register the job with it.
+    is_starting: bool = False
+
+
+class JobsFound(_messages.Model, frozen=True, tag="jobs-found"):
+    """Answer to :class:`FindJobs`."""
+
+    jobs: tuple[FoundJob, ...]
+    #: The same as in the query.
+    cancels: bool
+
+
+class JobsCancelled(_messages.Model, frozen=True, tag="jobs-cancelled"):
+    """Jobs that clients cancelled, so that none of them may start."""
+
+    jobs: tuple[str, ...]
+    #: Seconds for which the receiver remembers them.
+    keep_s: float
+
+
 class Relay(_messages.Model, frozen=True, tag="relay"):
     """A message to an entry that its source has no working stream to.
 
@@ -370,7 +423,7 @@
 
     source: str
     target: str
-    message: RegisterJobs | JobsRegistered
+    message: RegisterJobs | JobsRegistered | FindJobs | JobsFound
 
 
 class RelayFailed(_messages.Model, frozen=True, tag="relay-failed"):
@@ -460,6 +513,9 @@
     | RegisterJobs
     | JobsCompleted
     | JobsRegistered
+    | FindJobs
+    | JobsFound
+    | JobsCancelled
     | Relay
     | RelayFailed
     | InviteAgents
--- a/src/ferryledge/wire/_messages.py
+++ b/src/ferryledge/wire/_messages.py
@@ -67,6 +67,9 @@
     relays_registrations: bool = False
     #: Whether the sender accepts messages about complete jobs.
     learns_completions: bool = False
+    #: Whether the sender answers queries for jobs, and accepts messages about
+    #: cancelled ones.
+    finds_jobs: bool = False
 
 
 class KeepAlive(Model, frozen=True, tag="alive"):
