Report a cancel at a delegate to its delegator as a cancel

An acknowledged cancel whose job is run again by its delegator 1.5 s later.

Cause: the delegate reported STOPPED, which means that it gave up for want of time, and lets the delegator go on.

Ruled out: that the delegator's lease on the job ends it. It ends the runs at the delegate, and the delegator then orders the job anew.

The delegator ends the job.

Why it works: only the delegator can order the job anew, and it now knows.

Conclusion: whoever of the two hears of a cancel, both end the job.

--- a/src/ferryledge/leases/_incoming_handovers.py
+++ b/src/ferryledge/leases/_incoming_handovers.py
@@ -407,8 +407,11 @@
             how = wire.HandoverOutcome.DONE
         case outcomes.Refused() | outcomes.FailedNotRun():
             how = wire.HandoverOutcome.NOT_RUN
-        case outcomes.FailedMayHaveRun(outcomes.Reason.TASK_FAILED, origin):
+        case outcomes.FailedMayHaveRun(
+            (outcomes.Reason.TASK_FAILED | outcomes.Reason.CANCELLED) as why,
+            origin,
+        ):
             how = wire.HandoverOutcome.FAILED
-            reason = str(outcomes.Reason.TASK_FAILED)
+            reason = str(why)
             peer = origin.peer
     return wire.HandoverEnded(held.delegator, held.number, how, reason, peer)
--- a/src/ferryledge/leases/tests/test_cancelled_jobs.py
+++ b/src/ferryledge/leases/tests/test_cancelled_jobs.py
@@ -345,6 +345,18 @@
     _assert_stops(world)
 
 
+@pytest.mark.parametrize("entries", MANY_AND_FEW)
+def test_delegate_tells_its_delegator_of_a_cancel(entries: int) -> None:
+    """Guards against a rerun if the asked entry is lost meanwhile."""
+    world = registering.make_world(entries=entries)
+    token, delegate = _hand_over(world)
+    notice = wire.JobsCancelled((JOB,), 60.0)
+    world.post(delegate, wire.Received("lost", notice))
+    world.run(0.1)
+    assert _is_cancelled(world, token)
+    _assert_stops(world)
+
+
 @pytest.mark.parametrize("entries", [3, 8])
 def test_jobs_that_nobody_cancels_cost_no_messages(entries: int) -> None:
     world = registering.make_world(entries=entries)
