Start nothing of a job that was cancelled before

What callers saw: the submission of a cancelled job was answered 504, after which it is sent again; the repetition ran whole, 6.8 to 8.7 s beyond the cancel. A cancel 0.4 s before its submission was answered 410, and the job ran.

Cause: what was cancelled did not count as ended. The outcome was rendered like an interruption, and no submission was compared with the cancels.

Ruled out: a repetition that overtakes the cancel; it came 1.3 s and 3.2 s after the acknowledgement.

Change: the submission is answered 200 with State "canceled", a state of the users' page.

Why it works: each later submission is at an entry that was told, or is registered with one before its first run.

Weighed: "failed", but no task has failed; 504 with a refusal of the repetition, which makes the client ask twice. Conclusion: a cancel holds for the job's name, whichever comes first.

--- a/src/ferryledge/hosted/_metrics.py
+++ b/src/ferryledge/hosted/_metrics.py
@@ -140,6 +140,10 @@
             "already_complete_jobs",
             "Jobs that were submitted again although they are complete",
         )
+        self._already_cancelled = registry.counter(
+            "already_cancelled_jobs",
+            "Jobs that were submitted although a client had cancelled them",
+        )
         self._superseded = registry.counter(
             "superseded_jobs",
             "Jobs that were registered here after an older submission",
@@ -169,6 +173,10 @@
         """Count a complete job that was submitted again."""
         self._already_complete.add()
 
+    def already_cancelled(self) -> None:
+        """Count a submission of a cancelled job."""
+        self._already_cancelled.add()
+
     def superseded(self) -> None:
         """Count a job whose newer submission was registered here."""
         self._superseded.add()
--- a/src/ferryledge/leases/_cancellations.py
+++ b/src/ferryledge/leases/_cancellations.py
@@ -214,6 +214,12 @@
             if self._queries.reaches(name):
                 self._send(name, message)
 
+    def tell_delegator(self, peer: str, job: str) -> None:
+        """Tell an entry that offers a cancelled job that it is cancelled."""
+        if job in self._jobs.cancelled and self._queries.reaches(peer):
+            message = wire.JobsCancelled((job,), _job_table.CANCELLED_KEEP_S)
+            self._send(peer, message)
+
     # Periodic work.
 
     def check(self, now: float) -> None:
--- a/src/ferryledge/leases/_duplicates.py
+++ b/src/ferryledge/leases/_duplicates.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from ferryledge.leases import _cancel_outcomes
 from ferryledge.leases import _completion_notices
 from ferryledge.leases import _entry_notes
 from ferryledge.leases import _entry_selection
@@ -359,6 +360,8 @@
                     self.give_up(now, job.name, entry)
                 case _registration.CompleteElsewhere(job, entry):
                     self._answer_complete(now, job, entry)
+                case _registration.CancelledElsewhere(job, entry):
+                    self._answer_cancelled(now, job, entry)
         return is_any_registered
 
     def send_due(self, now: float) -> None:
@@ -429,6 +432,12 @@
             self._notes.already_complete(job.name, peer)
             self._finish(now, job, outcomes.Complete(()))
 
+    def _answer_cancelled(self, now: float, job: _jobs.Job, peer: str) -> None:
+        """Answer a job of which another entry knows that it is cancelled."""
+        if not job.closed:
+            self._notes.already_cancelled(job.name, peer)
+            self._finish(now, job, _cancel_outcomes.make_outcome(peer))
+
     def expire(self, now: float) -> None:
         """Forget submissions whose clients don't wait any more."""
         self._resubmissions.expire(now)
@@ -455,6 +464,10 @@
             return wire.RegisteredJob(
                 submission.job, self._name, is_complete=True
             )
+        if submission.job in self._jobs.cancelled:
+            return wire.RegisteredJob(
+                submission.job, self._name, is_cancelled=True
+            )
         job = self._jobs.find(submission.job)
         if job is not None and (job.serves_clients or job.closed):
             deadline_s = job.newest_deadline_s
@@ -498,6 +511,8 @@
                 continue
             if registered.is_complete:
                 self._answer_complete(now, job, peer)
+            elif registered.is_cancelled:
+                self._answer_cancelled(now, job, peer)
             elif _registration.is_newer(
                 registered.deadline_s, job.newest_deadline_s
             ):
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -387,6 +387,11 @@
     ) -> None:
         known = self._jobs.find(request.job)
         is_open = known is not None and not known.closed
+        if request.job in self._jobs.cancelled:
+            self._notes.already_cancelled(request.job)
+            outcome = _cancel_outcomes.make_outcome(self._name)
+            self._reply([token], outcome)
+            return
         if not is_open and request.job in self._jobs.complete:
             self._notes.already_complete(request.job)
             self._reply([token], outcomes.Complete(()))
@@ -609,6 +614,8 @@
             case wire.InviteAgents():
                 self._send_all(self._agent_search.invite(now, message))
             case _:
+                if isinstance(message, wire.OfferJob):
+                    self._cancellations.tell_delegator(peer, message.job)
                 if self._handover.receive(now, peer, message):
                     self._placement_due = True
 
--- a/src/ferryledge/leases/_entry_notes.py
+++ b/src/ferryledge/leases/_entry_notes.py
@@ -60,6 +60,17 @@
             peer,
         )
 
+    def already_cancelled(self, job: str, peer: str = "") -> None:
+        """A job was submitted that a client had cancelled.
+
+        :param job: the job
+        :param peer: the entry that knows; empty for this one
+        """
+        self._meter.already_cancelled()
+        self.add(
+            outcomes.Step.ADMIT, "submitted again: cancelled before", job, peer
+        )
+
     def cancel_received(self, job: str, presence: wire.JobPresence) -> None:
         """A client cancelled a job at this entry.
 
--- a/src/ferryledge/leases/_incoming_handovers.py
+++ b/src/ferryledge/leases/_incoming_handovers.py
@@ -173,7 +173,7 @@
         if job is None:
             return reasons.MALFORMED
         name = offer.job
-        if self._jobs.find(name) or name in self._jobs.complete:
+        if self._jobs.find(name) or self._jobs.is_over(name):
             return reasons.KNOWN
         if self._runs_elsewhere(name, offer.deadline_s):
             return reasons.KNOWN
--- a/src/ferryledge/leases/_job_table.py
+++ b/src/ferryledge/leases/_job_table.py
@@ -72,6 +72,10 @@
         if job.closed and not job.is_delegated and not job.bound():
             self._jobs.pop(job.name, None)
 
+    def is_over(self, name: str) -> bool:
+        """Return whether nothing of a job may start any more."""
+        return name in self.complete or name in self.cancelled
+
     def note_complete(self, now: float, job: _jobs.Job) -> float:
         """Remember that all tasks of a job are done.
 
--- a/src/ferryledge/leases/_meters.py
+++ b/src/ferryledge/leases/_meters.py
@@ -26,6 +26,9 @@
     def already_complete(self) -> None:
         """A job was submitted again of which all tasks are done."""
 
+    def already_cancelled(self) -> None:
+        """A job was submitted that a client had cancelled."""
+
     def superseded(self) -> None:
         """Another entry registered a newer submission of a known job."""
 
--- a/src/ferryledge/leases/_registration.py
+++ b/src/ferryledge/leases/_registration.py
@@ -183,7 +183,16 @@
     entry: str
 
 
-Decision = Registered | HeldElsewhere | CompleteElsewhere
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelledElsewhere:
+    """A client cancelled the job; nothing of it may start."""
+
+    job: _jobs.Job
+    #: The entry that knows.
+    entry: str
+
+
+Decision = Registered | HeldElsewhere | CompleteElsewhere | CancelledElsewhere
 
 
 class _Pending(msgspec.Struct):
@@ -513,6 +522,9 @@
         if registered.is_complete:
             self._decide(CompleteElsewhere(pending.job, peer))
             return True
+        if registered.is_cancelled:
+            self._decide(CancelledElsewhere(pending.job, peer))
+            return True
         if registered.entry != peer:
             pending.holders.pop(peer, None)
         self._note_starting(now, peer, registered, pending)
--- a/src/ferryledge/leases/tests/test_cancelled_jobs.py
+++ b/src/ferryledge/leases/tests/test_cancelled_jobs.py
@@ -261,6 +261,10 @@
     world.run(0.005)
     world.kill("entry-1", 1.0)
     _assert_stops(world)
+    again = _submit(world, world.entries[-1], 10.0)
+    world.run(1.0)
+    assert _is_cancelled(world, again)
+    assert world.started[JOB] == TASKS
 
 
 @pytest.mark.parametrize("entries", MANY_AND_FEW)
@@ -278,6 +282,85 @@
     _assert_stops(world)
 
 
+@pytest.mark.parametrize("entries", MANY_AND_FEW)
+@pytest.mark.parametrize("asked", [0, 1])
+@pytest.mark.parametrize("again_at", [0, -1])
+@pytest.mark.parametrize("after_s", [0.6, 1.3, 3.2])
+def test_repetition_of_a_cancelled_job_is_not_run(
+    entries: int, asked: int, again_at: int, after_s: float
+) -> None:
+    """Guards against a repetition that starts what was cancelled."""
+    world = registering.make_world(entries=entries)
+    _start(world)
+    world.cancel(world.entries[asked], JOB)
+    world.run(after_s)
+    again = _submit(world, world.entries[again_at], 20.0 - after_s)
+    world.run(1.0)
+    assert _is_cancelled(world, again)
+    _assert_stops(world)
+
+
+@pytest.mark.parametrize("entries", MANY_AND_FEW)
+@pytest.mark.parametrize("asked", [0, 1])
+@pytest.mark.parametrize("again_at", [0, 1, -1])
+def test_repetition_while_a_cancel_is_told_is_not_run(
+    entries: int, asked: int, again_at: int
+) -> None:
+    """Guards against a start before all entries are told.
+
+    An entry that is not told may know the runs that are being stopped.
+    """
+    world = registering.make_world(entries=entries)
+    _start(world)
+    world.cancel(world.entries[asked], JOB)
+    world.run(0.002)
+    again = _submit(world, world.entries[again_at])
+    world.run(1.0)
+    match world.outcome(again):
+        case outcomes.FailedMayHaveRun(reason):
+            assert reason in (
+                outcomes.Reason.CANCELLED,
+                outcomes.Reason.DUPLICATE,
+            )
+        case other:
+            raise AssertionError(other)
+    _assert_stops(world)
+
+
+@pytest.mark.parametrize("entries", MANY_AND_FEW)
+@pytest.mark.parametrize("submitted_at", [0, 1, -1])
+def test_cancel_that_overtakes_its_submission_holds(
+    entries: int, submitted_at: int
+) -> None:
+    world = registering.make_world(entries=entries)
+    token = world.cancel("entry-1", JOB)
+    world.run(0.4)
+    assert world.results[token] is ABSENT
+    first = _submit(world, world.entries[submitted_at])
+    world.run(1.0)
+    assert _is_cancelled(world, first)
+    assert not world.started[JOB]
+
+
+@pytest.mark.parametrize("entries", MANY_AND_FEW)
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_cancel_is_remembered_through_restarts_in_turn(
+    entries: int, seed: int
+) -> None:
+    """Guards against entries that forget a cancel one by one."""
+    world = registering.make_world(seed, entries)
+    _start(world)
+    world.cancel("entry-1", JOB)
+    world.run(0.5)
+    for name in world.entries:
+        world.kill(name, 0.1)
+        world.run(0.5)
+    again = _submit(world, world.entries[-1], 10.0)
+    world.run(1.0)
+    assert _is_cancelled(world, again)
+    assert world.started[JOB] == TASKS
+
+
 @pytest.mark.parametrize("entries", [3, 8])
 def test_cancel_is_forgotten_in_the_end(entries: int) -> None:
     """Guards against memory that grows with each cancel."""
--- a/src/ferryledge/platform/_jobs.py
+++ b/src/ferryledge/platform/_jobs.py
@@ -173,6 +173,8 @@
             return _JobState("succeeded").response()
         case outcomes.FailedMayHaveRun(outcomes.Reason.TASK_FAILED):
             return _JobState("failed").response()
+        case outcomes.FailedMayHaveRun(outcomes.Reason.CANCELLED):
+            return _JobState("canceled").response()
         case outcomes.Refused(reason, _, retry_after_s, detail):
             return render_refusal(reason, retry_after_s, detail)
         case outcomes.FailedNotRun(reason, _, retry_after_s, detail):
--- a/src/ferryledge/platform/tests/test_formats.py
+++ b/src/ferryledge/platform/tests/test_formats.py
@@ -163,6 +163,7 @@
 @pytest.mark.parametrize(
     ("reason", "state"),
     [
+        (outcomes.Reason.CANCELLED, "canceled"),
         (outcomes.Reason.TASK_FAILED, "failed"),
     ],
 )
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -351,6 +351,8 @@
     is_starting: bool = False
     #: Whether all tasks of the job are done, so that none may start again.
     is_complete: bool = False
+    #: Whether a client cancelled the job, so that none of it may start.
+    is_cancelled: bool = False
 
 
 class JobsRegistered(_messages.Model, frozen=True, tag="registered"):
