Cancel jobs whose queue's route was removed

What callers saw: once a configuration without the route was in force, DELETE was answered 404 at every entry, and the job ran on; its second step started 4.0 s later than allowed.

Cause: HostedEntry._handle looked for the route before the job.

Ruled out: that the job ends with its route; its submission was answered as succeeded.

Change: a DELETE finds the job by the name at the end of the path, whatever the routes are. Without a route it is answered 410 once the job is stopped, 404 if there is none, 503 if that is not known. A look-up and a submission still get 404 at once.

Why it works: the name identifies a job without its queue. 410 and not 200, since a success for a queue that doesn't exist would look like a call that an older configuration allowed.

--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -275,7 +275,7 @@
         hostname = request.header("host").partition(":")[0].lower()
         route = config.find(hostname, request.path)
         if route is None:
-            return net.HttpResponse.json(404, {"error": "no such queue"})
+            return await self._handle_unrouted(request)
         job = request.path[len(route.path_prefix) :]
         match request.method:
             case "POST" if job:
@@ -287,7 +287,7 @@
                     self._core.pending(route.job_class.name)
                 )
             case "DELETE" if job:
-                return await self._cancel(job)
+                return await self._cancel(request, job)
         return net.HttpResponse.json(405, {"error": "no such call"})
 
     def _readiness(self) -> net.HttpResponse:
@@ -296,12 +296,32 @@
         ready = configured and usable and not self._draining
         return net.HttpResponse.json(200 if ready else 503, {"ready": ready})
 
+    async def _handle_unrouted(self, request: net.Request) -> net.HttpResponse:
+        """Answer a call to a queue that does not exist.
+
+        A job that was submitted before its route was removed can still be
+        cancelled. The answer is 410 then, since a call to a queue that does
+        not exist can't succeed.
+        """
+        job = platform.find_job_name(request.path)
+        if request.method == "DELETE" and job:
+            match await self._queries.cancel(job):
+                case leases.QueryResult.FOUND:
+                    return platform.render_absent()
+                case leases.QueryResult.UNKNOWN:
+                    return platform.render_unconfirmed(_RETRY_S)
+        return net.HttpResponse.json(404, {"error": "no such queue"})
+
     def _look_up(self, job: str) -> net.HttpResponse:
         if self._core.holds(job):
             return platform.render_running()
         return platform.render_absent()
 
-    async def _cancel(self, job: str) -> net.HttpResponse:
+    async def _cancel(
+        self, request: net.Request, job: str
+    ) -> net.HttpResponse:
+        # The route may be another one than when the job was submitted.
+        job = platform.find_job_name(request.path) or job
         match await self._queries.cancel(job):
             case leases.QueryResult.FOUND:
                 return net.HttpResponse.json(200, {})
--- a/src/ferryledge/hosted/tests/test_cancels.py
+++ b/src/ferryledge/hosted/tests/test_cancels.py
@@ -94,11 +94,30 @@
     assert not entry._core.holds(_JOB)
 
 
+def test_cancel_of_a_job_whose_route_was_removed_is_carried_out(
+    entry: _entry.HostedEntry,
+) -> None:
+    """Guards against a job that can't be cancelled without its route."""
+    response = _call(entry, "DELETE", f"/gone/{_JOB}", holds=True)
+    assert response.status == 410
+    assert _is_cancelled(entry)
+    assert not entry._core.holds(_JOB)
+
+
+def test_look_up_of_a_job_whose_route_was_removed_fails(
+    entry: _entry.HostedEntry,
+) -> None:
+    response = _call(entry, "GET", f"/gone/{_JOB}", holds=True)
+    assert response.status == 404
+    assert not _is_cancelled(entry)
+
+
 @pytest.mark.parametrize(
     ("method", "path", "status"),
     [
         ("DELETE", f"/holds/{_JOB}", 410),
         ("GET", f"/holds/{_JOB}", 410),
+        ("DELETE", f"/gone/{_JOB}", 404),
         ("DELETE", "/gone/", 404),
         ("GET", "/gone/", 404),
         ("GET", "/holds/", 200),
@@ -112,7 +131,7 @@
 
 
 @pytest.mark.parametrize("method", ["DELETE"])
-@pytest.mark.parametrize("queue", ["holds"])
+@pytest.mark.parametrize("queue", ["holds", "gone"])
 def test_entry_that_can_not_ask_another_one_does_not_acknowledge(
     entry: _entry.HostedEntry,
     monkeypatch: pytest.MonkeyPatch,
--- a/src/ferryledge/platform/__init__.py
+++ b/src/ferryledge/platform/__init__.py
@@ -36,6 +36,7 @@
     UnsupportedJobError = _jobs.UnsupportedJobError
     config_version = _config.config_version
     cordoned_zone = _config.cordoned_zone
+    find_job_name = _jobs.find_job_name
     parse_config = _config.parse_config
     parse_deadline = _jobs.parse_deadline
     parse_deregister = _heartbeat.parse_deregister
@@ -76,6 +77,7 @@
                 "JobError",
                 "MalformedJobError",
                 "UnsupportedJobError",
+                "find_job_name",
                 "parse_deadline",
                 "parse_job",
                 "render_absent",
@@ -124,6 +126,7 @@
     "UnsupportedJobError",
     "config_version",
     "cordoned_zone",
+    "find_job_name",
     "parse_config",
     "parse_deadline",
     "parse_deregister",
--- a/src/ferryledge/platform/_jobs.py
+++ b/src/ferryledge/platform/_jobs.py
@@ -1,6 +1,7 @@
 """Decoding of the clients' jobs and encoding of the responses."""
 
 import dataclasses
+import re
 
 import msgspec
 
@@ -13,6 +14,8 @@
 MAX_SPEC_BYTES = 4000
 #: Maximum number of tasks in a job.
 MAX_TASKS = 810
+#: The client's name for a job, at the end of a path.
+_JOB_NAME = re.compile("[0-9a-fA-F]{16}$")
 
 
 class JobError(Exception):
@@ -110,6 +113,15 @@
         raise MalformedJobError("Deadline-Ms", f"{value!r}: {exc}") from exc
 
 
+def find_job_name(path: str) -> str:
+    """Return the name of the job at the end of a path; empty if none.
+
+    It is found without the route, which may have been removed.
+    """
+    found = _JOB_NAME.search(path)
+    return found.group() if found else ""
+
+
 def _check_job(body: _Body) -> None:
     if not body.best_effort:
         raise UnsupportedJobError(
--- a/src/ferryledge/platform/tests/test_formats.py
+++ b/src/ferryledge/platform/tests/test_formats.py
@@ -179,6 +179,20 @@
     assert json.loads(response.body) == {"State": state}
 
 
+@pytest.mark.parametrize(
+    ("path", "name"),
+    [
+        ("/holds/5c0e7a21d94b36f8", "5c0e7a21d94b36f8"),
+        ("/5C0E7A21D94B36F8", "5C0E7A21D94B36F8"),
+        ("/holds/", ""),
+        ("/holds/5c0e7a21d94b36f", ""),
+        ("/holds/5c0e7a21d94b36f8/", ""),
+    ],
+)
+def test_job_is_named_at_the_end_of_a_path(path: str, name: str) -> None:
+    assert platform.find_job_name(path) == name
+
+
 _HEARTBEAT: dict[str, object] = {
     "Backend": "desk", "Address": "a:1", "Zone": "north", "Version": "v1",
     "Slots": 8, "State": "draining", "ColdMs": 0, "RemainingMs": 1500,
