Acknowledge a cancel once two entries know of it

What callers would see: the job's entry, cut off from all others, answers its client's cancel with 200. A repetition at another entry after that runs for longer than the cancel allows, since nobody else knows of it. The same would follow from the loss of that entry right after its answer.

Cause: the job's entry answered at once, and told the others without waiting for their word. Trace: entry-1 cut off at 4.02 s for 7 s, cancel there at 6.43 s answered at once, submission at entry-2 at 8.03 s, its runs alive 3 s after.

Ruled out: a cancel that the others forget; they were told when the cut ended, and stopped the runs then.

Change: the job's entry stops the job at once, as before, and answers 200 when the first other entry has confirmed that it remembers the cancel too, or if all others are lost. Without a confirmation it answers 503 after 1.5 s.

Why it works: a cancel that was acknowledged is known by two entries, unless only one is up.

--- a/src/ferryledge/leases/_cancellations.py
+++ b/src/ferryledge/leases/_cancellations.py
@@ -169,13 +169,11 @@
         presence = self._cancel_here(now, job)
         self._notes.cancel_received(job, presence)
         match presence:
-            case wire.JobPresence.CANCELLED:
-                self._answer(token, _job_queries.QueryResult.FOUND)
-                self._tell(now, job)
             case wire.JobPresence.COMPLETE:
                 self._answer(token, _job_queries.QueryResult.ABSENT)
-            case _:
-                self._queries.start(now, token, job, named, cancels=True)
+            case other:
+                was_held = other is wire.JobPresence.CANCELLED
+                self._queries.start(now, token, job, named, True, was_held)
 
     def look_up(self, now: float, token: int, job: str) -> None:
         """Find out for a client whether any entry holds a job."""
@@ -218,13 +216,6 @@
             self._finish(now, job, _cancel_outcomes.make_outcome(self._name))
         return self._jobs.presence(name)
 
-    def _tell(self, now: float, job: str) -> None:
-        """Tell the entries that a later submission is registered with."""
-        message = wire.JobsCancelled((job,), _job_table.CANCELLED_KEEP_S)
-        for name in self._duplicates.registrars.required(now, job):
-            if self._queries.reaches(name):
-                self._send(name, message)
-
     def tell_delegator(self, peer: str, job: str) -> None:
         """Tell an entry that offers a cancelled job that it is cancelled."""
         if job in self._jobs.cancelled and self._queries.reaches(peer):
--- a/src/ferryledge/leases/_job_queries.py
+++ b/src/ferryledge/leases/_job_queries.py
@@ -3,9 +3,9 @@
 A client may cancel or look up a job at another entry than the one that holds
 it. An entry that does not know the job asks the job's registrars, or all
 entries where there are few, and then the entries that they name. It tells the
-client that there is no such job only if all of them have answered. The result
-is unknown if one of them does not answer in time; a cancel is then delivered
-nevertheless.
+client that there is no such job only if all of them have answered. A cancel is
+confirmed once two entries know of it. The result is unknown if an answer that
+is needed does not come in time; a cancel is then delivered nevertheless.
 """
 
 from collections import abc
@@ -50,6 +50,8 @@
     until: float
     #: The clients that wait, and until when each does.
     tokens: dict[int, float] = msgspec.field(default_factory=dict)
+    #: Whether this entry held the job itself until it was cancelled.
+    was_held: bool = False
     #: Entries that may hold the job.
     named: set[str] = msgspec.field(default_factory=set)
     #: Entries whose answers are final.
@@ -131,6 +133,7 @@
         job: str,
         named: abc.Iterable[str],
         cancels: bool,
+        was_held: bool = False,
     ) -> None:
         """Ask for a job.
 
@@ -139,6 +142,8 @@
         :param job: name of the job
         :param named: entries that may hold it
         :param cancels: whether it is cancelled
+        :param was_held: whether this entry held it until it was cancelled;
+            the client is answered once another entry remembers that too
         """
         key = job, cancels
         until = now + (_DELIVERY_S if cancels else WAIT_S)
@@ -149,6 +154,7 @@
         query.answered.clear()
         query.retry_at.clear()
         query.until = until
+        query.was_held = query.was_held or was_held
         if token:
             query.tokens[token] = now + WAIT_S
         query.named.update(named)
@@ -185,8 +191,9 @@
 
     def _check_one(self, now: float, query: _Query) -> None:
         missing = self._missing(now, query)
-        if not missing and self._is_certain(now, query):
-            self._end(query, QueryResult.ABSENT)
+        result = self._result(now, query, missing)
+        if result is not None:
+            self._end(query, result)
             return
         for token, until in list(query.tokens.items()):
             if until <= now:
@@ -215,9 +222,19 @@
         )
         return [name for name in needed if name not in query.answered]
 
-    def _is_certain(self, now: float, query: _Query) -> bool:
-        """Return whether no process that was not asked has the job."""
-        return self._is_in_touch(now) and not self._runs_elsewhere(query.job)
+    def _result(
+        self, now: float, query: _Query, missing: list[str]
+    ) -> QueryResult | None:
+        """Return the result of a query, or ``None`` if it is not certain."""
+        if query.was_held and query.answered:
+            return QueryResult.FOUND
+        if missing or not self._is_in_touch(now):
+            return None
+        if query.was_held:
+            return QueryResult.FOUND
+        if self._runs_elsewhere(query.job):
+            return None
+        return QueryResult.ABSENT
 
     def _ask(self, now: float, name: str, query: _Query) -> None:
         """Ask an entry; through others too if it did not answer."""
--- a/src/ferryledge/leases/tests/test_cancelled_jobs.py
+++ b/src/ferryledge/leases/tests/test_cancelled_jobs.py
@@ -180,6 +180,25 @@
     assert world.results[again] is FOUND
 
 
+@pytest.mark.parametrize("entries", MANY_AND_FEW)
+def test_cancel_is_acknowledged_once_two_entries_know(entries: int) -> None:
+    """Guards against a cancel that is lost with the job's entry."""
+    world = registering.make_world(entries=entries)
+    _start(world)
+    _cut_off(world, "entry-0", 3.0)
+    token = world.cancel("entry-0", JOB)
+    world.run(0.1)
+    assert not _is_running(world)
+    assert token not in world.results
+    world.run(1.5)
+    assert world.results[token] is UNKNOWN
+    world.run(2.0)
+    again = world.cancel("entry-0", JOB)
+    world.run(0.1)
+    assert world.results[again] is FOUND
+    _assert_stops(world)
+
+
 @pytest.mark.parametrize("entries", [3, 5, 8])
 def test_entry_that_is_cut_off_acknowledges_nothing(entries: int) -> None:
     """Guards against an entry that takes all others for lost."""
--- a/src/ferryledge/leases/tests/test_job_queries.py
+++ b/src/ferryledge/leases/tests/test_job_queries.py
@@ -75,6 +75,15 @@
     assert play.results == [leases.QueryResult.ABSENT]
 
 
+def test_cancel_of_a_held_job_is_confirmed_by_one_other_entry() -> None:
+    play = _Queries(4)
+    play.queries.start(0.0, 1, JOB, (), cancels=True, was_held=True)
+    first, *_ = play.check(0.0)
+    assert not play.results
+    play.answer(first)
+    assert play.results == [leases.QueryResult.FOUND]
+
+
 def test_registrar_that_just_started_is_asked_again() -> None:
     """Guards against the word of an entry that knows nothing yet."""
     play = _Queries(10)
