Bound the messages of queries that are repeated

A query for which an entry is missing is repeated each second, and all of them at once when a stream opens.

Cause: each query kept its own time, so that hundreds of them in the 10 s until a silent entry counts as lost would send a message a second each, through two relays; and one that names more than 4,096 jobs is refused by the decoder, which breaks the stream.

Change: repetitions happen at whole multiples of the interval, so that they share messages, of 1,000 jobs at most.

test_many_queries_share_messages_within_limits: 2,501 open queries send three messages a second; before, one of 2,501 jobs if they were due together.

--- a/src/ferryledge/leases/_cancellations.py
+++ b/src/ferryledge/leases/_cancellations.py
@@ -16,9 +16,6 @@
 from ferryledge.leases import _pool
 from ferryledge import wire
 
-#: Largest number of jobs in a message.
-_MAX_JOBS = 1000
-
 DelegatorOf = abc.Callable[[str], str]
 
 
@@ -99,8 +96,8 @@
             if until > now and self._duplicates.is_told_of(hello.name, job)
         }
         names = list(cancelled)
-        for first in range(0, len(names), _MAX_JOBS):
-            some = names[first : first + _MAX_JOBS]
+        for first in range(0, len(names), _job_queries.MAX_JOBS):
+            some = names[first : first + _job_queries.MAX_JOBS]
             keep_s = max(cancelled[job] for job in some) - now
             self._send(hello.name, wire.JobsCancelled(tuple(some), keep_s))
 
--- a/src/ferryledge/leases/_job_queries.py
+++ b/src/ferryledge/leases/_job_queries.py
@@ -26,6 +26,8 @@
 _IDLE_RETRY_S = 1.0
 #: Seconds for which the delivery of a cancel is tried.
 _DELIVERY_S = 60.0
+#: Largest number of jobs in a message, within the limits of the decoder.
+MAX_JOBS = 1000
 _NEVER = float("inf")
 
 
@@ -206,7 +208,8 @@
         for name in missing:
             if query.retry_at.get(name, 0.0) <= now:
                 self._ask(now, name, query)
-                query.retry_at[name] = now + retry_s
+                # All queries share these times, and so the messages.
+                query.retry_at[name] = (now // retry_s + 1.0) * retry_s
         query.due_at = min(
             now + retry_s,
             query.until,
@@ -253,11 +256,13 @@
     def send_due(self) -> None:
         """Send the requests that were made since the last call."""
         for (peer, target, cancels), jobs in self._outgoing.items():
-            query = wire.FindJobs(tuple(jobs), cancels)
-            if peer == target:
-                self._send(peer, query)
-            else:
-                self._send(peer, wire.Relay(self._name, target, query))
+            for first in range(0, len(jobs), MAX_JOBS):
+                batch = tuple(jobs[first : first + MAX_JOBS])
+                query = wire.FindJobs(batch, cancels)
+                if peer == target:
+                    self._send(peer, query)
+                else:
+                    self._send(peer, wire.Relay(self._name, target, query))
         self._outgoing.clear()
 
     def stop(self) -> None:
--- a/src/ferryledge/leases/tests/test_job_queries.py
+++ b/src/ferryledge/leases/tests/test_job_queries.py
@@ -174,6 +174,19 @@
     assert relayed == set(names[1:])
 
 
+def test_many_queries_share_messages_within_limits() -> None:
+    """Guards against a message that the decoder refuses."""
+    play = _Queries(2)
+    play.start()
+    for number in range(2500):
+        play.queries.start(0.0, 0, f"{number:016x}", (), cancels=True)
+    play.check(0.05)
+    for now in (1.0, 2.0):
+        assert len(play.check(now)) == 3
+        for _, message in play.sent:
+            assert list(wire.Decoder().feed(wire.encode(message)))
+
+
 def test_entry_relays_queries_and_answers() -> None:
     core = leases.LeaseEntry("entry-1", "1.1", "north", random.Random(1))
     for name in ("entry-0", "entry-2"):
