Spare an entry without queries the look at them

Ruled out: messages; there are as many as before to the last one.

Change: both return at once without queries; requests are sent at the end of the check that makes them.

--- a/src/ferryledge/leases/_cancellations.py
+++ b/src/ferryledge/leases/_cancellations.py
@@ -224,7 +224,6 @@
     def check(self, now: float) -> None:
         """Decide on the jobs that other entries were asked for."""
         self._queries.check(now)
-        self._queries.send_due()
 
     def stop(self) -> None:
         """Answer all clients, since this process ends."""
--- a/src/ferryledge/leases/_job_queries.py
+++ b/src/ferryledge/leases/_job_queries.py
@@ -102,10 +102,9 @@
     @property
     def due_at(self) -> float:
         """When to call :meth:`check`, in monotonic seconds."""
-        return min(
-            (query.due_at for query in self._queries.values()),
-            default=_NEVER,
-        )
+        if not self._queries:
+            return _NEVER
+        return min(query.due_at for query in self._queries.values())
 
     def reaches(self, name: str) -> bool:
         """Return whether an entry that answers queries is connected."""
@@ -187,9 +186,12 @@
 
     def check(self, now: float) -> None:
         """Decide on the queries, and ask for those that are undecided."""
+        if not self._queries:
+            return
         for query in list(self._queries.values()):
             if query.due_at <= now:
                 self._check_one(now, query)
+        self._send_requests()
 
     def _check_one(self, now: float, query: _Query) -> None:
         missing = self._missing(now, query)
@@ -253,8 +255,7 @@
         jobs = self._outgoing.setdefault((peer, target, cancels), [])
         jobs.append(job)
 
-    def send_due(self) -> None:
-        """Send the requests that were made since the last call."""
+    def _send_requests(self) -> None:
         for (peer, target, cancels), jobs in self._outgoing.items():
             for first in range(0, len(jobs), MAX_JOBS):
                 batch = tuple(jobs[first : first + MAX_JOBS])
--- a/src/ferryledge/leases/tests/test_job_queries.py
+++ b/src/ferryledge/leases/tests/test_job_queries.py
@@ -47,7 +47,6 @@
         """Return the entries that are asked now."""
         self.sent.clear()
         self.queries.check(now)
-        self.queries.send_due()
         return [
             peer
             for peer, message in self.sent
@@ -104,7 +103,7 @@
     for name in names:
         play.answer(name, entries=(other,))
     assert not play.results
-    assert play.check(0.1) == [other]
+    assert play.sent[-1] == (other, wire.FindJobs((JOB,), cancels=True))
     play.answer(other, presence=wire.JobPresence.CANCELLED)
     assert play.results == [leases.QueryResult.FOUND]
 
