--- a/src/ferryledge/capacity/_page.py
+++ b/src/ferryledge/capacity/_page.py
@@ -275,8 +275,8 @@
 
 The last two columns are processor time of all entries' decisions, means of
 three runs, which differ by 0.05 and 0.2 ms; before, such a cancel stopped
-nothing. While an entry is missing, open queries are repeated each 1 to 2 s for 10 s at most,
-with those to the same entry in one message.
+nothing. While an entry is missing, open queries are repeated each 1 to 2 s for
+10 s at most, with those to the same entry in one message.
 
 Target: registration lowers the worth of a deployment's day by 0.03 at most.
 Reached at full size in the two pairs that were played, trouble-1 with seed 5:
