Say plainly when a query is certain

Read as a newcomer: the comment on being in touch told a consequence instead of the condition, and the head of the queries' module spoke only of entries that don't know the job. No behaviour changed; the tests of queries, of cancels under faults and of the hosted entry pass.

--- a/src/ferryledge/leases/_cancellations.py
+++ b/src/ferryledge/leases/_cancellations.py
@@ -73,7 +73,10 @@
         return self._queries.due_at
 
     def _is_in_touch(self, now: float) -> bool:
-        """Return whether other entries would be known if there were any."""
+        """Return whether this entry knows the others, and reaches some.
+
+        The only one that is up reaches none of them, but its agents.
+        """
         registrars = self._duplicates.registrars
         if not self._peers.has_entry_list:
             return False
@@ -165,12 +168,17 @@
         named = self._named(now, job)
         presence = self._cancel_here(now, job)
         self._notes.cancel_received(job, presence)
-        match presence:
-            case wire.JobPresence.COMPLETE:
-                self._answer(token, _job_queries.QueryResult.ABSENT)
-            case other:
-                was_held = other is wire.JobPresence.CANCELLED
-                self._queries.start(now, token, job, named, True, was_held)
+        if presence is wire.JobPresence.COMPLETE:
+            self._answer(token, _job_queries.QueryResult.ABSENT)
+            return
+        self._queries.start(
+            now,
+            token,
+            job,
+            named,
+            cancels=True,
+            was_held=presence is wire.JobPresence.CANCELLED,
+        )
 
     def look_up(self, now: float, token: int, job: str) -> None:
         """Find out for a client whether any entry holds a job."""
--- a/src/ferryledge/leases/_job_queries.py
+++ b/src/ferryledge/leases/_job_queries.py
@@ -1,11 +1,11 @@
 """Asks other entries for the jobs that clients cancel or look up here.
 
 A client may cancel or look up a job at another entry than the one that holds
-it. An entry that does not know the job asks the job's registrars, or all
-entries where there are few, and then the entries that they name. It tells the
-client that there is no such job only if all of them have answered. A cancel is
-confirmed once two entries know of it. The result is unknown if an answer that
-is needed does not come in time; a cancel is then delivered nevertheless.
+it. The asked entry asks the job's registrars, or all entries where there are
+few, and then the entries that they name. It tells the client that there is no
+such job only if all of them have answered, and confirms a cancel only if
+another entry knows of it. The result is unknown if an answer that is needed
+does not come in time; a cancel is then delivered nevertheless.
 """
 
 from collections import abc
