Wait for an entry that is known to hold a job before a cancel is refused

What callers would see: with more than four entries, a holder that hears no other entry closes its silent streams after 2.2 s. 1.2 s later a cancel was answered 410, while its agents went on with the job.

Cause: the end of a stream by the peer counted as the end of its process. A process that hears nothing closes its streams as well.

Evidence: virtual time, entry-0 holds a job and hears no entry for 8 s, cancels at another entry each 1.6 s: at 8 entries unknown, absent, absent, absent while the job ran; at 2 to 5 entries unknown each time, up to four since the agents report the job.

Ruled out: relays that reach it; none does. A reset: it dials again at once.

Change: entries that are named as the job's (they registered it, or handed it over) count as lost after 10 s only. The 1.2 s stay for entries that nobody names.

Why it works: where jobs are registered, the registrars name the holder; where they aren't, agents report it to all entries.

--- a/src/ferryledge/leases/_registrars.py
+++ b/src/ferryledge/leases/_registrars.py
@@ -24,8 +24,9 @@
 _AVOIDANCE_S = 1.0
 #: Seconds without a stream after which an entry counts as lost for long.
 _LONG_LOST_S = 10.0
-#: The same if it ended the stream itself, as a process does that ends. One
-#: whose connections were only reset dials again much sooner.
+#: The same if it ended the stream itself, as a process does that ends, or one
+#: that hears nothing. One whose connections were only reset dials again much
+#: sooner.
 _ENDED_LOST_S = 1.2
 _KEY_BYTES = 8
 _KEY_MASK = 2 ** (8 * _KEY_BYTES) - 1
@@ -180,21 +181,29 @@
         They are its registrars among all entries that may be up, reached or
         not.
         """
-        names = self._known.union(self._reached)
-        return self.rank(job, self.exclude_lost(now, names))
+        names = [
+            name
+            for name in self._known.union(self._reached)
+            if not self._is_lost(now, name, name in self._ended)
+        ]
+        return self.rank(job, names)
 
     def exclude_lost(self, now: float, names: abc.Iterable[str]) -> list[str]:
-        """Return those of some entries that may be up, reached or not."""
+        """Return those of some entries that are not lost for long."""
         return [name for name in names if not self._is_lost(now, name)]
 
-    def _is_lost(self, now: float, name: str) -> bool:
+    def _is_lost(self, now: float, name: str, has_ended: bool = False) -> bool:
         """Return whether an entry must have ended.
 
         One that fell silent may be cut off, which takes longer to tell.
+
+        :param now: monotonic seconds
+        :param name: the entry
+        :param has_ended: whether it probably has, as it ended its stream
         """
         if name not in self._unreached:
             return False
-        lost_s = _ENDED_LOST_S if name in self._ended else _LONG_LOST_S
+        lost_s = _ENDED_LOST_S if has_ended else _LONG_LOST_S
         return now - self._unreached[name] > lost_s
 
     def note_answer(self, name: str) -> None:
