--- a/src/ferryledge/leases/tests/test_cancels_under_faults.py
+++ b/src/ferryledge/leases/tests/test_cancels_under_faults.py
@@ -141,7 +141,7 @@
     _Play(seed).run()
 
 
-@pytest.mark.parametrize("seed", [*range(2000, 2020), 2219, 2231])
+@pytest.mark.parametrize("seed", [*range(2000, 2020), 2219, 2231, 2587, 2596])
 def test_acknowledged_cancel_stays_in_force_beside_one_way_cuts(
     seed: int,
 ) -> None:
