--- a/src/ferryledge/leases/tests/test_cancels_under_faults.py
+++ b/src/ferryledge/leases/tests/test_cancels_under_faults.py
@@ -19,8 +19,8 @@
 REPEAT_S = 1.3
 DEADLINE_S = 20.0
 #: What may fail.
-KINDS = ("pause", "kill", "agent", "cut", "off", "break", "silence")
-ONE_WAY_KINDS = (*KINDS[:5], "deaf", "mute", *KINDS[5:])
+KINDS = ("pause", "kill", "agent", "cut", "isolate", "break", "silence")
+ONE_WAY_KINDS = (*KINDS[:5], "cut_inbound", "cut_outbound", *KINDS[5:])
 ACKNOWLEDGED = (leases.QueryResult.FOUND, leases.QueryResult.ABSENT)
 
 
@@ -118,13 +118,13 @@
         world = self.world
         peers = [peer for peer in world.entries if peer != name]
         match kind:
-            case "off":
+            case "isolate":
                 for peer in peers + world.agents:
                     world.cut(name, peer, for_s)
-            case "deaf":
+            case "cut_inbound":
                 for peer in peers:
                     world.cut(peer, name, for_s, both=False)
-            case "mute":
+            case "cut_outbound":
                 for peer in peers:
                     world.cut(name, peer, for_s, both=False)
             case "cut" if name != other:
