Log how far the operators' log is known once the store answers again

Cause looked for: after an outage of the store no entry ever puts a configuration in force. Three hypotheses: (1) the follower's place in the log moves behind a configuration that was not read; (2) the configuration is read and refused, by the parser or the core; (3) the call that waits for a change never returns. The log said only "store available again", which is the same for all three.

Change: the line names the offsets up to which configurations and cordons are known.

No test: the line's wording isn't relied on by any program.

--- a/src/ferryledge/hosted/_config.py
+++ b/src/ferryledge/hosted/_config.py
@@ -282,7 +282,13 @@
             return
         self._store_up = up
         if up:
-            loguru.logger.info("store available again", step="config")
+            loguru.logger.info(
+                "store available again: configurations known to offset {},"
+                " cordons to {}",
+                self._log.next_offset,
+                self._log.cordons.version,
+                step="config",
+            )
         else:
             loguru.logger.warning(
                 "store unavailable: {}", detail, step="config"
