Move the place in the operators' log only behind records that were applied

What callers saw: after an outage of the store every entry answered 404 for a route of the newest configuration, until another one came or the entry was restarted. A process that started in such an outage had no configuration at all and answered 503.

Cause: a follower reads new records one by one from the log's end. Each record that was read moved the offset "no newer configuration before this" behind itself, although the records before it had not been read. If the next call failed, or the read was cancelled, the next attempt began behind the configuration and counted nothing as unseen. The same offset went to peers and to entries that an agent reads for, with each configuration.

Change: records move the offset only if they follow it without a gap, or if one of them is a valid configuration, which is newer than all before it. The search from the end states up to where no configuration follows, and moves the offset once it is complete. The offset that a report carries is that of the report, not the follower's, which a delivery may have moved. Records that the list names are not read any more, since they are no configurations.

--- a/src/ferryledge/hosted/_config.py
+++ b/src/ferryledge/hosted/_config.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import contextlib
+import itertools
 
 import anyio
 import loguru
@@ -89,6 +90,7 @@
         self._read_end = 0
         self._meter = meter or ConfigMeter()
         self._log = _operator_log.OperatorLog()
+        self._log_end = 0
         self._store_up = True
         #: Set while a slow read, or the pause after it, delays the log.
         self._busy = anyio.Event()
@@ -98,8 +100,11 @@
 
     @property
     def log_end(self) -> int:
-        """Offset before which the log holds no newer configuration."""
-        return self._log.next_offset
+        """Offset up to which the last reported configuration is current.
+
+        The log holds no newer one before it.
+        """
+        return self._log_end
 
     def on_delivered(self, log_end: int, size: int) -> None:
         """Handle a configuration that was delivered and is now in force.
@@ -178,14 +183,15 @@
         if self._log.count_unseen(others) and self._remote.available:
             await self._wait_for_delivery(others.end)
         unseen = self._log.count_unseen(others)
-        if unseen:
-            self._meter.replaced(unseen - 1)
-            self._read_end = others.end
-            with anyio.CancelScope() as self._read_scope:
-                await self._read_newest(others.end)
-            self._read_scope = None
-        self._log.skip_to(others.end)
-        return unseen > 0
+        if not unseen:
+            self._log.skip_to(others.end)
+            return False
+        self._read_end = others.end
+        with anyio.CancelScope() as self._read_scope:
+            await self._read_newest(others)
+        self._read_scope = None
+        self._meter.replaced(unseen - 1)
+        return True
 
     async def _wait_for_delivery(self, end: int) -> None:
         """Wait until a configuration is delivered or the timeout expires."""
@@ -205,29 +211,34 @@
             self._on_cordons(self._log.cordons)
         return page
 
-    async def _read_newest(self, end: int) -> None:
+    async def _read_newest(self, others: platform.KeyedPage) -> None:
         """Read the newest configuration by record, or else list all keys.
 
         The last records are tried first: one of them is usually the
         configuration, and a record takes fewer bytes than a list.
+
+        :param others: the newest record of each other key
         """
-        first = max(self._log.next_offset, end - _MAX_SINGLE_READS)
+        offsets = self._log.unlisted_offsets(others)
         with contextlib.suppress(platform.RecordsGoneError):
-            for offset in range(end - 1, first - 1, -1):
-                if await self._read_at(offset):
+            for offset in itertools.islice(offsets, _MAX_SINGLE_READS):
+                if await self._read_at(offset, others.end):
                     return
-            if first == self._log.next_offset:
+            if next(offsets, None) is None:
+                self._log.skip_to(others.end)
                 return
         page = await self._store.read_newest(
             platform.CONFIG_TOPIC, rate=self._start_read
         )
-        if self._log.apply_all(page):
+        if self._log.apply_others(page):
             self._on_cordons(self._log.cordons)
-        self._apply_config(page)
+        self._apply_config(page, page.next_offset)
+        self._log.skip_to(page.next_offset)
 
-    async def _read_at(self, offset: int) -> bool:
+    async def _read_at(self, offset: int, end: int) -> bool:
         """Read one record.
 
+        :param end: offset up to which no configuration follows the record
         :return: whether it is a valid configuration
         """
         page = await self._store.read(
@@ -237,27 +248,41 @@
             _SINGLE_RECORD_KB,
             self._start_read,
         )
-        return self._process(page)
+        return self._process(page, end)
 
-    def _process(self, page: platform.KeyedPage) -> bool:
-        """Report the cordons and the configuration in a page.
+    def _process(self, page: platform.KeyedPage, end: int = 0) -> bool:
+        """Report the cordons and the configuration in consecutive records.
 
+        :param end: offset up to which no configuration follows the page, if
+            it is beyond the page
         :return: whether the page holds a valid configuration
         """
         if self._log.apply_page(page):
             self._on_cordons(self._log.cordons)
-        return self._apply_config(page)
+        if self._apply_config(page, max(end, page.next_offset)):
+            return True
+        # Records before the page that were not read may be configurations.
+        if page.first_offset <= self._log.next_offset:
+            self._log.skip_to(page.next_offset)
+        return False
 
-    def _apply_config(self, page: platform.KeyedPage) -> bool:
+    def _apply_config(self, page: platform.KeyedPage, end: int) -> bool:
+        """Report the configuration in a page, if there is one.
+
+        :param end: offset up to which no other configuration follows it
+        :return: whether there is a valid one
+        """
         data = _operator_log.newest_config(page.records)
         if data is None:
             return False
         self._meter.read(len(data), anyio.current_time() - self._read_began_at)
+        self._log_end = end
         try:
             self._on_config(data)
         except platform.ConfigError as exc:
             loguru.logger.error("{}", exc, step="config")
             return False
+        self._log.skip_to(end)
         return True
 
     def _start_read(self, size: int) -> float:
--- a/src/ferryledge/hosted/_operator_log.py
+++ b/src/ferryledge/hosted/_operator_log.py
@@ -47,20 +47,11 @@
         self._zones_end = page.end
         return True
 
-    def apply_all(self, page: platform.KeyedPage) -> bool:
-        """Apply the newest record of each key.
-
-        :return: whether the cordoned zones were updated
-        """
-        self.skip_to(page.end)
-        return self.apply_others(page)
-
     def apply_page(self, page: platform.KeyedPage) -> bool:
-        """Apply consecutive records of the log.
+        """Apply the cordons among consecutive records of the log.
 
         :return: whether the cordoned zones were updated
         """
-        self.skip_to(page.next_offset)
         # Records between the known ones and these may hold cordons.
         if page.first_offset > self._zones_end:
             return False
@@ -96,6 +87,16 @@
         listed = sum(record.offset >= self._next for record in page.records)
         return max(0, page.end - self._next - listed - self._ended_cordons)
 
+    def unlisted_offsets(self, page: platform.KeyedPage) -> abc.Iterator[int]:
+        """Yield the offsets that may hold a newer configuration, newest first.
+
+        :param page: the newest record of each key except the configuration's
+        """
+        listed = {record.offset for record in page.records}
+        for offset in reversed(range(self._next, page.end)):
+            if offset not in listed:
+                yield offset
+
 
 def _cordoned_zones(
     records: abc.Iterable[platform.KeyedRecord],
--- a/src/ferryledge/hosted/tests/slow_store.py
+++ b/src/ferryledge/hosted/tests/slow_store.py
@@ -19,10 +19,18 @@
     sent_bytes: int = 0
     #: Number of next calls that get no answer.
     lost: int = 0
+    #: Seconds until an answer begins.
+    answer_s: float = 0.0
+    #: Whether calls fail, also those that were not answered yet.
+    down: bool = False
 
     def put(self, key: str, value: bytes) -> None:
         """Append a record."""
         self.log.append((key, value))
+        self.wake()
+
+    def wake(self) -> None:
+        """End the calls that wait for a record."""
         self.grown.set()
         self.grown = anyio.Event()
 
@@ -75,6 +83,10 @@
             self.lost -= 1
             await anyio.sleep(1.5)
             raise platform.StoreError("no answer in time")
+        if not self.down:
+            await anyio.sleep(self.answer_s)
+        if self.down:
+            raise platform.StoreError("status 503")
         size = sum(len(record.value) for record in records)
         speed = self.bytes_per_s
         if rate is not None:
--- /dev/null
+++ b/src/ferryledge/hosted/tests/test_interrupted_reads.py
@@ -0,0 +1,106 @@
+"""Tests followers of the operators' log whose reads fail or are cancelled."""
+
+import anyio
+import pytest
+
+from ferryledge.hosted.tests import operator_processes
+from ferryledge.hosted.tests import slow_store
+from ferryledge.net.tests import paused_clock
+from ferryledge import platform
+
+#: Seconds until a slow store answers.
+_SLOW_ANSWER_S = 0.24
+_OUTAGE_S = 4.0
+#: Seconds after an outage within which everything must be known.
+_SETTLE_S = 4.0
+_CORDON_A = "evacuate/hall-a"
+_CORDON_B = "evacuate/hall-b"
+#: Starts of outages, in hundredths of a second after the records. They cover
+#: each read of the records by a store that is slow.
+_OUTAGE_STARTS = range(1, 180, 8)
+
+
+def _new_log() -> operator_processes.Log:
+    """Return a log that holds version 1 and a cordon."""
+    log = operator_processes.Log()
+    log.put(platform.CONFIG_KEY, b"%08d" % 1)
+    log.put(_CORDON_A, b"{}")
+    return log
+
+
+def _change(log: operator_processes.Log) -> None:
+    """Lift a cordon, replace the configuration and cordon another zone."""
+    log.put(_CORDON_A, b"")
+    log.put(platform.CONFIG_KEY, b"%08d" % 2)
+    log.put(_CORDON_B, b"{}")
+
+
+async def _interrupt(store: slow_store.Store, after_s: float) -> None:
+    """Take a slow store down for a while."""
+    store.answer_s = _SLOW_ANSWER_S
+    await anyio.sleep(after_s)
+    store.down = True
+    await anyio.sleep(_OUTAGE_S)
+    store.down = False
+    store.answer_s = 0.0
+
+
+def _assert_changed(process: operator_processes.Process) -> None:
+    assert process.version == 2
+    assert process.zones == ("hall-b",)
+
+
+async def _play(uptime_s: float, outage_start: int) -> None:
+    """Change the records before an outage, and check what is in force later.
+
+    :param uptime_s: seconds from the start of the process to the change
+    :param outage_start: hundredths of a second from the change to the outage
+    """
+    log = _new_log()
+    store = log.new_store()
+    process = operator_processes.Process(log, store)
+    async with anyio.create_task_group() as group:
+        group.start_soon(process.run)
+        if uptime_s:
+            await anyio.sleep(uptime_s)
+        _change(log)
+        await _interrupt(store, outage_start / 100.0)
+        await anyio.sleep(_SETTLE_S)
+        group.cancel_scope.cancel()
+    _assert_changed(process)
+
+
+# A configuration was never put in force if its read failed after the read of
+# a record behind it.
+@pytest.mark.parametrize("outage_start", _OUTAGE_STARTS)
+def test_configuration_is_read_after_its_read_failed(
+    outage_start: int,
+) -> None:
+    paused_clock.run(_play, 2.0, outage_start)
+
+
+# A process that started while the store failed never had a configuration.
+@pytest.mark.parametrize("outage_start", _OUTAGE_STARTS)
+def test_first_configuration_is_read_after_its_read_failed(
+    outage_start: int,
+) -> None:
+    paused_clock.run(_play, 0.0, outage_start)
+
+
+# A follower that is restarted while it reads must not skip what it had not
+# read.
+@pytest.mark.parametrize("stop", _OUTAGE_STARTS)
+def test_configuration_is_read_after_its_read_was_cancelled(stop: int) -> None:
+    async def main() -> operator_processes.Process:
+        log = _new_log()
+        _change(log)
+        store = log.new_store()
+        store.answer_s = _SLOW_ANSWER_S
+        process = operator_processes.Process(log, store)
+        with anyio.move_on_after(stop / 100.0):
+            await process.run()
+        with anyio.move_on_after(_SETTLE_S):
+            await process.run()
+        return process
+
+    _assert_changed(paused_clock.run(main))
