Do not count a record as read that the store's answer lacks

Cause: an answer of the store without the record that was asked for, as one that was cut short (the decoder skips a truncated last record), was treated as a record that is no configuration, and the follower moved on.

Ruled out: the waiting call. Its empty answer moves nothing, and the list that follows counts the record as unseen.

Change: such an answer is handled like a record that is no longer stored, so the newest record of each key is listed instead.

Not seen with the users' store.

Conclusion: only a record that was seen counts as read.

--- a/src/ferryledge/hosted/_config.py
+++ b/src/ferryledge/hosted/_config.py
@@ -240,6 +240,7 @@
 
         :param end: offset up to which no configuration follows the record
         :return: whether it is a valid configuration
+        :raises platform.RecordsGoneError: if the store does not return it
         """
         page = await self._store.read(
             platform.CONFIG_TOPIC,
@@ -248,6 +249,8 @@
             _SINGLE_RECORD_KB,
             self._start_read,
         )
+        if not page.records:
+            raise platform.RecordsGoneError(f"no record at offset {offset}")
         return self._process(page, end)
 
     def _process(self, page: platform.KeyedPage, end: int = 0) -> bool:
--- a/src/ferryledge/hosted/tests/test_interrupted_reads.py
+++ b/src/ferryledge/hosted/tests/test_interrupted_reads.py
@@ -1,5 +1,7 @@
 """Tests followers of the operators' log whose reads fail or are cancelled."""
 
+import typing
+
 import anyio
 import pytest
 
@@ -104,3 +106,32 @@
         return process
 
     _assert_changed(paused_clock.run(main))
+
+
+class _EmptyOnce(slow_store.Store):
+    """Answers the first read without records."""
+
+    def __init__(self, log: operator_processes.Log) -> None:
+        super().__init__(1e8, log.records)
+        self._was_read = False
+
+    async def read(
+        self, topic: str, offset: int, *args: typing.Any
+    ) -> platform.KeyedPage:
+        if self._was_read:
+            return await super().read(topic, offset, *args)
+        self._was_read = True
+        return platform.KeyedPage((), offset, offset, len(self.log))
+
+
+# An answer without the requested record counted as if it had been read.
+def test_configuration_is_read_after_an_empty_answer() -> None:
+    async def main() -> operator_processes.Process:
+        log = operator_processes.Log()
+        log.put(platform.CONFIG_KEY, b"%08d" % 1)
+        process = operator_processes.Process(log, _EmptyOnce(log))
+        with anyio.move_on_after(_SETTLE_S):
+            await process.run()
+        return process
+
+    assert paused_clock.run(main).version == 1
