Know configurations and cordons up to offsets of their own

What callers would have seen: a zone that is to take no new work, or takes work again, is treated as before by an entry for good, unless a peer forwards the cordon. Not seen with whole processes, where peers forward them.

Cause: one offset stood for two promises. A peer's configuration "to 8" moved it behind record 6, a cordon. The list of cordons that was under way had begun before that record was written, and the follower then waited at 8.

Ruled out: a list that is applied out of order (an older one is refused) and a cordon that the store does not list.

Change: the tracker keeps the end of each. A wait starts at the lower one.

Conclusion: a delivery no longer speaks for cordons.

--- a/src/ferryledge/hosted/_config.py
+++ b/src/ferryledge/hosted/_config.py
@@ -139,19 +139,24 @@
         while True:
             behind = await self._catch_up()
             self._log_store_state(True)
-            if not behind:
-                self._mark_idle()
-            if not behind and self._remote.available:
-                await anyio.sleep(self._pace.poll_interval_s())
+            if behind:
+                await self._wait_until_due()
                 continue
-            if not behind:
+            self._mark_idle()
+            if self._remote.available:
+                await anyio.sleep(self._pace.poll_interval_s())
+            elif self._log.cordons_behind:
+                # A wait would return the delivered configuration as well.
+                await anyio.sleep(_RETRY_S)
+            else:
                 while await self._is_unchanged():
                     self._log_store_state(True)
-            # Leave the link to other traffic until the next read is due.
-            due_at = self._read_began_at + self._pace.read_interval_s(
-                self._size
-            )
-            await anyio.sleep_until(due_at)
+                await self._wait_until_due()
+
+    async def _wait_until_due(self) -> None:
+        """Leave the link to other traffic until the next read is due."""
+        interval_s = self._pace.read_interval_s(self._size)
+        await anyio.sleep_until(self._read_began_at + interval_s)
 
     def _mark_idle(self) -> None:
         """Note that no configuration read delays the log."""
@@ -162,7 +167,7 @@
     async def _is_unchanged(self) -> bool:
         """Wait for a change and read one record of it.
 
-        :return: whether there was no change
+        :return: whether nothing is left to read
         """
         page = await self._store.read(
             platform.CONFIG_TOPIC,
@@ -172,7 +177,9 @@
             self._start_read,
         )
         self._process(page)
-        return page.end <= self._log.next_offset and not page.records
+        if page.records or self._log.cordons_behind:
+            return False
+        return page.end <= self._log.next_offset
 
     async def _catch_up(self) -> bool:
         """Read the newest configuration if the log may hold a new one.
@@ -197,7 +204,7 @@
         """Wait until a configuration is delivered or the timeout expires."""
         wait_s = self._pace.delivery_timeout_s() - self._pace.poll_interval_s()
         with anyio.move_on_after(wait_s):
-            while self._log.next_offset < end:
+            while self._log.config_end < end:
                 await self._delivered.wait()
             return
         self._remote.timed_out()
@@ -264,9 +271,7 @@
             self._on_cordons(self._log.cordons)
         if self._apply_config(page, max(end, page.next_offset)):
             return True
-        # Records before the page that were not read may be configurations.
-        if page.first_offset <= self._log.next_offset:
-            self._log.skip_to(page.next_offset)
+        self._log.skip_page(page)
         return False
 
     def _apply_config(self, page: platform.KeyedPage, end: int) -> bool:
@@ -313,7 +318,7 @@
             loguru.logger.info(
                 "store available again: configurations known to offset {},"
                 " cordons to {}",
-                self._log.next_offset,
+                self._log.config_end,
                 self._log.cordons.version,
                 step="config",
             )
--- a/src/ferryledge/hosted/_operator_log.py
+++ b/src/ferryledge/hosted/_operator_log.py
@@ -1,9 +1,12 @@
-"""Tracks which records of the operators' log were read.
+"""Tracks which records of the operators' log are known.
 
 The log holds configurations and cordons. Configurations may be large and
 replaced often, see :mod:`ferryledge.hosted._config_pace`. A list of the newest
 record of each key that sorts after the configuration's is small. It contains
 every cordon and the end of the log, so replaced records need not be read.
+
+Configurations and cordons are known up to different offsets: a configuration
+that another process delivers comes without the cordons before it.
 """
 
 from collections import abc
@@ -13,20 +16,30 @@
 
 
 class OperatorLog:
-    """Tracks the position in the log and the cordoned zones."""
+    """Tracks how far the log is known, and the cordoned zones."""
 
     def __init__(self) -> None:
+        self._config_end = 0
         self._zones: set[str] = set()
         self._zones_end = 0
-        self._next = 0
         #: Cordons that ended since the last known configuration. Their records
         #: have empty values, which no list contains.
         self._ended_cordons = 0
 
+    @property
+    def config_end(self) -> int:
+        """Offset before which there is no newer configuration."""
+        return self._config_end
+
     @property
     def next_offset(self) -> int:
-        """First offset that may hold a newer configuration."""
-        return self._next
+        """First offset of a record that may have to be applied."""
+        return min(self._config_end, self._zones_end)
+
+    @property
+    def cordons_behind(self) -> bool:
+        """Whether records before a known configuration may be cordons."""
+        return self._zones_end < self._config_end
 
     @property
     def cordons(self) -> wire.CordonedZones:
@@ -73,10 +86,16 @@
 
     def skip_to(self, offset: int) -> None:
         """Record that no newer configuration precedes an offset."""
-        if offset > self._next:
-            self._next = offset
+        if offset > self._config_end:
+            self._config_end = offset
             self._ended_cordons = 0
 
+    def skip_page(self, page: platform.KeyedPage) -> None:
+        """Record that consecutive records hold no newer configuration."""
+        # Records between the known ones and these may be configurations.
+        if page.first_offset <= self._config_end:
+            self.skip_to(page.next_offset)
+
     def count_unseen(self, page: platform.KeyedPage) -> int:
         """Return the number of new records that a list does not account for.
 
@@ -84,8 +103,9 @@
 
         :param page: the newest record of each key except the configuration's
         """
-        listed = sum(record.offset >= self._next for record in page.records)
-        return max(0, page.end - self._next - listed - self._ended_cordons)
+        first = self._config_end
+        listed = sum(record.offset >= first for record in page.records)
+        return max(0, page.end - first - listed - self._ended_cordons)
 
     def unlisted_offsets(self, page: platform.KeyedPage) -> abc.Iterator[int]:
         """Yield the offsets that may hold a newer configuration, newest first.
@@ -93,7 +113,7 @@
         :param page: the newest record of each key except the configuration's
         """
         listed = {record.offset for record in page.records}
-        for offset in reversed(range(self._next, page.end)):
+        for offset in reversed(range(self._config_end, page.end)):
             if offset not in listed:
                 yield offset
 
--- a/src/ferryledge/hosted/tests/test_interrupted_reads.py
+++ b/src/ferryledge/hosted/tests/test_interrupted_reads.py
@@ -135,3 +135,32 @@
         return process
 
     assert paused_clock.run(main).version == 1
+
+
+# A delivered configuration hid a cordon that was written before it, since the
+# list of cordons was read too early and the follower then waited behind both.
+def test_cordon_before_a_delivered_configuration_is_read() -> None:
+    async def main() -> operator_processes.Process:
+        log = _new_log()
+        store = log.new_store()
+        process = operator_processes.Process(log, store)
+        async with anyio.create_task_group() as group:
+            group.start_soon(process.run)
+            await anyio.sleep(2.0)
+            store.down = True
+            await anyio.sleep(1.0)
+            store.answer_s, store.down = 1.0, False
+            # The next attempt has begun by then and lists the cordons.
+            await anyio.sleep(0.5)
+            log.put(_CORDON_B, b"{}")
+            log.put(platform.CONFIG_KEY, b"%08d" % 2 + bytes(200_000))
+            process.follower.on_delivered(len(log.records), 200_008)
+            await anyio.sleep(0.5)
+            store.answer_s = 0.0
+            await anyio.sleep(_SETTLE_S)
+            group.cancel_scope.cancel()
+        # The configuration itself isn't read a second time.
+        assert store.sent_bytes < 200_000
+        return process
+
+    assert paused_clock.run(main).zones == ("hall-a", "hall-b")
--- a/src/ferryledge/hosted/tests/test_operator_log.py
+++ b/src/ferryledge/hosted/tests/test_operator_log.py
@@ -50,6 +50,19 @@
     assert log.cordons.zones == ()
 
 
+def test_cordons_before_a_delivered_configuration_are_not_skipped() -> None:
+    log = _operator_log.OperatorLog()
+    log.apply_others(_listed(6))
+    log.skip_to(6)
+    assert not log.cordons_behind
+    log.skip_to(8)
+    assert log.cordons_behind
+    assert (log.config_end, log.next_offset) == (8, 6)
+    log.apply_others(_listed(8, _record(_CORDON, 6)))
+    assert not log.cordons_behind
+    assert log.next_offset == 8
+
+
 def test_unlisted_records_are_counted_as_unseen() -> None:
     log = _operator_log.OperatorLog()
     log.skip_to(4)
--- a/src/ferryledge/hosted/tests/test_operator_log_faults.py
+++ b/src/ferryledge/hosted/tests/test_operator_log_faults.py
@@ -119,7 +119,7 @@
     "peers": (5, 218, 222),
     "reader": (105, 483),
     "starts": (79, 304, 386),
-    "apart": (),
+    "apart": (113, 157, 173, 494),
 }
 _CASES = [
     (shape, seed)
