Count the end of a cordon by the offsets among which it was written

Cause: a list doesn't name the records that end cordons, so their number was taken from the difference of two sets and subtracted from the records that might be configurations. But nothing said where in the log they are. One that lies before a delivered configuration was subtracted from the records behind it; one that a newer list showed was subtracted in an older list; and of a list that grew while it was read in pages, records beyond its end counted too.

Ruled out: reading everything instead. A list of all keys is always right, but an entry with a narrow link would wait for a delivery at the end of each cordon, ask another agent, and read a whole configuration.

Change: each end of a cordon is kept with the range of offsets that it lies in, and counts only if the whole range is within the records in question. A list tells the log's end at its first and its last page; if they differ, it is no proof of an end.

Conclusion: what offsets can't tell counts as unseen, and costs a read.

--- a/src/ferryledge/hosted/_config.py
+++ b/src/ferryledge/hosted/_config.py
@@ -188,12 +188,12 @@
         """
         others = await self._read_cordons()
         if self._log.count_unseen(others) and self._remote.available:
-            await self._wait_for_delivery(others.end)
+            await self._wait_for_delivery(others.next_offset)
         unseen = self._log.count_unseen(others)
         if not unseen:
-            self._log.skip_to(others.end)
+            self._log.skip_to(others.next_offset)
             return False
-        self._read_end = others.end
+        self._read_end = others.next_offset
         with anyio.CancelScope() as self._read_scope:
             await self._read_newest(others)
         self._read_scope = None
@@ -229,10 +229,10 @@
         offsets = self._log.unlisted_offsets(others)
         with contextlib.suppress(platform.RecordsGoneError):
             for offset in itertools.islice(offsets, _MAX_SINGLE_READS):
-                if await self._read_at(offset, others.end):
+                if await self._read_at(offset, others.next_offset):
                     return
             if next(offsets, None) is None:
-                self._log.skip_to(others.end)
+                self._log.skip_to(others.next_offset)
                 return
         page = await self._store.read_newest(
             platform.CONFIG_TOPIC, rate=self._start_read
--- a/src/ferryledge/hosted/_operator_log.py
+++ b/src/ferryledge/hosted/_operator_log.py
@@ -22,9 +22,9 @@
         self._config_end = 0
         self._zones: set[str] = set()
         self._zones_end = 0
-        #: Cordons that ended since the last known configuration. Their records
-        #: have empty values, which no list contains.
-        self._ended_cordons = 0
+        #: Offsets among which a cordon's end was written, a range for each.
+        #: Such records have empty values, which no list contains.
+        self._removals: list[range] = []
 
     @property
     def config_end(self) -> int:
@@ -51,13 +51,17 @@
 
         :return: whether the cordoned zones were updated
         """
-        if page.end <= self._zones_end:
+        if page.next_offset <= self._zones_end:
             return False
         # Cordons that are not listed have ended.
         zones = set(_cordoned_zones(page.records))
-        self._ended_cordons += len(self._zones - zones)
+        # A list that grew between its pages may lack records that were
+        # removed after its first page.
+        if page.end == page.next_offset:
+            removal = range(self._zones_end, page.end)
+            self._removals += [removal] * len(self._zones - zones)
         self._zones = zones
-        self._zones_end = page.end
+        self._zones_end = page.next_offset
         return True
 
     def apply_page(self, page: platform.KeyedPage) -> bool:
@@ -86,9 +90,12 @@
 
     def skip_to(self, offset: int) -> None:
         """Record that no newer configuration precedes an offset."""
-        if offset > self._config_end:
-            self._config_end = offset
-            self._ended_cordons = 0
+        if offset <= self._config_end:
+            return
+        self._config_end = offset
+        self._removals = [
+            removal for removal in self._removals if removal.start >= offset
+        ]
 
     def skip_page(self, page: platform.KeyedPage) -> None:
         """Record that consecutive records hold no newer configuration."""
@@ -103,9 +110,13 @@
 
         :param page: the newest record of each key except the configuration's
         """
-        first = self._config_end
-        listed = sum(record.offset >= first for record in page.records)
-        return max(0, page.end - first - listed - self._ended_cordons)
+        offsets = range(self._config_end, page.next_offset)
+        listed = sum(record.offset in offsets for record in page.records)
+        removed = sum(
+            removal.start >= offsets.start and removal.stop <= offsets.stop
+            for removal in self._removals
+        )
+        return max(0, len(offsets) - listed - removed)
 
     def unlisted_offsets(self, page: platform.KeyedPage) -> abc.Iterator[int]:
         """Yield the offsets that may hold a newer configuration, newest first.
@@ -113,7 +124,7 @@
         :param page: the newest record of each key except the configuration's
         """
         listed = {record.offset for record in page.records}
-        for offset in reversed(range(self._config_end, page.end)):
+        for offset in reversed(range(self._config_end, page.next_offset)):
             if offset not in listed:
                 yield offset
 
--- a/src/ferryledge/hosted/tests/test_interrupted_reads.py
+++ b/src/ferryledge/hosted/tests/test_interrupted_reads.py
@@ -164,3 +164,28 @@
         return process
 
     assert paused_clock.run(main).zones == ("hall-a", "hall-b")
+
+
+# The end of a cordon before a delivered configuration counted as the record
+# behind it, and so hid the configuration that was written there.
+def test_configuration_after_a_delivered_one_is_read() -> None:
+    async def main() -> operator_processes.Process:
+        log = _new_log()
+        store = log.new_store()
+        process = operator_processes.Process(log, store)
+        async with anyio.create_task_group() as group:
+            group.start_soon(process.run)
+            await anyio.sleep(2.0)
+            store.down = True
+            _change(log)
+            process.follower.on_delivered(len(log.records), 8)
+            await anyio.sleep(1.0)
+            log.put(platform.CONFIG_KEY, b"%08d" % 3)
+            store.down = False
+            await anyio.sleep(_SETTLE_S)
+            group.cancel_scope.cancel()
+        return process
+
+    process = paused_clock.run(main)
+    assert process.version == 3
+    assert process.zones == ("hall-b",)
--- a/src/ferryledge/hosted/tests/test_operator_log.py
+++ b/src/ferryledge/hosted/tests/test_operator_log.py
@@ -82,6 +82,44 @@
     assert log.count_unseen(_listed(6)) == 1
 
 
+# A configuration was skipped: the end of a cordon, written before a delivered
+# configuration and noticed after it, was counted as the record behind both.
+def test_end_of_a_cordon_before_a_configuration_is_not_counted_twice() -> None:
+    log = _operator_log.OperatorLog()
+    log.apply_others(_listed(2, _record(_CORDON, 1)))
+    log.skip_to(2)
+    # The cordon ended at offset 2; the configuration at 3 is delivered.
+    log.skip_to(4)
+    log.apply_others(_listed(4))
+    assert log.count_unseen(_listed(5)) == 1
+    assert list(log.unlisted_offsets(_listed(5))) == [4]
+
+
+# A configuration was skipped: the end of a cordon that a newer list showed was
+# subtracted from the records of an older list.
+def test_end_of_a_cordon_behind_a_list_is_not_counted_in_it() -> None:
+    log = _operator_log.OperatorLog()
+    log.apply_others(_listed(2, _record(_CORDON, 1)))
+    log.skip_to(2)
+    older = _listed(3, _record(_CORDON, 1))
+    log.apply_others(older)
+    log.apply_others(_listed(4))
+    assert log.count_unseen(older) == 1
+    assert log.count_unseen(_listed(4)) == 1
+
+
+# A configuration was skipped: a list that is read in pages may name records
+# beyond the end that it claims, and lack some that were removed beyond it.
+def test_records_beyond_the_end_of_a_list_are_not_counted_in_it() -> None:
+    log = _operator_log.OperatorLog()
+    log.apply_others(_listed(2, _record(_CORDON, 1)))
+    log.skip_to(2)
+    page = platform.KeyedPage((_record("evacuate/hall-b", 3),), 3, 0, 5)
+    log.apply_others(page)
+    assert log.count_unseen(page) == 1
+    assert log.count_unseen(_listed(5, _record("evacuate/hall-b", 3))) == 2
+
+
 def test_last_configuration_is_returned() -> None:
     records = (
         platform.KeyedRecord("config", b"1", 0),
--- a/src/ferryledge/hosted/tests/test_operators.py
+++ b/src/ferryledge/hosted/tests/test_operators.py
@@ -113,3 +113,4 @@
         group.cancel_scope.cancel()
     assert [record.key for record in page.records] == ["a", "b"]
     assert page.next_offset == 5
+    assert page.end == 9
--- a/src/ferryledge/platform/_store.py
+++ b/src/ferryledge/platform/_store.py
@@ -119,7 +119,7 @@
         :raises StoreError: if the call failed
         """
         records: list[KeyedRecord] = []
-        end: int | None = None
+        next_offset: int | None = None
         while True:
             path = f"/log-newest?Topic={topic}&part={partition}"
             if after:
@@ -132,13 +132,13 @@
                 )
                 for item in page.items
             ]
-            if end is None:
+            if next_offset is None:
                 # Records may be written between the pages, also to keys of
                 # earlier pages. Reading on from the end that came with the
                 # first page returns them.
-                end = page.end
+                next_offset = page.end
             if not page.more or not page.items:
-                return KeyedPage(tuple(records), end, 0, end)
+                return KeyedPage(tuple(records), next_offset, 0, page.end)
             after = page.items[-1].key
 
     async def read(
