Read the configuration before an invalid one on all paths

What callers would have seen: the valid version before one that can't be decoded is never in force; a process that starts has none and answers 503. The store takes only valid ones, so this takes a release that reads less than the store allows.

Cause: only records that were read one by one made the search go on behind an invalid configuration. Of a page with several configurations only the newest was tried, and a list of all keys ended the search whatever it held.

Ruled out: an outage.

Change: the configurations of a page are tried from the newest on. If the listed one is invalid, the records before it are read until one is valid or no longer stored.

test_last_configuration_is_returned asserted one record of a function that now yields all of them, newest first; its successor asserts the order of the same records and that there are none among the same others.

Conclusion: an invalid configuration is skipped, and nothing else with it.

--- a/src/ferryledge/hosted/_config.py
+++ b/src/ferryledge/hosted/_config.py
@@ -239,9 +239,25 @@
         )
         if self._log.apply_others(page):
             self._on_cordons(self._log.cordons)
-        self._apply_config(page, page.next_offset)
+        if self._apply_configs(page.records, page.next_offset):
+            return
+        for invalid in _operator_log.newest_configs(page.records):
+            await self._read_before(invalid.offset, page)
         self._log.skip_to(page.next_offset)
 
+    async def _read_before(self, end: int, page: platform.KeyedPage) -> None:
+        """Read the newest valid configuration before an invalid one.
+
+        :param end: offset of the invalid one
+        :param page: the newest record of each key
+        """
+        with contextlib.suppress(platform.RecordsGoneError):
+            for offset in self._log.unlisted_offsets(page):
+                if offset < end and await self._read_at(
+                    offset, page.next_offset
+                ):
+                    return
+
     async def _read_at(self, offset: int, end: int) -> bool:
         """Read one record.
 
@@ -269,20 +285,26 @@
         """
         if self._log.apply_page(page):
             self._on_cordons(self._log.cordons)
-        if self._apply_config(page, max(end, page.next_offset)):
+        if self._apply_configs(page.records, max(end, page.next_offset)):
             return True
         self._log.skip_page(page)
         return False
 
-    def _apply_config(self, page: platform.KeyedPage, end: int) -> bool:
-        """Report the configuration in a page, if there is one.
+    def _apply_configs(
+        self, records: abc.Sequence[platform.KeyedRecord], end: int
+    ) -> bool:
+        """Report the newest valid configuration among records.
 
-        :param end: offset up to which no other configuration follows it
-        :return: whether there is a valid one
+        :param end: offset up to which no other configuration follows them
+        :return: whether there is one
         """
-        data = _operator_log.newest_config(page.records)
-        if data is None:
-            return False
+        return any(
+            self._apply_config(record.value, end)
+            for record in _operator_log.newest_configs(records)
+        )
+
+    def _apply_config(self, data: bytes, end: int) -> bool:
+        """Report a configuration; return whether it is valid."""
         self._meter.read(len(data), anyio.current_time() - self._read_began_at)
         self._log_end = end
         try:
--- a/src/ferryledge/hosted/_operator_log.py
+++ b/src/ferryledge/hosted/_operator_log.py
@@ -138,12 +138,10 @@
             yield zone
 
 
-def newest_config(
-    records: abc.Iterable[platform.KeyedRecord],
-) -> bytes | None:
-    """Return the last configuration among records, or none."""
-    config = None
-    for record in records:
+def newest_configs(
+    records: abc.Sequence[platform.KeyedRecord],
+) -> abc.Iterator[platform.KeyedRecord]:
+    """Yield the configurations among consecutive records, newest first."""
+    for record in reversed(records):
         if record.key == platform.CONFIG_KEY and record.value:
-            config = record.value
-    return config
+            yield record
--- a/src/ferryledge/hosted/tests/test_interrupted_reads.py
+++ b/src/ferryledge/hosted/tests/test_interrupted_reads.py
@@ -189,3 +189,23 @@
     process = paused_clock.run(main)
     assert process.version == 3
     assert process.zones == ("hall-b",)
+
+
+# A list names only the newest configuration. If that one is invalid, the one
+# before it was skipped.
+def test_configuration_before_a_listed_invalid_one_is_read() -> None:
+    async def main() -> operator_processes.Process:
+        log = _new_log()
+        log.put(platform.CONFIG_KEY, operator_processes.INVALID)
+        # More records than are read one by one before all keys are listed.
+        for _ in range(10):
+            log.put(_CORDON_B, b"{}")
+            log.put(_CORDON_B, b"")
+        process = operator_processes.Process(log, log.new_store())
+        with anyio.move_on_after(_SETTLE_S):
+            await process.run()
+        return process
+
+    process = paused_clock.run(main)
+    assert process.version == 1
+    assert process.zones == ("hall-a",)
--- a/src/ferryledge/hosted/tests/test_operator_log.py
+++ b/src/ferryledge/hosted/tests/test_operator_log.py
@@ -120,12 +120,13 @@
     assert log.count_unseen(_listed(5, _record("evacuate/hall-b", 3))) == 2
 
 
-def test_last_configuration_is_returned() -> None:
+def test_configurations_are_returned_newest_first() -> None:
     records = (
         platform.KeyedRecord("config", b"1", 0),
         platform.KeyedRecord("config", b"2", 1),
         platform.KeyedRecord("config", b"", 2),
         platform.KeyedRecord("wave/1", b"3", 3),
     )
-    assert _operator_log.newest_config(records) == b"2"
-    assert _operator_log.newest_config(records[3:]) is None
+    values = [record.value for record in _operator_log.newest_configs(records)]
+    assert values == [b"2", b"1"]
+    assert not list(_operator_log.newest_configs(records[3:]))
--- a/src/ferryledge/hosted/tests/test_operator_log_faults.py
+++ b/src/ferryledge/hosted/tests/test_operator_log_faults.py
@@ -116,9 +116,9 @@
 
 #: Seeds of each shape at which records were never put in force.
 _KNOWN_SEEDS = {
-    "peers": (5, 218, 222),
+    "peers": (5, 218, 222, 260),
     "reader": (105, 483),
-    "starts": (79, 304, 386),
+    "starts": (79, 134, 304, 310, 357, 386),
     "apart": (113, 157, 173, 494),
 }
 _CASES = [
--- a/src/ferryledge/hosted/tests/test_operators.py
+++ b/src/ferryledge/hosted/tests/test_operators.py
@@ -3,6 +3,7 @@
 import math
 
 import anyio
+from anyio import abc as anyio_abc
 import pytest
 
 from ferryledge.hosted import _config
@@ -32,6 +33,16 @@
         return cordons[-1].zones if cordons else None
 
 
+async def _serve(
+    group: anyio_abc.TaskGroup, handle: net.Handler
+) -> platform.StoreClient:
+    """Serve a stand-in for the store and return a client of it."""
+    port = await group.start(
+        net.serve_http, net.asgi_app(handle), "127.0.0.1", 0, anyio.Event()
+    )
+    return platform.StoreClient(f"127.0.0.1:{port}")
+
+
 async def _wait_for(recorder: _Recorder, zones: tuple[str, ...]) -> None:
     with anyio.fail_after(10.0):
         while recorder.zones != zones:
@@ -50,15 +61,9 @@
     store.put(_TOPIC, "evacuate/hall-a", b"{}")
     recorder = _Recorder()
     async with anyio.create_task_group() as group:
-        port = await group.start(
-            net.serve_http,
-            net.asgi_app(store.handle),
-            "127.0.0.1",
-            0,
-            anyio.Event(),
-        )
+        client = await _serve(group, store.handle)
         follower = _config.OperatorFollower(
-            platform.StoreClient(f"127.0.0.1:{port}"),
+            client,
             recorder.reports.append,
             recorder.reports.append,
             _config_pace.ConfigPace(3.0, math.inf),
@@ -88,6 +93,36 @@
     assert versions == sorted(set(versions))
 
 
+# A valid configuration was skipped if the store returned it together with an
+# invalid one behind it, as it does with small records.
+@pytest.mark.anyio
+async def test_configuration_beside_an_invalid_one_is_read() -> None:
+    store = standin.StoreServer()
+    store.put(_TOPIC, "config", b"{}")
+    store.put(_TOPIC, "config", b"?")
+    in_force: list[bytes] = []
+
+    def on_config(data: bytes) -> None:
+        if data == b"?":
+            raise platform.ConfigError("unreadable")
+        in_force.append(data)
+
+    async with anyio.create_task_group() as group:
+        client = await _serve(group, store.handle)
+        follower = _config.OperatorFollower(
+            client,
+            on_config,
+            lambda cordons: None,
+            _config_pace.ConfigPace(3.0, math.inf),
+        )
+        group.start_soon(follower.run)
+        with anyio.fail_after(10.0):
+            while not in_force:
+                await anyio.sleep(0.01)
+        group.cancel_scope.cancel()
+    assert in_force == [b"{}"]
+
+
 @pytest.mark.anyio
 async def test_record_written_between_two_pages_is_not_skipped() -> None:
     """A paged list is no snapshot, so reading resumes at the first page's end.
@@ -105,10 +140,7 @@
         )
 
     async with anyio.create_task_group() as group:
-        port = await group.start(
-            net.serve_http, net.asgi_app(handle), "127.0.0.1", 0, anyio.Event()
-        )
-        store = platform.StoreClient(f"127.0.0.1:{port}")
+        store = await _serve(group, handle)
         page = await store.read_newest(_TOPIC)
         group.cancel_scope.cancel()
     assert [record.key for record in page.records] == ["a", "b"]
