Accept a delivery that accounts for all configurations in time

What callers saw: nothing; an entry with a narrow link replaced the agent that reads for it, although that agent had delivered in time, and logged "configuration not delivered in time".

Cause: the entry waited until the delivery's offset reached the end of the list that had shown a change. A delivery "to 1" doesn't reach 2 if a cordon, which the list names, was written behind the configuration.

Ruled out: that the agent sends the offset too low. It is the end of what it had read when it reported the configuration.

Change: the entry waits as long as the list has a record that is not accounted for, the same question that decides whether to read.

Before: test_delivery_before_a_cordon_is_in_time fails (1 time-out); after, it passes.

Conclusion: only an agent that didn't deliver is replaced.

--- a/src/ferryledge/hosted/_config.py
+++ b/src/ferryledge/hosted/_config.py
@@ -188,7 +188,7 @@
         """
         others = await self._read_cordons()
         if self._log.count_unseen(others) and self._remote.available:
-            await self._wait_for_delivery(others.next_offset)
+            await self._wait_for_delivery(others)
         unseen = self._log.count_unseen(others)
         if not unseen:
             self._log.skip_to(others.next_offset)
@@ -200,11 +200,14 @@
         self._meter.replaced(unseen - 1)
         return True
 
-    async def _wait_for_delivery(self, end: int) -> None:
-        """Wait until a configuration is delivered or the timeout expires."""
+    async def _wait_for_delivery(self, others: platform.KeyedPage) -> None:
+        """Wait until a configuration is delivered or the timeout expires.
+
+        :param others: the newest record of each other key
+        """
         wait_s = self._pace.delivery_timeout_s() - self._pace.poll_interval_s()
         with anyio.move_on_after(wait_s):
-            while self._log.config_end < end:
+            while self._log.count_unseen(others):
                 await self._delivered.wait()
             return
         self._remote.timed_out()
--- a/src/ferryledge/hosted/tests/test_config_reader.py
+++ b/src/ferryledge/hosted/tests/test_config_reader.py
@@ -133,9 +133,13 @@
 
 
 def _follow(
-    delivers: bool,
+    delivery_s: float | None, cordon: bool = False
 ) -> tuple[slow_store.Store, _AgentReader, list[float]]:
-    """Write a large configuration that is delivered at once or never."""
+    """Write a large configuration that an agent delivers.
+
+    :param delivery_s: seconds until it is delivered; ``None`` is never
+    :param cordon: whether a cordon is written just after it
+    """
     remote = _AgentReader()
     in_force: list[float] = []
 
@@ -152,7 +156,10 @@
             group.start_soon(follower.run)
             await anyio.sleep(5.05)
             store.put("config", bytes(200_000))
-            if delivers:
+            if cordon:
+                store.put("evacuate/hall-a", b"{}")
+            if delivery_s is not None:
+                await anyio.sleep(delivery_s)
                 follower.on_delivered(1, 200_000)
             await anyio.sleep(4.0)
             group.cancel_scope.cancel()
@@ -162,7 +169,7 @@
 
 
 def test_delivered_configuration_is_not_read() -> None:
-    store, remote, _ = _follow(delivers=True)
+    store, remote, _ = _follow(delivery_s=0.0)
     assert not store.sent_bytes
     assert not remote.timeouts
 
@@ -193,8 +200,16 @@
     assert in_force == [b"{}"]
 
 
+# An agent that had delivered in time was replaced by another one if a cordon
+# followed the configuration, which its delivery does not speak for.
+def test_delivery_before_a_cordon_is_in_time() -> None:
+    store, remote, _ = _follow(delivery_s=0.9, cordon=True)
+    assert store.sent_bytes < 200_000
+    assert not remote.timeouts
+
+
 def test_undelivered_configuration_is_read_in_time() -> None:
     """The agent may have crashed, or the store may have refused its calls."""
-    _, remote, in_force = _follow(delivers=False)
+    _, remote, in_force = _follow(delivery_s=None)
     assert remote.timeouts == 1
     assert in_force[0] - 5.05 < 3.0
