Play a store that loses its history beside the operators' log

Asked: do the two offsets hold where the store forgets its history and rewrites keys that are neither the configuration nor a cordon?

Change: the simulated store drops records before an offset. The search before an invalid configuration is written as a loop over the older offsets; no change of what it does.

--- a/src/ferryledge/hosted/_config.py
+++ b/src/ferryledge/hosted/_config.py
@@ -244,6 +244,7 @@
             self._on_cordons(self._log.cordons)
         if self._apply_configs(page.records, page.next_offset):
             return
+        # A list holds at most one configuration.
         for invalid in _operator_log.newest_configs(page.records):
             await self._read_before(invalid.offset, page)
         self._log.skip_to(page.next_offset)
@@ -254,11 +255,11 @@
         :param end: offset of the invalid one
         :param page: the newest record of each key
         """
+        offsets = self._log.unlisted_offsets(page)
+        older = (offset for offset in offsets if offset < end)
         with contextlib.suppress(platform.RecordsGoneError):
-            for offset in self._log.unlisted_offsets(page):
-                if offset < end and await self._read_at(
-                    offset, page.next_offset
-                ):
+            for offset in older:
+                if await self._read_at(offset, page.next_offset):
                     return
 
     async def _read_at(self, offset: int, end: int) -> bool:
--- a/src/ferryledge/hosted/tests/slow_store.py
+++ b/src/ferryledge/hosted/tests/slow_store.py
@@ -19,6 +19,9 @@
     sent_bytes: int = 0
     #: Number of next calls that get no answer.
     lost: int = 0
+    #: Offset of the oldest record that is still stored, besides the newest of
+    #: each key.
+    first: int = 0
     #: Seconds until an answer begins.
     answer_s: float = 0.0
     #: Whether calls fail, also those that were not answered yet.
@@ -72,6 +75,8 @@
             if offset <= number < offset + most
         )
         await self._send(records, rate)
+        if offset < self.first:
+            raise platform.RecordsGoneError(f"first is {self.first}")
         return platform.KeyedPage(records, offset + len(records), offset, end)
 
     async def _send(
--- a/src/ferryledge/hosted/tests/test_operator_log_faults.py
+++ b/src/ferryledge/hosted/tests/test_operator_log_faults.py
@@ -30,7 +30,7 @@
         reader.peers.append((entry, 0.05))
         return [entry, reader]
     stores = [shared] * 3
-    if shape == "apart":
+    if shape in ("apart", "compacted"):
         stores = [shared, log.new_store(), log.new_store()]
     processes = [operator_processes.Process(log, store) for store in stores]
     for process in processes:
@@ -43,15 +43,23 @@
 
 
 async def _write(
-    log: operator_processes.Log, rng: random.Random, size: int
+    log: operator_processes.Log, shape: str, rng: random.Random, size: int
 ) -> None:
-    """Write configurations, some of them invalid, and cordons."""
+    """Write configurations, some of them invalid, and cordons.
+
+    In the compacted shape the store loses its history in between, so that
+    nothing before an invalid configuration could be read; there are none.
+    """
     for _ in range(rng.randint(4, 14)):
         await anyio.sleep(rng.choice((0.0, 0.0, 0.02, 0.1, 1.5)))
         kind = rng.random()
         if kind < 0.4:
             version = b"%08d" % (log.newest() + 1)
             log.put(platform.CONFIG_KEY, version + bytes(size))
+        elif kind < 0.5 and shape == "compacted":
+            for store in log.stores:
+                store.first = len(log.records)
+            log.put("wave/1", rng.choice((b"", b"{}")))
         elif kind < 0.5:
             log.put(platform.CONFIG_KEY, operator_processes.INVALID)
         else:
@@ -103,7 +111,7 @@
             for process in processes:
                 group.start_soon(process.run)
             for _ in range(rng.randint(1, 3)):
-                await _write(log, rng, size)
+                await _write(log, shape, rng, size)
                 if shape == "starts":
                     processes = _restart(log, processes, shape, rng, group)
             faults.cancel_scope.cancel()
@@ -120,6 +128,7 @@
     "reader": (105, 483),
     "starts": (79, 134, 304, 310, 357, 386),
     "apart": (113, 157, 173, 494),
+    "compacted": (62,),
 }
 _CASES = [
     (shape, seed)
