--- a/src/ferryledge/hosted/tests/test_interrupted_reads.py
+++ b/src/ferryledge/hosted/tests/test_interrupted_reads.py
@@ -1,5 +1,6 @@
 """Tests followers of the operators' log whose reads fail or are cancelled."""
 
+from collections import abc
 import typing
 
 import anyio
@@ -52,24 +53,49 @@
     assert process.zones == ("hall-b",)
 
 
-async def _play(uptime_s: float, outage_start: int) -> None:
-    """Change the records before an outage, and check what is in force later.
+_Steps = abc.Callable[
+    [operator_processes.Log, slow_store.Store, operator_processes.Process],
+    abc.Awaitable[None],
+]
+
+
+def _run(steps: _Steps, uptime_s: float = 2.0) -> operator_processes.Process:
+    """Run a process beside steps, and for a while after them.
+
+    :param uptime_s: seconds from the start of the process to the first step
+    """
+
+    async def main() -> operator_processes.Process:
+        log = _new_log()
+        store = log.new_store()
+        process = operator_processes.Process(log, store)
+        async with anyio.create_task_group() as group:
+            group.start_soon(process.run)
+            if uptime_s:
+                await anyio.sleep(uptime_s)
+            await steps(log, store, process)
+            await anyio.sleep(_SETTLE_S)
+            group.cancel_scope.cancel()
+        return process
+
+    return paused_clock.run(main)
+
+
+def _change_before_an_outage(outage_start: int) -> _Steps:
+    """Return steps that change the records before an outage.
 
-    :param uptime_s: seconds from the start of the process to the change
     :param outage_start: hundredths of a second from the change to the outage
     """
-    log = _new_log()
-    store = log.new_store()
-    process = operator_processes.Process(log, store)
-    async with anyio.create_task_group() as group:
-        group.start_soon(process.run)
-        if uptime_s:
-            await anyio.sleep(uptime_s)
+
+    async def steps(
+        log: operator_processes.Log,
+        store: slow_store.Store,
+        process: operator_processes.Process,
+    ) -> None:
         _change(log)
         await _interrupt(store, outage_start / 100.0)
-        await anyio.sleep(_SETTLE_S)
-        group.cancel_scope.cancel()
-    _assert_changed(process)
+
+    return steps
 
 
 # A configuration was never put in force if its read failed after the read of
@@ -78,7 +104,7 @@
 def test_configuration_is_read_after_its_read_failed(
     outage_start: int,
 ) -> None:
-    paused_clock.run(_play, 2.0, outage_start)
+    _assert_changed(_run(_change_before_an_outage(outage_start)))
 
 
 # A process that started while the store failed never had a configuration.
@@ -86,7 +112,8 @@
 def test_first_configuration_is_read_after_its_read_failed(
     outage_start: int,
 ) -> None:
-    paused_clock.run(_play, 0.0, outage_start)
+    steps = _change_before_an_outage(outage_start)
+    _assert_changed(_run(steps, uptime_s=0.0))
 
 
 # A follower that is restarted while it reads must not skip what it had not
@@ -140,53 +167,44 @@
 # A delivered configuration hid a cordon that was written before it, since the
 # list of cordons was read too early and the follower then waited behind both.
 def test_cordon_before_a_delivered_configuration_is_read() -> None:
-    async def main() -> operator_processes.Process:
-        log = _new_log()
-        store = log.new_store()
-        process = operator_processes.Process(log, store)
-        async with anyio.create_task_group() as group:
-            group.start_soon(process.run)
-            await anyio.sleep(2.0)
-            store.down = True
-            await anyio.sleep(1.0)
-            store.answer_s, store.down = 1.0, False
-            # The next attempt has begun by then and lists the cordons.
-            await anyio.sleep(0.5)
-            log.put(_CORDON_B, b"{}")
-            log.put(platform.CONFIG_KEY, b"%08d" % 2 + bytes(200_000))
-            process.follower.on_delivered(len(log.records), 200_008)
-            await anyio.sleep(0.5)
-            store.answer_s = 0.0
-            await anyio.sleep(_SETTLE_S)
-            group.cancel_scope.cancel()
-        # The configuration itself isn't read a second time.
-        assert store.sent_bytes < 200_000
-        return process
-
-    assert paused_clock.run(main).zones == ("hall-a", "hall-b")
+    async def steps(
+        log: operator_processes.Log,
+        store: slow_store.Store,
+        process: operator_processes.Process,
+    ) -> None:
+        store.down = True
+        await anyio.sleep(1.0)
+        store.answer_s, store.down = 1.0, False
+        # The next attempt has begun by then and lists the cordons.
+        await anyio.sleep(0.5)
+        log.put(_CORDON_B, b"{}")
+        log.put(platform.CONFIG_KEY, b"%08d" % 2 + bytes(200_000))
+        process.follower.on_delivered(len(log.records), 200_008)
+        await anyio.sleep(0.5)
+        store.answer_s = 0.0
+
+    process = _run(steps)
+    assert process.zones == ("hall-a", "hall-b")
+    # The configuration itself isn't read a second time.
+    assert process.log.stores[0].sent_bytes < 200_000
 
 
 # The end of a cordon before a delivered configuration counted as the record
 # behind it, and so hid the configuration that was written there.
 def test_configuration_after_a_delivered_one_is_read() -> None:
-    async def main() -> operator_processes.Process:
-        log = _new_log()
-        store = log.new_store()
-        process = operator_processes.Process(log, store)
-        async with anyio.create_task_group() as group:
-            group.start_soon(process.run)
-            await anyio.sleep(2.0)
-            store.down = True
-            _change(log)
-            process.follower.on_delivered(len(log.records), 8)
-            await anyio.sleep(1.0)
-            log.put(platform.CONFIG_KEY, b"%08d" % 3)
-            store.down = False
-            await anyio.sleep(_SETTLE_S)
-            group.cancel_scope.cancel()
-        return process
+    async def steps(
+        log: operator_processes.Log,
+        store: slow_store.Store,
+        process: operator_processes.Process,
+    ) -> None:
+        store.down = True
+        _change(log)
+        process.follower.on_delivered(len(log.records), 8)
+        await anyio.sleep(1.0)
+        log.put(platform.CONFIG_KEY, b"%08d" % 3)
+        store.down = False
 
-    process = paused_clock.run(main)
+    process = _run(steps)
     assert process.version == 3
     assert process.zones == ("hall-b",)
 
