Reject a peer's configuration that can't be decoded before it counts as known

What callers would have seen: 404 for a route of the valid version before one that this release can't decode, for good. The store takes only valid ones, so it takes a peer of another release, and two versions written in quick succession.

Cause: the core took a delivered configuration over by its version and digest and told its peers; only then did the shell decode it, after it had moved the follower's place. The version counted as known, so the older valid one, which the follower read from the store, was refused, and its record was marked as read.

Ruled out: that moving the place after the decoding is enough.

Change: the core is given a check, and neither the version nor the offset of a configuration that fails it counts. Such a version isn't requested again. The check keeps the decoded configuration, so that each is still decoded once.

Conclusion: a delivery is marked as read only once it is applied, as in all other paths.

--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -11,6 +11,7 @@
 from anyio import abc as anyio_abc
 import loguru
 
+from ferryledge.hosted import _config_decoder
 from ferryledge.hosted import _config_pace
 from ferryledge.hosted import _entry_config
 from ferryledge.hosted import _first_answer
@@ -69,6 +70,7 @@
         self._settings = settings
         self._listeners = listeners or _listening.Listeners()
         self._registry = _metrics.Registry("entry")
+        decoder = _config_decoder.ConfigDecoder()
         self._core = leases.LeaseEntry(
             settings.node,
             net.new_incarnation(),
@@ -81,6 +83,7 @@
             meter=_metrics.EntryMetrics(self._registry),
             link_bytes_per_s=settings.link_bytes_per_s,
             rules=leases.EntryRules(hands_on=handovers),
+            accepts_config=decoder.accepts,
         )
         self._log = logs.DecisionLog()
         self._driver = net.Driver(
@@ -98,6 +101,7 @@
             self._core,
             self._driver.post,
             self._registry,
+            decoder,
         )
         self._group: anyio_abc.TaskGroup | None = None
         self._tokens = itertools.count(1)
--- a/src/ferryledge/hosted/_entry_config.py
+++ b/src/ferryledge/hosted/_entry_config.py
@@ -10,6 +10,7 @@
 import loguru
 
 from ferryledge.hosted import _config
+from ferryledge.hosted import _config_decoder
 from ferryledge.hosted import _config_metrics
 from ferryledge.hosted import _config_pace
 from ferryledge.hosted import _metrics
@@ -54,6 +55,8 @@
     :param core: the entry's core, which decides which configuration applies
     :param post: posts an event to the core
     :param registry: serves the metrics
+    :param decoder: decodes configurations; the core accepts only those of
+        peers that it decodes
     """
 
     def __init__(
@@ -63,8 +66,10 @@
         core: leases.LeaseEntry,
         post: Post,
         registry: _metrics.Registry,
+        decoder: _config_decoder.ConfigDecoder,
     ) -> None:
         self._post = post
+        self._decoder = decoder
         pace = _config_pace.ConfigPace(
             settings.config_apply_s, settings.link_bytes_per_s
         )
@@ -77,8 +82,6 @@
             _config_metrics.ConfigMetrics(registry),
         )
         self._current: platform.Configuration | None = None
-        #: Read last; takes effect when the core applies it.
-        self._parsed: platform.Configuration | None = None
         self._loaded = anyio.Event()
 
     @property
@@ -96,16 +99,9 @@
         await self._follower.run()
 
     def apply(self, action: leases.ApplyConfig) -> None:
-        """Put a configuration in force; an invalid one is only logged."""
+        """Put a configuration in force."""
+        config = self._decoder.decode(action.data)
         self._follower.on_delivered(action.log_end, len(action.data))
-        config = self._parsed
-        if config is None or config.version != action.version:
-            # An agent read it and sent it to this entry.
-            try:
-                config = platform.parse_config(action.data)
-            except platform.ConfigError as exc:
-                loguru.logger.error("{}", exc, step="config")
-                return
         self._current = config
         self._loaded.set()
         loguru.logger.info(
@@ -113,7 +109,7 @@
         )
 
     def _on_config(self, data: bytes) -> None:
-        config = self._parsed = platform.parse_config(data)
+        config = self._decoder.decode(data)
         log_end = self._follower.log_end
         self._post(leases.ConfigRead(config.version, data, log_end))
 
--- a/src/ferryledge/leases/_entry.py
+++ b/src/ferryledge/leases/_entry.py
@@ -83,6 +83,8 @@
     :param link_bytes_per_s: bandwidth of the machine's network link;
         infinite if unknown
     :param rules: the rules in force; defaults to all
+    :param accepts_config: returns whether a peer's configuration is valid;
+        defaults to all
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         meter: _meters.EntryMeter | None = None,
         link_bytes_per_s: float = math.inf,
         rules: _rules.EntryRules | None = None,
+        accepts_config: _peers.AcceptsConfig | None = None,
     ) -> None:
         self._name = name
         self._rules = rules or _rules.EntryRules()
@@ -113,6 +116,7 @@
             name,
             self._cordons,
             _config_readers.is_narrow_link(link_bytes_per_s),
+            accepts_config,
         )
         self._agent_search = _agent_search.AgentSearch(
             name, self._pool, self._peers, self._notes
@@ -594,7 +598,7 @@
             case wire.ConfigRequest():
                 self._peers.send_config(peer, message)
             case wire.ConfigReply(version, data):
-                self._peers.learn_config(version, data)
+                self._peers.receive_config(version, data)
             case wire.EntryList(entries):
                 self._learn_entries(entries)
             case (
--- a/src/ferryledge/leases/_peers.py
+++ b/src/ferryledge/leases/_peers.py
@@ -5,6 +5,7 @@
 still learns of them.
 """
 
+from collections import abc
 import dataclasses
 
 from ferryledge.leases import _agent_events
@@ -36,6 +37,10 @@
 _SILENCE_S = 2.2
 
 
+#: Returns whether a configuration is valid.
+AcceptsConfig = abc.Callable[[bytes], bool]
+
+
 @dataclasses.dataclass(slots=True)
 class _Peer:
     """A process with a stream to this entry."""
@@ -70,6 +75,8 @@
     :param cordons: the cordoned availability zones
     :param is_narrow_link: whether a large configuration would block this
         machine's link; an agent then reads configurations for this entry
+    :param accepts_config: returns whether a peer's configuration is valid
+        here; a peer of another release may accept more. Defaults to all.
     """
 
     def __init__(
@@ -77,9 +84,13 @@
         name: str,
         cordons: _cordons.Cordons,
         is_narrow_link: bool = False,
+        accepts_config: AcceptsConfig | None = None,
     ) -> None:
         self._name = name
         self._cordons = cordons
+        self._accepts_config = accepts_config
+        #: The newest version of a peer that is invalid here.
+        self._rejected_version = 0
         self._exchange = _config_exchange.ConfigExchange()
         self._readers = _config_readers.ConfigReaders(is_narrow_link)
         self._addresses: dict[str, wire.EntryAddress] = {}
@@ -210,6 +221,26 @@
         for name in self.entry_names():
             self._send(name, self._keep_alive())
 
+    def receive_config(
+        self, version: int, data: bytes, log_end: int = 0
+    ) -> None:
+        """Apply a peer's configuration; ignore an older or an invalid one.
+
+        The log may hold a valid one before the invalid one, so that neither
+        its version nor its offset may count as known.
+
+        :param version: its version
+        :param data: the configuration as the peer read it
+        :param log_end: the offset in the operators' log up to which it is
+            current
+        """
+        if version <= self.version:
+            return
+        if self._accepts_config is None or self._accepts_config(data):
+            self.learn_config(version, data, log_end)
+        else:
+            self._rejected_version = max(version, self._rejected_version)
+
     def apply_config_delta(self, name: str, delta: wire.ConfigDelta) -> None:
         """Apply a difference between configurations.
 
@@ -226,7 +257,7 @@
             follow = name == self.config_reader
             self._send(name, wire.ConfigRequest(follow=follow))
             return
-        self.learn_config(delta.version, data, delta.log_end)
+        self.receive_config(delta.version, data, delta.log_end)
 
     def send_config(self, name: str, request: wire.ConfigRequest) -> None:
         """Send a peer the newest configuration, if there is one.
@@ -253,10 +284,9 @@
 
         :param now: monotonic seconds
         """
+        known = max(self.version, self._rejected_version)
         newer_peers = [
-            name
-            for name, peer in self._peers.items()
-            if peer.version > self.version
+            name for name, peer in self._peers.items() if peer.version > known
         ]
         if not newer_peers:
             self._behind_since = None
--- a/src/ferryledge/leases/tests/test_config_peers.py
+++ b/src/ferryledge/leases/tests/test_config_peers.py
@@ -112,3 +112,30 @@
     late = wire.Received("entry-0", wire.CordonedZones(3))
     core.receive(0.1, late)
     assert not _sent(core.tick(0.1), wire.CordonedZones)
+
+
+# A configuration of another release that is invalid here must neither count as
+# known nor be requested again and again.
+def test_invalid_configuration_of_a_peer_is_rejected() -> None:
+    core = leases.LeaseEntry(
+        "entry-1",
+        "entry-1.1",
+        "north",
+        random.Random(1),
+        accepts_config=lambda data: data != b"?",
+    )
+    core.receive(0.0, wire.PeerUp(_hello("entry-0", 7)))
+    assert _sent(_run(core, 0.0, 1.0), wire.ConfigRequest)
+    core.receive(1.0, wire.Received("entry-0", wire.ConfigReply(7, b"?")))
+    actions = _run(core, 1.0, 4.0)
+    assert not _sent(actions, wire.ConfigRequest)
+    assert not [a for a in actions if isinstance(a, leases.ApplyConfig)]
+    # An older one that this entry reads is valid and newer than what it has.
+    core.receive(4.0, leases.ConfigRead(6, b"{}"))
+    core.receive(4.0, wire.Received("entry-0", wire.ConfigReply(8, b"{}")))
+    applied = [
+        action.version
+        for action in _run(core, 4.0, 4.1)
+        if isinstance(action, leases.ApplyConfig)
+    ]
+    assert applied == [6, 8]
