--- a/src/ferryledge/hosted/_operator_log.py
+++ b/src/ferryledge/hosted/_operator_log.py
@@ -22,8 +22,9 @@
         self._config_end = 0
         self._zones: set[str] = set()
         self._zones_end = 0
-        #: Offsets among which a cordon's end was written, a range for each.
-        #: Such records have empty values, which no list contains.
+        #: For each cordon that ended, the range of offsets that contains the
+        #: record of its end. Such records have empty values, and lists omit
+        #: them.
         self._removals: list[range] = []
 
     @property
@@ -38,7 +39,7 @@
 
     @property
     def cordons_behind(self) -> bool:
-        """Whether records before a known configuration may be cordons."""
+        """Whether the cordons are known less far than configurations."""
         return self._zones_end < self._config_end
 
     @property
--- a/src/ferryledge/hosted/tests/test_config_reader.py
+++ b/src/ferryledge/hosted/tests/test_config_reader.py
@@ -200,8 +200,8 @@
     assert in_force == [b"{}"]
 
 
-# An agent that had delivered in time was replaced by another one if a cordon
-# followed the configuration, which its delivery does not speak for.
+# Guards against replacing an agent that delivered in time when a cordon
+# follows the configuration in the log.
 def test_delivery_before_a_cordon_is_in_time() -> None:
     store, remote, _ = _follow(delivery_s=0.9, cordon=True)
     assert store.sent_bytes < 200_000
--- a/src/ferryledge/hosted/tests/test_interrupted_reads.py
+++ b/src/ferryledge/hosted/tests/test_interrupted_reads.py
@@ -164,8 +164,8 @@
     assert paused_clock.run(main).version == 1
 
 
-# A delivered configuration hid a cordon that was written before it, since the
-# list of cordons was read too early and the follower then waited behind both.
+# Guards against skipping a cordon before a delivered configuration when the
+# list of cordons was read before that cordon was written.
 def test_cordon_before_a_delivered_configuration_is_read() -> None:
     async def steps(
         log: operator_processes.Log,
@@ -189,8 +189,8 @@
     assert process.log.stores[0].sent_bytes < 200_000
 
 
-# The end of a cordon before a delivered configuration counted as the record
-# behind it, and so hid the configuration that was written there.
+# Guards against skipping a configuration when a cordon ended before the
+# delivered configuration that precedes it.
 def test_configuration_after_a_delivered_one_is_read() -> None:
     async def steps(
         log: operator_processes.Log,
--- a/src/ferryledge/hosted/tests/test_operator_log.py
+++ b/src/ferryledge/hosted/tests/test_operator_log.py
@@ -82,8 +82,8 @@
     assert log.count_unseen(_listed(6)) == 1
 
 
-# A configuration was skipped: the end of a cordon, written before a delivered
-# configuration and noticed after it, was counted as the record behind both.
+# Guards against skipping a configuration when a cordon ended before a
+# delivered configuration and a list showed that only after the delivery.
 def test_end_of_a_cordon_before_a_configuration_is_not_counted_twice() -> None:
     log = _operator_log.OperatorLog()
     log.apply_others(_listed(2, _record(_CORDON, 1)))
@@ -95,8 +95,8 @@
     assert list(log.unlisted_offsets(_listed(5))) == [4]
 
 
-# A configuration was skipped: the end of a cordon that a newer list showed was
-# subtracted from the records of an older list.
+# Guards against skipping a configuration in an older list when a newer list
+# shows that a cordon ended.
 def test_end_of_a_cordon_behind_a_list_is_not_counted_in_it() -> None:
     log = _operator_log.OperatorLog()
     log.apply_others(_listed(2, _record(_CORDON, 1)))
@@ -108,8 +108,8 @@
     assert log.count_unseen(_listed(4)) == 1
 
 
-# A configuration was skipped: a list that is read in pages may name records
-# beyond the end that it claims, and lack some that were removed beyond it.
+# Guards against skipping a configuration when a list grows while its pages are
+# read: it may name or omit records beyond the end of its first page.
 def test_records_beyond_the_end_of_a_list_are_not_counted_in_it() -> None:
     log = _operator_log.OperatorLog()
     log.apply_others(_listed(2, _record(_CORDON, 1)))
