--- a/review/harness-2/clients.py
+++ b/review/harness-2/clients.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import json
+import os
 import socket
 import struct
 import time
@@ -35,7 +36,7 @@
             "MemMb": 64,
             "EstimateMs": int(self.work_s * 1000),
         }
-        spec = json.dumps({"work_s": self.work_s})
+        spec = json.dumps({"work_s": self.work_s, "cpu": self.cpu})
         return {"Spec": spec, "Steps": [step], "BestEffort": True}
 
 
@@ -104,8 +105,9 @@
         elif read.done():
             text = f"broken connection: {read.exception()!r}"
         elif dead.done():
-            text = "connection found dead by its keep-alive probes, reset"
-            _reset(writer)
+            text = "connection found dead by its keep-alive probes"
+            if os.environ.get("CLIENT_END") != "fin":
+                _reset(writer)
         else:
             text = "no answer in time"
         self._record.note("answered", f"{job.id} by {name}: {text}")
--- a/review/harness-2/deployment.py
+++ b/review/harness-2/deployment.py
@@ -1,4 +1,4 @@
-"""A small deployment: three entries, eleven agents, and all around them."""
+"""A small deployment: a few entries, eleven agents, and all around them."""
 
 import asyncio
 from collections import abc
@@ -16,10 +16,12 @@
 
 ZONES = ("hall-a", "hall-b", "hall-c")
 AGENTS = 11
+#: Entries of the small sites; the grown ones have more.
+ENTRIES = int(os.environ.get("ENTRIES", "3"))
 DEADLINE_S = 8.0
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 #: Seconds for one play at the most.
-_LONGEST_S = 100.0
+_LONGEST_S = 112.0
 
 
 class NotRunError(Exception):
@@ -52,8 +54,9 @@
         #: The ways to the store of the entries, and of the agents.
         self.entry_gates: list[store.Machine] = []
         self.agent_gates: list[store.Machine] = []
-        self._hosts = [self._block.host(n) for n in (10, 11, 20)]
-        self._seeds = [f"{h}:{programs.CONTROL_PORT}" for h in self._hosts]
+        self._hosts = [self._block.host(10 + n) for n in range(ENTRIES - 1)]
+        self._hosts.append(self._block.host(30))
+        self._seeds = [f"{h}:{programs.CONTROL_PORT}" for h in self._hosts[-3:]]
 
     async def start(self) -> None:
         """Start everything, and wait until each entry serves.
@@ -61,7 +64,7 @@
         :raises NotRunError: if one does not
         """
         self.store.put("keyed.op", "config", programs.configuration(3))
-        for number in range(len(ZONES)):
+        for number in range(ENTRIES):
             await self._add_entry(number)
         for number in range(AGENTS):
             await self._add_agent(number)
@@ -78,7 +81,9 @@
         await asyncio.sleep(3.0)
 
     async def _add_entry(self, number: int) -> None:
-        name, zone = f"front-{ZONES[number]}-1", ZONES[number]
+        per_zone = -(-ENTRIES // len(ZONES))
+        zone = ZONES[number // per_zone]
+        name = f"front-{zone}-{number % per_zone + 1}"
         ip, shown = self._block.host(10 + number), self._hosts[number]
         gate, address = await self._add_gate(100 + number, name)
         if shown != ip:
@@ -157,11 +162,14 @@
 ]
 
 
-async def play(case: pathlib.Path, strike: Strike) -> int:
+async def play(
+    case: pathlib.Path, strike: Strike, rule: str = "TWICE"
+) -> int:
     """Play a case and return the exit code of its script.
 
     :param case: the folder of the case
     :param strike: submits jobs, with the disruption unless told otherwise
+    :param rule: the rule that is judged, ``TWICE`` or ``LIMIT``
     """
     is_troubled = os.environ.get("TROUBLE", "1") != "0"
     record = record_module.Record(case / "record.txt")
@@ -180,14 +188,18 @@
             if deployment is not None:
                 deployment.end()
             _keep_logs(folder)
-    verdict = "is broken" if record.overlaps else "held"
-    record.note(
-        "case",
-        f"TWICE {verdict}: {len(record.overlaps)} overlaps, the longest of"
-        f" {record.longest_overlap_s:.3f} s",
-    )
+    is_twice = rule == "TWICE"
+    found = record.overlaps if is_twice else record.starts_over_room
+    detail = f"{len(found)} starts over the room"
+    if is_twice:
+        detail = (
+            f"{len(found)} overlaps, the longest of"
+            f" {record.longest_overlap_s:.3f} s"
+        )
+    verdict = "is broken" if found else "held"
+    record.note("case", f"{rule} {verdict}: {detail}")
     record.close()
-    return EXIT_BROKEN if record.overlaps else EXIT_HELD
+    return EXIT_BROKEN if found else EXIT_HELD
 
 
 def _keep_logs(folder: pathlib.Path) -> None:
--- a/review/harness-2/record.py
+++ b/review/harness-2/record.py
@@ -1,4 +1,4 @@
-"""Writes what was sent, answered and run, and finds overlapping runs."""
+"""Writes what was sent, answered and run, and finds broken rules."""
 
 import pathlib
 import time
@@ -17,6 +17,8 @@
         self._alive: dict[str, list[tuple[str, int, float]]] = {}
         #: Runs of one task that were at work at the same time.
         self.overlaps: list[str] = []
+        #: Starts that brought an executor over its room.
+        self.starts_over_room: list[str] = []
         self._open_overlaps: dict[tuple[str, frozenset], float] = {}
         self.longest_overlap_s = 0.0
 
@@ -60,6 +62,11 @@
                 self.longest_overlap_s = max(self.longest_overlap_s, length)
                 self.note("overlap", f"{task}: lasted {length:.3f} s")
 
+    def over_room(self, text: str) -> None:
+        """Record a start that brought an executor over its room."""
+        self.starts_over_room.append(text)
+        self.note("OVER", text)
+
     def close(self) -> None:
         """Close the file."""
         self._file.close()
