--- a/review/harness-2/clients.py
+++ b/review/harness-2/clients.py
@@ -36,7 +36,7 @@
             "MemMb": 64,
             "EstimateMs": int(self.work_s * 1000),
         }
-        spec = json.dumps({"work_s": self.work_s, "cpu": self.cpu})
+        spec = json.dumps({"work_s": self.work_s})
         return {"Spec": spec, "Steps": [step], "BestEffort": True}
 
 
@@ -75,6 +75,16 @@
                 return
             await asyncio.sleep(REPEAT_S)
 
+    async def cancel(self, address: tuple[str, int]) -> None:
+        """Cancel the job at an entry."""
+        reader, writer = await asyncio.open_connection(*address)
+        path = f"/{self._job.queue}/{self._job.id}"
+        headers = {"Host": "desk.example"}
+        writer.write(web.encode_request("DELETE", path, headers))
+        response = await web.read_response(reader)
+        writer.close()
+        self._record.cancelled(self._job.id, response.status)
+
     async def _attempt(
         self, name: str, address: tuple[str, int], left_s: float
     ) -> web.Response | None:
--- a/review/harness-2/deployment.py
+++ b/review/harness-2/deployment.py
@@ -169,7 +169,7 @@
 
     :param case: the folder of the case
     :param strike: submits jobs, with the disruption unless told otherwise
-    :param rule: the rule that is judged, ``TWICE`` or ``LIMIT``
+    :param rule: the rule that is judged, ``TWICE`` or ``UNASKED``
     """
     is_troubled = os.environ.get("TROUBLE", "1") != "0"
     record = record_module.Record(case / "record.txt")
@@ -189,8 +189,8 @@
                 deployment.end()
             _keep_logs(folder)
     is_twice = rule == "TWICE"
-    found = record.overlaps if is_twice else record.starts_over_room
-    detail = f"{len(found)} starts over the room"
+    found = record.overlaps if is_twice else record.starts_after_cancel
+    detail = f"{len(found)} starts after a cancel"
     if is_twice:
         detail = (
             f"{len(found)} overlaps, the longest of"
--- a/review/harness-2/executor.py
+++ b/review/harness-2/executor.py
@@ -10,8 +10,6 @@
 
 HOLD_MAX_MS = 1000
 HEARTBEAT_S = 1.5
-#: ContactMs of the settings.
-CONTACT_S = 3.0
 #: How long a stop takes; at most StopMs, 50 ms.
 STOP_S = 0.02
 
@@ -21,7 +19,6 @@
     task: str
     run: int
     work_s: float
-    cpu: int
     began: float
     timer: asyncio.TimerHandle | None = None
     is_stopping: bool = False
@@ -30,8 +27,7 @@
 class Executor:
     """One executor machine, with one life at a time.
 
-    The work and the processor time of a task stand in its ``Spec``:
-    ``{"work_s": 1.8, "cpu": 1600}``.
+    The work of a task stands in its ``Spec``: ``{"work_s": 1.8}``.
 
     :param name: its machine's name
     :param address: where it takes calls
@@ -58,8 +54,6 @@
         self._zone = zone
         self._record = record
         self._cpu = cpu
-        #: When the room shrank, in monotonic seconds.
-        self._shrank_at = float("-inf")
         self._lives = 0
         self._server: asyncio.Server | None = None
         self._beats: asyncio.Task | None = None
@@ -82,8 +76,6 @@
         #: Highest run that was stopped or ended, by task.
         self._closed: dict[str, int] = {}
         self._changed = asyncio.Event()
-        #: Set, and replaced, with each heartbeat that was acknowledged.
-        self.heartbeat_sent = asyncio.Event()
         #: Set, and replaced, when a renewal extends the lease.
         self.lease_extended = asyncio.Event()
         self._server = await web.serve(*self._address, self._handle)
@@ -106,12 +98,6 @@
         for task in list(self._handlers):
             task.cancel()
 
-    def shrink(self, cpu: int) -> None:
-        """Have less room from now on; the next heartbeat tells so."""
-        self._cpu = cpu
-        self._shrank_at = time.monotonic()
-        self._record.note("executor", f"{self.id} has room for {cpu} now")
-
     # Heartbeats.
 
     async def _send_heartbeats(self) -> None:
@@ -126,9 +112,6 @@
             )
             status = answer.status if answer else "no answer"
             self._record.note("heartbeat", f"{self.id} {self._seq}: {status}")
-            if answer is not None:
-                self.heartbeat_sent.set()
-                self.heartbeat_sent = asyncio.Event()
             due += HEARTBEAT_S
             await asyncio.sleep(max(0.05, due - time.monotonic()))
 
@@ -205,28 +188,13 @@
             if fields["Run"] <= self._closed.get(fields["Task"], 0):
                 return self._refuse("old")
             spec = json.loads(fields["Spec"])
-            run = _Run(*key, spec["work_s"], spec["cpu"], time.monotonic())
+            run = _Run(*key, spec["work_s"], time.monotonic())
             loop = asyncio.get_running_loop()
             run.timer = loop.call_later(run.work_s, self._end, run, "done")
             self.runs[key] = run
             self._record.started(self.id, *key)
-            self._check_room(run)
         return web.Response.of(200, {"ClockMs": self._clock_ms()})
 
-    def _check_room(self, started: _Run) -> None:
-        """Check that a start doesn't bring the executor over its room.
-
-        What is being stopped still counts. A room that has shrunk counts
-        after ContactMs and one heartbeat.
-        """
-        used = sum(run.cpu for run in self.runs.values())
-        shrunk_for_s = time.monotonic() - self._shrank_at
-        if used > self._cpu and shrunk_for_s > CONTACT_S + HEARTBEAT_S:
-            self._record.over_room(
-                f"{started.task} run {started.run} on {self.id}: {used} of"
-                f" {self._cpu}, which shrank {shrunk_for_s:.3f} s before"
-            )
-
     def _stop_run(self, fields: dict) -> web.Response:
         task, number = fields["Task"], fields["Run"]
         self._closed[task] = max(number, self._closed.get(task, 0))
--- a/review/harness-2/record.py
+++ b/review/harness-2/record.py
@@ -3,6 +3,9 @@
 import pathlib
 import time
 
+#: cancel_ms of the settings.
+CANCEL_S = 3.0
+
 
 class Record:
     """The record of one play.
@@ -17,8 +20,10 @@
         self._alive: dict[str, list[tuple[str, int, float]]] = {}
         #: Runs of one task that were at work at the same time.
         self.overlaps: list[str] = []
-        #: Starts that brought an executor over its room.
-        self.starts_over_room: list[str] = []
+        #: When the cancel of each job was answered with 2xx.
+        self._cancelled_at: dict[str, float] = {}
+        #: Starts of tasks too long after the cancel of their job.
+        self.starts_after_cancel: list[str] = []
         self._open_overlaps: dict[tuple[str, frozenset], float] = {}
         self.longest_overlap_s = 0.0
 
@@ -35,6 +40,7 @@
         """Record that a run began."""
         now = self.now()
         self.note("start", f"{task} run {run} on {executor}")
+        self._check_cancel(executor, task, run)
         alive = self._alive.setdefault(task, [])
         for other, other_run, since in alive:
             text = (
@@ -62,10 +68,24 @@
                 self.longest_overlap_s = max(self.longest_overlap_s, length)
                 self.note("overlap", f"{task}: lasted {length:.3f} s")
 
-    def over_room(self, text: str) -> None:
-        """Record a start that brought an executor over its room."""
-        self.starts_over_room.append(text)
-        self.note("OVER", text)
+    def cancelled(self, job: str, status: int) -> None:
+        """Record the answer to the cancel of a job."""
+        self.note("cancel", f"{job}: {status}")
+        if 200 <= status < 300:
+            self._cancelled_at[job] = self.now()
+
+    def _check_cancel(self, executor: str, task: str, run: int) -> None:
+        cancelled_at = self._cancelled_at.get(task.partition(".")[0])
+        if cancelled_at is None:
+            return
+        after_s = self.now() - cancelled_at
+        if after_s > CANCEL_S:
+            text = (
+                f"{task} run {run} began on {executor} {after_s:.3f} s after"
+                " the answer to the cancel of its job"
+            )
+            self.starts_after_cancel.append(text)
+            self.note("UNASKED", text)
 
     def close(self) -> None:
         """Close the file."""
