--- a/review/harness-3/deployment.py
+++ b/review/harness-3/deployment.py
@@ -338,7 +338,14 @@
         await asyncio.sleep(1.0)
 
     async def submit(
-        self, entry, queue, job, steps, spec, deadline_ms=8000, quiet=False
+        self,
+        entry,
+        queue,
+        job,
+        steps,
+        spec,
+        deadline_ms=8000,
+        is_silent=None,
     ):
         """Submit a job once; return the status, or a text if there is none."""
         host = self.entry_hosts[entry]
@@ -346,8 +353,7 @@
         headers = {"host": HOSTNAME}
         if deadline_ms:
             headers["deadline-ms"] = str(deadline_ms)
-        if not quiet:
-            self.record("client: POST", job=job, entry=entry, queue=queue)
+        self.record("client: POST", job=job, entry=entry, queue=queue)
         try:
             status, content = await http_server.call(
                 host,
@@ -357,6 +363,7 @@
                 fields,
                 headers,
                 (deadline_ms or 20000) / 1000.0,
+                is_silent,
             )
             answer = status, content.decode(errors="replace")
         except TimeoutError:
--- a/review/harness-3/http_server.py
+++ b/review/harness-3/http_server.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 
 
 class Request:
@@ -116,9 +118,20 @@
     return server
 
 
-async def call(host, port, method, path, fields=None, headers=(), timeout_s=5):
+async def call(
+    host,
+    port,
+    method,
+    path,
+    fields=None,
+    headers=(),
+    timeout_s=5,
+    is_silent=None,
+):
     """Make one call on a connection of its own.
 
+    :param is_silent: an event that is set once the caller's keep-alive probes
+        are not answered any more; the connection is then reset
     :return: status and body
     :raises OSError: if there is no connection, or no whole response
     :raises TimeoutError: if it takes too long
@@ -126,6 +139,8 @@
 
     async def exchange():
         reader, writer = await asyncio.open_connection(host, port)
+        if is_silent is not None:
+            probes = asyncio.create_task(reset_if_silent(writer))
         try:
             body = b"" if fields is None else json.dumps(fields).encode()
             lines = [f"{method} {path} HTTP/1.1"]
@@ -142,6 +157,16 @@
             line, _, content = message
             return int(line.split(" ")[1]), content
         finally:
+            if is_silent is not None:
+                probes.cancel()
             writer.close()
 
+    async def reset_if_silent(writer):
+        await is_silent.wait()
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        writer.transport.abort()
+
     return await asyncio.wait_for(exchange(), timeout_s)
--- a/review/harness-3/network.py
+++ b/review/harness-3/network.py
@@ -1,9 +1,9 @@
 """A network path on loopback that can be cut for a while.
 
-While it is cut, bytes of both sides are held up, and so are new connections.
-What is held up arrives when the cut ends, unless its sender has closed the
-connection by then: that is lost with all that it sent during the cut, and the
-other side sees nothing of it until it sends something itself.
+While it is cut, bytes of both sides are held up, and so are new connections
+and the ends of connections. They arrive when the cut ends. What a side sent
+during the cut is lost if it resets the connection meanwhile: the other side
+sees nothing of that, until it sends something and is reset in turn.
 """
 
 import asyncio
@@ -20,26 +20,47 @@
 
     @property
     def active(self):
+        """Whether nothing passes now."""
         return not self._healed.is_set()
 
     def begin(self):
+        """Let nothing pass until the end."""
         self._healed.clear()
 
     def end(self):
+        """Let everything pass again."""
         self._healed.set()
 
     async def wait_until_healed(self):
+        """Return once everything passes."""
         await self._healed.wait()
 
 
 class _Side:
-    """One side of a connection, with what it sent and was not delivered."""
+    """One side of a connection."""
 
     def __init__(self, reader, writer):
         self.reader = reader
         self.writer = writer
+        #: What it sent and was not delivered; ends with ``None`` if it has
+        #: ended the connection.
+        self.sent = asyncio.Queue()
+        #: Whether it reset the connection.
         self.is_gone = False
-        self.was_lost = False
+
+    async def read(self, cut):
+        """Collect what it sends."""
+        while True:
+            try:
+                data = await self.reader.read(_CHUNK)
+            except ConnectionError:
+                self.is_gone = True
+                if cut.active:
+                    return  # Nobody learns of it.
+                data = b""
+            self.sent.put_nowait(data or None)
+            if not data:
+                return
 
 
 class Path:
@@ -48,84 +69,51 @@
     def __init__(self, cut):
         self._cut = cut
         self._server = None
-        self._tasks = set()
 
     async def start(self, host, port, to_host, to_port):
+        """Pass on connections from one address to the other."""
+
         async def accept(reader, writer):
-            task = asyncio.current_task()
-            self._tasks.add(task)
             try:
                 await self._connect(reader, writer, to_host, to_port)
             except (OSError, asyncio.CancelledError):
-                writer.transport.abort()
+                pass
             finally:
-                self._tasks.discard(task)
+                writer.transport.abort()
 
         self._server = await asyncio.start_server(
             accept, host, port, backlog=512
         )
 
     async def _connect(self, reader, writer, to_host, to_port):
-        await self._cut.wait_until_healed()
-        if reader.at_eof() or writer.transport.is_closing():
-            writer.transport.abort()
-            return
         near = _Side(reader, writer)
-        far = _Side(*await asyncio.open_connection(to_host, to_port))
-        await asyncio.gather(self._pump(near, far), self._pump(far, near))
-
-    async def _pump(self, source, target):
-        """Pass on what a side sends, until it has gone."""
-        while True:
-            try:
-                data = await source.reader.read(_CHUNK)
-            except ConnectionError:
-                data = b""
-            if not data:
-                source.is_gone = True
-                source.was_lost = self._cut.active
-                if not source.was_lost and not target.was_lost:
-                    target.writer.transport.abort()
-                return
-            if self._cut.active:
-                more = asyncio.create_task(self._hold(source))
-                await self._cut.wait_until_healed()
-                more.cancel()
-                held, is_gone = await more_result(more, source)
-                if is_gone:
-                    source.is_gone = source.was_lost = True
-                    source.writer.transport.abort()
-                    return
-                data += held
-            if target.is_gone:
-                source.writer.transport.abort()
+        reading = asyncio.create_task(near.read(self._cut))
+        try:
+            await self._cut.wait_until_healed()
+            if near.is_gone:
                 return
+            far = _Side(*await asyncio.open_connection(to_host, to_port))
             try:
-                target.writer.write(data)
-                await target.writer.drain()
-            except ConnectionError:
-                source.writer.transport.abort()
-                return
+                await asyncio.gather(
+                    far.read(self._cut),
+                    self._deliver(near, far),
+                    self._deliver(far, near),
+                )
+            finally:
+                far.writer.transport.abort()
+        finally:
+            reading.cancel()
 
-    async def _hold(self, source):
-        """Collect what a side sends during a cut, or note that it has gone."""
-        source.held = b""
-        source.left = False
+    async def _deliver(self, source, target):
+        """Pass on what one side sends."""
         while True:
-            try:
-                data = await source.reader.read(_CHUNK)
-            except ConnectionError:
-                data = b""
-            if not data:
-                source.left = True
-                return
-            source.held += data
-
-
-async def more_result(task, source):
-    """Wait for the end of a collector; return its bytes and its verdict."""
-    try:
-        await task
-    except asyncio.CancelledError:
-        pass
-    return getattr(source, "held", b""), getattr(source, "left", False)
+            data = await source.sent.get()
+            await self._cut.wait_until_healed()
+            if source.is_gone or data is None:
+                if data is None:
+                    raise ConnectionResetError("the connection has ended")
+                continue
+            if target.is_gone:
+                raise ConnectionResetError("the other side has reset it")
+            target.writer.write(data)
+            await target.writer.drain()
