--- a/review/harness-3/network.py
+++ b/review/harness-3/network.py
@@ -93,13 +93,19 @@
             if near.is_gone:
                 return
             far = _Side(*await asyncio.open_connection(to_host, to_port))
-            try:
-                await asyncio.gather(
+            tasks = [
+                asyncio.create_task(work)
+                for work in (
                     far.read(self._cut),
                     self._deliver(near, far),
                     self._deliver(far, near),
                 )
+            ]
+            try:
+                await asyncio.gather(*tasks)
             finally:
+                for task in tasks:
+                    task.cancel()
                 far.writer.transport.abort()
         finally:
             reading.cancel()
