--- a/review/harness-3/network.py
+++ b/review/harness-3/network.py
@@ -47,6 +47,8 @@
         self.sent = asyncio.Queue()
         #: Whether it reset the connection.
         self.is_gone = False
+        #: Whether it ended or reset the connection.
+        self.has_ended = False
 
     async def read(self, cut):
         """Collect what it sends."""
@@ -54,10 +56,11 @@
             try:
                 data = await self.reader.read(_CHUNK)
             except ConnectionError:
-                self.is_gone = True
+                self.is_gone = self.has_ended = True
                 if cut.active:
                     return  # Nobody learns of it.
                 data = b""
+            self.has_ended = self.has_ended or not data
             self.sent.put_nowait(data or None)
             if not data:
                 return
@@ -90,8 +93,8 @@
         reading = asyncio.create_task(near.read(self._cut))
         try:
             await self._cut.wait_until_healed()
-            if near.is_gone:
-                return
+            if near.has_ended:
+                return  # It gave up before it was connected.
             far = _Side(*await asyncio.open_connection(to_host, to_port))
             tasks = [
                 asyncio.create_task(work)
