Review case 7: a cancel at an added entry doesn't find the job

Entries are added to four; jobs that were submitted before aren't registered (leases/_duplicates.py, _register_open_jobs), so a cancel at an added entry is answered 410 or 503 while the job runs on.

--- a/review/harness-3/deployment.py
+++ b/review/harness-3/deployment.py
@@ -15,7 +15,6 @@
 import tomllib
 
 import http_server
-import network
 import standins
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -140,8 +139,7 @@
     :param agents: number of agents, each with an executor
     :param cpu: thousandths of a core of each executor
     :param labels: returns the labels of an executor, by its number
-    :param behind_path: number of an entry whose machine is reached, and
-        reaches the store, over paths that can be cut
+    :param spare_entries: number of entries that may be added later
     """
 
     def __init__(
@@ -151,7 +149,7 @@
         agents=4,
         cpu=16000,
         labels=None,
-        behind_path=None,
+        spare_entries=0,
     ):
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
@@ -163,7 +161,7 @@
         if not (ROOT / "target" / "deps" / "ferryledge").is_dir():
             raise CantRunError("run the build of the deploy file first")
         rng = random.Random()
-        count = entries + 2 * agents + 5
+        count = entries + spare_entries + 2 * agents + 4
         for _ in range(50):
             net = f"127.{rng.randrange(20, 250)}.{rng.randrange(1, 250)}"
             self.port = rng.randrange(20000, 30000)
@@ -181,19 +179,13 @@
         self.zones = ("north", "south", "east")
         self.entries = []
         self.entry_hosts = []
-        self.cut = None
-        self._behind_path = behind_path
-        self._path_host = next(self._hosts)
-        for number in range(entries):
+        for number in range(entries + spare_entries):
             host = next(self._hosts)
-            shown = self._path_host if number == behind_path else host
-            self.entry_hosts.append(shown)
+            self.entry_hosts.append(host)
             self.entries.append(
-                self._program("entry", number, shown, "front", "", roles)
+                self._program("entry", number, host, "front", "", roles)
             )
-            if number == behind_path:
-                self._hidden_host = host
-                self._hide(self.entries[number], host)
+        self._first_spare = entries
         self.agents = []
         self.executors = []
         self._agent_hosts = []
@@ -228,32 +220,11 @@
             name, role, roles[role], path, self.folder, self.record
         )
 
-    def _hide(self, program, host):
-        """Let a program listen behind a path and reach the store over it."""
-        text = program.path.read_text()
-        shown = self._path_host
-        for port in (10, 11, 12):
-            text = text.replace(
-                f'"{shown}:{self.port + port}"', f'"{host}:{self.port + port}"'
-            )
-        text = text.replace(
-            f'Address = "{self.store_address}"',
-            f'Address = "{shown}:{self.port}"',
-        )
-        program.path.write_text(f'ListenIp = "{host}"\n{text}')
-
-    async def _start_paths(self):
-        self.cut = network.Cut()
-        for port in (2, 10, 11, 12):
-            await network.Path(self.cut).start(
-                self._path_host,
-                self.port + port,
-                self._hidden_host,
-                self.port + port,
-            )
-        await network.Path(self.cut).start(
-            self._path_host, self.port, self.store_host, self.store_port
-        )
+    async def add_entries(self):
+        """Add the spare entries, and wait until they are ready."""
+        for program in self.entries[self._first_spare :]:
+            program.start()
+        await self.wait_ready(self.entry_hosts[self._first_spare :])
 
     def settings(self, name, host, zone, app, store=""):
         """Return the text of a settings file."""
@@ -306,9 +277,8 @@
     async def start(self):
         """Start everything and wait until all entries are ready."""
         await self.store.start(self.store_host, self.store_port)
-        if self._behind_path is not None:
-            await self._start_paths()
-        for program in self.programs:
+        first_entries = self.entries[: self._first_spare]
+        for program in [*first_entries, *self.agents]:
             program.start()
         for number, executor in enumerate(self.executors):
             await executor.start(
@@ -317,7 +287,7 @@
                 self._agent_hosts[number],
                 self.port + 12,
             )
-        await self.wait_ready(self.entry_hosts)
+        await self.wait_ready(self.entry_hosts[: self._first_spare])
 
     async def wait_ready(self, hosts, within_s=20.0):
         """Wait until entries say that they are ready."""
