Refuse jobs larger than any message, and survive what can't be encoded

What callers saw: a job that asks for 2^64 of something ends the entry that takes it; its other clients get a 500 or a broken connection while their tasks run.

Cause: the border takes any whole number, and a message carries 64 bits. The OverflowError was raised while an action of the core was performed, which ends the process. The same number in AntiAffinity ends an entry once the job is offered to another one.

Ruled out: to encode larger numbers, since sums over agents grow beyond any width; to go on after any exception in a tick, since the core would believe what isn't so.

A job that asks for more is answered 503 with the reason, like any job that no endpoint can run: the platform's pages know 429 and 503 as "not taken, will never run". Within: a message that can't be encoded is lost with its stream, as if the stream had broken before. The core handles that at any time, and no peer misses a message on an open stream unnoticed. Agents of the release before may report any 64-bit capacity, so sums of it are limited. New gauges count such messages.

--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -201,6 +201,11 @@
             "Thousandths of a core that runs take",
             lambda: core.runs.held.cpu_millis,
         )
+        gauge(
+            "unencodable_messages",
+            "Messages that were lost with their stream",
+            lambda: self._mesh.unencodable,
+        )
         gauge(
             "config_entries",
             "Entries that configurations are read for",
--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -219,6 +219,11 @@
             "Agents that take work",
             lambda: core.usable_agents(self._driver.now()),
         )
+        gauge(
+            "unencodable_messages",
+            "Messages that were lost with their stream",
+            lambda: self._mesh.unencodable,
+        )
         gauge(
             "link_wait_seconds",
             "What is sent now waits so long at the machine's link",
--- a/src/ferryledge/leases/_incoming_handovers.py
+++ b/src/ferryledge/leases/_incoming_handovers.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from ferryledge import decoding
 from ferryledge.leases import _entry_notes
 from ferryledge.leases import _job_table
 from ferryledge.leases import _jobs
@@ -143,7 +144,8 @@
             del self._reported_at[next(iter(self._reported_at))]
         cpu_millis = 0
         if not self.is_draining and len(self._held) < _MAX_HELD_JOBS:
-            cpu_millis = self._spare.cpu_millis(now, service)
+            spare = self._spare.cpu_millis(now, service)
+            cpu_millis = min(spare, decoding.MAX_INTEGER)
         message = wire.CapacityReport(self._last_report, service, cpu_millis)
         self._send(peer, message)
 
--- a/src/ferryledge/net/_mesh.py
+++ b/src/ferryledge/net/_mesh.py
@@ -104,6 +104,7 @@
         self._refusals = 0
         self._order = wire.StreamOrder()
         self._superseded = 0
+        self._unencodable = 0
 
     @property
     def messages_sent(self) -> int:
@@ -130,12 +131,29 @@
         """The number of streams refused because of a newer one."""
         return self._superseded
 
+    @property
+    def unencodable(self) -> int:
+        """The number of messages that could not be encoded."""
+        return self._unencodable
+
     def send(self, name: str, message: wire.Message) -> None:
-        """Send a message to a peer; dropped if it has no stream."""
+        """Send a message to a peer; dropped if it has no stream.
+
+        A message that can't be encoded is lost with the stream: a peer relies
+        on having received all earlier messages of an open stream.
+        """
         connection = self._connections.get(name)
         if connection is None:
             return
-        data = wire.encode(message)
+        try:
+            data = wire.encode(message)
+        except wire.EncodingError as exc:
+            self._unencodable += 1
+            loguru.logger.error(
+                "stream closed: {}", exc, step="send", peer=name
+            )
+            self.close(name)
+            return
         self._messages_sent += 1
         self._bytes_sent += len(data)
         connection.send(data)
--- a/src/ferryledge/net/tests/test_mesh.py
+++ b/src/ferryledge/net/tests/test_mesh.py
@@ -123,6 +123,19 @@
         await _until(lambda: pair.entry.received(wire.GrantRequest(1)))
 
 
+async def test_message_that_cannot_be_encoded_is_lost_with_its_stream() -> (
+    None
+):
+    """Guards against a value that ends the process that sends it on."""
+    odd = wire.EndpointState(capacity=wire.Resources(2**64))
+    async with _connected() as pair:
+        pair.agent.mesh.send("entry-0", odd)
+        assert pair.agent.mesh.unencodable == 1
+        await _until(lambda: pair.agent.count(wire.PeerUp) == 2)
+        pair.agent.mesh.send("entry-0", wire.GrantRequest(1))
+        await _until(lambda: pair.entry.received(wire.GrantRequest(1)))
+
+
 class _Relay:
     """Passes streams on; holds up one way of a stream from the Hello on.
 
--- a/src/ferryledge/platform/_jobs.py
+++ b/src/ferryledge/platform/_jobs.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ferryledge import decoding
 from ferryledge import leases
 from ferryledge import net
 from ferryledge import outcomes
@@ -144,22 +145,35 @@
     for field in _UNSUPPORTED_STEP:
         if getattr(step, field):
             raise UnsupportedJobError(field, "not supported")
-    if min(step.cpu, step.mem_mb, step.gpu) < 0:
-        raise MalformedJobError("Cpu, MemMb, Gpu", "must not be negative")
+    _check_amounts(step)
     if step.count < 1:
         raise MalformedJobError("Count", "at least one task is required")
     if any(not 0 <= earlier < number for earlier in step.depends_on):
         raise MalformedJobError("DependsOn", "must name earlier steps only")
 
 
+def _check_amounts(step: _Step) -> None:
+    if min(step.cpu, step.mem_mb, step.gpu) < 0:
+        raise MalformedJobError("Cpu, MemMb, Gpu", "must not be negative")
+    if not _need(step).is_bounded:
+        raise UnsupportedJobError(
+            "Cpu, MemMb, Gpu",
+            f"no endpoint has more than {decoding.MAX_INTEGER}",
+        )
+
+
+def _need(step: _Step) -> wire.Resources:
+    return wire.Resources(step.cpu, step.mem_mb, step.gpu)
+
+
 def _job_step(step: _Step) -> leases.JobStep:
     return leases.JobStep(
         step.count,
-        wire.Resources(step.cpu, step.mem_mb, step.gpu),
+        _need(step),
         step.estimate_ms / 1000.0,
         step.depends_on,
         step.requires,
-        step.anti_affinity,
+        min(step.anti_affinity, MAX_TASKS),
         step.affinity,
     )
 
--- a/src/ferryledge/wire/__init__.py
+++ b/src/ferryledge/wire/__init__.py
@@ -11,6 +11,7 @@
 
 AuthenticationError = _handshake.AuthenticationError
 Decoder = _codec.Decoder
+EncodingError = _codec.EncodingError
 Message = _codec.Message
 WireError = _codec.WireError
 encode = _codec.encode
@@ -136,6 +137,7 @@
     "CordonedZones",
     "DeclineReason",
     "Decoder",
+    "EncodingError",
     "EndpointState",
     "EntryAddress",
     "EntryList",
--- a/src/ferryledge/wire/_codec.py
+++ b/src/ferryledge/wire/_codec.py
@@ -32,10 +32,22 @@
     """The stream contains data that is not a message."""
 
 
+class EncodingError(WireError):
+    """A message holds a value that can't be encoded."""
+
+
 def encode(message: Message) -> bytes:
-    """Return the encoded message."""
+    """Return the encoded message.
+
+    :raises EncodingError: if it holds an integer of more than 64 bits, or a
+        text that is not Unicode
+    """
     array = msgspec.to_builtins(message, builtin_types=_BUILTIN_TYPES)
-    return typing.cast(bytes, msgpack.packb(array))
+    try:
+        return typing.cast(bytes, msgpack.packb(array))
+    except (OverflowError, UnicodeEncodeError) as exc:
+        tag = message.__struct_config__.tag
+        raise EncodingError(f"can't encode message {tag!r}: {exc}") from exc
 
 
 def _make_unpacker() -> typing.Any:
--- a/src/ferryledge/wire/_lease_messages.py
+++ b/src/ferryledge/wire/_lease_messages.py
@@ -8,6 +8,7 @@
 
 import enum
 
+from ferryledge import decoding
 from ferryledge.wire import _messages
 
 
@@ -19,6 +20,12 @@
     memory_mb: int = 0
     gpus: int = 0
 
+    @property
+    def is_bounded(self) -> bool:
+        """Whether each amount is an integer that may come from outside."""
+        amounts = (self.cpu_millis, self.memory_mb, self.gpus)
+        return all(decoding.is_natural(amount) for amount in amounts)
+
     def fits_in(self, free: "Resources") -> bool:
         """Return whether these resources fit in the free ones."""
         return (
--- a/src/ferryledge/wire/tests/test_codec.py
+++ b/src/ferryledge/wire/tests/test_codec.py
@@ -60,6 +60,21 @@
         list(wire.Decoder().feed(msgpack.packb(value)))
 
 
+@pytest.mark.parametrize(
+    "message",
+    [
+        wire.KeepAlive(2**64),
+        wire.LeaseGrant(-(2**63) - 1),
+        wire.Hello(wire.Role.AGENT, "\ud800", "i", "north"),
+    ],
+)
+def test_message_that_cannot_be_encoded_has_its_own_error(message):
+    with pytest.raises(
+        wire.EncodingError, match=r"'(alive|grant-lease|hello)'"
+    ):
+        wire.encode(message)
+
+
 @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
 @hypothesis.given(st.binary(max_size=200))
 def test_arbitrary_bytes_raise_nothing_but_wire_errors(data):
