Keep odd estimates, objectives and deadlines out of divisions and sums

What callers saw: a job whose estimate is -500 ms, as the first job of a queue with a target of 2,000 ms and a stretch of 4, ends the entry that takes it.

Cause: the estimate made the objective 0, and answer times are divided by it (ZeroDivisionError while a note is written in a tick). A stretch and target of 0 in a configuration do the same. Estimates near the ends of a float's range shift the learned run times for good, and a deadline of 10^308 ms kept what is known of a job for good.

Ruled out: a guard at the one division alone, since a negative objective is also sorted by and compared with times.

Run times are learned from and predicted within bounds, and an objective is never 0, whatever another entry or the configuration says.

Conclusion: no estimate ends a process. A far too long one still counts in the forecast of arrivals for some jobs.

--- a/src/ferryledge/leases/_jobs.py
+++ b/src/ferryledge/leases/_jobs.py
@@ -12,6 +12,8 @@
 
 #: Standard deviations below the expected size; one job in ten is smaller.
 _LIKELY_DEVIATIONS = 1.28
+#: Least objective in seconds; answer times are divided by it.
+_MIN_OBJECTIVE_S = 1e-3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -183,7 +185,8 @@
     def objective_s(self) -> float:
         """Seconds from arrival within which the job should be answered."""
         job_class = self.request.job_class
-        return job_class.stretch * self.expected_s + job_class.target_s
+        objective_s = job_class.stretch * self.expected_s + job_class.target_s
+        return max(_MIN_OBJECTIVE_S, objective_s)
 
     @property
     def objective_at(self) -> float:
--- a/src/ferryledge/leases/tests/test_odd_values.py
+++ b/src/ferryledge/leases/tests/test_odd_values.py
@@ -1,13 +1,20 @@
 """Odd numbers that reach the cores of entries and agents."""
 
+import math
+
 import msgspec
 import pytest
 
 from ferryledge import decoding
 from ferryledge import leases
+from ferryledge.leases import _jobs
 from ferryledge import loads as worlds
+from ferryledge import outcomes
+from ferryledge import placement
 from ferryledge import wire
 
+_NEED = wire.Resources(1000, 100, 0)
+
 
 @pytest.fixture
 def world() -> worlds.World:
@@ -16,6 +23,51 @@
     return world
 
 
+def _job(stretch: float, target_s: float, expected_s: float) -> _jobs.Job:
+    job_class = leases.JobClass("quick", "desk", 0, 1, stretch, target_s)
+    steps = (leases.JobStep(2, _NEED),)
+    request = leases.LeasedJob("j", job_class, "x", steps)
+    return _jobs.Job(request, [1], 0.0, expected_s, _jobs.make_tasks(request))
+
+
+def test_objective_is_never_zero() -> None:
+    """Guards against a division by the objective that ends the entry."""
+    assert _job(0.0, 0.0, 0.3).objective_s > 0.0
+    assert _job(4.0, 2.0, -0.5).objective_s > 0.0
+    assert _job(4.0, 2.0, 0.5).objective_s == 4.0
+
+
+@pytest.mark.parametrize(
+    "declared_s", [-1e300, -0.5, 5e-324, 1e-9, 1e9, 1e305, math.inf]
+)
+def test_declared_run_time_leaves_predictions_finite(
+    declared_s: float,
+) -> None:
+    run_times = placement.RunTimes()
+    for _ in range(50):
+        expected_s = run_times.predict("quick", declared_s)
+        assert 1e-5 < expected_s < 1e7
+        run_times.learn("quick", "e", 0.05, declared_s)
+    assert 0.01 < run_times.predict("quick") < 0.3
+    assert run_times.slowness("e") == pytest.approx(1.0, abs=0.5)
+
+
+@pytest.mark.parametrize("declared_s", [1e-9, 1e9, 1e305])
+def test_odd_estimate_does_not_refuse_other_jobs(
+    world: worlds.World, declared_s: float
+) -> None:
+    steps = (leases.JobStep(1, _NEED, declared_s),)
+    world.submit("entry-0", "a" * 16, steps=steps)
+    world.run(1.0)
+    tokens = [
+        world.submit("entry-0", f"{number:016x}", count=1, work_s=0.02)
+        for number in range(4)
+    ]
+    world.run(1.0)
+    for token in tokens:
+        assert isinstance(world.outcome(token), outcomes.Complete)
+
+
 def test_capacity_of_an_earlier_release_can_be_reported(
     world: worlds.World,
 ) -> None:
--- a/src/ferryledge/placement/_runtimes.py
+++ b/src/ferryledge/placement/_runtimes.py
@@ -12,7 +12,9 @@
 DEFAULT_RUN_S = 0.3
 #: Spread of a service without samples: between half and double.
 DEFAULT_SPREAD = 0.7
+#: Bounds in seconds of the run times that are learned from or declared.
 _MIN_RUN_S = 1e-4
+_MAX_RUN_S = 1e6
 _SERVICE_DECAY = 0.02
 _SLOWNESS_DECAY = 0.06
 #: Weight, in samples, of the assumption that an endpoint has slowness 1. Also
@@ -21,6 +23,10 @@
 _INITIAL_ERROR = 1.0
 
 
+def _in_bounds(run_s: float) -> float:
+    return max(_MIN_RUN_S, min(run_s, _MAX_RUN_S))
+
+
 class _Average(msgspec.Struct):
     """An exponentially decaying average; the first samples weigh more."""
 
@@ -69,8 +75,10 @@
         :param declared_s: run time that the client declared; 0 if none
         """
         row = self._services.get(service)
+        if declared_s > 0:
+            declared_s = _in_bounds(declared_s)
         if row is None:
-            return declared_s or DEFAULT_RUN_S
+            return declared_s if declared_s > 0 else DEFAULT_RUN_S
         learned = row.log_mean.value
         if declared_s <= 0:
             return math.exp(learned)
@@ -127,14 +135,14 @@
             average = self._endpoint_slowness[endpoint] = _Average(
                 _SLOWNESS_DECAY
             )
-        log_run_s = math.log(max(run_s, _MIN_RUN_S))
+        log_run_s = math.log(_in_bounds(run_s))
         if row.log_mean.samples >= _PRIOR_SAMPLES:
             average.add(log_run_s - row.log_mean.value)
         log_run_at_normal_s = log_run_s - math.log(self.slowness(endpoint))
         row.mean_error.add((log_run_at_normal_s - row.log_mean.value) ** 2)
         row.log_mean.add(log_run_at_normal_s)
         if declared_s > 0:
-            bias = log_run_at_normal_s - math.log(declared_s)
+            bias = log_run_at_normal_s - math.log(_in_bounds(declared_s))
             error = bias - row.declared_bias.value
             row.declared_error.add(error * error)
             row.declared_bias.add(bias)
--- a/src/ferryledge/platform/_jobs.py
+++ b/src/ferryledge/platform/_jobs.py
@@ -1,6 +1,7 @@
 """Decoding of the clients' jobs and encoding of the responses."""
 
 import dataclasses
+import math
 import re
 
 import msgspec
@@ -15,6 +16,11 @@
 MAX_SPEC_BYTES = 4000
 #: Maximum number of tasks in a job.
 MAX_TASKS = 810
+#: Greatest estimate of a task's run time that is used, in seconds.
+_MAX_ESTIMATE_S = 3600.0
+#: Longest time that a client is assumed to wait, in seconds. What is kept of
+#: a job until its client stops waiting is not kept for longer.
+_MAX_WAIT_S = 86_400.0
 #: The client's name for a job, at the end of a path.
 _JOB_NAME = re.compile("[0-9a-fA-F]{16}$")
 
@@ -104,14 +110,17 @@
     """Return the seconds that a client waits; 0 is unknown.
 
     :param value: the header's value in ms; may be empty
-    :raises MalformedJobError: if the value is not a number
+    :raises MalformedJobError: if the value is not a finite number
     """
     if not value:
         return 0.0
     try:
-        return max(0.0, float(value) / 1000.0)
+        deadline_s = float(value) / 1000.0
     except ValueError as exc:
         raise MalformedJobError("Deadline-Ms", f"{value!r}: {exc}") from exc
+    if not math.isfinite(deadline_s):
+        raise MalformedJobError("Deadline-Ms", "must be a finite number")
+    return min(max(0.0, deadline_s), _MAX_WAIT_S)
 
 
 def find_job_name(path: str) -> str:
@@ -160,6 +169,10 @@
             "Cpu, MemMb, Gpu",
             f"no endpoint has more than {decoding.MAX_INTEGER}",
         )
+    if step.anti_affinity < 0:
+        raise MalformedJobError("AntiAffinity", "must not be negative")
+    if step.estimate_ms < 0:
+        raise MalformedJobError("EstimateMs", "must not be negative")
 
 
 def _need(step: _Step) -> wire.Resources:
@@ -170,7 +183,7 @@
     return leases.JobStep(
         step.count,
         _need(step),
-        step.estimate_ms / 1000.0,
+        min(step.estimate_ms / 1000.0, _MAX_ESTIMATE_S),
         step.depends_on,
         step.requires,
         min(step.anti_affinity, MAX_TASKS),
--- a/src/ferryledge/platform/tests/test_odd_jobs.py
+++ b/src/ferryledge/platform/tests/test_odd_jobs.py
@@ -25,3 +25,27 @@
     body = body.replace('"odd"', value)
     with pytest.raises(platform.UnsupportedJobError, match=field):
         platform.parse_job("j", body.encode(), _CLASS, 1.5)
+
+
+@pytest.mark.parametrize("field", ["EstimateMs", "AntiAffinity"])
+def test_negative_amount_is_malformed(field: str) -> None:
+    """Guards against an objective of 0, by which times are divided."""
+    body = json.dumps(
+        {**jobs.JOB, "Steps": [{**jobs.STEP, field: -500}]}
+    ).encode()
+    with pytest.raises(platform.MalformedJobError, match=field):
+        platform.parse_job("j", body, _CLASS, 1.5)
+
+
+@pytest.mark.parametrize("value", ["nan", "inf", "-inf", "9" * 400, "x", "٣x"])
+def test_deadline_that_is_no_finite_number_is_malformed(value: str) -> None:
+    with pytest.raises(platform.MalformedJobError, match="Deadline-Ms"):
+        platform.parse_deadline(value)
+
+
+@pytest.mark.parametrize(
+    ("value", "deadline_s"),
+    [("1500", 1.5), ("-1", 0.0), ("1e308", 86_400.0)],
+)
+def test_deadline_is_limited(value: str, deadline_s: float) -> None:
+    assert platform.parse_deadline(value) == deadline_s
