Refuse labels and shorten lists that no peer's decoder accepts

What callers would have seen: jobs that entries hand over to each other are interrupted, since a job with a list or a label that is too long closes the stream between them; on a narrow link, such a label delays everything else for seconds. Not seen with real processes.

Cause: the border takes lists and texts of any length up to the body's 4 MiB. A peer's decoder accepts arrays of at most 4,096 elements and closes the stream otherwise. A list of earlier steps may name one of them a million times.

Ruled out: a larger limit in the decoder, which protects it from any peer.

A required label of more than 256 characters is answered 503, since no endpoint has one. An affinity of that length is ignored, since no endpoint is near.

Conclusion: a job that is taken can be sent to any peer.

--- a/src/ferryledge/platform/_jobs.py
+++ b/src/ferryledge/platform/_jobs.py
@@ -169,6 +169,12 @@
             "Cpu, MemMb, Gpu",
             f"no endpoint has more than {decoding.MAX_INTEGER}",
         )
+    if len(step.requires) > decoding.MAX_LABEL_CHARS:
+        raise UnsupportedJobError(
+            "Requires",
+            "no endpoint has a label of more than "
+            f"{decoding.MAX_LABEL_CHARS} characters",
+        )
     if step.anti_affinity < 0:
         raise MalformedJobError("AntiAffinity", "must not be negative")
     if step.estimate_ms < 0:
@@ -180,14 +186,16 @@
 
 
 def _job_step(step: _Step) -> leases.JobStep:
+    # No endpoint has a longer label, so none is near the data.
+    is_label = len(step.affinity) <= decoding.MAX_LABEL_CHARS
     return leases.JobStep(
         step.count,
         _need(step),
         min(step.estimate_ms / 1000.0, _MAX_ESTIMATE_S),
-        step.depends_on,
+        tuple(sorted(set(step.depends_on))),
         step.requires,
         min(step.anti_affinity, MAX_TASKS),
-        step.affinity,
+        step.affinity if is_label else "",
     )
 
 
--- a/src/ferryledge/platform/tests/test_odd_jobs.py
+++ b/src/ferryledge/platform/tests/test_odd_jobs.py
@@ -12,6 +12,8 @@
 _CLASS = leases.JobClass("quick", "desk", attempts=3, stretch=1.6)
 
 
+
+
 @pytest.mark.parametrize("field", ["Cpu", "MemMb", "Gpu"])
 @pytest.mark.parametrize(
     "amount", [text for text in odd_values.LARGE if text != "10^5000"]
@@ -37,6 +39,22 @@
         platform.parse_job("j", body, _CLASS, 1.5)
 
 
+def test_repeated_dependencies_count_once() -> None:
+    """Guards against a list that no peer's decoder accepts."""
+    steps = [jobs.STEP, jobs.STEP, {**jobs.STEP, "DependsOn": [1, 0] * 5000}]
+    body = json.dumps({**jobs.JOB, "Steps": steps}).encode()
+    job = platform.parse_job("j", body, _CLASS, 1.5)
+    assert job.steps[2].depends_on == (0, 1)
+    jobs.encode_job(job)
+
+
+def test_label_that_no_endpoint_has_is_unsupported() -> None:
+    steps = [{**jobs.STEP, "Requires": "x" * 1000}]
+    body = json.dumps({**jobs.JOB, "Steps": steps}).encode()
+    with pytest.raises(platform.UnsupportedJobError, match="Requires"):
+        platform.parse_job("j", body, _CLASS, 1.5)
+
+
 @pytest.mark.parametrize("value", ["nan", "inf", "-inf", "9" * 400, "x", "٣x"])
 def test_deadline_that_is_no_finite_number_is_malformed(value: str) -> None:
     with pytest.raises(platform.MalformedJobError, match="Deadline-Ms"):
