Pass over records that are nested too deeply to be read

What callers saw: one odd entry in the list of the entries ends all processes that read it, again at each start while it stands; an agent's own record does the same to the agent. A job with such an unknown field was answered 500 instead of 400.

Cause: msgspec reports deep nesting as a RecursionError, which is no ValueError. An unknown field is skipped by recursion as well, so a value of the right type is enough. Each border had its own decoder, and only two of them knew that.

Ruled out: to catch RecursionError at each border, which the next border would lack again.

Change: one function decodes JSON from outside and raises one error. The borders of jobs, heartbeats, configurations, lists of the store, entries and endpoints' records use it. A record that can't be read is passed over as before; it is logged once until it is replaced, and counted in a new metric at each read.

--- a/src/ferryledge/agent/_endpoint.py
+++ b/src/ferryledge/agent/_endpoint.py
@@ -76,6 +76,6 @@
         return TaskResult(False, b"result too large")
     try:
         json.loads(content or b"null")
-    except ValueError:
+    except (ValueError, RecursionError):
         return TaskResult(False, b"result is not JSON")
     return TaskResult(True, content or b"null")
--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -15,6 +15,7 @@
 from ferryledge.hosted import _members
 from ferryledge.hosted import _metrics
 from ferryledge.hosted import _reload
+from ferryledge.hosted import _unreadable
 from ferryledge import leases
 from ferryledge import logs
 from ferryledge import net
@@ -52,8 +53,13 @@
         self._listeners = listeners or _listening.Listeners()
         self._keys = keys
         self._store = platform.StoreClient(settings.store.address)
+        self._registry = _metrics.Registry("agent")
+        self._unreadable = _unreadable.UnreadableValues(self._registry)
         self._endpoint_record = _endpoint_record.EndpointRecord(
-            self._store, settings.node, settings.store.partitions
+            self._store,
+            settings.node,
+            settings.store.partitions,
+            self._unreadable.note_record,
         )
         self._group: anyio_abc.TaskGroup | None = None
         #: Set by the endpoint's next heartbeat.
@@ -75,7 +81,6 @@
         :param drain: set when the process is to stop
         """
         settings = self._settings
-        self._registry = _metrics.Registry("agent")
         timing = leases.LeaseTiming.within(
             settings.max_lease_s, settings.max_stop_s
         )
@@ -156,7 +161,9 @@
         self._group.start_soon(self._dial_seeds)
         while True:
             address = self._settings.store.address
-            await _members.read_once(address, self._on_entries)
+            await _members.read_once(
+                address, self._on_entries, self._unreadable.note_record
+            )
             await anyio.sleep(_REDISCOVER_S)
             while self._mesh.names():
                 await anyio.sleep(_REDISCOVER_S)
--- a/src/ferryledge/hosted/_endpoint_record.py
+++ b/src/ferryledge/hosted/_endpoint_record.py
@@ -10,7 +10,9 @@
 import loguru
 import msgspec
 
+from ferryledge import decoding
 from ferryledge.hosted import _members
+from ferryledge.hosted import _unreadable
 from ferryledge import leases
 from ferryledge import platform
 
@@ -28,11 +30,18 @@
     :param store: the platform's store
     :param name: the agent's name
     :param partitions: number of partitions of the topic
+    :param note_unreadable: called if the record can't be read; defaults to
+        logging it
     """
 
     def __init__(
-        self, store: platform.StoreClient, name: str, partitions: int
+        self,
+        store: platform.StoreClient,
+        name: str,
+        partitions: int,
+        note_unreadable: _unreadable.NoteRecord = _unreadable.log_record,
     ) -> None:
+        self._note_unreadable = note_unreadable
         self._store = store
         self._name = name
         self._partition = zlib.crc32(name.encode()) % max(1, partitions)
@@ -46,9 +55,21 @@
         )
         for record in page.records:
             if record.key == self._name and record.value:
-                return _decode(record)
+                return self._decode(record)
         return None
 
+    def _decode(
+        self, record: platform.KeyedRecord
+    ) -> leases.EndpointHeartbeat | None:
+        try:
+            heartbeat = decoding.decode_json(
+                record.value, leases.EndpointHeartbeat
+            )
+        except ValueError as exc:
+            self._note_unreadable(ENDPOINTS_TOPIC, record, exc)
+            return None
+        return heartbeat
+
     def save(self, heartbeat: leases.EndpointHeartbeat) -> None:
         """Schedule a heartbeat to be written, replacing any pending one."""
         self._pending = heartbeat
@@ -71,11 +92,3 @@
                 )
                 self._changed.set()
                 await anyio.sleep(_members.RETRY_S)
-
-
-def _decode(record: platform.KeyedRecord) -> leases.EndpointHeartbeat | None:
-    try:
-        return msgspec.json.decode(record.value, type=leases.EndpointHeartbeat)
-    except msgspec.DecodeError as exc:
-        loguru.logger.warning("invalid record: {}", exc, peer=record.key)
-        return None
--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -20,6 +20,7 @@
 from ferryledge.hosted import _members
 from ferryledge.hosted import _metrics
 from ferryledge.hosted import _reload
+from ferryledge.hosted import _unreadable
 from ferryledge import leases
 from ferryledge import logs
 from ferryledge import net
@@ -70,6 +71,7 @@
         self._settings = settings
         self._listeners = listeners or _listening.Listeners()
         self._registry = _metrics.Registry("entry")
+        self._unreadable = _unreadable.UnreadableValues(self._registry)
         decoder = _config_decoder.ConfigDecoder()
         self._core = leases.LeaseEntry(
             settings.node,
@@ -157,6 +159,7 @@
                 self._store,
                 settings.store.address,
                 self._on_entries,
+                self._unreadable.note_record,
             )
             group.start_soon(
                 _first_answer.run,
--- a/src/ferryledge/hosted/_members.py
+++ b/src/ferryledge/hosted/_members.py
@@ -14,7 +14,9 @@
 import loguru
 import msgspec
 
+from ferryledge import decoding
 from ferryledge.hosted import _first_answer
+from ferryledge.hosted import _unreadable
 from ferryledge import net
 from ferryledge import platform
 from ferryledge import wire
@@ -54,6 +56,7 @@
 
 def _decode(
     records: abc.Iterable[platform.KeyedRecord],
+    note_unreadable: _unreadable.NoteRecord = _unreadable.log_record,
 ) -> tuple[wire.EntryAddress, ...]:
     entries = []
     for record in records:
@@ -62,7 +65,7 @@
         try:
             entries.append(_decode_record(record))
         except ValueError as exc:
-            loguru.logger.warning("invalid record: {}", exc, peer=record.key)
+            note_unreadable(MEMBERS_TOPIC, record, exc)
     return tuple(entries)
 
 
@@ -72,7 +75,7 @@
     :raises ValueError: if the record holds no valid address of its entry
     """
     address = msgspec.structs.replace(
-        msgspec.json.decode(record.value, type=wire.EntryAddress),
+        decoding.decode_json(record.value, wire.EntryAddress),
         version=record.offset + 1,
     )
     ipaddress.ip_address(address.host)
@@ -104,34 +107,43 @@
         await store.close()
 
 
-async def read_once(address: str, on_entries: OnEntries) -> None:
+async def read_once(
+    address: str,
+    on_entries: OnEntries,
+    note_unreadable: _unreadable.NoteRecord = _unreadable.log_record,
+) -> None:
     """Read all entries' addresses once; retry until the store answers."""
     page = await _read_first(address)
-    on_entries(_decode(page.records))
+    on_entries(_decode(page.records, note_unreadable))
 
 
 async def follow(
-    store: platform.StoreClient, address: str, on_entries: OnEntries
+    store: platform.StoreClient,
+    address: str,
+    on_entries: OnEntries,
+    note_unreadable: _unreadable.NoteRecord = _unreadable.log_record,
 ) -> None:
     """Report entries' addresses as they change, until cancelled.
 
     :param store: the platform's store
     :param address: ``host:port`` of the store
     :param on_entries: called with the addresses of each answer
+    :param note_unreadable: called for each record that can't be read;
+        defaults to logging it
     """
     page = await _read_first(address)
-    on_entries(_decode(page.records))
+    on_entries(_decode(page.records, note_unreadable))
     offset = page.next_offset
     while True:
         with contextlib.suppress(platform.StoreError):
             while True:
                 page = await store.read(MEMBERS_TOPIC, offset, _WAIT_S)
-                on_entries(_decode(page.records))
+                on_entries(_decode(page.records, note_unreadable))
                 offset = page.next_offset
         await anyio.sleep(RETRY_S)
         with contextlib.suppress(platform.StoreError):
             page = await store.read_newest(MEMBERS_TOPIC)
-            on_entries(_decode(page.records))
+            on_entries(_decode(page.records, note_unreadable))
             offset = page.next_offset
 
 
--- a/src/ferryledge/platform/_config.py
+++ b/src/ferryledge/platform/_config.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ferryledge import decoding
 from ferryledge import leases
 
 #: Topic and key of the record that holds the configuration.
@@ -130,8 +131,8 @@
 
 def _decode(data: bytes) -> _Config:
     try:
-        return msgspec.json.decode(data, type=_Config)
-    except msgspec.DecodeError as exc:
+        return decoding.decode_json(data, _Config)
+    except decoding.DecodingError as exc:
         raise ConfigError(f"unreadable configuration: {exc}") from exc
 
 
--- a/src/ferryledge/platform/_heartbeat.py
+++ b/src/ferryledge/platform/_heartbeat.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ferryledge import decoding
 from ferryledge import leases
 from ferryledge import wire
 
@@ -57,8 +58,8 @@
     :raises HeartbeatError: if the body is not a valid heartbeat
     """
     try:
-        heartbeat = msgspec.json.decode(body, type=_Heartbeat)
-    except msgspec.DecodeError as exc:
+        heartbeat = decoding.decode_json(body, _Heartbeat)
+    except decoding.DecodingError as exc:
         raise HeartbeatError(f"invalid heartbeat: {exc}") from exc
     capacity = heartbeat.capacity
     return leases.EndpointHeartbeat(
@@ -89,7 +90,7 @@
         without a start time
     """
     try:
-        deregistration = msgspec.json.decode(body, type=_Deregistration)
-    except msgspec.DecodeError:
+        deregistration = decoding.decode_json(body, _Deregistration)
+    except decoding.DecodingError:
         deregistration = _Deregistration()
     return leases.EndpointLeft(endpoint_id, deregistration.born)
--- a/src/ferryledge/platform/_jobs.py
+++ b/src/ferryledge/platform/_jobs.py
@@ -98,8 +98,8 @@
     :raises UnsupportedJobError: if the job uses an unsupported option
     """
     try:
-        decoded = msgspec.json.decode(body, type=_Body)
-    except msgspec.DecodeError as exc:
+        decoded = decoding.decode_json(body, _Body)
+    except decoding.DecodingError as exc:
         raise MalformedJobError("body", str(exc)) from exc
     _check_job(decoded)
     steps = tuple(_job_step(step) for step in decoded.steps)
--- a/src/ferryledge/platform/_store.py
+++ b/src/ferryledge/platform/_store.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ferryledge import decoding
 from ferryledge import net
 
 _LENGTH_BYTES = 4
@@ -216,8 +217,8 @@
 
 def _decode_newest(content: bytes) -> _NewestPage:
     try:
-        return msgspec.json.decode(content, type=_NewestPage)
-    except msgspec.DecodeError as exc:
+        return decoding.decode_json(content, _NewestPage)
+    except decoding.DecodingError as exc:
         raise StoreError(f"unreadable list of records: {exc}") from exc
 
 
--- a/src/ferryledge/platform/tests/test_odd_jobs.py
+++ b/src/ferryledge/platform/tests/test_odd_jobs.py
@@ -12,6 +12,15 @@
 _CLASS = leases.JobClass("quick", "desk", attempts=3, stretch=1.6)
 
 
+# Guards against jobs that end the entry that takes them.
+@pytest.mark.parametrize("body", jobs.JOBS.values(), ids=jobs.JOBS.keys())
+def test_odd_job_is_refused_or_can_be_sent_on(body: bytes) -> None:
+    try:
+        job = platform.parse_job("j", body, _CLASS, 1.5)
+    except platform.JobError:
+        return
+    jobs.encode_job(job)
+    assert all(0.0 <= step.estimate_s < 1e6 for step in job.steps)
 
 
 @pytest.mark.parametrize("field", ["Cpu", "MemMb", "Gpu"])
