Refuse heartbeats, and ignore records of them, that can't be reported

What callers saw: an agent whose stored record names a capacity of 2^64 ends at each start. What they would have seen: an agent ends when its endpoint's heartbeat names such a capacity, or when the endpoint's id, which is part of the path, fits no header; an endpoint with more than 4,096 labels is lost, since no entry accepts its agent's reports.

Cause: the numbers, texts and lists of a heartbeat had no upper bounds. They go into messages (64 bits, 4,096 elements) and the id into a header of each call (latin-1, no line ends).

Ruled out: to clamp a capacity, since the endpoint would be trusted with work that it may not have room for; to drop labels, since jobs would be refused that the endpoint could run.

Change: such a heartbeat is answered 400 with the reason, and such a record counts as one that can't be read. The agent then waits for a heartbeat.

Conclusion: what an agent takes from its endpoint, it can report.

--- a/src/ferryledge/hosted/_endpoint_record.py
+++ b/src/ferryledge/hosted/_endpoint_record.py
@@ -65,6 +65,7 @@
             heartbeat = decoding.decode_json(
                 record.value, leases.EndpointHeartbeat
             )
+            _check(heartbeat)
         except ValueError as exc:
             self._note_unreadable(ENDPOINTS_TOPIC, record, exc)
             return None
@@ -92,3 +93,14 @@
                 )
                 self._changed.set()
                 await anyio.sleep(_members.RETRY_S)
+
+
+def _check(heartbeat: leases.EndpointHeartbeat) -> None:
+    """Check what the types of the fields don't ensure.
+
+    :raises ValueError: if the id or the capacity is invalid
+    """
+    if not leases.is_endpoint_id(heartbeat.endpoint_id):
+        raise ValueError("the endpoint's id is invalid")
+    if not heartbeat.capacity.is_bounded:
+        raise ValueError("the capacity is out of range")
--- a/src/ferryledge/hosted/tests/test_endpoint_record.py
+++ b/src/ferryledge/hosted/tests/test_endpoint_record.py
@@ -1,10 +1,13 @@
 """Tests saving and loading an endpoint's record with the stand-in store."""
 
 from collections import abc
+import json
 
 import anyio
+import msgspec
 import pytest
 
+from ferryledge.decoding.tests import odd_values
 from ferryledge.hosted import _endpoint_record
 from ferryledge import leases
 from ferryledge import net
@@ -103,3 +106,36 @@
         assert await record.load() is None
 
     _with_record(server, use)
+
+
+_PLAIN = json.loads(msgspec.json.encode(_HEARTBEAT))
+_ODD_RECORDS = odd_values.variants(_PLAIN)
+
+
+@pytest.mark.parametrize(
+    "value", _ODD_RECORDS.values(), ids=_ODD_RECORDS.keys()
+)
+def test_odd_record_is_ignored_or_can_be_reported(value: bytes) -> None:
+    """Guards against a record that ends the agent at each of its starts."""
+    unreadable: list[str] = []
+    record = _endpoint_record.EndpointRecord(
+        platform.StoreClient("127.0.0.1:9"),
+        "side-1",
+        12,
+        lambda topic, record, reason: unreadable.append(topic),
+    )
+    heartbeat = record._decode(platform.KeyedRecord("side-1", value))
+    if heartbeat is None:
+        assert unreadable == [_endpoint_record.ENDPOINTS_TOPIC]
+        return
+    capacity = heartbeat.capacity
+    message = wire.EndpointState(
+        heartbeat.incarnation,
+        heartbeat.service,
+        heartbeat.labels,
+        capacity,
+        capacity.minus(capacity, 100),
+        remaining_s=heartbeat.remaining_s,
+    )
+    assert wire.encode(message)
+    assert leases.is_endpoint_id(heartbeat.endpoint_id)
--- a/src/ferryledge/leases/__init__.py
+++ b/src/ferryledge/leases/__init__.py
@@ -78,6 +78,7 @@
     StopRun = _agent_events.StopRun
     endpoint_id_of = _incarnations.endpoint_id_of
     incarnation_of = _incarnations.incarnation_of
+    is_endpoint_id = _incarnations.is_endpoint_id
     is_narrow_link = _config_readers.is_narrow_link
 else:
     # Loaded lazily, so that an entry does not import an agent's modules.
@@ -141,6 +142,7 @@
             "_incarnations": (
                 "endpoint_id_of",
                 "incarnation_of",
+                "is_endpoint_id",
             ),
             "_meters": (
                 "AgentMeter",
@@ -207,5 +209,6 @@
     "StopRun",
     "endpoint_id_of",
     "incarnation_of",
+    "is_endpoint_id",
     "is_narrow_link",
 ]
--- a/src/ferryledge/leases/_agent_events.py
+++ b/src/ferryledge/leases/_agent_events.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from ferryledge import decoding
 from ferryledge.leases import _incarnations
 from ferryledge.leases import _runs
 from ferryledge import wire
@@ -10,26 +11,27 @@
 class EndpointHeartbeat(wire.Event, frozen=True):
     """A heartbeat of the endpoint arrived.
 
-    The agent stores it as JSON for its next start.
+    The agent stores it as JSON for its next start. The bounds of its fields
+    are checked when that is decoded.
     """
 
     endpoint_id: str
-    service: str
+    service: decoding.Label
     #: ``host:port`` of the endpoint.
     address: str
     capacity: wire.Resources
-    labels: tuple[str, ...]
+    labels: tuple[decoding.Label, ...]
     draining: bool
     #: Seconds until the endpoint may shut down; 0 is unlimited.
-    remaining_s: float
+    remaining_s: decoding.Seconds
     #: The endpoint's monotonic clock in milliseconds.
-    clock_ms: int
+    clock_ms: decoding.Natural
     #: Sequence number within the incarnation.
-    number: int
+    number: decoding.Natural
     #: Unix time of the endpoint's start in ms; 0 if it isn't reported.
-    born_ms: int = 0
+    born_ms: decoding.Natural = 0
     #: Seconds until the endpoint has warmed up after its start.
-    cold_s: float = 0.0
+    cold_s: decoding.Seconds = 0.0
 
     @property
     def incarnation(self) -> str:
--- a/src/ferryledge/leases/_incarnations.py
+++ b/src/ferryledge/leases/_incarnations.py
@@ -4,7 +4,16 @@
 id and the time of its start.
 """
 
+import re
+
 _SEPARATOR = "@"
+#: Ids are sent in a header of each call.
+_ENDPOINT_ID = re.compile("[!-~]{1,256}")
+
+
+def is_endpoint_id(text: str) -> bool:
+    """Return whether a text may be the id of an endpoint."""
+    return _ENDPOINT_ID.fullmatch(text) is not None
 
 
 def incarnation_of(endpoint_id: str, born_ms: int) -> str:
--- a/src/ferryledge/platform/_heartbeat.py
+++ b/src/ferryledge/platform/_heartbeat.py
@@ -8,46 +8,49 @@
 from ferryledge import leases
 from ferryledge import wire
 
-
-class HeartbeatError(Exception):
-    """The body is not a valid heartbeat."""
+#: Maximum number of labels of an endpoint. They are part of each report to an
+#: entry, whose arrays are limited.
+_MAX_LABELS = 256
 
 
-_NonNegativeInt = typing.Annotated[int, msgspec.Meta(ge=0)]
+class HeartbeatError(Exception):
+    """The heartbeat is not valid."""
 
 
 class _Capacity(msgspec.Struct, frozen=True, rename="pascal"):
     #: Thousandths of a core.
-    cpu: _NonNegativeInt
-    mem_mb: _NonNegativeInt
-    gpu: _NonNegativeInt
+    cpu: decoding.Natural
+    mem_mb: decoding.Natural
+    gpu: decoding.Natural
 
 
 class _Heartbeat(msgspec.Struct, frozen=True, rename="pascal"):
     """A heartbeat; a body without the required fields is rejected."""
 
     #: Name of the service whose tasks the endpoint runs.
-    backend: str
+    backend: decoding.Label
     #: Address that the endpoint listens on, as ``host:port``.
     address: str
     zone: str
     #: Version of the endpoint's software.
     version: str
-    slots: _NonNegativeInt
+    slots: decoding.Natural
     state: typing.Literal["ready", "draining"]
     #: Milliseconds until the endpoint has warmed up after its start.
-    cold_ms: float
+    cold_ms: decoding.Milliseconds
     capacity: _Capacity
     #: The endpoint's kind and rack.
-    labels: tuple[str, ...]
+    labels: typing.Annotated[
+        tuple[decoding.Label, ...], msgspec.Meta(max_length=_MAX_LABELS)
+    ]
     #: The endpoint's monotonic clock in milliseconds.
-    clock_ms: _NonNegativeInt
+    clock_ms: decoding.Natural
     #: Sequence number, which increases with each heartbeat.
-    seq: _NonNegativeInt
+    seq: decoding.Natural
     #: While draining: milliseconds until the endpoint may shut down.
-    remaining_ms: float = 0
+    remaining_ms: decoding.Milliseconds = 0
     #: Unix time of the endpoint's start in ms; 0 if it isn't reported.
-    born: _NonNegativeInt = msgspec.field(default=0, name="born")
+    born: decoding.Natural = msgspec.field(default=0, name="born")
 
 
 def parse_heartbeat(endpoint_id: str, body: bytes) -> leases.EndpointHeartbeat:
@@ -55,8 +58,12 @@
 
     :param endpoint_id: the id in the request's path
     :param body: the request's body
-    :raises HeartbeatError: if the body is not a valid heartbeat
+    :raises HeartbeatError: if the id or the body is not valid
     """
+    if not leases.is_endpoint_id(endpoint_id):
+        raise HeartbeatError(
+            "invalid heartbeat: the id must be printable ASCII without spaces"
+        )
     try:
         heartbeat = decoding.decode_json(body, _Heartbeat)
     except decoding.DecodingError as exc:
@@ -79,7 +86,7 @@
 
 class _Deregistration(msgspec.Struct, frozen=True):
     #: Unix time of the endpoint's start in ms; 0 if it isn't reported.
-    born: _NonNegativeInt = 0
+    born: decoding.Natural = 0
 
 
 def parse_deregister(endpoint_id: str, body: bytes) -> leases.EndpointLeft:
