Read each row of an endpoint's answer for itself

Cause: the answer and its rows were decoded without handling an error. Numbers from rows were put into messages (2^64) and into floats (10^400). An index of -1000 in a task's name reached the entry, whose list has no such element.

Ruled out: to count an odd answer as a refusal, since the endpoint may have renewed the lease; to drop a whole answer for one row, since all its runs would lapse; to pass over an odd row as if it weren't there, since the run that it stands for would count as lost while it goes on.

Change: an answer that can't be read counts as none, so that the lease lapses if that lasts. A row is read by itself. Unknown progress, an unknown way to end (over, but not done) and an unknown number of an end (processed, but not acknowledged) leave the rest of the row in use. If only the run is unknown, no run of its task counts as over by this answer. Rows with no task of ours are passed over. An entry ignores runs whose task doesn't exist.

Conclusion: an odd row takes no sound row with it, and ends no run by silence.

--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -102,7 +102,7 @@
         )
         self._dialler = _members.Dialler(self._mesh)
         self._calls = platform.EndpointCalls(
-            settings.endpoint, self._driver.now
+            settings.endpoint, self._driver.now, self._unreadable.note_answer
         )
         stop = anyio.Event()
         async with anyio.create_task_group() as group:
--- a/src/ferryledge/leases/__init__.py
+++ b/src/ferryledge/leases/__init__.py
@@ -76,6 +76,7 @@
     StartRun = _agent_events.StartRun
     StopAnswered = _agent_events.StopAnswered
     StopRun = _agent_events.StopRun
+    TaskKey = _runs.TaskKey
     endpoint_id_of = _incarnations.endpoint_id_of
     incarnation_of = _incarnations.incarnation_of
     is_endpoint_id = _incarnations.is_endpoint_id
@@ -149,7 +150,7 @@
                 "EntryMeter",
             ),
             "_rules": ("EntryRules",),
-            "_runs": ("RunKey",),
+            "_runs": ("RunKey", "TaskKey"),
             "_timing": ("LeaseTiming",),
         },
     )
@@ -207,6 +208,7 @@
     "StartRun",
     "StopAnswered",
     "StopRun",
+    "TaskKey",
     "endpoint_id_of",
     "incarnation_of",
     "is_endpoint_id",
--- a/src/ferryledge/leases/_agent_events.py
+++ b/src/ferryledge/leases/_agent_events.py
@@ -75,14 +75,15 @@
     """A run that the endpoint lists as running."""
 
     key: _runs.RunKey
-    #: Progress from 0 to 1.
-    done: float
+    #: Progress from 0 to 1; none if it is not known.
+    done: float | None
 
 
 class ListedEnd(wire.Event, frozen=True):
     """A run's end that the endpoint lists until it is acknowledged."""
 
-    #: Sequence number of the endpoint's ends, from 1.
+    #: Sequence number of the endpoint's ends, from 1; 0 if it is not known.
+    #: The end is processed then, but not acknowledged.
     number: int
     key: _runs.RunKey
     how: wire.RunOutcome
@@ -101,6 +102,8 @@
     #: Unix time in ms of the start of the endpoint that answered; 0 if it
     #: isn't reported.
     born_ms: int = 0
+    #: Tasks that are listed with unknown runs, any of which may be running.
+    unclear_tasks: frozenset[_runs.TaskKey] = frozenset()
 
 
 class CallFault(enum.Enum):
--- a/src/ferryledge/leases/_endpoint_watch.py
+++ b/src/ferryledge/leases/_endpoint_watch.py
@@ -279,7 +279,7 @@
                 continue
             row.listed = True
             row.confirmed_at = row.confirmed_at or event.sent_at
-            if row.progress is not None:
+            if row.progress is not None and run.done is not None:
                 row.progress.sample(now, run.done)
         if event.clock_ms > self._listed_clock_ms:
             # An older list may come later on another connection, and have
@@ -315,9 +315,9 @@
         ]
 
     def _on_listed_end(self, now: float, end: _agent_events.ListedEnd) -> None:
-        if end.number <= self._link.acknowledged:
+        if 0 < end.number <= self._link.acknowledged:
             return
-        self._link.acknowledged = end.number
+        self._link.acknowledged = max(end.number, self._link.acknowledged)
         row = self._runs.find(end.key)
         if row is not None:
             row.confirmed_at = row.confirmed_at or row.ordered_at
--- a/src/ferryledge/leases/_jobs.py
+++ b/src/ferryledge/leases/_jobs.py
@@ -274,12 +274,13 @@
 
     def find(self, run: wire.TaskRun) -> Task | None:
         """Return the task whose latest run this is, or ``None``."""
-        if run.step >= len(self.tasks):
+        if not 0 <= run.step < len(self.tasks):
             return None
         step = self.tasks[run.step]
-        if run.index >= len(step) or step[run.index].run != run.run:
+        if not 0 <= run.index < len(step):
             return None
-        return step[run.index]
+        task = step[run.index]
+        return task if task.run == run.run else None
 
     def bound(self) -> list[Task]:
         """Return the tasks that may be running."""
--- a/src/ferryledge/leases/_reconciliation.py
+++ b/src/ferryledge/leases/_reconciliation.py
@@ -14,6 +14,8 @@
     :param row: a run that isn't in the listing
     :param listing: the endpoint's answer to a renewal
     """
+    if row.key.task in listing.unclear_tasks:
+        return None
     match row.state:
         case _runs.RunState.RUNNING if _was_confirmed(row, listing):
             return wire.RunOutcome.LOST
--- a/src/ferryledge/leases/_runs.py
+++ b/src/ferryledge/leases/_runs.py
@@ -14,6 +14,10 @@
 from ferryledge import wire
 
 
+#: Job, step and index of a task.
+TaskKey = tuple[str, int, int]
+
+
 class RunState(enum.Enum):
     """The state of a run at an agent."""
 
@@ -40,6 +44,11 @@
         """Return the key of a job's run."""
         return cls(job, run.step, run.index, run.run)
 
+    @property
+    def task(self) -> TaskKey:
+        """The task of the run."""
+        return self.job, self.step, self.index
+
     @property
     def task_run(self) -> wire.TaskRun:
         """The run without its job."""
@@ -111,10 +120,7 @@
 
     def has_task(self, key: RunKey) -> bool:
         """Return whether there is any run of the task of a key."""
-        task = (key.job, key.step, key.index)
-        return any(
-            (row.job, row.step, row.index) == task for row in self._rows
-        )
+        return any(row.task == key.task for row in self._rows)
 
     def of_job(self, job: str) -> list[RunRow]:
         """Return the runs of a job's tasks."""
--- a/src/ferryledge/leases/tests/test_odd_values.py
+++ b/src/ferryledge/leases/tests/test_odd_values.py
@@ -37,6 +37,14 @@
     assert _job(4.0, 2.0, 0.5).objective_s == 4.0
 
 
+@pytest.mark.parametrize(
+    ("step", "index"), [(-1, 0), (0, -1), (0, -1000), (-9, 0), (9, 0), (0, 9)]
+)
+def test_run_of_no_task_is_not_found(step: int, index: int) -> None:
+    """Guards against an index from an endpoint's list that ends the entry."""
+    assert _job(1.6, 0.1, 0.3).find(wire.TaskRun(step, index, 0)) is None
+
+
 @pytest.mark.parametrize(
     "declared_s", [-1e300, -0.5, 5e-324, 1e-9, 1e9, 1e305, math.inf]
 )
@@ -68,6 +76,67 @@
         assert isinstance(world.outcome(token), outcomes.Complete)
 
 
+
+
+def _renewed(
+    world: worlds.World,
+    ended: tuple[leases.ListedEnd, ...] = (),
+    unclear_tasks: frozenset[leases.TaskKey] = frozenset(),
+) -> leases.LeaseRenewed:
+    agent = world.nodes["agent-0"].core
+    return leases.LeaseRenewed(
+        world.now,
+        agent.link.incarnation,
+        world.endpoints["agent-0"].clock_ms(world.now),
+        (),
+        ended,
+        unclear_tasks=unclear_tasks,
+    )
+
+
+def _start_run(world: worlds.World) -> leases.RunKey:
+    world.submit("entry-0", "a" * 16, count=1, work_s=0.5)
+    world.run(0.1)
+    (row,) = world.nodes["agent-0"].core.runs
+    return row.key
+
+
+def test_task_of_an_unreadable_row_is_not_lost(world: worlds.World) -> None:
+    """Guards against a second run of a task whose first one goes on."""
+    key = _start_run(world)
+    world.post("agent-0", _renewed(world, unclear_tasks={key.task}))
+    assert not world.nodes["agent-0"].core.idle
+    world.post("agent-0", _renewed(world))
+    assert world.nodes["agent-0"].core.idle
+
+
+def test_end_without_a_number_is_processed_once(world: worlds.World) -> None:
+    key = _start_run(world)
+    agent = world.nodes["agent-0"].core
+    acknowledged = agent.link.acknowledged
+    end = leases.ListedEnd(0, key, wire.RunOutcome.DONE)
+    for _ in range(2):
+        world.post("agent-0", _renewed(world, (end,)))
+        assert agent.idle
+        assert agent.link.acknowledged == acknowledged
+
+
+def test_run_without_known_progress_goes_on(world: worlds.World) -> None:
+    key = _start_run(world)
+    agent = world.nodes["agent-0"].core
+    renewed = leases.LeaseRenewed(
+        world.now,
+        agent.link.incarnation,
+        world.endpoints["agent-0"].clock_ms(world.now),
+        (leases.ListedRun(key, None),),
+        (),
+    )
+    slowness = agent.slowness
+    world.post("agent-0", renewed)
+    assert [row.key for row in agent.runs] == [key]
+    assert agent.slowness == slowness
+
+
 def test_capacity_of_an_earlier_release_can_be_reported(
     world: worlds.World,
 ) -> None:
--- a/src/ferryledge/platform/_endpoint.py
+++ b/src/ferryledge/platform/_endpoint.py
@@ -6,6 +6,7 @@
 import anyio
 import msgspec
 
+from ferryledge import decoding
 from ferryledge import leases
 from ferryledge import net
 from ferryledge import wire
@@ -36,20 +37,24 @@
 }
 
 
+#: Values of a row that are used; later ones are ignored.
+_ROW_FIELDS = 4
+
+
 class _Answer(msgspec.Struct, frozen=True, rename="pascal"):
-    clock_ms: int = 0
+    clock_ms: decoding.Natural = 0
     reason: str = ""
 
 
 class _RunLists(msgspec.Struct, frozen=True, rename="pascal"):
-    clock_ms: int = 0
+    clock_ms: decoding.Natural = 0
     #: Rows of task, run number, saved text and progress in percent.
-    running: tuple[tuple[typing.Any, ...], ...] = ()
+    running: tuple[typing.Any, ...] = ()
     #: Rows of sequence number, task, run number, how the run ended and saved
     #: text.
-    ended: tuple[tuple[typing.Any, ...], ...] = ()
+    ended: tuple[typing.Any, ...] = ()
     #: Unix time of the endpoint's start in ms; 0 if it isn't reported.
-    born: int = msgspec.field(default=0, name="born")
+    born: decoding.Natural = msgspec.field(default=0, name="born")
 
 
 def _task_name(key: leases.RunKey) -> str:
@@ -60,19 +65,95 @@
     return f"{key.job}.0.{key.step}.{key.index}"
 
 
-def _parse_run_key(task: str, run: int) -> leases.RunKey:
-    job, _, step, index = task.rsplit(".", 3)
-    return leases.RunKey(job, int(step), int(index), run)
+class _RowError(Exception):
+    """A row of a list can't be read.
+
+    :param message: the reason
+    :param task: the task that the row names, if that can be read
+    """
+
+    def __init__(
+        self, message: str, task: leases.TaskKey | None = None
+    ) -> None:
+        super().__init__(message)
+        #: The task that the row names, if that can be read.
+        self.task = task
+
+
+def _parse_row(row: typing.Any) -> list[typing.Any]:
+    if not isinstance(row, list) or len(row) < _ROW_FIELDS:
+        raise _RowError(f"expected a list of {_ROW_FIELDS} or more values")
+    return row[:_ROW_FIELDS]
+
+
+def _parse_run_key(task: typing.Any, run: typing.Any) -> leases.RunKey:
+    try:
+        job, _, step, index = task.rsplit(".", 3)
+        task_key = job, int(step), int(index)
+    except (AttributeError, ValueError) as exc:
+        raise _RowError("the task has no name of this system") from exc
+    if not all(decoding.is_natural(number) for number in task_key[1:]):
+        raise _RowError("the numbers in the task's name are out of range")
+    if not decoding.is_natural(run):
+        raise _RowError("the run has no valid number", task_key)
+    return leases.RunKey(*task_key, run)
+
+
+def _parse_running(row: typing.Any) -> leases.ListedRun:
+    task, run, _, percent = _parse_row(row)
+    key = _parse_run_key(task, run)
+    if not isinstance(percent, int | float) or not 0 <= percent <= 100:
+        return leases.ListedRun(key, None)
+    return leases.ListedRun(key, percent / 100.0)
 
 
-def _parse_running(row: tuple[typing.Any, ...]) -> leases.ListedRun:
-    task, run, _, percent = row[:4]
-    return leases.ListedRun(_parse_run_key(task, run), percent / 100.0)
+def _parse_end(row: typing.Any) -> leases.ListedEnd:
+    number, task, run, how = _parse_row(row)
+    key = _parse_run_key(task, run)
+    if not isinstance(how, str) or how not in _HOW_ENDED:
+        # The run is over, but not known to be done.
+        how = "stopped"
+    number = number if decoding.is_natural(number) else 0
+    return leases.ListedEnd(number, key, _HOW_ENDED[how])
 
 
-def _parse_end(row: tuple[typing.Any, ...]) -> leases.ListedEnd:
-    number, task, run, how = row[:4]
-    return leases.ListedEnd(number, _parse_run_key(task, run), _HOW_ENDED[how])
+RowT = typing.TypeVar("RowT", leases.ListedRun, leases.ListedEnd)
+
+
+class _RowReader:
+    """Reads the rows of an answer, and passes over those it can't read.
+
+    :param note_unreadable: called with the reason for each of these
+    """
+
+    def __init__(self, note_unreadable: abc.Callable[[str], None]) -> None:
+        self._note_unreadable = note_unreadable
+        self._unclear_tasks: set[leases.TaskKey] = set()
+
+    @property
+    def unclear_tasks(self) -> frozenset[leases.TaskKey]:
+        """Tasks that are named by rows without a readable run."""
+        return frozenset(self._unclear_tasks)
+
+    def read(
+        self,
+        rows: tuple[typing.Any, ...],
+        parse: abc.Callable[[typing.Any], RowT],
+    ) -> tuple[RowT, ...]:
+        """Return the rows that can be read."""
+        parsed = []
+        for row in rows:
+            try:
+                parsed.append(parse(row))
+            except _RowError as exc:
+                self._note_unreadable(str(exc))
+                if exc.task is not None:
+                    self._unclear_tasks.add(exc.task)
+        return tuple(parsed)
+
+
+def _ignore_unreadable(reason: str) -> None:
+    """Ignore what can't be read."""
 
 
 def _call_fault(status: int, answer: _Answer) -> leases.CallFault:
@@ -85,8 +166,8 @@
 
 def _decode(content: bytes) -> _Answer:
     try:
-        return msgspec.json.decode(content, type=_Answer)
-    except msgspec.DecodeError:
+        return decoding.decode_json(content, _Answer)
+    except decoding.DecodingError:
         return _Answer()  # Error responses may have no body.
 
 
@@ -95,12 +176,18 @@
 
     :param address: ``host:port`` of the endpoint
     :param now: the agent's monotonic clock, in seconds
+    :param note_unreadable: called with the reason if an answer, or a row of
+        it, can't be read; defaults to ignoring it
     """
 
     def __init__(
-        self, address: str, now: abc.Callable[[], float] = anyio.current_time
+        self,
+        address: str,
+        now: abc.Callable[[], float] = anyio.current_time,
+        note_unreadable: abc.Callable[[str], None] = _ignore_unreadable,
     ) -> None:
         self._now = now
+        self._note_unreadable = note_unreadable
         url = f"http://{address}"
         self._order_caller = net.HttpClient(
             url, _ORDER_CONNECTIONS, permit_s=_ORDER_PERMIT_S
@@ -192,14 +279,23 @@
             answer = _decode(response.content)
             fault = _call_fault(response.status, answer)
             return _not_renewed(renewal, fault, answer.clock_ms)
-        lists = msgspec.json.decode(response.content, type=_RunLists)
+        try:
+            lists = decoding.decode_json(response.content, _RunLists)
+        except decoding.DecodingError as exc:
+            # The endpoint may have renewed the lease, as without an answer.
+            self._note_unreadable(str(exc))
+            return _not_renewed(renewal, leases.CallFault.SILENT)
+        reader = _RowReader(self._note_unreadable)
+        running = reader.read(lists.running, _parse_running)
+        ended = reader.read(lists.ended, _parse_end)
         return leases.LeaseRenewed(
             sent_at,
             renewal.incarnation,
             lists.clock_ms,
-            tuple(_parse_running(row) for row in lists.running),
-            tuple(_parse_end(row) for row in lists.ended),
+            running,
+            ended,
             lists.born,
+            reader.unclear_tasks,
         )
 
     async def _call(
--- a/src/ferryledge/platform/standin/_endpoint.py
+++ b/src/ferryledge/platform/standin/_endpoint.py
@@ -271,7 +271,7 @@
                 409, {"ClockMs": clock_ms, "Reason": "fence"}
             )
     running = [
-        [_task_name(run.key), run.key.run, "", int(run.done * 100), 0]
+        [_task_name(run.key), run.key.run, "", int((run.done or 0.0) * 100), 0]
         for run in answer.running
     ]
     ended = [
