Keep the fencing token in the range of clocks

What callers would have seen: an agent whose endpoint refuses any token ends after some thousand refusals.

Cause: each such answer doubles the token. At 4,300 digits the integer can't be written as JSON any more (ValueError), which ended the renewals and with them the process.

Ruled out: to stop after some tries, since a token of an earlier endpoint may be far above the clock and is passed within a few.

Change: the token stops at the greatest number that a clock may show. An endpoint can't have seen a higher one of this system.

Figures: test_fencing_token_stays_in_range fails before and passes after.

Conclusion: an endpoint that always refuses costs calls, not the agent.

--- a/src/ferryledge/leases/_endpoint.py
+++ b/src/ferryledge/leases/_endpoint.py
@@ -3,6 +3,7 @@
 from collections import abc
 import enum
 
+from ferryledge import decoding
 from ferryledge.leases import _agent_events
 from ferryledge.leases import _answer_times
 from ferryledge.leases import _incarnations
@@ -165,10 +166,12 @@
         """Raise the fencing token after the endpoint has seen a higher one.
 
         That token may be far above the clock if the endpoint restarted with
-        a lower clock. Doubling exceeds it within a few calls.
+        a lower clock. Doubling exceeds it within a few calls. The token stays
+        in the range of clocks, in case the endpoint refuses any token.
         """
         self.note_clock(clock_ms, now)
-        self._token = max(2 * self._token, self.clock_ms(now))
+        raised = max(2 * self._token, self.clock_ms(now))
+        self._token = min(raised, decoding.MAX_INTEGER)
 
     def receive_heartbeat(
         self, heartbeat: _agent_events.EndpointHeartbeat, now: float
--- a/src/ferryledge/leases/tests/test_odd_values.py
+++ b/src/ferryledge/leases/tests/test_odd_values.py
@@ -7,7 +7,9 @@
 
 from ferryledge import decoding
 from ferryledge import leases
+from ferryledge.leases import _endpoint
 from ferryledge.leases import _jobs
+from ferryledge.leases import _timing
 from ferryledge import loads as worlds
 from ferryledge import outcomes
 from ferryledge import placement
@@ -76,6 +78,13 @@
         assert isinstance(world.outcome(token), outcomes.Complete)
 
 
+def test_fencing_token_stays_in_range() -> None:
+    """Guards against a token that grows until it can't be encoded."""
+    link = _endpoint.EndpointLink(_timing.LeaseTiming(), 0.0)
+    link.note_clock(77, 0.0)
+    for _ in range(100):
+        link.raise_token(77, 1.0)
+    assert link.token == decoding.MAX_INTEGER
 
 
 def _renewed(
