Keep a configuration's numbers in the range of messages

What callers would have seen: a configuration whose version is 2^64 ends each entry that reads it, again at each start; a priority of 2^64 ends an entry that offers a job of the route to another one.

Cause: whole numbers had no bounds, and the version and a route's numbers go into messages.

Ruled out: to reject a configuration for a route's number, since its other routes would not be in force either.

Change: a version out of range is invalid, so the configuration before it stays in force. A route's numbers out of range count as the nearest one in range, and a negative stretch or target as 0.

--- a/src/ferryledge/platform/_config.py
+++ b/src/ferryledge/platform/_config.py
@@ -17,6 +17,9 @@
 #: Multiple of the latency objective until which an answer is useful to the
 #: platform's clients.
 _LATE_FACTOR = 3.0
+#: Bounds of the latency objective's parts.
+_MAX_STRETCH = 1e6
+_MAX_TARGET_S = 1e6
 
 
 class ConfigError(Exception):
@@ -43,7 +46,7 @@
 
 
 class _Config(_Table, frozen=True):
-    version: int
+    version: decoding.Natural
     routes: tuple[_Route, ...] = ()
 
 
@@ -114,13 +117,20 @@
 
 
 def _job_class(route: _Route) -> leases.JobClass:
+    """Return the job class of a route.
+
+    Numbers out of range count as the nearest one in range. A configuration is
+    in force as a whole, so an error would affect its other routes as well.
+    """
+    limit = decoding.MAX_INTEGER
+    target_s = route.target_latency_ms / 1000.0
     return leases.JobClass(
         route.name,
         route.backend,
-        route.priority,
-        route.attempts,
-        route.stretch,
-        route.target_latency_ms / 1000.0,
+        max(-limit, min(route.priority, limit)),
+        max(-limit, min(route.attempts, limit)),
+        max(0.0, min(route.stretch, _MAX_STRETCH)),
+        max(0.0, min(target_s, _MAX_TARGET_S)),
         _LATE_FACTOR,
     )
 
