Decode each record of a list for itself, whatever its key

What callers would have seen: a process that lists a topic ends, or never gets past a record that another program wrote. Not seen with real processes.

Cause, four of them in the client of the store: a value that is not base64 ended the reader; one record of another shape made the whole list unreadable, at each retry; a list of several pages goes on after its last key, which was put into the path of the call as it is, so that a key outside latin-1 ended the reader and "&" or a line end changed the call; a raw record shorter than its key ended the page there, so that the reader never moved on.

Ruled out: to omit a record whose value can't be decoded, since a cordon exists whatever its value.

Change: each record of a list is decoded for itself, an odd one is logged and omitted, and an undecodable value is passed on for the reader to reject. Keys are quoted. A raw record without a whole key has neither key nor value, and the ones after it keep their offsets.

--- a/src/ferryledge/platform/_store.py
+++ b/src/ferryledge/platform/_store.py
@@ -1,9 +1,12 @@
 """A client of the platform's log store."""
 
 import base64
+import binascii
 from collections import abc
 import dataclasses
+from urllib import parse
 
+import loguru
 import msgspec
 
 from ferryledge import decoding
@@ -59,13 +62,38 @@
 class _NewestItem(msgspec.Struct, frozen=True):
     key: str = msgspec.field(name="TlsKey")
     value: str = msgspec.field(name="Value")
-    offset: int = msgspec.field(name="Offset", default=0)
+    offset: decoding.Natural = msgspec.field(name="Offset", default=0)
+
+    def to_record(self) -> KeyedRecord:
+        """Return the record.
+
+        A value that is not base64 is passed on undecoded. Whoever uses the
+        record rejects it then, like any other value that can't be read.
+        """
+        try:
+            value = base64.b64decode(self.value)
+        except (binascii.Error, ValueError):
+            value = self.value.encode()
+        return KeyedRecord(self.key, value, self.offset)
 
 
 class _NewestPage(msgspec.Struct, frozen=True):
-    items: tuple[_NewestItem, ...] = ()
+    #: Each is decoded separately, so that an invalid one hides no others.
+    items: tuple[msgspec.Raw, ...] = ()
     more: bool = msgspec.field(name="MorePages", default=False)
-    end: int = msgspec.field(name="End", default=0)
+    end: decoding.Natural = msgspec.field(name="End", default=0)
+
+    def records(self) -> list[KeyedRecord]:
+        """Return the records; log and omit those that can't be decoded."""
+        records = []
+        for item in self.items:
+            try:
+                decoded = decoding.decode_json(bytes(item), _NewestItem)
+            except decoding.DecodingError as exc:
+                loguru.logger.warning("invalid record in a list: {}", exc)
+                continue
+            records.append(decoded.to_record())
+        return records
 
 
 #: Maps the size of an answer in bytes to the rate at which it is read, in
@@ -124,15 +152,11 @@
         while True:
             path = f"/log-newest?Topic={topic}&part={partition}"
             if after:
-                path += f"&DependsOn={after}"
+                path += f"&DependsOn={parse.quote(after, safe='')}"
             content = await self._call("GET", path, rate=rate)
             page = _decode_newest(content)
-            records += [
-                KeyedRecord(
-                    item.key, base64.b64decode(item.value), item.offset
-                )
-                for item in page.items
-            ]
+            page_records = page.records()
+            records += page_records
             if next_offset is None:
                 # Records may be written between the pages, also to keys of
                 # earlier pages. Reading on from the end that came with the
@@ -140,7 +164,9 @@
                 next_offset = page.end
             if not page.more or not page.items:
                 return KeyedPage(tuple(records), next_offset, 0, page.end)
-            after = page.items[-1].key
+            if not page_records:
+                raise StoreError("no record of a list can be decoded")
+            after = page_records[-1].key
 
     async def read(
         self,
@@ -225,6 +251,9 @@
 def _decode_records(content: bytes, offset: int) -> abc.Iterator[KeyedRecord]:
     """Yield the records of an answer, which begins with two offsets.
 
+    A record that is shorter than its key has neither key nor value, so that
+    the records after it keep their offsets.
+
     :param content: body of the answer; a truncated last record is skipped
     :param offset: offset of the first record
     """
@@ -233,10 +262,10 @@
         start = position + _LENGTH_BYTES
         length = int.from_bytes(content[position:start], "big")
         raw = content[start : start + length]
-        if not raw or len(raw) < length:
+        if len(raw) < length:
             return
         position = start + length
-        key_end = 1 + raw[0]
-        key = raw[1:key_end].decode(errors="replace")
-        yield KeyedRecord(key, raw[key_end:], offset)
+        key_end = 1 + raw[0] if raw else 1
+        key = raw[1:key_end] if key_end <= length else b""
+        yield KeyedRecord(key.decode(errors="replace"), raw[key_end:], offset)
         offset += 1
