Survive odd settings files and addresses

What callers would have seen: a daemon that gets SIGHUP while its settings file is not UTF-8, nested deeply, or names a port out of range for the store ends; one that reads a file which is written halfway loses the store's address. An odd seed ends each process at its start.

Cause: a reload handled only some errors of the file, and addresses were checked when they were used. Connecting to an address that can't be one raises ValueError, UnicodeError or OverflowError instead of OSError. NaN and infinity are numbers in TOML.

Ruled out: to refuse settings for a seed, since seeds may be stale.

Change: reading the file raises one error; ports and durations have bounds, and the addresses of the store and the endpoint are checked with the file. A reload that lacks the store's address changes nothing. Malformed seeds are logged and omitted. An address that can't be connected to counts as unreachable.

--- a/src/ferryledge/hosted/_agent.py
+++ b/src/ferryledge/hosted/_agent.py
@@ -174,10 +174,11 @@
         assert self._group is not None
         await anyio.sleep(_SEED_DELAY_S)
         if not self._entries_known:
-            hosts = [
-                platform.split_address(seed)[0] for seed in settings.seeds
-            ]
-            self._dialler.dial_seeds(self._group, hosts, settings.stream_port)
+            self._dialler.dial_seeds(
+                self._group,
+                _members.seed_hosts(settings),
+                settings.stream_port,
+            )
 
     def _on_entries(self, entries: tuple[wire.EntryAddress, ...]) -> None:
         self._entries_known = self._entries_known or bool(entries)
--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -149,9 +149,10 @@
             self._add_gauges()
             group.start_soon(self._registry.serve, settings.stream_host)
             hosts = [
-                platform.split_address(seed)[0] for seed in settings.seeds
+                host
+                for host in _members.seed_hosts(settings)
+                if host != settings.ip
             ]
-            hosts = [host for host in hosts if host != settings.ip]
             self._dialler.dial_seeds(group, hosts, settings.stream_port)
             group.start_soon(_members.register, self._store, own)
             group.start_soon(
--- a/src/ferryledge/hosted/_members.py
+++ b/src/ferryledge/hosted/_members.py
@@ -107,6 +107,17 @@
         await store.close()
 
 
+def seed_hosts(settings: platform.Settings) -> list[str]:
+    """Return the hosts of the seeds; log and omit malformed addresses."""
+    hosts = []
+    for seed in settings.seeds:
+        try:
+            hosts.append(platform.split_address(seed)[0])
+        except platform.SettingsError as exc:
+            loguru.logger.warning("seed ignored: {}", exc, step="join")
+    return hosts
+
+
 async def read_once(
     address: str,
     on_entries: OnEntries,
--- a/src/ferryledge/hosted/_reload.py
+++ b/src/ferryledge/hosted/_reload.py
@@ -18,5 +18,12 @@
     except platform.SettingsError as exc:
         loguru.logger.error("settings not reloaded: {}", exc, step="reload")
         return settings
+    if settings.store.address and not changed.store.address:
+        # The file may be incomplete while it is being written.
+        loguru.logger.error(
+            "settings not reloaded: the store's address is missing",
+            step="reload",
+        )
+        return settings
     store.set_address(changed.store.address)
     return changed
--- a/src/ferryledge/net/_connecting.py
+++ b/src/ferryledge/net/_connecting.py
@@ -33,7 +33,8 @@
 
     :param open_connection: makes one attempt
     :param max_attempts: maximum number of attempts
-    :raises OSError: if the peer refuses or is unreachable
+    :raises OSError: if the peer refuses or is unreachable, or its address is
+        invalid
     :raises TimeoutError: if no attempt completes in time
     """
     opened: list[tuple[TransportT, ProtocolT]] = []
@@ -48,6 +49,8 @@
                         opened.append(await open_connection())
                     except OSError as exc:
                         errors.append(exc)
+                    except (ValueError, OverflowError) as exc:
+                        errors.append(OSError(f"invalid address: {exc}"))
                     group.cancel_scope.cancel()
 
                 for _ in range(max_attempts):
--- a/src/ferryledge/net/_http.py
+++ b/src/ferryledge/net/_http.py
@@ -177,7 +177,7 @@
         try:
             with anyio.fail_after(connect_s):
                 return await self._connect()
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, ValueError, OverflowError) as exc:
             raise _http_connection.ConnectError(
                 f"can't connect: {exc}"
             ) from exc
--- a/src/ferryledge/net/tests/test_connecting.py
+++ b/src/ferryledge/net/tests/test_connecting.py
@@ -120,3 +120,19 @@
 
     paused_clock.run(main)
     assert not peer.open
+
+
+@pytest.mark.parametrize(
+    "error", [UnicodeError("label too long"), ValueError, OverflowError]
+)
+def test_invalid_address_counts_as_unreachable(error: Exception) -> None:
+    """Guards against an odd address that ends the process."""
+
+    async def open_connection() -> tuple[_Transport, asyncio.Protocol]:
+        raise error
+
+    async def main() -> None:
+        with pytest.raises(OSError):
+            await _connecting.connect(open_connection, 2)
+
+    paused_clock.run(main)
--- a/src/ferryledge/net/tests/test_http.py
+++ b/src/ferryledge/net/tests/test_http.py
@@ -200,3 +200,15 @@
 
     (request,) = _run(use).requests
     assert request.startswith(b"GET /a?b=c HTTP/1.1\r\nhost: desk.example\r\n")
+
+
+@pytest.mark.parametrize("host", ["a..b", "x" * 300])
+def test_invalid_host_is_a_connect_error(host: str) -> None:
+    """Guards against an odd address that ends the process."""
+
+    async def main() -> None:
+        client = net.HttpClient(f"http://{host}:80", 1)
+        with pytest.raises(net.ConnectError):
+            await client.call("GET", "/")
+
+    anyio.run(main)
--- a/src/ferryledge/platform/_settings.py
+++ b/src/ferryledge/platform/_settings.py
@@ -5,12 +5,20 @@
 import pathlib
 import tomllib
 import typing
+from urllib import parse
 
 import msgspec
 
 #: Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = "FERRYLEDGE_CONFIG"
 _BYTES_PER_MBIT = 125_000.0
+_LAST_PORT = 65535
+
+_Port = typing.Annotated[int, msgspec.Meta(ge=1, le=_LAST_PORT)]
+#: A duration, factor or rate. The bounds exclude infinity and NaN, which are
+#: numbers in TOML.
+_Amount = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+_PositiveAmount = typing.Annotated[float, msgspec.Meta(gt=0.0, le=1e9)]
 
 
 class SettingsError(Exception):
@@ -37,22 +45,22 @@
     """Times and factors that the platform guarantees or requires."""
 
     #: Maximum duration of a lease at an endpoint, in ms.
-    hold_max_ms: float = 1000
+    hold_max_ms: _PositiveAmount = 1000
     #: Maximum time that an endpoint takes to stop a run, in ms.
-    stop_ms: float = 50
+    stop_ms: _Amount = 50
     #: Seconds between SIGTERM and SIGKILL.
-    grace_s: float = 6
+    grace_s: _Amount = 6
     #: Factor on the run time of a task that isn't near its data.
-    far_x: float = 1.0
+    far_x: _PositiveAmount = 1.0
     #: Time within which a new configuration must be in force, in ms.
-    config_apply_ms: float = 2000
+    config_apply_ms: _PositiveAmount = 2000
 
 
 class Limits(_Table, frozen=True):
     """Resources of the machine that this process may use."""
 
     #: Bandwidth of the network link in Mbit/s; 0 is unknown.
-    link_mbps: float = 0.0
+    link_mbps: _Amount = 0.0
 
 
 class Store(_Table, frozen=True):
@@ -73,7 +81,7 @@
     #: The machine's availability zone.
     zone: str
     #: First and last port available for streams between processes.
-    port_range: tuple[int, int]
+    port_range: tuple[_Port, _Port]
     listen_addrs: Listen = Listen()
     bounds: Bounds = Bounds()
     limits: Limits = Limits()
@@ -126,13 +134,34 @@
     """
     try:
         table: typing.Any = tomllib.loads(text)
-        return msgspec.convert(table, Settings)
-    except tomllib.TOMLDecodeError as exc:
+    except (ValueError, RecursionError) as exc:
         raise SettingsError(
             f"the settings file is not valid TOML: {exc}"
         ) from exc
+    try:
+        settings = msgspec.convert(table, Settings)
     except msgspec.ValidationError as exc:
         raise SettingsError(f"invalid setting: {exc}") from exc
+    _check_addresses(settings)
+    return settings
+
+
+def _check_addresses(settings: Settings) -> None:
+    """Check the addresses that this process calls, if they are set.
+
+    :raises SettingsError: if one has another form than ``host:port``
+    """
+    addresses = {
+        "platform.Address": settings.store.address,
+        "app": settings.endpoint,
+    }
+    for name, address in addresses.items():
+        if not address:
+            continue
+        try:
+            split_address(address)
+        except SettingsError as exc:
+            raise SettingsError(f"invalid setting {name}: {exc}") from exc
 
 
 def read_settings() -> Settings:
@@ -146,9 +175,11 @@
             f"set {SETTINGS_VARIABLE} to the path of the settings file"
         )
     try:
-        text = pathlib.Path(path).read_text()
+        text = pathlib.Path(path).read_text(encoding="utf-8")
     except OSError as exc:
         raise SettingsError(f"can't read {path}: {exc.strerror}") from exc
+    except UnicodeDecodeError as exc:
+        raise SettingsError(f"{path} is not UTF-8: {exc}") from exc
     return parse_settings(text)
 
 
@@ -158,6 +189,13 @@
     :raises SettingsError: if the address has another form
     """
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not (port.isascii() and port.isdecimal()):
         raise SettingsError(f"{address!r} is not of the form host:port")
+    # Compared by length first, since int() refuses thousands of digits.
+    if len(port) > len(str(_LAST_PORT)) or int(port) > _LAST_PORT:
+        raise SettingsError(f"the port of {address!r} is above {_LAST_PORT}")
+    try:
+        parse.urlsplit(f"//{address}")
+    except ValueError as exc:
+        raise SettingsError(f"{address!r}: {exc}") from exc
     return host, int(port)
