--- a/src/ferryledge/soak/_deployment.py
+++ b/src/ferryledge/soak/_deployment.py
@@ -6,6 +6,7 @@
 import random
 
 from ferryledge import leases
+from ferryledge import net
 from ferryledge.platform import standin as platform_standin
 from ferryledge.soak import _plan
 from ferryledge.soak import _processes
@@ -54,6 +55,11 @@
     return f"127.0.4.{number + 1}"
 
 
+def agent_client(number: int) -> net.HttpClient:
+    """Return a client of the calls that an endpoint makes to its agent."""
+    return net.HttpClient(f"http://{_agent_host(number)}:{_CONTROL_PORT}", 1)
+
+
 class Deployment:
     """All programs, the proxies before entries, the store, the endpoints.
 
