--- a/src/ferryledge/leases/_runs.py
+++ b/src/ferryledge/leases/_runs.py
@@ -120,7 +120,8 @@
 
     def has_task(self, key: RunKey) -> bool:
         """Return whether there is any run of the task of a key."""
-        return any(row.task == key.task for row in self._rows)
+        task = key.task
+        return any(row.task == task for row in self._rows)
 
     def of_job(self, job: str) -> list[RunRow]:
         """Return the runs of a job's tasks."""
