--- a/src/ferryledge/hosted/_entry.py
+++ b/src/ferryledge/hosted/_entry.py
@@ -290,6 +290,11 @@
         if route is None:
             return await self._handle_unrouted(request)
         job = request.path[len(route.path_prefix) :]
+        if len(job) > platform.MAX_NAME_CHARS:
+            error = f"use a name of at most {platform.MAX_NAME_CHARS} letters"
+            return net.HttpResponse.json(
+                400, {"error": error, "field": "path"}
+            )
         match request.method:
             case "POST" if job:
                 return await self._submit(request, route, job)
--- a/src/ferryledge/platform/__init__.py
+++ b/src/ferryledge/platform/__init__.py
@@ -25,6 +25,7 @@
     JobError = _jobs.JobError
     KeyedPage = _store.KeyedPage
     KeyedRecord = _store.KeyedRecord
+    MAX_NAME_CHARS = _jobs.MAX_NAME_CHARS
     MalformedJobError = _jobs.MalformedJobError
     Rate = _store.Rate
     RecordsGoneError = _store.RecordsGoneError
@@ -75,6 +76,7 @@
             ),
             "_jobs": (
                 "JobError",
+                "MAX_NAME_CHARS",
                 "MalformedJobError",
                 "UnsupportedJobError",
                 "find_job_name",
@@ -108,6 +110,7 @@
 __all__ = [
     "CONFIG_KEY",
     "CONFIG_TOPIC",
+    "MAX_NAME_CHARS",
     "ConfigError",
     "Configuration",
     "EndpointCalls",
--- a/src/ferryledge/platform/_jobs.py
+++ b/src/ferryledge/platform/_jobs.py
@@ -21,6 +21,9 @@
 #: Longest time that a client is assumed to wait, in seconds. What is kept of
 #: a job until its client stops waiting is not kept for longer.
 _MAX_WAIT_S = 86_400.0
+#: Maximum length of the client's name for a job, in characters. Messages
+#: between processes repeat it.
+MAX_NAME_CHARS = decoding.MAX_LABEL_CHARS
 #: The client's name for a job, at the end of a path.
 _JOB_NAME = re.compile("[0-9a-fA-F]{16}$")
 
