Cut no deadline or estimate short that the platform's pages allow

Cause: the bounds were set where values are odd, not where the pages end, which name no limit.

Ruled out: no bound, since the name of a job is kept until its deadline.

Estimates count up to 10^6 s, where run times are bounded anyway.

--- a/src/ferryledge/platform/_jobs.py
+++ b/src/ferryledge/platform/_jobs.py
@@ -17,9 +17,9 @@
 #: Maximum number of tasks in a job.
 MAX_TASKS = 810
 #: Greatest estimate of a task's run time that is used, in seconds.
-_MAX_ESTIMATE_S = 3600.0
-#: Longest time that a client is assumed to wait, in seconds. What is kept of
-#: a job until its client stops waiting is not kept for longer.
+_MAX_ESTIMATE_S = 1e6
+#: Longest wait of a client that is used as a deadline, in seconds. Names of
+#: jobs are kept until then, so that a longer one counts as unknown.
 _MAX_WAIT_S = 86_400.0
 #: Maximum length of the client's name for a job, in characters. Messages
 #: between processes repeat it.
@@ -123,7 +123,7 @@
         raise MalformedJobError("Deadline-Ms", f"{value!r}: {exc}") from exc
     if not math.isfinite(deadline_s):
         raise MalformedJobError("Deadline-Ms", "must be a finite number")
-    return min(max(0.0, deadline_s), _MAX_WAIT_S)
+    return max(0.0, deadline_s) if deadline_s <= _MAX_WAIT_S else 0.0
 
 
 def find_job_name(path: str) -> str:
